--- a/crates/bluebellferry_fairness/src/lib.rs
+++ b/crates/bluebellferry_fairness/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Fair queueing of requests that wait for a database.
+//!
+//! [`queue::FairQueue`] hands out waiting requests so that each workspace gets
+//! its weighted share, whatever the others send. [`concurrency`] finds how many
+//! requests a database can serve at a time without queueing inside it.
+//!
+//! ```
+//! use bluebellferry_fairness::queue;
+//! use bluebellferry_types::name::WorkspaceName;
+//!
+//! let busy = WorkspaceName::try_from("busy")?;
+//! let quiet = WorkspaceName::try_from("quiet")?;
+//! let mut queue = queue::FairQueue::new(100);
+//! for number in 0..10 {
+//!     queue.push(&busy, 1, number).ok();
+//! }
+//! queue.push(&quiet, 1, 99).ok();
+//! let first_two = [queue.pop(), queue.pop()];
+//! assert!(first_two.contains(&Some(99)));
+//! # Ok::<(), bluebellferry_types::name::NameError>(())
+//! ```
+
+pub mod concurrency;
+pub mod queue;
--- /dev/null
+++ b/crates/bluebellferry_fairness/src/queue.rs
@@ -0,0 +1,117 @@
+//! A weighted fair queue: start-time fair queueing over workspaces.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use bluebellferry_types::name;
+
+/// The virtual time that one request of weight 1 takes.
+const UNIT: u64 = 1 << 20;
+
+/// The queue is full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueFull;
+
+#[derive(Debug)]
+struct WorkspaceLine<T> {
+    waiting: VecDeque<(u64, T)>,
+    last_finish: u64,
+}
+
+/// Waiting requests, ordered by virtual start time.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    lines: HashMap<name::WorkspaceName, WorkspaceLine<T>>,
+    heads: BTreeMap<(u64, name::WorkspaceName), ()>,
+    virtual_time: u64,
+    waiting: usize,
+    capacity: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates a queue that holds at most `capacity` requests.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            lines: HashMap::new(),
+            heads: BTreeMap::new(),
+            virtual_time: 0,
+            waiting: 0,
+            capacity,
+        }
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// Adds a request of a workspace with the given weight, at least 1.
+    ///
+    /// A workspace may hold its weighted share of the capacity and beyond it
+    /// only what others leave free.
+    ///
+    /// # Errors
+    /// Fails when the queue is full.
+    pub fn push(
+        &mut self,
+        workspace: &name::WorkspaceName,
+        weight: u32,
+        request: T,
+    ) -> Result<(), QueueFull> {
+        let own = self
+            .lines
+            .get(workspace)
+            .map_or(0, |line| line.waiting.len());
+        // Half of the capacity is kept for workspaces that wait with little.
+        let small = own < self.capacity / 16;
+        let limit = if small {
+            self.capacity
+        } else {
+            self.capacity / 2
+        };
+        if self.waiting >= limit {
+            return Err(QueueFull);
+        }
+        let virtual_time = self.virtual_time;
+        let line = self
+            .lines
+            .entry(workspace.clone())
+            .or_insert_with(|| WorkspaceLine {
+                waiting: VecDeque::new(),
+                last_finish: 0,
+            });
+        let start = line.last_finish.max(virtual_time);
+        line.last_finish = start + UNIT / u64::from(weight.max(1));
+        if line.waiting.is_empty() {
+            self.heads.insert((start, workspace.clone()), ());
+        }
+        line.waiting.push_back((start, request));
+        self.waiting += 1;
+        Ok(())
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self) -> Option<T> {
+        let ((start, workspace), ()) = self.heads.pop_first()?;
+        self.virtual_time = self.virtual_time.max(start);
+        let line = self.lines.get_mut(&workspace)?;
+        let (_, request) = line.waiting.pop_front()?;
+        self.waiting -= 1;
+        if let Some((next, _)) = line.waiting.front() {
+            self.heads.insert((*next, workspace), ());
+        } else if line.last_finish <= self.virtual_time {
+            self.lines.remove(&workspace);
+        }
+        if self.waiting == 0 {
+            self.lines.clear();
+            self.virtual_time = 0;
+        }
+        Some(request)
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -0,0 +1,208 @@
+//! One VM's bucket of a workspace's tokens.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+
+/// How long moved tokens can be spent, counted from before they were asked for.
+pub const LOAN_VALIDITY: Duration = Duration::from_millis(250);
+/// How long the giver keeps room for moved tokens, counted from after it sent
+/// them. Twice the validity covers clocks that run at different speeds.
+pub const LOAN_RESERVATION: Duration = Duration::from_millis(500);
+/// How long the process may go unobserved before it counts as having been
+/// paused, which may have lasted long enough for another VM to take its place.
+pub const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long a bucket stays shut after a pause, so that news of a replacement
+/// can arrive first.
+pub const PAUSE_RECOVERY: Duration = Duration::from_millis(1_000);
+/// How long a grown share waits before it is used, so that every VM has
+/// shrunk its own first.
+pub const GROWTH_DELAY: Duration = Duration::from_secs(5);
+
+/// The part of a workspace's rate and burst that a VM owns.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareSize {
+    /// Tokens that come back each second.
+    pub rate_per_second: f64,
+    /// The most tokens that can be saved up.
+    pub burst: f64,
+}
+
+/// The answer to a request for a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TokenAnswer {
+    /// The token has been taken.
+    Granted,
+    /// No token is left; the next own one is there after this time.
+    Empty {
+        /// The time until the next own token.
+        refilled_in: Duration,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LentTokens {
+    amount: f64,
+    reserved_until: Instant,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct BorrowedTokens {
+    amount: f64,
+    valid_until: Instant,
+}
+
+/// A bucket that refills at the owned rate, lends and borrows.
+#[derive(Debug, Clone)]
+pub struct ShareBucket {
+    size: ShareSize,
+    grown: Option<(Instant, ShareSize)>,
+    tokens: f64,
+    refilled_at: Instant,
+    observed_at: Instant,
+    lent: SmallVec<[LentTokens; 4]>,
+    borrowed: SmallVec<[BorrowedTokens; 4]>,
+}
+
+impl ShareBucket {
+    /// Creates a full bucket, for the first start of an environment.
+    pub fn full(size: ShareSize, now: Instant) -> Self {
+        Self {
+            tokens: size.burst,
+            ..Self::empty(size, now)
+        }
+    }
+
+    /// Creates an empty bucket, for a VM that may replace another one whose
+    /// tokens were spent a moment ago.
+    pub fn empty(size: ShareSize, now: Instant) -> Self {
+        Self {
+            size,
+            grown: None,
+            tokens: 0.0,
+            refilled_at: now,
+            observed_at: now,
+            lent: SmallVec::new(),
+            borrowed: SmallVec::new(),
+        }
+    }
+
+    /// Changes the owned part. A smaller one holds at once, a larger one after
+    /// [`GROWTH_DELAY`].
+    pub fn resize(&mut self, size: ShareSize, now: Instant) {
+        self.refill(now);
+        let at_once = ShareSize {
+            rate_per_second: self.size.rate_per_second.min(size.rate_per_second),
+            burst: self.size.burst.min(size.burst),
+        };
+        self.size = at_once;
+        self.tokens = self.tokens.min(self.capacity());
+        self.grown = (size != at_once).then_some((now + GROWTH_DELAY, size));
+    }
+
+    /// Notes that the process is running. Without such notes for
+    /// [`PAUSE_LIMIT`] the bucket is emptied and shut for [`PAUSE_RECOVERY`].
+    pub fn observe(&mut self, now: Instant) {
+        self.refill(now);
+        self.observed_at = self.observed_at.max(now);
+    }
+
+    /// Takes one token.
+    pub fn try_take(&mut self, now: Instant) -> TokenAnswer {
+        self.refill(now);
+        if self.take_borrowed() {
+            return TokenAnswer::Granted;
+        }
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return TokenAnswer::Granted;
+        }
+        let missing = 1.0 - self.tokens;
+        let refill = Duration::from_secs_f64(missing / self.size.rate_per_second);
+        let shut = self.refilled_at.saturating_duration_since(now);
+        TokenAnswer::Empty {
+            refilled_in: refill + shut,
+        }
+    }
+
+    /// Returns the tokens that can be spent now.
+    pub fn available(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        let borrowed: f64 = self.borrowed.iter().map(|loan| loan.amount).sum();
+        self.tokens + borrowed
+    }
+
+    /// Moves up to `asked` whole tokens out, leaving `keep` for own callers.
+    /// Returns how many were moved.
+    pub fn lend(&mut self, asked: f64, keep: f64, now: Instant) -> f64 {
+        self.refill(now);
+        let amount = (self.tokens - keep).min(asked).floor();
+        if amount < 1.0 {
+            return 0.0;
+        }
+        self.tokens -= amount;
+        self.lent.push(LentTokens {
+            amount,
+            reserved_until: now + LOAN_RESERVATION,
+        });
+        amount
+    }
+
+    /// Takes tokens that another VM moved here; `asked_at` is an instant from
+    /// before they were asked for.
+    pub fn accept_loan(&mut self, amount: f64, asked_at: Instant, now: Instant) {
+        self.refill(now);
+        let valid_until = asked_at + LOAN_VALIDITY;
+        let usable = amount.is_finite() && amount > 0.0 && valid_until > now;
+        // A shut bucket refills from a later instant and takes no loans until then.
+        if usable && self.refilled_at <= now {
+            self.borrowed.push(BorrowedTokens {
+                amount,
+                valid_until,
+            });
+        }
+    }
+
+    fn take_borrowed(&mut self) -> bool {
+        let Some(loan) = self.borrowed.iter_mut().find(|loan| loan.amount >= 1.0) else {
+            return false;
+        };
+        loan.amount -= 1.0;
+        true
+    }
+
+    fn capacity(&self) -> f64 {
+        let lent: f64 = self.lent.iter().map(|loan| loan.amount).sum();
+        (self.size.burst - lent).max(0.0)
+    }
+
+    fn refill(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.observed_at) > PAUSE_LIMIT {
+            self.shut_after_pause(now);
+        }
+        self.lent.retain(|loan| loan.reserved_until > now);
+        self.borrowed
+            .retain(|loan| loan.valid_until > now && loan.amount >= 1.0);
+        if let Some((due, size)) = self.grown.filter(|(due, _)| *due <= now) {
+            self.add_refill(due);
+            self.size = size;
+            self.grown = None;
+        }
+        self.add_refill(now);
+    }
+
+    fn add_refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        let refilled = self.tokens + elapsed.as_secs_f64() * self.size.rate_per_second;
+        self.tokens = refilled.min(self.capacity());
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn shut_after_pause(&mut self, now: Instant) {
+        self.tokens = 0.0;
+        self.borrowed.clear();
+        self.refilled_at = now + PAUSE_RECOVERY;
+        self.observed_at = now;
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_limits/src/demand.rs
@@ -0,0 +1,72 @@
+//! How much a workspace needs on this VM, and how much to ask of others.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Over which time requests are counted.
+const WINDOW: Duration = Duration::from_millis(50);
+/// How much of a new window enters the moving average.
+const SMOOTHING: f64 = 0.4;
+/// For how long ahead tokens are kept or asked for.
+const HORIZON: Duration = Duration::from_millis(100);
+/// The fewest tokens asked for at a time.
+const MINIMUM_ASK: f64 = 2.0;
+
+/// A moving average of a workspace's requests on this VM.
+#[derive(Debug, Clone)]
+pub struct DemandMeter {
+    per_second: f64,
+    counted: u32,
+    window_start: Instant,
+}
+
+impl DemandMeter {
+    /// Creates a meter that has seen no request.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            per_second: 0.0,
+            counted: 0,
+            window_start: now,
+        }
+    }
+
+    /// Counts a request, admitted or not.
+    pub fn count(&mut self, now: Instant) {
+        self.roll(now);
+        self.counted += 1;
+    }
+
+    /// Returns the requests a second.
+    pub fn per_second(&mut self, now: Instant) -> f64 {
+        self.roll(now);
+        self.per_second
+    }
+
+    /// Returns the tokens that the next moments will need.
+    pub fn soon_needed(&mut self, now: Instant) -> f64 {
+        self.per_second(now) * HORIZON.as_secs_f64()
+    }
+
+    /// Returns how many tokens to ask of others, given what is available.
+    pub fn missing(&mut self, available: f64, now: Instant) -> f64 {
+        let needed = self.soon_needed(now);
+        if needed <= available || needed < 0.01 {
+            return 0.0;
+        }
+        (needed - available).max(MINIMUM_ASK)
+    }
+
+    fn roll(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.window_start);
+        if elapsed < WINDOW {
+            return;
+        }
+        let windows = (elapsed.as_secs_f64() / WINDOW.as_secs_f64()).floor();
+        let seen = f64::from(self.counted) / elapsed.as_secs_f64();
+        // Several quiet windows at once weigh as much as they would one by one.
+        let weight = 1.0 - (1.0 - SMOOTHING).powf(windows);
+        self.per_second += weight * (seen - self.per_second);
+        self.counted = 0;
+        self.window_start = now;
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_promotion/src/promoter.rs
@@ -0,0 +1,441 @@
+//! The state machine that replaces one group's primary.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_chart::chart;
+use bluebellferry_chart::machine;
+use serde::Deserialize;
+use smallvec::SmallVec;
+
+use crate::observation;
+
+/// How long the primary must fail its probes before it counts as lost.
+const PRIMARY_SILENCE: Duration = Duration::from_millis(300);
+/// How long replicas must be without contact to the primary to confirm it.
+const REPLICA_SILENCE: Duration = Duration::from_millis(250);
+/// By how much each further VM in the order waits longer than the one before.
+const TAKEOVER_STEP: Duration = Duration::from_millis(700);
+/// How long the store may take to settle a claim.
+const CLAIM_LIMIT: Duration = Duration::from_millis(400);
+/// How long fencing may take.
+const FENCE_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long further answers are waited for once a majority is fenced.
+const FENCE_GRACE: Duration = Duration::from_millis(20);
+/// How long the chosen database may take to become primary.
+const PROMOTE_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long the outcome may take to be written to the store.
+const PUBLISH_LIMIT: Duration = Duration::from_millis(2_000);
+/// The pause after a failed or lost attempt.
+const RETRY_PAUSE: Duration = Duration::from_millis(600);
+
+const PROMOTION_CHART: &str = include_str!("promotion.json");
+
+/// The step that a promotion has reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PromotionStep {
+    /// The primary is watched.
+    Watching,
+    /// A term is being claimed in the store.
+    Claiming,
+    /// The databases are being fenced with the term.
+    Fencing,
+    /// The chosen database is becoming primary.
+    Promoting,
+    /// The outcome is being written to the store.
+    Publishing,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ChartEvent {
+    PrimaryLost,
+    PrimarySeen,
+    ClaimSettled,
+    ClaimLost,
+    MajorityFenced,
+    Promoted,
+    Published,
+    Abandoned,
+}
+
+/// What stays the same for one group on one VM.
+#[derive(Debug, Clone)]
+pub struct PromoterSettings {
+    /// This VM's incarnation, to which databases promise terms.
+    pub claimant: String,
+    /// How many databases the group has.
+    pub members: usize,
+}
+
+impl PromoterSettings {
+    /// Creates the settings.
+    pub fn new(claimant: &str, members: usize) -> Self {
+        Self {
+            claimant: claimant.to_owned(),
+            members,
+        }
+    }
+}
+
+/// What the promoter is told.
+#[derive(Debug, Clone)]
+pub enum PromotionEvent {
+    /// Time has passed; `rank` is this VM's place in the order of live VMs.
+    Tick {
+        /// 0 for the VM that acts first.
+        rank: usize,
+    },
+    /// A database answered a probe that was sent at `asked`.
+    ProbeAnswered {
+        /// The database's index.
+        member: usize,
+        /// When the probe was sent.
+        asked: Instant,
+        /// Its answer.
+        status: observation::MemberStatus,
+    },
+    /// A probe failed.
+    ProbeFailed {
+        /// The database's index.
+        member: usize,
+    },
+    /// The store has settled or failed to settle the claim of `term`.
+    ClaimAnswered {
+        /// The term that was claimed.
+        term: u64,
+        /// What became of it.
+        outcome: ClaimOutcome,
+    },
+    /// A database answered a fence with `term`.
+    FenceAnswered {
+        /// The database's index.
+        member: usize,
+        /// The term of the fence.
+        term: u64,
+        /// Its state, or `None` if it refused or failed.
+        status: Option<observation::MemberStatus>,
+    },
+    /// The chosen database answered.
+    PromoteAnswered {
+        /// The term of the promotion.
+        term: u64,
+        /// Whether it is primary now.
+        promoted: bool,
+    },
+    /// The store has taken the outcome, or did not answer.
+    PublishAnswered {
+        /// The term that was published.
+        term: u64,
+    },
+}
+
+/// What became of a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimOutcome {
+    /// The store has recorded this VM as the claimant.
+    Won,
+    /// Another VM had claimed this or a higher term before.
+    Lost {
+        /// The term that stands in the store.
+        term: u64,
+    },
+    /// The store did not answer; the databases' promises decide alone.
+    StoreUnavailable,
+}
+
+/// What the promoter wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PromotionAction {
+    /// Claim a term in the store.
+    Claim {
+        /// The term.
+        term: u64,
+    },
+    /// Fence a database.
+    Fence {
+        /// The database's index.
+        member: usize,
+        /// The term.
+        term: u64,
+    },
+    /// Promote a database.
+    Promote {
+        /// The database's index.
+        member: usize,
+        /// The term.
+        term: u64,
+    },
+    /// Write the new primary to the store.
+    Publish {
+        /// The database's index.
+        member: usize,
+        /// The term.
+        term: u64,
+    },
+}
+
+/// The actions that follow from an event.
+pub type PromotionActions = SmallVec<[PromotionAction; 4]>;
+
+/// The promoter of one group on one VM.
+#[derive(Debug)]
+pub struct ServicePromoter {
+    settings: PromoterSettings,
+    machine: machine::ChartMachine<PromotionStep, ChartEvent>,
+    members: Vec<observation::MemberRecord>,
+    lost_since: Option<Instant>,
+    highest_term: u64,
+    term: u64,
+    step_since: Instant,
+    not_before: Instant,
+    fenced: Vec<Option<observation::MemberStatus>>,
+    majority_since: Option<Instant>,
+    chosen: usize,
+}
+
+impl ServicePromoter {
+    /// Creates a promoter that watches.
+    ///
+    /// # Panics
+    /// Panics when the built-in chart fails its checks, which tests rule out.
+    pub fn new(settings: PromoterSettings, now: Instant) -> Self {
+        let chart = chart::StateChart::parse(PROMOTION_CHART).expect("the built-in chart is valid");
+        let members = vec![observation::MemberRecord::default(); settings.members];
+        let fenced = vec![None; settings.members];
+        Self {
+            settings,
+            machine: machine::ChartMachine::new(chart),
+            members,
+            lost_since: None,
+            highest_term: 0,
+            term: 0,
+            step_since: now,
+            not_before: now,
+            fenced,
+            majority_since: None,
+            chosen: 0,
+        }
+    }
+
+    /// Returns the step that has been reached.
+    pub fn step(&self) -> PromotionStep {
+        self.machine.current()
+    }
+
+    /// Returns the term of the promotion that is under way.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns since when the primary has been lost, as far as this VM knows.
+    pub fn primary_lost_since(&self) -> Option<Instant> {
+        self.lost_since
+    }
+
+    fn majority(&self) -> usize {
+        self.settings.members / 2 + 1
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: PromotionEvent) -> PromotionActions {
+        match event {
+            PromotionEvent::Tick { rank } => self.on_tick(now, rank),
+            PromotionEvent::ProbeAnswered {
+                member,
+                asked,
+                status,
+            } => self.on_probe(now, member, asked, status),
+            PromotionEvent::ProbeFailed { member } => {
+                self.members[member].record_failure(now);
+                self.update_loss(now);
+                PromotionActions::new()
+            }
+            PromotionEvent::ClaimAnswered { term, outcome } => self.on_claim(now, term, outcome),
+            PromotionEvent::FenceAnswered {
+                member,
+                term,
+                status,
+            } => self.on_fence(now, member, term, status),
+            PromotionEvent::PromoteAnswered { term, promoted } => {
+                self.on_promoted(now, term, promoted)
+            }
+            PromotionEvent::PublishAnswered { term } => {
+                if term == self.term {
+                    self.fire(now, ChartEvent::Published);
+                }
+                PromotionActions::new()
+            }
+        }
+    }
+
+    fn fire(&mut self, now: Instant, event: ChartEvent) -> bool {
+        let moved = self.machine.fire(event);
+        if moved {
+            self.step_since = now;
+            if self.step() == PromotionStep::Watching {
+                self.not_before = now + RETRY_PAUSE;
+            }
+        }
+        moved
+    }
+
+    fn on_probe(
+        &mut self,
+        now: Instant,
+        member: usize,
+        asked: Instant,
+        status: observation::MemberStatus,
+    ) -> PromotionActions {
+        self.members[member].record_answer(asked, status);
+        self.highest_term = self.highest_term.max(status.promised_term);
+        self.update_loss(now);
+        if self.lost_since.is_none() {
+            self.fire(now, ChartEvent::PrimarySeen);
+        }
+        PromotionActions::new()
+    }
+
+    /// The primary is lost once no answering database takes writes and a
+    /// majority answers that it has not heard from a primary for a while.
+    /// A VM that merely cannot reach the primary itself sees its replicas
+    /// still in contact with it, and does nothing.
+    fn update_loss(&mut self, now: Instant) {
+        let answering = || self.members.iter().filter(|record| record.is_answering());
+        let statuses = || answering().filter_map(|record| record.status);
+        let has_primary = statuses().any(|status| status.accepts_writes);
+        let silent = |status: &observation::MemberStatus| {
+            status
+                .primary_contact
+                .is_none_or(|contact| contact >= REPLICA_SILENCE)
+        };
+        let confirmed = statuses().filter(silent).count();
+        if has_primary || confirmed < self.majority() {
+            self.lost_since = None;
+        } else {
+            self.lost_since.get_or_insert(now);
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, rank: usize) -> PromotionActions {
+        let in_step = now.saturating_duration_since(self.step_since);
+        match self.step() {
+            PromotionStep::Watching => self.consider_claim(now, rank),
+            PromotionStep::Claiming if in_step > CLAIM_LIMIT => {
+                let term = self.term;
+                self.on_claim(now, term, ClaimOutcome::StoreUnavailable)
+            }
+            PromotionStep::Fencing => self.consider_choice(now),
+            PromotionStep::Promoting if in_step > PROMOTE_LIMIT => self.abandon(now),
+            PromotionStep::Publishing if in_step > PUBLISH_LIMIT => self.abandon(now),
+            _ => PromotionActions::new(),
+        }
+    }
+
+    fn abandon(&mut self, now: Instant) -> PromotionActions {
+        self.fire(now, ChartEvent::Abandoned);
+        PromotionActions::new()
+    }
+
+    fn consider_claim(&mut self, now: Instant, rank: usize) -> PromotionActions {
+        let Some(lost_since) = self.lost_since else {
+            return PromotionActions::new();
+        };
+        let patience = PRIMARY_SILENCE + TAKEOVER_STEP * rank as u32;
+        let due = now.saturating_duration_since(lost_since) >= patience;
+        if !due || now < self.not_before {
+            return PromotionActions::new();
+        }
+        self.fire(now, ChartEvent::PrimaryLost);
+        self.term = self.highest_term + 1;
+        smallvec::smallvec![PromotionAction::Claim { term: self.term }]
+    }
+
+    fn on_claim(&mut self, now: Instant, term: u64, outcome: ClaimOutcome) -> PromotionActions {
+        if term != self.term || self.step() != PromotionStep::Claiming {
+            return PromotionActions::new();
+        }
+        if let ClaimOutcome::Lost { term } = outcome {
+            self.highest_term = self.highest_term.max(term);
+            self.fire(now, ChartEvent::ClaimLost);
+            return PromotionActions::new();
+        }
+        self.fire(now, ChartEvent::ClaimSettled);
+        self.fenced.fill(None);
+        self.majority_since = None;
+        let fence = |member| PromotionAction::Fence { member, term };
+        (0..self.settings.members).map(fence).collect()
+    }
+
+    fn on_fence(
+        &mut self,
+        now: Instant,
+        member: usize,
+        term: u64,
+        status: Option<observation::MemberStatus>,
+    ) -> PromotionActions {
+        if term != self.term || self.step() != PromotionStep::Fencing {
+            return PromotionActions::new();
+        }
+        if let Some(status) = status {
+            self.highest_term = self.highest_term.max(status.promised_term);
+            self.fenced[member] = Some(status);
+        }
+        let count = self.fenced.iter().flatten().count();
+        if count >= self.majority() {
+            self.majority_since.get_or_insert(now);
+        }
+        if count == self.settings.members {
+            return self.choose(now);
+        }
+        PromotionActions::new()
+    }
+
+    fn consider_choice(&mut self, now: Instant) -> PromotionActions {
+        let waited = |since: Instant| now.saturating_duration_since(since);
+        if self
+            .majority_since
+            .is_some_and(|since| waited(since) >= FENCE_GRACE)
+        {
+            return self.choose(now);
+        }
+        if waited(self.step_since) > FENCE_LIMIT {
+            return self.abandon(now);
+        }
+        PromotionActions::new()
+    }
+
+    /// Chooses the longest log among the fenced majority. Every acknowledged
+    /// write is held by a majority, so at least one fenced database has it,
+    /// and the longest log of the highest term has them all.
+    fn choose(&mut self, now: Instant) -> PromotionActions {
+        let logs = self.fenced.iter().enumerate();
+        let logs =
+            logs.filter_map(|(member, status)| Some((status.as_ref()?.log_position, member)));
+        let Some((_, member)) = logs.max() else {
+            return self.abandon(now);
+        };
+        self.fire(now, ChartEvent::MajorityFenced);
+        self.chosen = member;
+        smallvec::smallvec![PromotionAction::Promote {
+            member,
+            term: self.term
+        }]
+    }
+
+    fn on_promoted(&mut self, now: Instant, term: u64, promoted: bool) -> PromotionActions {
+        if term != self.term || self.step() != PromotionStep::Promoting {
+            return PromotionActions::new();
+        }
+        if !promoted {
+            return self.abandon(now);
+        }
+        self.highest_term = self.highest_term.max(term);
+        self.fire(now, ChartEvent::Promoted);
+        smallvec::smallvec![PromotionAction::Publish {
+            member: self.chosen,
+            term
+        }]
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -0,0 +1,292 @@
+//! One connection to a database.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use bluebellferry_wire::frame;
+use bluebellferry_wire::message;
+use bluebellferry_wire::reader;
+use bytes::BytesMut;
+use pgwire::messages::startup;
+use postgres_protocol::authentication::sasl;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp;
+
+use crate::cancel;
+use crate::settings;
+use crate::snapshot;
+
+/// The longest frame accepted outside of relayed results, in bytes.
+const MAX_CONTROL_FRAME: usize = 1 << 20;
+
+/// The reason a connection cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum BackendError {
+    /// The stream failed.
+    #[error("connection to the database failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// The database broke the protocol, or the stream failed in reading.
+    #[error("database sent an unusable message: {0}")]
+    Read(#[from] reader::ReadError),
+    /// The database broke the protocol.
+    #[error("database sent an unusable message: {0}")]
+    Frame(#[from] frame::FrameError),
+    /// The database closed the connection.
+    #[error("the database closed the connection")]
+    Closed,
+    /// The database refused with an error.
+    #[error("the database refused: {} ({})", .0.message, .0.sqlstate)]
+    Refused(Box<message::ErrorFields>),
+    /// The database asks for a way of authentication that is not supported.
+    #[error("authentication is not possible: {0}")]
+    Authentication(String),
+}
+
+/// Identifies a prepared statement by its text and parameter types.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct StatementId(pub u128);
+
+impl StatementId {
+    /// Returns the name under which databases know the statement.
+    pub fn database_name(self) -> String {
+        format!("bbf_{:032x}", self.0)
+    }
+}
+
+/// What a connection is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionPurpose {
+    /// Callers' requests.
+    Traffic,
+    /// Probes and promotions, which must not wait behind callers.
+    Control,
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct BackendConnection {
+    /// Reads the database's frames.
+    pub reader: reader::FrameReader<tcp::OwnedReadHalf>,
+    /// Writes frames to the database.
+    pub writer: tcp::OwnedWriteHalf,
+    /// What a cancel request needs.
+    pub cancel: cancel::DatabaseCancel,
+    /// The statements that the database has prepared on this connection.
+    pub known_statements: HashSet<StatementId>,
+    /// A digest of the session settings applied on this connection.
+    pub applied_settings: u64,
+    /// The parameters that the database reported at the start.
+    pub parameters: Vec<snapshot::ServerParameter>,
+}
+
+/// A row of a control query: column names and values in order.
+#[derive(Debug, Default)]
+pub struct ControlRow {
+    columns: Vec<String>,
+    values: Vec<Option<String>>,
+}
+
+impl ControlRow {
+    /// Returns the value of a column.
+    pub fn value(&self, column: &str) -> Option<&str> {
+        let index = self.columns.iter().position(|name| name == column)?;
+        self.values.get(index)?.as_deref()
+    }
+
+    /// Returns the parsed value of a column.
+    pub fn parsed<T: std::str::FromStr>(&self, column: &str) -> Option<T> {
+        self.value(column)?.parse().ok()
+    }
+}
+
+impl BackendConnection {
+    /// Connects and logs in with the proxy's own account.
+    ///
+    /// # Errors
+    /// Fails when the database cannot be reached or refuses.
+    pub async fn connect(
+        address: SocketAddr,
+        database: &str,
+        account: &settings::DatabaseAccount,
+        purpose: ConnectionPurpose,
+    ) -> Result<Self, BackendError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (read, writer) = stream.into_split();
+        let cancel = cancel::DatabaseCancel {
+            address,
+            process: 0,
+            secret: startup::SecretKey::I32(0),
+        };
+        let mut connection = Self {
+            reader: reader::FrameReader::new(read, BytesMut::new()),
+            writer,
+            cancel,
+            known_statements: HashSet::new(),
+            applied_settings: 0,
+            parameters: Vec::new(),
+        };
+        connection.send_startup(database, account, purpose).await?;
+        connection.log_in(account).await?;
+        Ok(connection)
+    }
+
+    async fn send_startup(
+        &mut self,
+        database: &str,
+        account: &settings::DatabaseAccount,
+        purpose: ConnectionPurpose,
+    ) -> Result<(), BackendError> {
+        let application = match purpose {
+            ConnectionPurpose::Traffic => "bluebellferry",
+            ConnectionPurpose::Control => "bluebellferry-control",
+        };
+        let mut hello = startup::Startup::new();
+        for (name, value) in [
+            ("user", account.user.as_str()),
+            ("database", database),
+            ("application_name", application),
+            ("client_encoding", "UTF8"),
+        ] {
+            hello.parameters.insert(name.to_owned(), value.to_owned());
+        }
+        let mut out = BytesMut::new();
+        message::put_message(&mut out, &hello);
+        self.writer.write_all(&out).await?;
+        Ok(())
+    }
+
+    async fn log_in(&mut self, account: &settings::DatabaseAccount) -> Result<(), BackendError> {
+        let mut scram: Option<sasl::ScramSha256> = None;
+        loop {
+            let answer = self.next_control_frame().await?;
+            match answer.tag {
+                frame::AUTHENTICATION => {
+                    let request: startup::Authentication = message::decode_message(&answer)?;
+                    self.answer_authentication(account, request, &mut scram)
+                        .await?;
+                }
+                frame::PARAMETER_STATUS => {
+                    let status: startup::ParameterStatus = message::decode_message(&answer)?;
+                    let parameter = snapshot::ServerParameter {
+                        name: status.name,
+                        value: status.value,
+                    };
+                    self.parameters.push(parameter);
+                }
+                frame::BACKEND_KEY_DATA => {
+                    let data: startup::BackendKeyData = message::decode_message(&answer)?;
+                    self.cancel.process = data.pid;
+                    self.cancel.secret = data.secret_key;
+                }
+                frame::READY_FOR_QUERY => return Ok(()),
+                frame::ERROR_RESPONSE => {
+                    let fields = message::ErrorFields::from_frame(&answer)?;
+                    return Err(BackendError::Refused(Box::new(fields)));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn answer_authentication(
+        &mut self,
+        account: &settings::DatabaseAccount,
+        request: startup::Authentication,
+        scram: &mut Option<sasl::ScramSha256>,
+    ) -> Result<(), BackendError> {
+        let failed = |error: std::io::Error| BackendError::Authentication(error.to_string());
+        let mut out = BytesMut::new();
+        match request {
+            startup::Authentication::Ok => {}
+            startup::Authentication::CleartextPassword => {
+                let password = startup::Password::new(account.password.clone());
+                message::put_message(&mut out, &password);
+            }
+            startup::Authentication::SASL(_) => {
+                let binding = sasl::ChannelBinding::unsupported();
+                let started = sasl::ScramSha256::new(account.password.as_bytes(), binding);
+                let first = started.message().to_vec().into();
+                let name = sasl::SCRAM_SHA_256.to_owned();
+                let initial = startup::SASLInitialResponse::new(name, Some(first));
+                message::put_message(&mut out, &initial);
+                *scram = Some(started);
+            }
+            startup::Authentication::SASLContinue(data) => {
+                let exchange = scram.as_mut().ok_or(BackendError::Closed)?;
+                exchange.update(&data).map_err(failed)?;
+                let answer = startup::SASLResponse::new(exchange.message().to_vec().into());
+                message::put_message(&mut out, &answer);
+            }
+            startup::Authentication::SASLFinal(data) => {
+                let exchange = scram.as_mut().ok_or(BackendError::Closed)?;
+                exchange.finish(&data).map_err(failed)?;
+            }
+            other => return Err(BackendError::Authentication(format!("{other:?}"))),
+        }
+        self.writer.write_all(&out).await?;
+        Ok(())
+    }
+
+    async fn next_control_frame(&mut self) -> Result<frame::WireFrame, BackendError> {
+        let next = self.reader.next_frame(MAX_CONTROL_FRAME).await?;
+        next.ok_or(BackendError::Closed)
+    }
+
+    /// Runs a simple query and returns its last row.
+    ///
+    /// # Errors
+    /// Fails when the database refuses or goes away.
+    pub async fn query(&mut self, sql: &str) -> Result<ControlRow, BackendError> {
+        self.writer.write_all(&message::query_frame(sql)).await?;
+        let mut row = ControlRow::default();
+        let mut refused = None;
+        loop {
+            let answer = self.next_control_frame().await?;
+            match answer.tag {
+                frame::ROW_DESCRIPTION => {
+                    let shape: pgwire::messages::data::RowDescription =
+                        message::decode_message(&answer)?;
+                    row.columns = shape.fields.into_iter().map(|field| field.name).collect();
+                }
+                frame::DATA_ROW => row.values = row_values(&answer),
+                frame::ERROR_RESPONSE => refused = Some(message::ErrorFields::from_frame(&answer)?),
+                frame::READY_FOR_QUERY => break,
+                _ => {}
+            }
+        }
+        match refused {
+            Some(fields) => Err(BackendError::Refused(Box::new(fields))),
+            None => Ok(row),
+        }
+    }
+
+    /// Returns whether the database has closed the connection, or has sent
+    /// something although nothing was asked.
+    pub fn is_stale(&self) -> bool {
+        let mut byte = [0; 1];
+        match self.reader.get_ref().try_read(&mut byte) {
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+            Ok(_) => true,
+        }
+    }
+}
+
+/// Splits a row in text format into its values.
+fn row_values(row: &frame::WireFrame) -> Vec<Option<String>> {
+    let mut values = Vec::new();
+    let mut rest = row.body().get(2..).unwrap_or(&[]);
+    while let Some((length, tail)) = rest.split_first_chunk::<4>() {
+        let length = i32::from_be_bytes(*length);
+        let Ok(length) = usize::try_from(length) else {
+            values.push(None);
+            rest = tail;
+            continue;
+        };
+        let (value, tail) = tail.split_at(length.min(tail.len()));
+        values.push(Some(String::from_utf8_lossy(value).into_owned()));
+        rest = tail;
+    }
+    values
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/control/status.rs
@@ -0,0 +1,199 @@
+//! What operators can ask a VM about its control state.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::ControlState;
+
+/// The state of a VM.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// The VM's name.
+    pub vm: String,
+    /// The environment.
+    pub environment: String,
+    /// The version of the document in force, 0 if there is none.
+    pub document_version: u64,
+    /// The hash of the document in force.
+    pub document_hash: Option<String>,
+    /// Why the newest document in the store is not in force.
+    pub document_fault: Option<String>,
+    /// Whether the store answers.
+    pub store_reachable: bool,
+    /// Whether the VM takes no new work.
+    pub draining: bool,
+    /// The connected callers.
+    pub callers: usize,
+    /// The other VMs that are known.
+    pub peers: Vec<PeerStatus>,
+    /// The services.
+    pub services: Vec<ServiceStatus>,
+    /// The tokens held for each workspace.
+    pub shares: Vec<ShareStatus>,
+}
+
+/// Another VM as this one sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// The VM's name.
+    pub vm: String,
+    /// Whether it has been heard lately.
+    pub live: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// The version of the document in force there.
+    pub document_version: u64,
+}
+
+/// A service as this VM sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// The service's name.
+    pub service: String,
+    /// The primary's name.
+    pub primary: Option<String>,
+    /// The databases.
+    pub databases: Vec<DatabaseStatus>,
+    /// The promotions seen since this VM started.
+    pub promotions: Vec<PromotionReport>,
+}
+
+/// A database as this VM sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DatabaseStatus {
+    /// The database's name.
+    pub database: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// The position it has replayed.
+    pub replayed: String,
+    /// The greatest age of its data in milliseconds, if known.
+    pub age_ms: Option<u64>,
+    /// Whether it has answered lately.
+    pub reachable: bool,
+    /// Whether it asks for no new work.
+    pub leaving: bool,
+    /// Requests in flight or waiting from this VM.
+    pub load: usize,
+}
+
+/// A finished change of primary.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PromotionReport {
+    /// The new primary.
+    pub primary: String,
+    /// The new term.
+    pub term: u64,
+    /// How long this VM saw no primary, in milliseconds.
+    pub gap_ms: u64,
+    /// When the new primary came into use, in milliseconds since 1970.
+    pub unix_ms: u64,
+}
+
+impl PromotionReport {
+    pub(super) fn new(primary: &str, term: u64, gap: Duration) -> Self {
+        let time = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Self {
+            primary: primary.to_owned(),
+            term,
+            gap_ms: gap.as_millis() as u64,
+            unix_ms: time.unwrap_or_default().as_millis() as u64,
+        }
+    }
+}
+
+/// The tokens of a workspace on this VM.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ShareStatus {
+    /// The workspace.
+    pub workspace: String,
+    /// The tokens that can be spent now.
+    pub available: f64,
+}
+
+impl ControlState {
+    pub(super) fn status(&self) -> ControlStatus {
+        let now = Instant::now();
+        let in_force = self.in_force.as_ref();
+        let settings = &self.shared.settings;
+        ControlStatus {
+            vm: settings.vm.clone(),
+            environment: settings.environment.to_string(),
+            document_version: in_force.map_or(0, |in_force| in_force.version),
+            document_hash: in_force.map(|in_force| in_force.hash.to_string()),
+            document_fault: self.document_fault.clone(),
+            store_reachable: self.store_reachable,
+            draining: self.draining,
+            callers: self.shared.caller_count(),
+            peers: self.peer_statuses(now),
+            services: self.service_statuses(now),
+            shares: self.share_statuses(now),
+        }
+    }
+
+    fn peer_statuses(&self, now: Instant) -> Vec<PeerStatus> {
+        let live: Vec<_> = self
+            .roster
+            .live_peers(now)
+            .map(|(place, _)| place.clone())
+            .collect();
+        let status =
+            |(place, record): (&_, &bluebellferry_membership::roster::PeerRecord)| PeerStatus {
+                vm: record.news.vm.clone(),
+                live: live.contains(place),
+                leaving: record.news.leaving,
+                document_version: record.news.document_version,
+            };
+        self.roster.known_peers().map(status).collect()
+    }
+
+    fn service_statuses(&self, now: Instant) -> Vec<ServiceStatus> {
+        let mut statuses = Vec::new();
+        for (service, control) in &self.services {
+            let view = &control.view;
+            let primary = view
+                .primary(now)
+                .map(|index| view.databases[index].name.to_string());
+            let databases = view
+                .databases
+                .iter()
+                .zip(&control.pools)
+                .map(|(database, pool)| {
+                    let age = view.history.age_of(database.replayed, now);
+                    let fresh = |asked: Instant| {
+                        now - asked <= bluebellferry_routing::choice::REACHABLE_FOR
+                    };
+                    DatabaseStatus {
+                        database: database.name.to_string(),
+                        data_centre: database.data_centre.to_string(),
+                        replayed: database.replayed.to_string(),
+                        age_ms: age.map(|age| age.as_millis() as u64),
+                        reachable: database.answered.is_some_and(fresh),
+                        leaving: database.leaving,
+                        load: pool.load(),
+                    }
+                });
+            statuses.push(ServiceStatus {
+                service: service.to_string(),
+                primary,
+                databases: databases.collect(),
+                promotions: control.reports.clone(),
+            });
+        }
+        statuses
+    }
+
+    fn share_statuses(&self, now: Instant) -> Vec<ShareStatus> {
+        let status = |(workspace, share): (
+            bluebellferry_types::name::WorkspaceName,
+            std::sync::Arc<crate::shares::WorkspaceShare>,
+        )| ShareStatus {
+            workspace: workspace.to_string(),
+            available: share.available(now),
+        };
+        self.shared.shares.all().into_iter().map(status).collect()
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/floor.rs
@@ -0,0 +1,126 @@
+//! The position that a session without one of its own must at least see.
+//!
+//! It is the primary's committed position, confirmed by a majority, at some
+//! instant after the session asked. One probe serves all sessions that asked
+//! before it was sent.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::backend;
+use crate::shared;
+
+/// How long one probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The pause after a probe that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+type FloorAnswer = oneshot::Sender<Option<position::LogPosition>>;
+
+/// The running probes, one task a service.
+#[derive(Debug, Default)]
+pub struct FloorProbes {
+    tasks: Mutex<HashMap<name::ServiceName, mpsc::UnboundedSender<FloorAnswer>>>,
+}
+
+impl FloorProbes {
+    /// Returns the floor for a session that starts now, or `None` if it cannot
+    /// be learnt before the deadline.
+    pub async fn ask(
+        &self,
+        shared: &Arc<shared::ProxyShared>,
+        service: &name::ServiceName,
+        deadline: Instant,
+    ) -> Option<position::LogPosition> {
+        loop {
+            let (sender, receiver) = oneshot::channel();
+            self.task(shared, service).send(sender).ok()?;
+            let answer = tokio::time::timeout_at(deadline.into(), receiver)
+                .await
+                .ok()?;
+            if let Ok(Some(position)) = answer {
+                return Some(position);
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+            if Instant::now() >= deadline {
+                return None;
+            }
+        }
+    }
+
+    fn task(
+        &self,
+        shared: &Arc<shared::ProxyShared>,
+        service: &name::ServiceName,
+    ) -> mpsc::UnboundedSender<FloorAnswer> {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        let running = tasks.get(service).filter(|sender| !sender.is_closed());
+        if let Some(sender) = running {
+            return sender.clone();
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        tasks.insert(service.clone(), sender.clone());
+        tokio::spawn(answer_floors(Arc::clone(shared), service.clone(), receiver));
+        sender
+    }
+}
+
+async fn answer_floors(
+    shared: Arc<shared::ProxyShared>,
+    service: name::ServiceName,
+    mut questions: mpsc::UnboundedReceiver<FloorAnswer>,
+) {
+    let mut open: Option<(SocketAddr, backend::BackendConnection)> = None;
+    let mut waiting = Vec::new();
+    while questions.recv_many(&mut waiting, usize::MAX).await > 0 {
+        let probe = tokio::time::timeout(PROBE_TIMEOUT, probe_floor(&shared, &service, &mut open));
+        let position = probe.await.unwrap_or(None);
+        if position.is_none() {
+            open = None;
+        }
+        for answer in waiting.drain(..) {
+            answer.send(position).ok();
+        }
+    }
+}
+
+async fn probe_floor(
+    shared: &shared::ProxyShared,
+    service: &name::ServiceName,
+    open: &mut Option<(SocketAddr, backend::BackendConnection)>,
+) -> Option<position::LogPosition> {
+    let snapshot = shared.snapshot();
+    let state = snapshot.services.get(service)?;
+    let primary = state.view.primary(Instant::now())?;
+    let address = state.pools[primary].address();
+    let reusable = open
+        .take()
+        .filter(|(known, connection)| *known == address && !connection.is_stale());
+    let mut connection = match reusable {
+        Some((_, connection)) => connection,
+        None => {
+            let account = &shared.settings.database_account;
+            let purpose = backend::ConnectionPurpose::Control;
+            let name = service.as_str();
+            backend::BackendConnection::connect(address, name, account, purpose)
+                .await
+                .ok()?
+        }
+    };
+    let row = connection
+        .query("SELECT * FROM bluebellferry_confirmed_position()")
+        .await
+        .ok()?;
+    *open = Some((address, connection));
+    row.parsed("confirmed_position")
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/main.rs
@@ -0,0 +1,53 @@
+//! The command that runs a proxy.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use bluebellferry_proxy::server;
+use bluebellferry_proxy::settings;
+use bluebellferry_runtime::logging;
+use bluebellferry_runtime::settings as settings_file;
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub, reason = "xflags writes these items")]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs a bluebellferry proxy.
+        cmd bluebellferry-proxy {
+            /// The JSON settings file.
+            required settings: PathBuf
+            /// Checks the settings and ends.
+            optional --check
+            /// Logs more, for looking into faults.
+            optional -v, --verbose
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::BluebellferryProxy::from_env_or_exit();
+    let level = if flags.verbose {
+        log::LevelFilter::Debug
+    } else {
+        log::LevelFilter::Info
+    };
+    logging::start_logging("bluebellferry-proxy", level);
+    match run(&flags.settings, flags.check) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(file: &Path, check: bool) -> Result<(), Box<dyn std::error::Error>> {
+    let settings: settings::ProxySettings =
+        settings_file::load_settings::<settings::ProxySettingsWire, _>(file)?;
+    if check {
+        return Ok(());
+    }
+    server::run_proxy(settings)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/pool.rs
@@ -0,0 +1,329 @@
+//! The connections to one database, shared fairly between workspaces.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_fairness::concurrency;
+use bluebellferry_fairness::queue;
+use bluebellferry_types::name;
+use bluebellferry_types::refusal;
+use tokio::sync::oneshot;
+
+use crate::backend;
+use crate::settings;
+
+/// The most requests that wait for one database.
+const QUEUE_CAPACITY: usize = 1_024;
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// After how many prepared statements a connection is replaced.
+const MAX_KNOWN_STATEMENTS: usize = 2_000;
+
+/// The pool of one database.
+#[derive(Debug)]
+pub struct DatabasePool {
+    address: SocketAddr,
+    service: name::ServiceName,
+    account: settings::DatabaseAccount,
+    state: Mutex<PoolState>,
+}
+
+#[derive(Debug)]
+struct PoolState {
+    idle: Vec<backend::BackendConnection>,
+    in_use: usize,
+    pinned: usize,
+    quota: usize,
+    limit: concurrency::ConcurrencyLimit,
+    queue: queue::FairQueue<oneshot::Sender<PoolPermit>>,
+}
+
+impl PoolState {
+    fn has_room(&self) -> bool {
+        self.in_use < self.quota.min(self.limit.current() + self.pinned)
+    }
+}
+
+/// The right to use one connection.
+#[derive(Debug)]
+pub struct PoolPermit {
+    pool: Arc<DatabasePool>,
+    started: Instant,
+    released: bool,
+}
+
+impl Drop for PoolPermit {
+    fn drop(&mut self) {
+        if !self.released {
+            self.pool.release_permit();
+        }
+    }
+}
+
+/// A connection that is in use.
+#[derive(Debug)]
+pub struct PooledConnection {
+    /// The connection.
+    pub connection: backend::BackendConnection,
+    permit: PoolPermit,
+    pinned: bool,
+}
+
+impl PooledConnection {
+    /// Returns the connection for others to use.
+    pub fn give_back(self) {
+        let Self {
+            connection,
+            permit,
+            pinned,
+        } = self;
+        let pool = Arc::clone(&permit.pool);
+        let worn = connection.known_statements.len() > MAX_KNOWN_STATEMENTS;
+        let mut state = pool.lock();
+        let saturated = state.in_use >= state.limit.current();
+        state.limit.record(permit.started.elapsed(), saturated);
+        if pinned {
+            state.pinned -= 1;
+        } else if !worn && state.idle.len() < state.quota {
+            state.idle.push(connection);
+        }
+        drop(state);
+        drop(permit);
+    }
+
+    /// Closes the connection, whose state cannot be trusted any more.
+    pub fn discard(self) {
+        if self.pinned {
+            self.permit.pool.lock().pinned -= 1;
+        }
+    }
+
+    /// Reserves the connection for the rest of the session; at most half of
+    /// the pool may be reserved. Returns whether it worked.
+    pub fn pin(&mut self) -> bool {
+        if self.pinned {
+            return true;
+        }
+        let mut state = self.permit.pool.lock();
+        if state.pinned + 1 > state.quota / 2 {
+            return false;
+        }
+        state.pinned += 1;
+        self.pinned = true;
+        true
+    }
+
+    /// Returns whether the connection is reserved.
+    pub fn is_pinned(&self) -> bool {
+        self.pinned
+    }
+}
+
+/// Who asks for a connection, and until when it is of use.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolRequest<'a> {
+    /// The workspace.
+    pub workspace: &'a name::WorkspaceName,
+    /// The workspace's weight.
+    pub weight: u32,
+    /// When the request is given up.
+    pub deadline: Instant,
+}
+
+impl DatabasePool {
+    /// Creates a pool without connections.
+    pub fn new(
+        address: SocketAddr,
+        service: name::ServiceName,
+        account: settings::DatabaseAccount,
+    ) -> Arc<Self> {
+        let state = PoolState {
+            idle: Vec::new(),
+            in_use: 0,
+            pinned: 0,
+            quota: 1,
+            limit: concurrency::ConcurrencyLimit::new(1, 1),
+            queue: queue::FairQueue::new(QUEUE_CAPACITY),
+        };
+        Arc::new(Self {
+            address,
+            service,
+            account,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Returns the database's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets how many connections this VM may open.
+    pub fn set_quota(self: &Arc<Self>, quota: usize) {
+        let mut state = self.lock();
+        if state.quota == quota {
+            return;
+        }
+        state.quota = quota;
+        state.limit = concurrency::ConcurrencyLimit::new(quota.div_ceil(2).min(2), quota.max(1));
+        let spare = quota.saturating_sub(state.in_use);
+        state.idle.truncate(spare);
+        drop(state);
+        self.hand_out();
+    }
+
+    /// Returns the requests in flight or waiting.
+    pub fn load(&self) -> usize {
+        let state = self.lock();
+        state.in_use + state.queue.len()
+    }
+
+    /// Closes idle connections, for a database that is leaving or lost.
+    pub fn close_idle(&self) {
+        self.lock().idle.clear();
+    }
+
+    /// Takes a connection, waiting for the workspace's turn.
+    ///
+    /// # Errors
+    /// Refuses when the queue is full, the deadline passes or the database
+    /// cannot be reached.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        request: PoolRequest<'_>,
+    ) -> Result<PooledConnection, refusal::RequestRefusal> {
+        let mut permit = self.acquire_permit(request).await?;
+        permit.started = Instant::now();
+        let reused = self.take_idle();
+        let connection = match reused {
+            Some(connection) => connection,
+            None => self.open(request.deadline).await?,
+        };
+        Ok(PooledConnection {
+            connection,
+            permit,
+            pinned: false,
+        })
+    }
+
+    fn take_idle(&self) -> Option<backend::BackendConnection> {
+        let mut state = self.lock();
+        loop {
+            let connection = state.idle.pop()?;
+            if !connection.is_stale() {
+                return Some(connection);
+            }
+        }
+    }
+
+    async fn acquire_permit(
+        self: &Arc<Self>,
+        request: PoolRequest<'_>,
+    ) -> Result<PoolPermit, refusal::RequestRefusal> {
+        let turn = {
+            let mut state = self.lock();
+            if state.quota == 0 {
+                let text = "this VM holds no share of the database's connections";
+                let reason = refusal::RefusalReason::QueueFull;
+                return Err(refusal::RequestRefusal::not_run(reason, text));
+            }
+            if state.has_room() && state.queue.is_empty() {
+                state.in_use += 1;
+                return Ok(self.new_permit());
+            }
+            let (sender, receiver) = oneshot::channel();
+            let pushed = state.queue.push(request.workspace, request.weight, sender);
+            if pushed.is_err() {
+                return Err(self.queue_refusal(refusal::RefusalReason::QueueFull, &state));
+            }
+            receiver
+        };
+        match tokio::time::timeout_at(request.deadline.into(), turn).await {
+            Ok(Ok(permit)) => Ok(permit),
+            Ok(Err(_)) | Err(_) => {
+                let state = self.lock();
+                Err(self.queue_refusal(refusal::RefusalReason::QueueTimeout, &state))
+            }
+        }
+    }
+
+    /// Refuses and says when the present queue should have drained.
+    fn queue_refusal(
+        &self,
+        reason: refusal::RefusalReason,
+        state: &PoolState,
+    ) -> refusal::RequestRefusal {
+        let waiting = state.queue.len() as u32;
+        let slots = state.limit.current().max(1) as u32;
+        let service = &self.service;
+        let text = format!("no connection to {service} came free; {waiting} requests wait");
+        let drained = Duration::from_millis(5) * waiting.div_ceil(slots).max(10);
+        refusal::RequestRefusal::not_run(reason, text).retry_after(drained)
+    }
+
+    async fn open(
+        &self,
+        deadline: Instant,
+    ) -> Result<backend::BackendConnection, refusal::RequestRefusal> {
+        let limit = (Instant::now() + CONNECT_TIMEOUT).min(deadline);
+        let connect = backend::BackendConnection::connect(
+            self.address,
+            self.service.as_str(),
+            &self.account,
+            backend::ConnectionPurpose::Traffic,
+        );
+        let reason = match tokio::time::timeout_at(limit.into(), connect).await {
+            Ok(Ok(connection)) => return Ok(connection),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "the database did not answer in time".to_owned(),
+        };
+        let text = format!("no connection to {}: {reason}", self.service);
+        let refused = refusal::RequestRefusal::not_run(refusal::RefusalReason::DatabaseLost, text);
+        Err(refused.retry_after(Duration::from_millis(500)))
+    }
+
+    fn new_permit(self: &Arc<Self>) -> PoolPermit {
+        PoolPermit {
+            pool: Arc::clone(self),
+            started: Instant::now(),
+            released: false,
+        }
+    }
+
+    fn release_permit(self: &Arc<Self>) {
+        self.lock().in_use -= 1;
+        self.hand_out();
+    }
+
+    /// Gives free permits to those whose turn it is.
+    fn hand_out(self: &Arc<Self>) {
+        loop {
+            let waiter = {
+                let mut state = self.lock();
+                if !state.has_room() {
+                    return;
+                }
+                let Some(waiter) = state.queue.pop() else {
+                    return;
+                };
+                state.in_use += 1;
+                waiter
+            };
+            let permit = self.new_permit();
+            if let Err(mut unused) = waiter.send(permit) {
+                // The waiter gave up. Its permit is released here, because its
+                // drop would hand out recursively.
+                unused.released = true;
+                self.lock().in_use -= 1;
+            }
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/session/hint.rs
@@ -0,0 +1,131 @@
+//! Hints that callers give: `bluebellferry.*` settings and leading comments.
+
+use std::time::Duration;
+
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use bluebellferry_types::refusal;
+use bluebellferry_wire::statement;
+
+/// What every setting of the proxy's own starts with.
+pub const PREFIX: &str = "bluebellferry.";
+
+/// One hint with its checked value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RequestHint {
+    /// The kind of read; `None` takes an earlier one back.
+    Read(Option<name::ReadKind>),
+    /// The position that must be seen.
+    Position(position::LogPosition),
+    /// The request's own identity.
+    RequestId(String),
+    /// How long the request may wait; `None` takes an earlier one back.
+    Deadline(Option<Duration>),
+}
+
+/// The longest request identity, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 128;
+
+fn invalid(name: &str, value: &str, expected: &str) -> refusal::RequestRefusal {
+    let shown: String = value.chars().take(64).collect();
+    let text = format!("{PREFIX}{name} cannot be '{shown}': {expected}");
+    refusal::RequestRefusal::not_run(refusal::RefusalReason::InvalidSetting, text)
+}
+
+/// Checks a setting; `name` comes without the prefix.
+///
+/// # Errors
+/// Refuses unknown names and values that are not valid.
+pub fn parse_hint(name: &str, value: &str) -> Result<RequestHint, refusal::RequestRefusal> {
+    match name {
+        "read" if value.is_empty() => Ok(RequestHint::Read(None)),
+        "read" => name::ReadKind::try_from(value)
+            .map(|kind| RequestHint::Read(Some(kind)))
+            .map_err(|error| invalid(name, value, &error.to_string())),
+        "position" => value
+            .parse()
+            .map(RequestHint::Position)
+            .map_err(|_| invalid(name, value, "a position has the form term/offset")),
+        "request_id" if (1..=MAX_REQUEST_ID_BYTES).contains(&value.len()) => {
+            Ok(RequestHint::RequestId(value.to_owned()))
+        }
+        "request_id" => Err(invalid(name, value, "1 to 128 bytes are accepted")),
+        "deadline" if value.is_empty() => Ok(RequestHint::Deadline(None)),
+        "deadline" => value
+            .parse()
+            .map(|millis| RequestHint::Deadline(Some(Duration::from_millis(millis))))
+            .map_err(|_| invalid(name, value, "a number of milliseconds is expected")),
+        _ => {
+            let known = "the settings are read, position, request_id and deadline";
+            Err(invalid(name, value, known))
+        }
+    }
+}
+
+/// Reads the hints in the comment that opens a statement:
+/// `/* bluebellferry.read=catalogue, bluebellferry.deadline=200 */`.
+///
+/// # Errors
+/// Refuses invalid hints; comments without the prefix are left alone.
+pub fn comment_hints(sql: &str) -> Result<Vec<RequestHint>, refusal::RequestRefusal> {
+    let Some(comment) = statement::leading_comment(sql) else {
+        return Ok(Vec::new());
+    };
+    let mut hints = Vec::new();
+    for part in comment.split(',') {
+        let setting = part.trim().strip_prefix(PREFIX);
+        if let Some((name, value)) = setting.and_then(|setting| setting.split_once('=')) {
+            hints.push(parse_hint(name.trim(), value.trim().trim_matches('\''))?);
+        }
+    }
+    Ok(hints)
+}
+
+/// A statement that the proxy itself answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LocalStatement {
+    /// `SET bluebellferry.name = value`.
+    Set(RequestHint),
+    /// `RESET bluebellferry.name`.
+    Reset(String),
+    /// `SHOW bluebellferry.name`.
+    Show(String),
+}
+
+/// Recognises a statement that concerns the proxy's own settings.
+///
+/// # Errors
+/// Refuses such a statement with an invalid value.
+pub fn parse_local(sql: &str) -> Result<Option<LocalStatement>, refusal::RequestRefusal> {
+    let text = statement::skip_blanks(sql)
+        .trim()
+        .trim_end_matches(';')
+        .trim_end();
+    let mut words = text.splitn(2, char::is_whitespace);
+    let verb = words.next().unwrap_or("").to_ascii_uppercase();
+    let rest = words.next().unwrap_or("").trim();
+    let rest = match rest.get(..8) {
+        Some(scope) if verb == "SET" && scope.eq_ignore_ascii_case("session ") => rest[8..].trim(),
+        _ => rest,
+    };
+    let Some(setting) = rest.strip_prefix(PREFIX) else {
+        return Ok(None);
+    };
+    match verb.as_str() {
+        "RESET" => Ok(Some(LocalStatement::Reset(setting.to_owned()))),
+        "SHOW" => Ok(Some(LocalStatement::Show(setting.to_owned()))),
+        "SET" => {
+            let end = setting.find(|c: char| c == '=' || c.is_whitespace());
+            let (name, value) = setting.split_at(end.unwrap_or(setting.len()));
+            let value = value.trim();
+            let value = match (value.strip_prefix('='), value.get(..3)) {
+                (Some(value), _) => value,
+                (None, Some(word)) if word.eq_ignore_ascii_case("to ") => &value[3..],
+                _ => return Err(invalid(name, value, "SET name = 'value' is expected")),
+            };
+            let value = value.trim().trim_matches('\'');
+            Ok(Some(LocalStatement::Set(parse_hint(name, value)?)))
+        }
+        _ => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -0,0 +1,325 @@
+//! One request: admitted, given a connection, relayed, and its end recorded.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_types::refusal;
+use bluebellferry_wire::frame;
+use bluebellferry_wire::message;
+use memchr::memmem;
+
+use super::CallerSession;
+use super::SessionEnd;
+use super::plan;
+use super::relay;
+use super::route;
+use crate::backend;
+use crate::metrics;
+use crate::pool;
+
+/// How much of a batch is gathered before a database is chosen, in bytes.
+const GATHER_BYTES: usize = 64 * 1024;
+
+/// Why a request did not reach its normal end.
+#[derive(Debug)]
+pub(super) enum RequestFailure {
+    /// It was refused; the session goes on.
+    Refused(refusal::RequestRefusal),
+    /// The session ends.
+    Ended(SessionEnd),
+}
+
+impl From<refusal::RequestRefusal> for RequestFailure {
+    fn from(refusal: refusal::RequestRefusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<SessionEnd> for RequestFailure {
+    fn from(end: SessionEnd) -> Self {
+        Self::Ended(end)
+    }
+}
+
+/// The messages of a request, as far as they have been read.
+#[derive(Debug)]
+pub(super) struct GatheredRequest {
+    pub(super) frames: Vec<frame::WireFrame>,
+}
+
+impl GatheredRequest {
+    /// Returns whether the last message ends the request.
+    pub(super) fn is_complete(&self) -> bool {
+        let last = self.frames.last().map(|frame| frame.tag);
+        matches!(last, Some(frame::QUERY | frame::SYNC))
+    }
+}
+
+impl CallerSession {
+    pub(super) async fn serve_request(
+        &mut self,
+        first: frame::WireFrame,
+    ) -> Result<(), SessionEnd> {
+        let gathered = self.gather(first).await?;
+        if let Err(refused) = self.refuse_key(&gathered.frames) {
+            return self.refuse_request(&gathered, refused).await;
+        }
+        if self.answer_locally(&gathered).await? {
+            return Ok(());
+        }
+        match self.run_request(&gathered).await {
+            Ok(()) => Ok(()),
+            Err(RequestFailure::Refused(refused)) => self.refuse_request(&gathered, refused).await,
+            Err(RequestFailure::Ended(end)) => Err(end),
+        }
+    }
+
+    /// Reads the rest of a batch, up to a bounded size.
+    async fn gather(&mut self, first: frame::WireFrame) -> Result<GatheredRequest, SessionEnd> {
+        let mut bytes = first.bytes.len();
+        let mut ends = matches!(first.tag, frame::QUERY | frame::SYNC | frame::FLUSH);
+        let mut frames = vec![first];
+        while !ends && bytes < GATHER_BYTES {
+            let next = self.read_frame().await?;
+            bytes += next.bytes.len();
+            ends = matches!(next.tag, frame::SYNC | frame::FLUSH);
+            frames.push(next);
+        }
+        Ok(GatheredRequest { frames })
+    }
+
+    pub(super) async fn read_frame(&mut self) -> Result<frame::WireFrame, SessionEnd> {
+        if let Some(ahead) = self.ahead.take() {
+            return Ok(ahead);
+        }
+        let next = self.reader.next_frame(super::MAX_REQUEST_BYTES).await?;
+        next.ok_or(SessionEnd::CallerLeft)
+    }
+
+    /// Refuses messages that contain the session's own key.
+    pub(super) fn refuse_key(
+        &self,
+        frames: &[frame::WireFrame],
+    ) -> Result<(), refusal::RequestRefusal> {
+        let key = &self.identity.key;
+        let holds_key = |frame: &frame::WireFrame| memmem::find(&frame.bytes, key).is_some();
+        if !key.is_empty() && frames.iter().any(holds_key) {
+            let text = "the request contains this session's key; it was not sent to the database";
+            return Err(refusal::RequestRefusal::not_run(
+                refusal::RefusalReason::KeyInRequest,
+                text,
+            ));
+        }
+        Ok(())
+    }
+
+    /// Answers a refused request; the caller's further messages up to Sync are
+    /// dropped, as a database would.
+    pub(super) async fn refuse_request(
+        &mut self,
+        gathered: &GatheredRequest,
+        refused: refusal::RequestRefusal,
+    ) -> Result<(), SessionEnd> {
+        self.count_refusal(&refused);
+        if let Some(held) = self.held.take() {
+            held.discard();
+            self.transaction = message::TransactionState::Failed;
+        }
+        self.out.clear();
+        message::put_error(&mut self.out, &message::ErrorFields::from_refusal(&refused));
+        self.flush().await?;
+        let mut complete = gathered.is_complete();
+        while !complete {
+            let next = self.read_frame().await?;
+            complete = next.tag == frame::SYNC;
+            if next.tag == frame::TERMINATE {
+                return Err(SessionEnd::CallerLeft);
+            }
+        }
+        message::put_ready(&mut self.out, self.transaction);
+        self.flush().await
+    }
+
+    async fn run_request(&mut self, gathered: &GatheredRequest) -> Result<(), RequestFailure> {
+        let started = Instant::now();
+        let plan = plan::plan_request(
+            &gathered.frames,
+            &self.statements,
+            self.options.read.as_ref(),
+        )?;
+        let deadline = plan
+            .deadline
+            .map_or_else(|| self.request_deadline(), |wait| started + wait);
+        self.admit().await?;
+        let mut primary_only = false;
+        loop {
+            let (route, mut connection) = match self.held.take() {
+                Some(held) => (self.held_route, held),
+                None => {
+                    self.borrow_connection(&plan, deadline, primary_only)
+                        .await?
+                }
+            };
+            if plan.needs_pin && !connection.is_pinned() && !connection.pin() {
+                self.held =
+                    (self.transaction != message::TransactionState::Idle).then_some(connection);
+                return Err(cannot_pin().into());
+            }
+            let fresh = self.transaction == message::TransactionState::Idle;
+            let can_replay =
+                route == route::ChosenRoute::Replica && fresh && gathered.is_complete();
+            self.cancel
+                .set_running(Some(connection.connection.cancel.clone()));
+            let relayed = self.relay(&mut connection, gathered, can_replay).await;
+            self.cancel.set_running(None);
+            match relayed {
+                Ok(relay::RelayOutcome::Finished(end)) => {
+                    self.record_end(route, connection, &plan, &end);
+                    let seconds = started.elapsed().as_secs_f64();
+                    let workspace = self.identity.workspace.as_str();
+                    self.shared
+                        .metrics
+                        .count_request(workspace, route.counted(), seconds);
+                    return Ok(());
+                }
+                Ok(relay::RelayOutcome::Replay(reason)) => {
+                    self.shared.metrics.count_retry(reason);
+                    primary_only = reason == metrics::RetryReason::ReplicaRefusedWrite;
+                    match reason {
+                        metrics::RetryReason::ReplicaRefusedWrite => connection.give_back(),
+                        _ => connection.discard(),
+                    }
+                }
+                Ok(relay::RelayOutcome::DatabaseLost) => {
+                    connection.discard();
+                    return Err(self.lost_refusal(route, &plan).into());
+                }
+                Err(end) => {
+                    let cancel = connection.connection.cancel.clone();
+                    tokio::spawn(async move { cancel.send().await });
+                    connection.discard();
+                    return Err(end.into());
+                }
+            }
+        }
+    }
+
+    /// Takes a token of the workspace's rate.
+    async fn admit(&self) -> Result<(), refusal::RequestRefusal> {
+        let workspace = &self.identity.workspace;
+        let Some(share) = self.shared.shares.find(workspace) else {
+            let text = format!("the workspace {workspace} has no rate in the configuration");
+            let reason = refusal::RefusalReason::ServiceForbidden;
+            return Err(refusal::RequestRefusal::not_run(reason, text));
+        };
+        let in_transaction = self.transaction != message::TransactionState::Idle;
+        share.admit(in_transaction).await.map_err(|refilled_in| {
+            let text = format!("the workspace {workspace} has used up its rate");
+            let reason = refusal::RefusalReason::RateExceeded;
+            refusal::RequestRefusal::not_run(reason, text).retry_after(refilled_in)
+        })
+    }
+
+    /// Records a finished request and returns or keeps its connection.
+    fn record_end(
+        &mut self,
+        route: route::ChosenRoute,
+        mut connection: pool::PooledConnection,
+        plan: &plan::RequestPlan,
+        end: &relay::RelayEnd,
+    ) {
+        self.transaction = end.state;
+        if !end.failed {
+            self.record_carried(&mut connection.connection, plan);
+        }
+        let idle = end.state == message::TransactionState::Idle;
+        if idle && !connection.is_pinned() {
+            connection.give_back();
+        } else {
+            self.held_route = route;
+            self.held = Some(connection);
+        }
+    }
+
+    fn record_carried(
+        &mut self,
+        connection: &mut backend::BackendConnection,
+        plan: &plan::RequestPlan,
+    ) {
+        for change in &plan.carried {
+            match change {
+                plan::CarriedChange::Set { name, statement } => {
+                    self.carried.insert(name.clone(), statement.clone());
+                }
+                plan::CarriedChange::Reset(name) => {
+                    self.carried.remove(name);
+                }
+                plan::CarriedChange::ResetAll => self.carried.clear(),
+            }
+        }
+        if !plan.carried.is_empty() {
+            connection.applied_settings = settings_digest(&self.carried);
+        }
+    }
+
+    /// Brings a connection's settings to those of this session.
+    pub(super) async fn apply_carried(
+        &self,
+        connection: &mut pool::PooledConnection,
+    ) -> Result<(), backend::BackendError> {
+        let wanted = settings_digest(&self.carried);
+        let connection = &mut connection.connection;
+        if connection.applied_settings == wanted {
+            return Ok(());
+        }
+        connection.query("RESET ALL").await?;
+        for statement in self.carried.values() {
+            connection.query(statement).await?;
+        }
+        connection.applied_settings = wanted;
+        Ok(())
+    }
+
+    /// Says honestly what became of a request whose database went away.
+    fn lost_refusal(
+        &mut self,
+        route: route::ChosenRoute,
+        plan: &plan::RequestPlan,
+    ) -> refusal::RequestRefusal {
+        let in_transaction = self.transaction != message::TransactionState::Idle;
+        if in_transaction {
+            self.transaction = message::TransactionState::Failed;
+        }
+        let retry = Duration::from_millis(500);
+        let harmless = route == route::ChosenRoute::Replica || (in_transaction && !plan.may_commit);
+        if harmless {
+            let text = "the database went away; nothing of this transaction took effect";
+            let reason = refusal::RefusalReason::DatabaseLost;
+            return refusal::RequestRefusal::not_run(reason, text).retry_after(retry);
+        }
+        let text = "the database went away before it answered; the request may have taken effect";
+        if in_transaction {
+            self.transaction = message::TransactionState::Idle;
+        }
+        refusal::RequestRefusal::unknown(refusal::RefusalReason::OutcomeUnknown, text)
+            .retry_after(retry)
+    }
+}
+
+fn cannot_pin() -> refusal::RequestRefusal {
+    let text = "the statement needs a connection of its own, and none can be reserved";
+    refusal::RequestRefusal::not_run(refusal::RefusalReason::SessionState, text)
+}
+
+/// Digests carried settings; 0 stands for none.
+fn settings_digest(carried: &std::collections::BTreeMap<String, String>) -> u64 {
+    if carried.is_empty() {
+        return 0;
+    }
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for statement in carried.values() {
+        hasher.update(statement.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.digest().max(1)
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/settings.rs
@@ -0,0 +1,197 @@
+//! The settings of one proxy process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bluebellferry_limits::share;
+use bluebellferry_runtime::settings;
+use bluebellferry_types::name;
+use serde::Deserialize;
+
+/// The settings as they are written in JSON.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProxySettingsWire {
+    vm: String,
+    environment: String,
+    data_centre: String,
+    ordinal: u32,
+    listen: String,
+    admin_listen: String,
+    peer_listen: String,
+    store: String,
+    database_account: AccountWire,
+    peer_secret: String,
+    #[serde(default)]
+    operators: Vec<OperatorWire>,
+    #[serde(default = "default_traffic_threads")]
+    traffic_threads: usize,
+    #[serde(default = "default_max_callers")]
+    max_callers: usize,
+    #[serde(default)]
+    tls: Option<TlsWire>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AccountWire {
+    user: String,
+    password: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorWire {
+    name: String,
+    token: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TlsWire {
+    certificate: PathBuf,
+    private_key: PathBuf,
+}
+
+const fn default_traffic_threads() -> usize {
+    4
+}
+
+const fn default_max_callers() -> usize {
+    10_000
+}
+
+/// The account with which the proxy logs in to databases.
+#[derive(Clone)]
+pub struct DatabaseAccount {
+    /// The user name.
+    pub user: String,
+    /// The password.
+    pub password: String,
+}
+
+impl std::fmt::Debug for DatabaseAccount {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "DatabaseAccount({})", self.user)
+    }
+}
+
+/// An operator who may use the administration API.
+#[derive(Clone)]
+pub struct OperatorAccount {
+    /// The operator's name, as the audit trail shows it.
+    pub name: String,
+    /// The bearer token.
+    pub token: String,
+}
+
+impl std::fmt::Debug for OperatorAccount {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "OperatorAccount({})", self.name)
+    }
+}
+
+/// The files for TLS towards callers.
+#[derive(Debug, Clone)]
+pub struct TlsFiles {
+    /// The certificate chain in PEM.
+    pub certificate: PathBuf,
+    /// The private key in PEM.
+    pub private_key: PathBuf,
+}
+
+/// The checked settings.
+#[derive(Debug, Clone)]
+pub struct ProxySettings {
+    /// The VM's name.
+    pub vm: String,
+    /// The environment that the VM belongs to.
+    pub environment: name::EnvironmentName,
+    /// The VM's data centre and its fixed number there.
+    pub place: share::VmPlace,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where metrics, readiness and the administration API are served.
+    pub admin_listen: SocketAddr,
+    /// Where other VMs reach this one, by UDP and TCP.
+    pub peer_listen: SocketAddr,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+    /// The account for databases.
+    pub database_account: DatabaseAccount,
+    /// The secret that authenticates messages between VMs.
+    pub peer_secret: String,
+    /// The operators.
+    pub operators: Vec<OperatorAccount>,
+    /// The number of traffic threads.
+    pub traffic_threads: usize,
+    /// The most callers at a time.
+    pub max_callers: usize,
+    /// TLS towards callers, if configured.
+    pub tls: Option<TlsFiles>,
+}
+
+/// The shortest accepted secret between VMs, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+fn parse_address(path: &str, text: &str) -> Result<SocketAddr, settings::FieldError> {
+    text.parse()
+        .map_err(|error| settings::FieldError::new(path, format!("'{text}': {error}")))
+}
+
+impl TryFrom<ProxySettingsWire> for ProxySettings {
+    type Error = settings::FieldError;
+
+    fn try_from(wire: ProxySettingsWire) -> Result<Self, settings::FieldError> {
+        let environment = name::EnvironmentName::try_from(wire.environment)
+            .map_err(|error| settings::FieldError::new("environment", error))?;
+        let data_centre = name::DataCentreName::try_from(wire.data_centre)
+            .map_err(|error| settings::FieldError::new("data_centre", error))?;
+        if wire.peer_secret.len() < MIN_SECRET_BYTES {
+            let message = format!("must have at least {MIN_SECRET_BYTES} bytes");
+            return Err(settings::FieldError::new("peer_secret", message));
+        }
+        if wire.traffic_threads == 0 {
+            return Err(settings::FieldError::new(
+                "traffic_threads",
+                "must be at least 1",
+            ));
+        }
+        let mut operators = Vec::new();
+        for (index, operator) in wire.operators.into_iter().enumerate() {
+            if operator.token.len() < MIN_SECRET_BYTES {
+                let path = format!("operators[{index}].token");
+                let message = format!("must have at least {MIN_SECRET_BYTES} bytes");
+                return Err(settings::FieldError::new(path, message));
+            }
+            operators.push(OperatorAccount {
+                name: operator.name,
+                token: operator.token,
+            });
+        }
+        Ok(Self {
+            vm: wire.vm,
+            environment,
+            place: share::VmPlace {
+                data_centre,
+                ordinal: wire.ordinal,
+            },
+            listen: parse_address("listen", &wire.listen)?,
+            admin_listen: parse_address("admin_listen", &wire.admin_listen)?,
+            peer_listen: parse_address("peer_listen", &wire.peer_listen)?,
+            store: parse_address("store", &wire.store)?,
+            database_account: DatabaseAccount {
+                user: wire.database_account.user,
+                password: wire.database_account.password,
+            },
+            peer_secret: wire.peer_secret,
+            operators,
+            traffic_threads: wire.traffic_threads,
+            max_callers: wire.max_callers,
+            tls: wire.tls.map(|tls| TlsFiles {
+                certificate: tls.certificate,
+                private_key: tls.private_key,
+            }),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_proxy/src/shares.rs
@@ -0,0 +1,182 @@
+//! The token buckets of all workspaces on this VM.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_document::model;
+use bluebellferry_limits::bucket;
+use bluebellferry_limits::demand;
+use bluebellferry_limits::share;
+use bluebellferry_types::name;
+use tokio::sync::Notify;
+
+/// How long a request waits for tokens that have been asked for.
+const LOAN_WAIT: Duration = Duration::from_millis(40);
+
+#[derive(Debug)]
+struct WorkspaceBucket {
+    bucket: bucket::ShareBucket,
+    demand: demand::DemandMeter,
+}
+
+/// One workspace's tokens on this VM.
+#[derive(Debug)]
+pub struct WorkspaceShare {
+    state: Mutex<WorkspaceBucket>,
+    arrived: Notify,
+    wanted: Notify,
+}
+
+impl WorkspaceShare {
+    fn lock(&self) -> std::sync::MutexGuard<'_, WorkspaceBucket> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a token, waiting briefly for one that is about to come.
+    ///
+    /// # Errors
+    /// Returns when the next own token is due, if none came in time.
+    pub async fn admit(&self, in_transaction: bool) -> Result<(), Duration> {
+        let started = Instant::now();
+        let limit = if in_transaction {
+            Duration::from_secs(2)
+        } else {
+            LOAN_WAIT
+        };
+        self.lock().demand.count(started);
+        loop {
+            let arrival = self.arrived.notified();
+            let now = Instant::now();
+            let answer = self.lock().bucket.try_take(now);
+            let bucket::TokenAnswer::Empty { refilled_in } = answer else {
+                return Ok(());
+            };
+            self.wanted.notify_one();
+            let left = limit.saturating_sub(now - started);
+            if left.is_zero() {
+                return Err(refilled_in);
+            }
+            // A token that is due after the limit is not waited for, a loan is.
+            tokio::time::timeout(refilled_in.min(left), arrival)
+                .await
+                .ok();
+        }
+    }
+
+    /// Moves tokens out for another VM; returns how many.
+    pub fn lend(&self, asked: f64, now: Instant) -> f64 {
+        let mut state = self.lock();
+        let keep = state.demand.soon_needed(now);
+        state.bucket.lend(asked, keep, now)
+    }
+
+    /// Takes tokens that another VM moved here.
+    pub fn accept_loan(&self, amount: f64, asked_at: Instant, now: Instant) {
+        self.lock().bucket.accept_loan(amount, asked_at, now);
+        self.arrived.notify_waiters();
+    }
+
+    /// Returns how many tokens should be asked of other VMs.
+    pub fn missing(&self, now: Instant) -> f64 {
+        let mut state = self.lock();
+        let available = state.bucket.available(now);
+        state.demand.missing(available, now)
+    }
+
+    /// Returns the tokens that can be spent now.
+    pub fn available(&self, now: Instant) -> f64 {
+        self.lock().bucket.available(now)
+    }
+}
+
+type ShareMap = BTreeMap<name::WorkspaceName, Arc<WorkspaceShare>>;
+
+/// All workspaces' tokens.
+#[derive(Debug, Default)]
+pub struct ShareLedger {
+    shares: RwLock<ShareMap>,
+}
+
+impl ShareLedger {
+    /// Returns a workspace's tokens.
+    pub fn find(&self, workspace: &name::WorkspaceName) -> Option<Arc<WorkspaceShare>> {
+        self.read().get(workspace).cloned()
+    }
+
+    /// Returns all workspaces with their tokens.
+    pub fn all(&self) -> Vec<(name::WorkspaceName, Arc<WorkspaceShare>)> {
+        self.read()
+            .iter()
+            .map(|(name, share)| (name.clone(), Arc::clone(share)))
+            .collect()
+    }
+
+    /// Notes that the process is running.
+    pub fn observe(&self, now: Instant) {
+        for share in self.read().values() {
+            share.lock().bucket.observe(now);
+        }
+    }
+
+    /// Applies the rates of a document that has come into force.
+    pub fn apply_document(
+        &self,
+        document: &model::EnvironmentDocument,
+        place: &share::VmPlace,
+        now: Instant,
+    ) {
+        let centres: Vec<(name::DataCentreName, u32)> = document
+            .data_centres
+            .iter()
+            .map(|(name, plan)| (name.clone(), plan.vms))
+            .collect();
+        let mut shares = self.shares.write().unwrap_or_else(PoisonError::into_inner);
+        shares.retain(|workspace, _| document.workspaces.contains_key(workspace));
+        for (workspace, plan) in &document.workspaces {
+            let total = bucket::ShareSize {
+                rate_per_second: plan.rate_per_second,
+                burst: plan.burst,
+            };
+            let size = share::owned_share(workspace, total, place, &centres);
+            match shares.get(workspace) {
+                Some(share) => share.lock().bucket.resize(size, now),
+                None => {
+                    shares.insert(workspace.clone(), Arc::new(new_share(size, now)));
+                }
+            }
+        }
+    }
+
+    /// Empties every bucket for good, after another process took this place.
+    pub fn shut(&self, now: Instant) {
+        let nothing = bucket::ShareSize {
+            rate_per_second: 0.0,
+            burst: 0.0,
+        };
+        for share in self.read().values() {
+            share.lock().bucket.resize(nothing, now);
+        }
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, ShareMap> {
+        self.shares.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A new bucket starts empty: whatever ran in this place before may just have
+/// spent its tokens.
+fn new_share(size: bucket::ShareSize, now: Instant) -> WorkspaceShare {
+    WorkspaceShare {
+        state: Mutex::new(WorkspaceBucket {
+            bucket: bucket::ShareBucket::empty(size, now),
+            demand: demand::DemandMeter::new(now),
+        }),
+        arrived: Notify::new(),
+        wanted: Notify::new(),
+    }
+}
--- a/crates/bluebellferry_standin_database/src/control.rs
+++ b/crates/bluebellferry_standin_database/src/control.rs
@@ -1,8 +1,8 @@
 //! The SQL functions through which a group is observed and steered:
 //!
 //! - `SELECT * FROM bluebellferry_status()`
-//! - `SELECT * FROM bluebellferry_fence(term)`
-//! - `SELECT * FROM bluebellferry_promote(term)`
+//! - `SELECT * FROM bluebellferry_fence(term, claimant)`
+//! - `SELECT * FROM bluebellferry_promote(term, claimant)`
 //! - `SELECT * FROM bluebellferry_confirmed_position()`
 //! - `SELECT * FROM bluebellferry_set(name, value)` with `lag_ms` or `leaving`
 
@@ -22,10 +22,10 @@
 pub enum ControlCall {
     /// Reports the database's state.
     Status,
-    /// Respects a term from now on.
-    Fence(u64),
-    /// Becomes primary of a term.
-    Promote(u64),
+    /// Respects a term of a claimant from now on.
+    Fence(u64, String),
+    /// Becomes primary of a claimant's term.
+    Promote(u64, String),
     /// Reports the committed position once a majority has confirmed the primary.
     ConfirmedPosition,
     /// Changes a setting.
@@ -46,8 +46,14 @@
         .map(|text| text.trim().trim_matches('\''));
     match function.trim() {
         "bluebellferry_status" => Some(ControlCall::Status),
-        "bluebellferry_fence" => Some(ControlCall::Fence(arguments.next()?.parse().ok()?)),
-        "bluebellferry_promote" => Some(ControlCall::Promote(arguments.next()?.parse().ok()?)),
+        "bluebellferry_fence" => {
+            let term = arguments.next()?.parse().ok()?;
+            Some(ControlCall::Fence(term, arguments.next()?.to_owned()))
+        }
+        "bluebellferry_promote" => {
+            let term = arguments.next()?.parse().ok()?;
+            Some(ControlCall::Promote(term, arguments.next()?.to_owned()))
+        }
         "bluebellferry_confirmed_position" => Some(ControlCall::ConfirmedPosition),
         "bluebellferry_set" => {
             let name = arguments.next()?.to_owned();
@@ -66,15 +72,8 @@
 pub fn run_call(member: &group::GroupMember, call: &ControlCall) -> ControlAnswer {
     match call {
         ControlCall::Status => Ok(status_row(&member.lock())),
-        ControlCall::Fence(term) => {
-            let mut state = member.lock();
-            state.promise(*term);
-            let row = status_row(&state);
-            drop(state);
-            member.notify();
-            Ok(row)
-        }
-        ControlCall::Promote(term) => promote(member, *term),
+        ControlCall::Fence(term, claimant) => fence(member, *term, claimant),
+        ControlCall::Promote(term, claimant) => promote(member, *term, claimant),
         ControlCall::ConfirmedPosition => confirmed_position(member),
         ControlCall::Set(name, value) => set_value(member, name, *value),
     }
@@ -86,6 +85,11 @@
     let role = if primary { "primary" } else { "replica" };
     let text = |text: String| value::SqlValue::Text(text);
     let age = state.majority_age(Instant::now());
+    let contact = state
+        .primary_heard
+        .filter(|_| !primary)
+        .map(|heard| heard.elapsed());
+    let millis = |time: Duration| integer(time.as_millis() as u64);
     vec![
         ("role", text(role.to_owned())),
         ("promised_term", integer(state.promised_term)),
@@ -103,23 +107,37 @@
             text(state.position_at(state.replayed_offset).to_string()),
         ),
         ("accepts_writes", integer(u64::from(state.accepts_writes()))),
+        ("majority_age_ms", age.map_or(value::SqlValue::Null, millis)),
         (
-            "majority_age_ms",
-            age.map_or(value::SqlValue::Null, |age| integer(age.as_millis() as u64)),
+            "primary_contact_ms",
+            contact.map_or(value::SqlValue::Null, millis),
         ),
         ("leaving", integer(u64::from(state.leaving))),
     ]
 }
 
-fn promote(member: &group::GroupMember, term: u64) -> ControlAnswer {
+fn fence(member: &group::GroupMember, term: u64, claimant: &str) -> ControlAnswer {
     let mut state = member.lock();
-    if state.promised_term > term {
+    state.promise(term, claimant);
+    if !state.is_promised(term, claimant) {
         return Err(format!(
-            "term {} has been promised, {term} is older",
+            "term {} has been promised to another",
             state.promised_term
         ));
     }
-    state.promise(term);
+    let row = status_row(&state);
+    drop(state);
+    member.notify();
+    Ok(row)
+}
+
+fn promote(member: &group::GroupMember, term: u64, claimant: &str) -> ControlAnswer {
+    let mut state = member.lock();
+    if !state.is_promised(term, claimant) {
+        return Err(format!(
+            "term {term} has not been promised to this claimant"
+        ));
+    }
     let already = state.role == group::MemberRole::Primary && state.own_term == term;
     if !already {
         state.become_primary(Instant::now());
--- a/crates/bluebellferry_standin_database/src/group.rs
+++ b/crates/bluebellferry_standin_database/src/group.rs
@@ -57,6 +57,10 @@
     pub role: MemberRole,
     /// The highest term that the database has promised to respect.
     pub promised_term: u64,
+    /// To whom the promised term belongs; empty when it was learnt from the log.
+    pub promised_to: String,
+    /// When the primary was last heard, on a replica.
+    pub primary_heard: Option<Instant>,
     /// The term in which the database is or was last primary.
     pub own_term: u64,
     /// All entries; the entry of offset n stands at index n - 1.
@@ -145,13 +149,19 @@
     }
 
     /// Respects a higher term from now on; an older primary steps down.
-    pub fn promise(&mut self, term: u64) {
+    pub fn promise(&mut self, term: u64, claimant: &str) {
         if term > self.promised_term {
             self.promised_term = term;
+            claimant.clone_into(&mut self.promised_to);
             self.role = MemberRole::Replica;
         }
     }
 
+    /// Returns whether the term has been promised to this claimant.
+    pub fn is_promised(&self, term: u64, claimant: &str) -> bool {
+        self.promised_term == term && self.promised_to == claimant
+    }
+
     /// Becomes primary of the promised term.
     pub fn become_primary(&mut self, now: Instant) {
         self.role = MemberRole::Primary;
@@ -193,6 +203,8 @@
         let mut state = MemberState {
             role: MemberRole::Replica,
             promised_term: 1,
+            promised_to: String::new(),
+            primary_heard: None,
             own_term: 0,
             log: Vec::new(),
             arrivals: Vec::new(),
--- a/crates/bluebellferry_standin_database/src/replication.rs
+++ b/crates/bluebellferry_standin_database/src/replication.rs
@@ -124,7 +124,8 @@
     if request.term < state.promised_term {
         return refused(state, state.last_offset());
     }
-    state.promise(request.term);
+    state.promise(request.term, "");
+    state.primary_heard = Some(Instant::now());
     let previous = state.position_at(request.previous_offset);
     let matches =
         request.previous_offset <= state.last_offset() && previous.term == request.previous_term;
@@ -199,7 +200,7 @@
         let answer: AppendAnswer = receive_message(&mut stream)?;
         let mut state = member.lock();
         if answer.promised_term > request.term {
-            state.promise(answer.promised_term);
+            state.promise(answer.promised_term, "");
             member.notify();
             return Ok(());
         }
--- a/crates/bluebellferry_wire/src/reader.rs
+++ b/crates/bluebellferry_wire/src/reader.rs
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Returns the stream.
+    pub fn get_ref(&self) -> &R {
+        &self.stream
+    }
+
+    /// Returns the stream and the bytes that were read but not used.
+    pub fn into_parts(self) -> (R, BytesMut) {
+        (self.stream, self.buffer)
+    }
+
     /// Returns whether unread bytes are waiting in memory.
     pub fn has_buffered(&self) -> bool {
         !self.buffer.is_empty()
