Add the playground, the bench and its scenarios

Cause: nothing measured the path, and a newcomer had no way in. Change: the playground's tour; open-loop scenarios with latency from the instant at which a request was due; experiments for overhead, limits and slopes.

--- /dev/null
+++ b/crates/bluebellferry_bench/src/report.rs
@@ -0,0 +1,82 @@
+//! Results as files: JSON for programs, SVG for people.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::BenchError;
+use crate::outcome;
+
+/// The picture's size in pixels.
+const PICTURE: (u32, u32) = (900, 360);
+
+/// Writes `<scenario>.json` and `<scenario>.svg` into a folder.
+///
+/// # Errors
+/// Fails when a file cannot be written.
+pub fn write_report(folder: &Path, result: &outcome::RunResult) -> Result<(), BenchError> {
+    std::fs::create_dir_all(folder)?;
+    let json = folder.join(format!("{}.json", result.scenario));
+    std::fs::write(&json, format!("{:#}\n", serde_json::to_value(result)?))?;
+    let picture = folder.join(format!("{}.svg", result.scenario));
+    draw_writes(&picture, result)?;
+    Ok(())
+}
+
+fn draw_writes(file: &Path, result: &outcome::RunResult) -> Result<(), BenchError> {
+    let area = SVGBackend::new(file, PICTURE).into_drawing_area();
+    let failed = |error: &dyn std::fmt::Display| -> BenchError { error.to_string().into() };
+    area.fill(&WHITE).map_err(|error| failed(&error))?;
+    let highest = result.writes_per_tenth.iter().copied().max().unwrap_or(1);
+    let title = format!("{}: acknowledged writes in each 100 ms", result.scenario);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(32)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..result.seconds, 0..highest + 1)
+        .map_err(|error| failed(&error))?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("writes")
+        .draw()
+        .map_err(|error| failed(&error))?;
+    let points = result.writes_per_tenth.iter().enumerate();
+    let points = points.map(|(index, count)| (index as f64 / 10.0, *count));
+    chart
+        .draw_series(LineSeries::new(points, &BLUE))
+        .map_err(|error| failed(&error))?;
+    area.present().map_err(|error| failed(&error))
+}
+
+/// Prints a result in a few lines.
+pub fn print_result(result: &outcome::RunResult) {
+    println!(
+        "{} (seed {}, {} s)",
+        result.scenario, result.seed, result.seconds
+    );
+    println!(
+        "  reads served by replicas   {:.2} %",
+        result.replica_read_share * 100.0
+    );
+    println!("  longest gap in writes      {} ms", result.write_gap_ms);
+    println!(
+        "  acknowledged writes        {}, lost {}, stale own reads {}",
+        result.acknowledged, result.lost, result.stale_reads
+    );
+    for workspace in &result.workspaces {
+        println!(
+            "  {:<14} answered {:>6}  read p50/p99 {}/{} us  write p50/p99 {}/{} us  wrongful {}  refused {:?}  unreachable {}",
+            workspace.workspace,
+            workspace.answered,
+            workspace.read_p50_us,
+            workspace.read_p99_us,
+            workspace.write_p50_us,
+            workspace.write_p99_us,
+            workspace.wrongful_refusals,
+            workspace.refusals,
+            workspace.unreachable,
+        );
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_bench/src/run.rs
@@ -0,0 +1,207 @@
+//! A scenario's run from start to result.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_fleet::fleet;
+use bluebellferry_fleet::process;
+
+use crate::BenchError;
+use crate::load;
+use crate::outcome;
+use crate::scenario;
+
+/// How long the load waits after the sessions were planned.
+const LEAD_TIME: Duration = Duration::from_millis(200);
+/// How often progress is shown.
+const PROGRESS: Duration = Duration::from_secs(5);
+
+/// Runs a scenario.
+///
+/// # Errors
+/// Fails when the environment cannot be started or read at the end.
+pub async fn run_scenario(scenario: &scenario::Scenario) -> Result<outcome::RunResult, BenchError> {
+    eprintln!("{}: starting the environment", scenario.name);
+    let launcher = process::Launcher::OwnProgram;
+    let mut fleet = fleet::Fleet::start(scenario.fleet.clone(), &launcher).await?;
+    create_tables(&fleet).await?;
+    let before = replica_reads(&fleet).await;
+    let start = Instant::now() + LEAD_TIME;
+    let context = Arc::new(load::LoadContext {
+        start,
+        end: start + scenario.duration,
+        next_row: AtomicU64::new(1),
+    });
+    let mut sessions = Vec::new();
+    for plan in session_plans(scenario, &fleet) {
+        sessions.push(tokio::spawn(load::run_session(plan, Arc::clone(&context))));
+    }
+    let progress = tokio::spawn(show_progress(
+        scenario.name.clone(),
+        start,
+        scenario.duration,
+    ));
+    inject_faults(&mut fleet, scenario, start).await?;
+    let mut outcomes = Vec::new();
+    for session in sessions {
+        outcomes.push(session.await?);
+    }
+    progress.abort();
+    let after = replica_reads(&fleet).await;
+    let lost = count_lost(&fleet, &outcomes).await?;
+    let names: Vec<(String, f64, f64)> = scenario
+        .load
+        .iter()
+        .map(|load| {
+            (
+                load.workspace.clone(),
+                load.rate_per_second,
+                load.requests_per_second,
+            )
+        })
+        .collect();
+    let (on_replicas, fallbacks) = (after.0 - before.0, after.1 - before.1);
+    Ok(outcome::RunResult {
+        scenario: scenario.name.clone(),
+        seed: scenario.seed,
+        seconds: scenario.duration.as_secs_f64(),
+        replica_read_share: on_replicas / (on_replicas + fallbacks).max(1.0),
+        write_gap_ms: outcome::overall_write_gap(&outcomes).as_millis() as u64,
+        acknowledged: outcomes
+            .iter()
+            .map(|outcome| outcome.acknowledged.len() as u64)
+            .sum(),
+        lost,
+        stale_reads: outcomes.iter().map(|outcome| outcome.stale_reads).sum(),
+        workspaces: outcome::workspace_results(&outcomes, &names),
+        writes_per_tenth: outcome::writes_per_tenth(&outcomes, scenario.duration),
+    })
+}
+
+/// Creates the table with a row that every session finds before its own writes.
+async fn create_tables(fleet: &fleet::Fleet) -> Result<(), BenchError> {
+    let workspace = &fleet.plan.workspaces[0].name;
+    for service in &fleet.plan.services {
+        let client = fleet.connect(0, workspace, &service.name).await?;
+        client
+            .batch_execute("CREATE TABLE booking (id BIGINT PRIMARY KEY, gear TEXT)")
+            .await?;
+        client
+            .batch_execute("INSERT INTO booking VALUES (0, 'first')")
+            .await?;
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    Ok(())
+}
+
+fn session_plans(scenario: &scenario::Scenario, fleet: &fleet::Fleet) -> Vec<load::SessionPlan> {
+    let mut plans = Vec::new();
+    for (workspace, load) in scenario.load.iter().enumerate() {
+        for session in 0..load.sessions {
+            let number = plans.len();
+            let service = &fleet.plan.services[session % fleet.plan.services.len()].name;
+            let proxies: Vec<usize> = match load.only_proxy {
+                Some(proxy) => vec![proxy],
+                None => (0..fleet.proxies.len()).collect(),
+            };
+            let config = |proxy: &usize| fleet.caller(*proxy, &load.workspace, service);
+            plans.push(load::SessionPlan {
+                proxies: proxies.iter().map(config).collect(),
+                first_proxy: number,
+                workspace,
+                requests_per_second: load.requests_per_second / load.sessions as f64,
+                write_share: load.write_share,
+                read_kind: load.read_kind.clone(),
+                seed: scenario
+                    .seed
+                    .wrapping_mul(1_000_003)
+                    .wrapping_add(number as u64),
+            });
+        }
+    }
+    plans
+}
+
+async fn show_progress(name: String, start: Instant, duration: Duration) {
+    loop {
+        tokio::time::sleep(PROGRESS).await;
+        let done = start.elapsed().as_secs().min(duration.as_secs());
+        eprintln!("{name}: {done} of {} s", duration.as_secs());
+    }
+}
+
+async fn inject_faults(
+    fleet: &mut fleet::Fleet,
+    scenario: &scenario::Scenario,
+    start: Instant,
+) -> Result<(), BenchError> {
+    for fault in &scenario.faults {
+        tokio::time::sleep_until((start + fault.at).into()).await;
+        eprintln!("{}: {:?} {}", scenario.name, fault.kind, fault.index);
+        inject(fleet, *fault).await?;
+    }
+    Ok(())
+}
+
+async fn inject(fleet: &mut fleet::Fleet, fault: scenario::PlannedFault) -> Result<(), BenchError> {
+    match fault.kind {
+        scenario::FaultKind::KillPrimary => {
+            let primary = fleet.primary(0, fault.index).await?;
+            fleet.databases[primary].process.kill().await?;
+        }
+        scenario::FaultKind::FreezePrimary => {
+            let primary = fleet.primary(0, fault.index).await?;
+            fleet.databases[primary].process.freeze()?;
+        }
+        scenario::FaultKind::KillProxy => fleet.proxies[fault.index].process.kill().await?,
+        scenario::FaultKind::StoreOut => {
+            fleet
+                .set_store_faults(serde_json::json!({"outage": true}))
+                .await?;
+        }
+        scenario::FaultKind::StoreBack => fleet.set_store_faults(serde_json::json!({})).await?,
+        scenario::FaultKind::CutCentre => fleet.set_centre_cut(fault.index, true, true),
+        scenario::FaultKind::MendCentre => fleet.set_centre_cut(fault.index, false, true),
+    }
+    Ok(())
+}
+
+/// Returns reads served by replicas and reads that fell back to the primary.
+async fn replica_reads(fleet: &fleet::Fleet) -> (f64, f64) {
+    let (mut replica, mut fallback) = (0.0, 0.0);
+    for proxy in 0..fleet.proxies.len() {
+        let name = "bluebellferry_requests_total";
+        replica += fleet
+            .counter(proxy, name, "route=\"replica\"")
+            .await
+            .unwrap_or(0.0);
+        let name = "bluebellferry_replica_fallbacks_total";
+        fallback += fleet.counter(proxy, name, "").await.unwrap_or(0.0);
+    }
+    (replica, fallback)
+}
+
+/// Counts acknowledged rows that are not in any service's primary.
+async fn count_lost(
+    fleet: &fleet::Fleet,
+    outcomes: &[outcome::SessionOutcome],
+) -> Result<u64, BenchError> {
+    let mut found = std::collections::HashSet::new();
+    for service in 0..fleet.plan.services.len() {
+        let mut primary = None;
+        for proxy in 0..fleet.proxies.len() {
+            primary = primary.or(fleet.primary(proxy, service).await.ok());
+        }
+        let primary = primary.ok_or("no proxy sees a primary at the end")?;
+        let client = fleet.connect_database(primary).await?;
+        for message in client.simple_query("SELECT id FROM booking").await? {
+            if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+                found.extend(row.get(0).and_then(|id| id.parse::<u64>().ok()));
+            }
+        }
+    }
+    let acknowledged = outcomes.iter().flat_map(|outcome| &outcome.acknowledged);
+    Ok(acknowledged.filter(|row| !found.contains(row)).count() as u64)
+}
--- a/crates/bluebellferry_fleet/src/fleet.rs
+++ b/crates/bluebellferry_fleet/src/fleet.rs
@@ -439,6 +439,15 @@
             .sum())
     }
 
+    /// Returns the numbers of calls that the store has served.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer.
+    pub async fn store_calls(&self) -> Result<serde_json::Value, FleetError> {
+        let url = format!("http://{}/calls", self.store_address);
+        Ok(reqwest::get(url).await?.json().await?)
+    }
+
     /// Switches faults of the store on and off.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/bluebellferry_playground/src/main.rs
@@ -0,0 +1,48 @@
+//! The command that runs the playground.
+
+use std::process::ExitCode;
+
+use bluebellferry_fleet::roles;
+use bluebellferry_playground::tour;
+use bluebellferry_runtime::logging;
+use bluebellferry_runtime::shutdown;
+
+mod flags {
+    #![allow(missing_docs, unreachable_pub, reason = "xflags writes these items")]
+
+    xflags::xflags! {
+        /// Shows bluebellferry at work on this machine: a booking, a read back
+        /// through another proxy, and the end of a primary.
+        cmd bluebellferry-playground {
+            /// Stays up afterwards, for psql.
+            optional --stay
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    if let Some(code) = roles::play_role() {
+        return code;
+    }
+    let flags = flags::BluebellferryPlayground::from_env_or_exit();
+    logging::start_logging("bluebellferry-playground", log::LevelFilter::Warn);
+    match run(flags.stay) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("The tour stopped: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(stay: bool) -> Result<(), tour::TourError> {
+    let mut fleet = tour::start_environment().await?;
+    tour::run_tour(&mut fleet).await?;
+    if stay {
+        tour::print_invitation(&fleet);
+        println!("\nCtrl-C ends it.");
+        shutdown::stop_requested().await?;
+    }
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -62,6 +62,7 @@
 pub(super) struct PeerLinks {
     udp: Arc<UdpSocket>,
     codec: envelope::EnvelopeCodec,
+    shared: Arc<shared::ProxyShared>,
     incarnation: u64,
     sequence: u64,
     addresses: Vec<SocketAddr>,
@@ -93,6 +94,7 @@
         Self {
             udp: sockets.udp,
             codec,
+            shared: Arc::clone(shared),
             incarnation: shared.incarnation,
             sequence: 0,
             addresses: Vec::new(),
@@ -115,6 +117,7 @@
     fn send(&mut self, to: SocketAddr, message: &message::PeerMessage) {
         self.sequence += 1;
         let bytes = self.codec.seal(self.incarnation, self.sequence, message);
+        self.shared.metrics.count_peer_sent(bytes.len());
         if let Err(error) = self.udp.try_send_to(&bytes, to) {
             log::debug!("a message to {to} was not sent: {error}");
         }
--- a/crates/bluebellferry_proxy/src/metrics.rs
+++ b/crates/bluebellferry_proxy/src/metrics.rs
@@ -56,6 +56,7 @@
     fallbacks: IntCounterVec,
     promotions: IntCounterVec,
     peer_messages: IntCounterVec,
+    peer_sent_bytes: IntCounterVec,
     latency: HistogramVec,
     /// Gauges by name and subject.
     pub state: IntGaugeVec,
@@ -115,6 +116,12 @@
             "Messages from other VMs, by kind or reason of refusal.",
             &["kind"],
         )?;
+        let peer_sent_bytes = counter(
+            &registry,
+            "bluebellferry_peer_sent_bytes_total",
+            "Bytes sent to other VMs, by transport.",
+            &["transport"],
+        )?;
         let options = prometheus::HistogramOpts::new(
             "bluebellferry_request_seconds",
             "Time from a request's arrival to its last answer, by route.",
@@ -135,6 +142,7 @@
             fallbacks,
             promotions,
             peer_messages,
+            peer_sent_bytes,
             latency,
             state,
         })
@@ -171,6 +179,13 @@
         self.promotions.with_label_values(&[service, step]).inc();
     }
 
+    /// Counts bytes sent to another VM by UDP.
+    pub fn count_peer_sent(&self, bytes: usize) {
+        self.peer_sent_bytes
+            .with_label_values(&["udp"])
+            .inc_by(bytes as u64);
+    }
+
     /// Counts a message from another VM.
     pub fn count_peer_message(&self, kind: &str) {
         self.peer_messages.with_label_values(&[kind]).inc();
