Lend parts of tokens, wait for replicas as the document allows

Change: parts of tokens move, a waiting request asks at once and again, no loan is asked for that is too small to be given. A kind of read may state wait_ms.

--- a/crates/bluebellferry_bench/src/limits.rs
+++ b/crates/bluebellferry_bench/src/limits.rs
@@ -20,7 +20,9 @@
 /// The time that a message between VMs takes.
 const MESSAGE_TIME: Duration = Duration::from_millis(2);
 /// How often a VM asks for tokens at the most.
-const ASK_INTERVAL: Duration = Duration::from_millis(20);
+const ASK_INTERVAL: Duration = Duration::from_millis(5);
+/// By how much more than the need is asked for.
+const ASK_SURPLUS: f64 = 1.05;
 /// How long a request waits for tokens that were asked for.
 const LOAN_WAIT: Duration = Duration::from_millis(40);
 
@@ -258,12 +260,12 @@
         let state = &mut self.vms[vm];
         state.ask_due = now + ASK_INTERVAL;
         let available = state.bucket.available(now);
-        let missing = state.demand.missing(available, now);
+        let missing = state.demand.missing(available, state.waiting.len(), now);
         if missing <= 0.0 {
             return;
         }
         let others = self.vms.len() - 1;
-        let amount = (missing / others as f64).ceil();
+        let amount = missing * ASK_SURPLUS / others as f64;
         for to in (0..self.vms.len()).filter(|to| *to != vm) {
             self.send(
                 now,
--- a/crates/bluebellferry_bench/src/outcome.rs
+++ b/crates/bluebellferry_bench/src/outcome.rs
@@ -31,9 +31,12 @@
     unreachable: u64,
 }
 
+/// The longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
 /// Latencies are kept in microseconds with three significant digits.
 fn new_histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are valid")
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("the bounds are valid")
 }
 
 impl SessionOutcome {
--- a/crates/bluebellferry_bench/src/overhead.rs
+++ b/crates/bluebellferry_bench/src/overhead.rs
@@ -181,6 +181,7 @@
     let demand = choice::ReadDemand {
         floor: position::LogPosition::new(1, 150),
         max_age: Duration::from_secs(5),
+        wait: Duration::ZERO,
     };
     let started = Instant::now();
     for _ in 0..DECISIONS {
--- a/crates/bluebellferry_bench/src/run.rs
+++ b/crates/bluebellferry_bench/src/run.rs
@@ -15,6 +15,8 @@
 
 /// How long the load waits after the sessions were planned.
 const LEAD_TIME: Duration = Duration::from_millis(200);
+/// How long replicas and token buckets have to fill before the load.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// How often progress is shown.
 const PROGRESS: Duration = Duration::from_secs(5);
 
@@ -92,7 +94,7 @@
             .batch_execute("INSERT INTO booking VALUES (0, 'first')")
             .await?;
     }
-    tokio::time::sleep(Duration::from_millis(600)).await;
+    tokio::time::sleep(WARM_UP).await;
     Ok(())
 }
 
--- a/crates/bluebellferry_bench/src/scenario.rs
+++ b/crates/bluebellferry_bench/src/scenario.rs
@@ -47,6 +47,12 @@
 struct ReadWire {
     name: String,
     max_age_ms: u64,
+    #[serde(default = "default_wait_ms")]
+    wait_ms: u64,
+}
+
+const fn default_wait_ms() -> u64 {
+    30
 }
 
 /// One workspace's load.
@@ -222,6 +228,7 @@
     let read = |read: ReadWire| plan::ReadPlan {
         name: read.name,
         max_age: Duration::from_millis(read.max_age_ms),
+        wait: Duration::from_millis(read.wait_ms),
     };
     plan::FleetPlan {
         environment: "bench".to_owned(),
--- a/crates/bluebellferry_document/src/check.rs
+++ b/crates/bluebellferry_document/src/check.rs
@@ -10,6 +10,8 @@
 
 /// The format number that this version reads.
 pub const SUPPORTED_FORMAT: u32 = 1;
+/// The longest time that a read may wait for a replica, in milliseconds.
+pub const MAX_READ_WAIT_MS: u64 = 5_000;
 /// The largest accepted document, in bytes; the store holds values up to 1 MB.
 pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
 
@@ -130,7 +132,15 @@
     for (text, read) in wire.reads {
         let read_path = format!("{path}.reads.{text}");
         let kind = name::ReadKind::try_from(text).map_err(|error| value_error(read_path, error))?;
-        reads.insert(kind, Duration::from_millis(read.max_age_ms));
+        if read.wait_ms > MAX_READ_WAIT_MS {
+            let message = format!("must be at most {MAX_READ_WAIT_MS}");
+            return Err(value_error(format!("{path}.reads.{kind}.wait_ms"), message));
+        }
+        let plan = model::ReadPlan {
+            max_age: Duration::from_millis(read.max_age_ms),
+            wait: Duration::from_millis(read.wait_ms),
+        };
+        reads.insert(kind, plan);
     }
     Ok(model::ServicePlan {
         connections: wire.connections,
--- a/crates/bluebellferry_document/src/model.rs
+++ b/crates/bluebellferry_document/src/model.rs
@@ -38,8 +38,17 @@
     pub connections: u32,
     /// The statements each database runs at a time.
     pub slots: u32,
-    /// The greatest age of the data for each kind of read.
-    pub reads: BTreeMap<name::ReadKind, Duration>,
+    /// What each kind of read allows.
+    pub reads: BTreeMap<name::ReadKind, ReadPlan>,
+}
+
+/// What the document states for a kind of read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadPlan {
+    /// The greatest age of the data.
+    pub max_age: Duration,
+    /// How long the read may wait for a replica.
+    pub wait: Duration,
 }
 
 /// What the document states for a workspace.
--- a/crates/bluebellferry_document/src/wire.rs
+++ b/crates/bluebellferry_document/src/wire.rs
@@ -45,6 +45,10 @@
 pub struct ReadWire {
     /// The greatest age of the data, in milliseconds.
     pub max_age_ms: u64,
+    /// How long such a read may wait for a replica before it goes to the
+    /// primary, in milliseconds.
+    #[serde(default = "default_wait_ms")]
+    pub wait_ms: u64,
 }
 
 /// A workspace.
@@ -65,6 +69,10 @@
     pub open: bool,
 }
 
+const fn default_wait_ms() -> u64 {
+    30
+}
+
 const fn default_weight() -> u32 {
     1
 }
--- a/crates/bluebellferry_fleet/src/plan.rs
+++ b/crates/bluebellferry_fleet/src/plan.rs
@@ -57,6 +57,8 @@
     pub name: String,
     /// The greatest age.
     pub max_age: Duration,
+    /// How long it may wait for a replica.
+    pub wait: Duration,
 }
 
 /// A whole environment.
@@ -113,6 +115,7 @@
             reads: vec![ReadPlan {
                 name: "catalogue".to_owned(),
                 max_age: Duration::from_secs(5),
+                wait: Duration::from_millis(30),
             }],
             databases: DatabasePlan {
                 connections: 20,
@@ -144,7 +147,11 @@
             .collect();
         let read = |read: &ReadPlan| {
             let age = read.max_age.as_millis() as u64;
-            (read.name.clone(), serde_json::json!({"max_age_ms": age}))
+            let wait = read.wait.as_millis() as u64;
+            (
+                read.name.clone(),
+                serde_json::json!({"max_age_ms": age, "wait_ms": wait}),
+            )
         };
         let reads: serde_json::Map<String, serde_json::Value> =
             self.reads.iter().map(read).collect();
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -20,6 +20,9 @@
 /// shrunk its own first.
 pub const GROWTH_DELAY: Duration = Duration::from_secs(5);
 
+/// The smallest part of a token that is worth a message.
+pub const SMALLEST_LOAN: f64 = 0.02;
+
 /// The part of a workspace's rate and burst that a VM owns.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShareSize {
@@ -110,15 +113,13 @@
 
     /// Takes one token.
     pub fn try_take(&mut self, now: Instant) -> TokenAnswer {
-        self.refill(now);
-        if self.take_borrowed() {
-            return TokenAnswer::Granted;
-        }
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
+        let available = self.available(now);
+        if available >= 1.0 {
+            let owned = 1.0 - self.take_borrowed(1.0);
+            self.tokens = (self.tokens - owned).max(0.0);
             return TokenAnswer::Granted;
         }
-        let missing = 1.0 - self.tokens;
+        let missing = 1.0 - available;
         let refill = Duration::from_secs_f64(missing / self.size.rate_per_second);
         let shut = self.refilled_at.saturating_duration_since(now);
         TokenAnswer::Empty {
@@ -133,12 +134,13 @@
         self.tokens + borrowed
     }
 
-    /// Moves up to `asked` whole tokens out, leaving `keep` for own callers.
+    /// Moves up to `asked` tokens out, leaving `keep` for own callers. Parts of
+    /// tokens move too: of a small rate, no VM may have a whole token to spare.
     /// Returns how many were moved.
     pub fn lend(&mut self, asked: f64, keep: f64, now: Instant) -> f64 {
         self.refill(now);
-        let amount = (self.tokens - keep).min(asked).floor();
-        if amount < 1.0 {
+        let amount = (self.tokens - keep).min(asked);
+        if !amount.is_finite() || amount < SMALLEST_LOAN {
             return 0.0;
         }
         self.tokens -= amount;
@@ -164,12 +166,15 @@
         }
     }
 
-    fn take_borrowed(&mut self) -> bool {
-        let Some(loan) = self.borrowed.iter_mut().find(|loan| loan.amount >= 1.0) else {
-            return false;
-        };
-        loan.amount -= 1.0;
-        true
+    /// Spends borrowed tokens, the oldest first; returns how many.
+    fn take_borrowed(&mut self, wanted: f64) -> f64 {
+        let mut taken = 0.0;
+        for loan in &mut self.borrowed {
+            let part = loan.amount.min(wanted - taken);
+            loan.amount -= part;
+            taken += part;
+        }
+        taken
     }
 
     fn capacity(&self) -> f64 {
@@ -183,7 +188,7 @@
         }
         self.lent.retain(|loan| loan.reserved_until > now);
         self.borrowed
-            .retain(|loan| loan.valid_until > now && loan.amount >= 1.0);
+            .retain(|loan| loan.valid_until > now && loan.amount > 0.0);
         if let Some((due, size)) = self.grown.filter(|(due, _)| *due <= now) {
             self.add_refill(due);
             self.size = size;
--- a/crates/bluebellferry_limits/src/demand.rs
+++ b/crates/bluebellferry_limits/src/demand.rs
@@ -9,8 +9,9 @@
 const SMOOTHING: f64 = 0.4;
 /// For how long ahead tokens are kept or asked for.
 const HORIZON: Duration = Duration::from_millis(100);
-/// The fewest tokens asked for at a time.
-const MINIMUM_ASK: f64 = 2.0;
+
+/// The need below which nothing is asked for ahead of time.
+const SMALLEST_NEED: f64 = 0.5;
 
 /// A moving average of a workspace's requests on this VM.
 #[derive(Debug, Clone)]
@@ -47,13 +48,14 @@
         self.per_second(now) * HORIZON.as_secs_f64()
     }
 
-    /// Returns how many tokens to ask of others, given what is available.
-    pub fn missing(&mut self, available: f64, now: Instant) -> f64 {
-        let needed = self.soon_needed(now);
-        if needed <= available || needed < 0.01 {
+    /// Returns how many tokens to ask of others, given what is available and
+    /// how many requests are waiting.
+    pub fn missing(&mut self, available: f64, waiting: usize, now: Instant) -> f64 {
+        let needed = self.soon_needed(now).max(waiting as f64);
+        if needed < SMALLEST_NEED {
             return 0.0;
         }
-        (needed - available).max(MINIMUM_ASK)
+        (needed - available).max(0.0)
     }
 
     fn roll(&mut self, now: Instant) {
--- a/crates/bluebellferry_proxy/src/control.rs
+++ b/crates/bluebellferry_proxy/src/control.rs
@@ -175,7 +175,7 @@
         replaced: false,
         dirty: true,
         wake: false,
-        shared,
+        shared: Arc::clone(&shared),
     };
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -186,6 +186,7 @@
                 None => return,
             },
             _ = ticks.tick() => state.tick(),
+            () = shared.tokens_wanted.notified() => state.ask_for_tokens(Instant::now()),
         }
         while let Ok(event) = receiver.try_recv() {
             state.handle(event);
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bluebellferry_keys::digest;
+use bluebellferry_limits::bucket;
 use bluebellferry_membership::envelope;
 use bluebellferry_membership::message;
 use bluebellferry_membership::roster;
@@ -32,8 +33,13 @@
 const MAX_STREAM_BYTES: usize = 64 * 1024 * 1024;
 /// How long an exchange over TCP may take.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often tokens are asked for at the most.
-const ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often tokens are asked for ahead of need.
+const FORESIGHT_INTERVAL: Duration = Duration::from_millis(40);
+/// By how much more than the need is asked for, so that rounding leaves no gap.
+const ASK_SURPLUS: f64 = 1.05;
+/// The smallest part of a token that is asked of one VM; smaller loans are not
+/// given.
+const SMALLEST_ASK: f64 = 2.0 * bucket::SMALLEST_LOAN;
 /// How long the number of a token request is kept.
 const ASK_KEPT: Duration = Duration::from_secs(1);
 
@@ -266,7 +272,6 @@
             self.spread_withdrawals();
         }
         if now >= self.peers.ask_due {
-            self.peers.ask_due = now + ASK_INTERVAL;
             self.ask_for_tokens(now);
         }
     }
@@ -419,38 +424,41 @@
     }
 
     /// Asks other VMs for tokens where callers need more than there are.
-    fn ask_for_tokens(&mut self, now: Instant) {
+    pub(super) fn ask_for_tokens(&mut self, now: Instant) {
+        self.peers.ask_due = now + FORESIGHT_INTERVAL;
         self.peers
             .open_asks
             .retain(|_, ask| now - ask.asked_at < ASK_KEPT);
-        if self.replaced {
+        let others = self.peers.addresses.len().min(HEARTBEAT_FANOUT);
+        if self.replaced || others == 0 {
             return;
         }
         for (workspace, share) in self.shared.shares.all() {
-            let missing = share.missing(now);
-            let others = self.peers.addresses.len().min(HEARTBEAT_FANOUT);
-            if missing <= 0.0 || others == 0 {
-                continue;
+            if let Some(missing) = share.begin_ask(now) {
+                let amount = (missing * ASK_SURPLUS / others as f64).max(SMALLEST_ASK);
+                self.ask_peers(workspace, amount, now);
             }
-            let amount = (missing / others as f64).ceil();
-            let number = self.peers.next_ask;
-            self.peers.next_ask += 1;
-            let ask = OpenAsk {
-                workspace: workspace.clone(),
-                asked_at: now,
-                answered_by: Vec::new(),
-            };
-            self.peers.open_asks.insert(number, ask);
-            let workspace = workspace.to_string();
-            let request = message::PeerMessage::TokenRequest {
-                workspace,
-                amount,
-                number,
-            };
-            self.peers.send_to_some(&request);
         }
     }
 
+    fn ask_peers(&mut self, workspace: name::WorkspaceName, amount: f64, now: Instant) {
+        let number = self.peers.next_ask;
+        self.peers.next_ask += 1;
+        let text = workspace.to_string();
+        let ask = OpenAsk {
+            workspace,
+            asked_at: now,
+            answered_by: Vec::new(),
+        };
+        self.peers.open_asks.insert(number, ask);
+        let request = message::PeerMessage::TokenRequest {
+            workspace: text,
+            amount,
+            number,
+        };
+        self.peers.send_to_some(&request);
+    }
+
     fn lend_tokens(
         &mut self,
         to: SocketAddr,
--- a/crates/bluebellferry_proxy/src/control/probe.rs
+++ b/crates/bluebellferry_proxy/src/control/probe.rs
@@ -8,6 +8,7 @@
 use bluebellferry_promotion::observation;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
+use tokio::sync::Notify;
 
 use super::ControlEvent;
 use super::ControlSender;
@@ -17,6 +18,8 @@
 
 /// How often each database is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// The shortest time between probes that waiting requests ask for.
+const SOONEST_PROBE: Duration = Duration::from_millis(10);
 /// How long a probe may take, connecting included.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -67,13 +70,17 @@
 pub(super) async fn probe_database(
     shared: Arc<shared::ProxyShared>,
     target: ProbeTarget,
+    soon: Arc<Notify>,
     events: ControlSender,
 ) {
     let mut open: Option<backend::BackendConnection> = None;
     let mut ticks = tokio::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = soon.notified() => {}
+        }
         let fresh = open.is_none();
         let asked = Instant::now();
         let probe = probe_once(&shared, &target, &mut open);
@@ -101,6 +108,7 @@
         if events.send(ControlEvent::Probe(report)).is_err() {
             return;
         }
+        tokio::time::sleep_until((asked + SOONEST_PROBE).into()).await;
     }
 }
 
--- a/crates/bluebellferry_proxy/src/control/promotion.rs
+++ b/crates/bluebellferry_proxy/src/control/promotion.rs
@@ -10,6 +10,7 @@
 use bluebellferry_types::name;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::Notify;
 
 use super::ControlEvent;
 use super::ControlState;
@@ -40,6 +41,7 @@
     pub(super) group: u64,
     pub(super) view: choice::ServiceView,
     pub(super) pools: Vec<Arc<pool::DatabasePool>>,
+    pub(super) probe_soon: Arc<Notify>,
     pub(super) parameters: Arc<Vec<snapshot::ServerParameter>>,
     pub(super) promoter: promoter::ServicePromoter,
     pub(super) reports: Vec<status::PromotionReport>,
@@ -74,6 +76,7 @@
         };
         let claimant = format!("{}-{:x}", self.shared.settings.vm, self.shared.incarnation);
         let settings = promoter::PromoterSettings::new(&claimant, databases.len());
+        let probe_soon = Arc::new(Notify::new());
         let control = ServiceControl {
             group,
             view: choice::ServiceView {
@@ -86,7 +89,8 @@
             reports: Vec::new(),
             primary_term: 0,
             gap_started: None,
-            tasks: self.start_probes(service, group, &databases),
+            tasks: self.start_probes(service, group, &databases, &probe_soon),
+            probe_soon,
             databases,
         };
         self.services.insert(service.clone(), control);
@@ -97,6 +101,7 @@
         service: &name::ServiceName,
         group: u64,
         databases: &[objects::GroupDatabase],
+        probe_soon: &Arc<Notify>,
     ) -> Vec<tokio::task::JoinHandle<()>> {
         let start = |(member, database): (usize, &objects::GroupDatabase)| {
             let address = database.address;
@@ -106,8 +111,13 @@
                 member,
                 address,
             };
-            let shared = Arc::clone(&self.shared);
-            tokio::spawn(probe::probe_database(shared, target, self.events.clone()))
+            let (shared, soon) = (Arc::clone(&self.shared), Arc::clone(probe_soon));
+            tokio::spawn(probe::probe_database(
+                shared,
+                target,
+                soon,
+                self.events.clone(),
+            ))
         };
         databases.iter().enumerate().map(start).collect()
     }
--- a/crates/bluebellferry_proxy/src/control/publish.rs
+++ b/crates/bluebellferry_proxy/src/control/publish.rs
@@ -21,6 +21,7 @@
                 view: control.view.clone(),
                 pools: control.pools.clone(),
                 primary_lost_since: control.promoter.primary_lost_since(),
+                probe_soon: Arc::clone(&control.probe_soon),
                 parameters: Arc::clone(&control.parameters),
             };
             (name.clone(), Arc::new(state))
--- a/crates/bluebellferry_proxy/src/session.rs
+++ b/crates/bluebellferry_proxy/src/session.rs
@@ -38,6 +38,8 @@
 pub const DEFAULT_DEADLINE: Duration = Duration::from_secs(5);
 /// How long a caller may leave answers unread.
 const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The size up to which an idle session keeps its buffer for answers, in bytes.
+const KEPT_ANSWER_BYTES: usize = 4 * 1024;
 /// How long a running request may go on after its key was withdrawn.
 const WITHDRAWN_GRACE: Duration = Duration::from_secs(2);
 
@@ -198,7 +200,9 @@
             self.check_standing()?;
             if !self.reader.has_buffered() {
                 self.reader.release_memory();
-                self.out = BytesMut::new();
+                if self.out.capacity() > KEPT_ANSWER_BYTES {
+                    self.out = BytesMut::new();
+                }
             }
             tokio::select! {
                 read = self.reader.next_frame(MAX_REQUEST_BYTES) => {
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -73,6 +73,7 @@
         gathered: &request::GatheredRequest,
         can_replay: bool,
     ) -> Result<RelayOutcome, SessionEnd> {
+        let started = Instant::now();
         let mut state = RelayState {
             exchange: exchange::Exchange::default(),
             to_database: BytesMut::new(),
@@ -93,7 +94,7 @@
                 continue;
             }
             let backend = &mut connection.connection;
-            let cut_at = state.cut_at.unwrap_or_else(far_future);
+            let cut_at = state.cut_at.unwrap_or(started);
             tokio::select! {
                 written = backend.writer.write_buf(&mut state.to_database),
                     if !state.to_database.is_empty() =>
@@ -129,7 +130,7 @@
                         state.cut_at.get_or_insert(Instant::now() + super::WITHDRAWN_GRACE);
                     }
                 }
-                () = tokio::time::sleep_until(cut_at.into()) => {
+                () = tokio::time::sleep_until(cut_at.into()), if state.cut_at.is_some() => {
                     return Err(super::withdrawn_refusal().into());
                 }
             }
@@ -284,7 +285,3 @@
     }
     RelayOutcome::DatabaseLost
 }
-
-fn far_future() -> Instant {
-    Instant::now() + std::time::Duration::from_secs(86_400)
-}
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -213,11 +213,14 @@
             return Err(refusal::RequestRefusal::not_run(reason, text));
         };
         let in_transaction = self.transaction != message::TransactionState::Idle;
-        share.admit(in_transaction).await.map_err(|refilled_in| {
-            let text = format!("the workspace {workspace} has used up its rate");
-            let reason = refusal::RefusalReason::RateExceeded;
-            refusal::RequestRefusal::not_run(reason, text).retry_after(refilled_in)
-        })
+        share
+            .admit(in_transaction, &self.shared.tokens_wanted)
+            .await
+            .map_err(|refilled_in| {
+                let text = format!("the workspace {workspace} has used up its rate");
+                let reason = refusal::RefusalReason::RateExceeded;
+                refusal::RequestRefusal::not_run(reason, text).retry_after(refilled_in)
+            })
     }
 
     /// Records a finished request and returns or keeps its connection.
--- a/crates/bluebellferry_proxy/src/session/route.rs
+++ b/crates/bluebellferry_proxy/src/session/route.rs
@@ -16,6 +16,8 @@
 use crate::pool;
 use crate::snapshot;
 
+/// The kind of read of read-only transactions that name none, if declared.
+const READ_ONLY_KIND: &str = "read_only";
 /// How often a waiting request looks at the databases anew.
 const RECHECK: Duration = Duration::from_millis(5);
 /// For how long a missing primary is waited for although no promotion is known
@@ -51,16 +53,16 @@
         deadline: Instant,
         primary_only: bool,
     ) -> Result<(ChosenRoute, pool::PooledConnection), request::RequestFailure> {
-        let max_age = if primary_only {
+        let read = if primary_only {
             None
         } else {
-            self.allowed_age(plan)?
+            self.allowed_read(plan)?
         };
-        if max_age.is_some() {
+        if read.is_some() {
             self.ensure_floor(plan, deadline).await?;
         }
         loop {
-            let (route, pool) = self.choose_database(max_age, deadline).await?;
+            let (route, pool) = self.choose_database(read, deadline).await?;
             let snapshot = self.shared.snapshot();
             let weight = snapshot
                 .workspace(&self.identity.workspace)
@@ -94,35 +96,37 @@
         }
     }
 
-    /// Returns the greatest age that every statement of the request allows, or
-    /// `None` if one of them needs the primary.
-    fn allowed_age(
+    /// Returns what every statement of the request allows, or `None` if one of
+    /// them needs the primary.
+    fn allowed_read(
         &self,
         plan: &plan::RequestPlan,
-    ) -> Result<Option<Duration>, refusal::RequestRefusal> {
+    ) -> Result<Option<model::ReadPlan>, refusal::RequestRefusal> {
         let snapshot = self.shared.snapshot();
         let Some(service) = snapshot.service_plan(&self.identity.service) else {
             return Ok(None);
         };
-        if plan.statements == 0 {
-            return Ok(None);
-        }
-        let mut allowed = Duration::MAX;
+        let mut allowed: Option<model::ReadPlan> = None;
         for read in &plan.reads {
-            let read_only = name::ReadKind::try_from("read_only").ok();
-            let kind = read
-                .as_ref()
-                .or(read_only.as_ref().filter(|_| plan.begins_read_only));
-            match kind {
-                None => return Ok(None),
-                Some(kind) => match read_age(service, kind) {
-                    Some(age) => allowed = allowed.min(age),
-                    None if read.is_none() => return Ok(None),
-                    None => return Err(unknown_kind(service, kind)),
-                },
-            }
+            let found = match read {
+                Some(kind) => Some(
+                    service
+                        .reads
+                        .get(kind)
+                        .ok_or_else(|| unknown_kind(service, kind))?,
+                ),
+                None if plan.begins_read_only => service.reads.get(READ_ONLY_KIND),
+                None => None,
+            };
+            let Some(found) = found else {
+                return Ok(None);
+            };
+            allowed = Some(allowed.map_or(*found, |allowed| model::ReadPlan {
+                max_age: allowed.max_age.min(found.max_age),
+                wait: allowed.wait.min(found.wait),
+            }));
         }
-        Ok(Some(allowed))
+        Ok(allowed)
     }
 
     /// Makes sure that the session knows what it must at least see.
@@ -150,7 +154,7 @@
 
     async fn choose_database(
         &self,
-        max_age: Option<Duration>,
+        read: Option<model::ReadPlan>,
         deadline: Instant,
     ) -> Result<(ChosenRoute, Arc<pool::DatabasePool>), refusal::RequestRefusal> {
         let started = Instant::now();
@@ -159,14 +163,15 @@
             let snapshot = self.shared.snapshot();
             let service = snapshot.services.get(&self.identity.service);
             let service = service.ok_or_else(|| unknown_databases(&self.identity.service))?;
-            if let Some(max_age) = max_age {
-                match self.choose_replica(service, max_age, now) {
+            if let Some(read) = read {
+                match self.choose_replica(service, read, now) {
                     choice::ReplicaChoice::Replica(index) => {
                         return Ok((ChosenRoute::Replica, Arc::clone(&service.pools[index])));
                     }
                     choice::ReplicaChoice::WaitFor(_)
-                        if now - started < choice::CATCH_UP_WAIT && now < deadline =>
+                        if now - started < read.wait && now < deadline =>
                     {
+                        service.probe_soon.notify_waiters();
                         tokio::time::sleep(RECHECK).await;
                         continue;
                     }
@@ -174,7 +179,7 @@
                 }
             }
             if let Some(index) = service.view.primary(now) {
-                if max_age.is_some() {
+                if read.is_some() {
                     self.shared
                         .metrics
                         .count_fallback(self.identity.service.as_str());
@@ -184,7 +189,7 @@
             let explained = service.primary_lost_since.is_some();
             let hopeless = !explained && now - started > UNEXPLAINED_GAP;
             if hopeless || now + RECHECK >= deadline {
-                return Err(no_primary(max_age.is_some(), explained));
+                return Err(no_primary(read.is_some(), explained));
             }
             tokio::time::sleep(RECHECK).await;
         }
@@ -193,12 +198,13 @@
     fn choose_replica(
         &self,
         service: &snapshot::ServiceSnapshot,
-        max_age: Duration,
+        read: model::ReadPlan,
         now: Instant,
     ) -> choice::ReplicaChoice {
         let demand = choice::ReadDemand {
             floor: self.floor.unwrap_or_default(),
-            max_age,
+            max_age: read.max_age,
+            wait: read.wait,
         };
         let local = &self.shared.settings.place.data_centre;
         let in_flight = |index: usize| service.pools[index].load();
@@ -206,10 +212,6 @@
     }
 }
 
-fn read_age(service: &model::ServicePlan, kind: &name::ReadKind) -> Option<Duration> {
-    service.reads.get(kind).copied()
-}
-
 fn unknown_kind(service: &model::ServicePlan, kind: &name::ReadKind) -> refusal::RequestRefusal {
     let known: Vec<&str> = service.reads.keys().map(name::ReadKind::as_str).collect();
     let text = format!(
--- a/crates/bluebellferry_proxy/src/shared.rs
+++ b/crates/bluebellferry_proxy/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::cancel;
@@ -26,6 +27,8 @@
     pub metrics: metrics::ProxyMetrics,
     /// The token buckets.
     pub shares: shares::ShareLedger,
+    /// Notified when callers wait for tokens.
+    pub tokens_wanted: Notify,
     /// The sessions that cancel requests can reach.
     pub cancels: cancel::CancelRegistry,
     /// The statements that databases are known to accept.
@@ -50,6 +53,7 @@
             incarnation,
             metrics: metrics::ProxyMetrics::new()?,
             shares: shares::ShareLedger::default(),
+            tokens_wanted: Notify::new(),
             cancels: cancel::CancelRegistry::default(),
             prepared: prepared::PreparedRegistry::default(),
             floors: floor::FloorProbes::default(),
--- a/crates/bluebellferry_proxy/src/shares.rs
+++ b/crates/bluebellferry_proxy/src/shares.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,19 +19,27 @@
 
 /// How long a request waits for tokens that have been asked for.
 const LOAN_WAIT: Duration = Duration::from_millis(40);
+/// How often tokens of one workspace are asked for at the most.
+const ASK_INTERVAL: Duration = Duration::from_millis(5);
+/// How often a waiting request has tokens asked for again.
+const ASK_AGAIN: Duration = Duration::from_millis(6);
+/// How long a request within a transaction waits, since refusing it undoes all
+/// of the transaction.
+const TRANSACTION_WAIT: Duration = Duration::from_secs(2);
 
 #[derive(Debug)]
 struct WorkspaceBucket {
     bucket: bucket::ShareBucket,
     demand: demand::DemandMeter,
+    asked_at: Instant,
 }
 
 /// One workspace's tokens on this VM.
 #[derive(Debug)]
 pub struct WorkspaceShare {
     state: Mutex<WorkspaceBucket>,
+    waiting: AtomicUsize,
     arrived: Notify,
-    wanted: Notify,
 }
 
 impl WorkspaceShare {
@@ -37,18 +47,37 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a token, waiting briefly for one that is about to come.
+    /// Takes a token, waiting briefly for one that is about to come; `wanted`
+    /// is notified when others should be asked for some.
     ///
     /// # Errors
     /// Returns when the next own token is due, if none came in time.
-    pub async fn admit(&self, in_transaction: bool) -> Result<(), Duration> {
+    pub async fn admit(&self, in_transaction: bool, wanted: &Notify) -> Result<(), Duration> {
         let started = Instant::now();
+        {
+            let mut state = self.lock();
+            state.demand.count(started);
+            if state.bucket.try_take(started) == bucket::TokenAnswer::Granted {
+                return Ok(());
+            }
+        }
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let waited = self.wait_for_token(started, in_transaction, wanted).await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        waited
+    }
+
+    async fn wait_for_token(
+        &self,
+        started: Instant,
+        in_transaction: bool,
+        wanted: &Notify,
+    ) -> Result<(), Duration> {
         let limit = if in_transaction {
-            Duration::from_secs(2)
+            TRANSACTION_WAIT
         } else {
             LOAN_WAIT
         };
-        self.lock().demand.count(started);
         loop {
             let arrival = self.arrived.notified();
             let now = Instant::now();
@@ -56,15 +85,13 @@
             let bucket::TokenAnswer::Empty { refilled_in } = answer else {
                 return Ok(());
             };
-            self.wanted.notify_one();
             let left = limit.saturating_sub(now - started);
             if left.is_zero() {
                 return Err(refilled_in);
             }
-            // A token that is due after the limit is not waited for, a loan is.
-            tokio::time::timeout(refilled_in.min(left), arrival)
-                .await
-                .ok();
+            wanted.notify_one();
+            let wait = refilled_in.min(left).min(ASK_AGAIN);
+            tokio::time::timeout(wait, arrival).await.ok();
         }
     }
 
@@ -81,11 +108,20 @@
         self.arrived.notify_waiters();
     }
 
-    /// Returns how many tokens should be asked of other VMs.
-    pub fn missing(&self, now: Instant) -> f64 {
+    /// Returns how many tokens to ask of other VMs now, if any.
+    pub fn begin_ask(&self, now: Instant) -> Option<f64> {
         let mut state = self.lock();
+        if now.saturating_duration_since(state.asked_at) < ASK_INTERVAL {
+            return None;
+        }
         let available = state.bucket.available(now);
-        state.demand.missing(available, now)
+        let waiting = self.waiting.load(Ordering::Relaxed);
+        let missing = state.demand.missing(available, waiting, now);
+        if missing <= 0.0 {
+            return None;
+        }
+        state.asked_at = now;
+        Some(missing)
     }
 
     /// Returns the tokens that can be spent now.
@@ -175,8 +211,9 @@
         state: Mutex::new(WorkspaceBucket {
             bucket: bucket::ShareBucket::empty(size, now),
             demand: demand::DemandMeter::new(now),
+            asked_at: now,
         }),
+        waiting: AtomicUsize::new(0),
         arrived: Notify::new(),
-        wanted: Notify::new(),
     }
 }
--- a/crates/bluebellferry_proxy/src/snapshot.rs
+++ b/crates/bluebellferry_proxy/src/snapshot.rs
@@ -9,6 +9,7 @@
 use bluebellferry_keys::table;
 use bluebellferry_routing::choice;
 use bluebellferry_types::name;
+use tokio::sync::Notify;
 
 use crate::pool;
 
@@ -32,6 +33,8 @@
     pub pools: Vec<Arc<pool::DatabasePool>>,
     /// Since when the group has had no primary, as far as this VM knows.
     pub primary_lost_since: Option<Instant>,
+    /// Notified when a request waits for a replica, so that probes come sooner.
+    pub probe_soon: Arc<Notify>,
     /// The start-up parameters that the databases report.
     pub parameters: Arc<Vec<ServerParameter>>,
 }
--- a/crates/bluebellferry_routing/src/choice.rs
+++ b/crates/bluebellferry_routing/src/choice.rs
@@ -9,8 +9,6 @@
 
 use crate::history;
 
-/// The longest wait for a replica that is about to catch up.
-pub const CATCH_UP_WAIT: Duration = Duration::from_millis(30);
 /// How long a database counts as reachable after its last answer.
 pub const REACHABLE_FOR: Duration = Duration::from_millis(600);
 /// How long a primary may be without contact to a majority before it counts
@@ -76,6 +74,8 @@
     pub floor: position::LogPosition,
     /// The greatest age of the data.
     pub max_age: Duration,
+    /// How long the read may wait for a replica to catch up.
+    pub wait: Duration,
 }
 
 /// Where a read should go.
@@ -117,7 +117,7 @@
     }
     match (best, shortest) {
         (Some((_, _, index)), _) => ReplicaChoice::Replica(index),
-        (None, Some(wait)) if wait <= CATCH_UP_WAIT => ReplicaChoice::WaitFor(wait),
+        (None, Some(wait)) if wait <= demand.wait => ReplicaChoice::WaitFor(wait),
         _ => ReplicaChoice::Primary,
     }
 }
--- a/crates/bluebellferry_wire/src/reader.rs
+++ b/crates/bluebellferry_wire/src/reader.rs
@@ -7,8 +7,10 @@
 
 use crate::frame;
 
-/// The bytes asked for in one read.
-const READ_BYTES: usize = 16 * 1024;
+/// The fewest bytes asked for in one read.
+const MIN_READ_BYTES: usize = 2 * 1024;
+/// The most bytes asked for in one read.
+const MAX_READ_BYTES: usize = 32 * 1024;
 
 /// The reason no further frame can be read.
 #[derive(Debug, thiserror::Error)]
@@ -56,6 +58,7 @@
     buffer: BytesMut,
     open_tag: u8,
     open_left: usize,
+    read_bytes: usize,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
@@ -66,6 +69,7 @@
             buffer,
             open_tag: 0,
             open_left: 0,
+            read_bytes: MIN_READ_BYTES,
         }
     }
 
@@ -84,16 +88,23 @@
         !self.buffer.is_empty()
     }
 
-    /// Drops spare memory while the stream is idle.
+    /// Gives back the memory that an earlier large message needed, while the
+    /// stream is idle. Small buffers stay, since the next request needs one.
     pub fn release_memory(&mut self) {
-        if self.buffer.is_empty() {
+        let large = self.read_bytes > MIN_READ_BYTES || self.buffer.capacity() > MAX_READ_BYTES;
+        if self.buffer.is_empty() && large {
             self.buffer = BytesMut::new();
+            self.read_bytes = MIN_READ_BYTES;
         }
     }
 
     async fn fill(&mut self) -> Result<usize, std::io::Error> {
-        self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        self.buffer.reserve(self.read_bytes);
+        let size = self.stream.read_buf(&mut self.buffer).await?;
+        if size >= self.read_bytes {
+            self.read_bytes = (self.read_bytes * 2).min(MAX_READ_BYTES);
+        }
+        Ok(size)
     }
 
     /// Cuts a whole frame out of the bytes already read.
