--- /dev/null
+++ b/crates/bluebellferry_explain/src/document.rs
@@ -0,0 +1,67 @@
+//! What a configuration document allows.
+
+use bluebellferry_document::model;
+use bluebellferry_types::name;
+
+use crate::phrase;
+
+/// Explains a document, one paragraph for each workspace and service.
+pub fn explain_document(document: &model::EnvironmentDocument) -> String {
+    let mut lines = vec![format!(
+        "The system runs on {} servers in {}.",
+        document.vm_count(),
+        phrase::list(
+            &document
+                .data_centres
+                .keys()
+                .map(name::DataCentreName::as_str)
+                .collect::<Vec<_>>()
+        ),
+    )];
+    lines.push(String::new());
+    for (workspace, plan) in &document.workspaces {
+        lines.push(explain_workspace(workspace, plan));
+    }
+    lines.push(String::new());
+    for (service, plan) in &document.services {
+        lines.extend(explain_service(service, plan));
+    }
+    lines.join("\n")
+}
+
+fn explain_workspace(workspace: &name::WorkspaceName, plan: &model::WorkspacePlan) -> String {
+    let services: Vec<&str> = plan
+        .services
+        .iter()
+        .map(name::ServiceName::as_str)
+        .collect();
+    let entry = if plan.open {
+        "needs no key"
+    } else {
+        "needs its own key"
+    };
+    format!(
+        "{workspace} may use {}. It {entry}. It may send {} requests a second, and up to {} at once after a quiet moment.",
+        phrase::list(&services),
+        phrase::number(plan.rate_per_second),
+        phrase::number(plan.burst),
+    )
+}
+
+fn explain_service(service: &name::ServiceName, plan: &model::ServicePlan) -> Vec<String> {
+    let mut lines = vec![format!(
+        "Each database of {service} is given at most {} connections. Whoever changes something sees that change in everything read afterwards.",
+        plan.connections
+    )];
+    for (kind, read) in &plan.reads {
+        lines.push(format!(
+            "  Reads of the kind \"{kind}\" may show data that is up to {} old, and may wait {} for a copy that is catching up.",
+            phrase::duration(read.max_age),
+            phrase::duration(read.wait),
+        ));
+    }
+    if plan.reads.is_empty() {
+        lines.push("  All reads show the newest data.".to_owned());
+    }
+    lines
+}
--- /dev/null
+++ b/crates/bluebellferry_explain/src/failover.rs
@@ -0,0 +1,33 @@
+//! What happened when a primary was replaced.
+
+use std::time::Duration;
+
+use crate::phrase;
+
+/// A change of primary as a VM saw it.
+#[derive(Debug, Clone, Copy)]
+pub struct FailoverFacts<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The new primary.
+    pub primary: &'a str,
+    /// How long there was no primary.
+    pub gap: Duration,
+}
+
+/// Explains a change of primary.
+pub fn explain_failover(facts: FailoverFacts<'_>) -> String {
+    let FailoverFacts {
+        service,
+        primary,
+        gap,
+    } = facts;
+    let gap = phrase::duration(gap);
+    format!(
+        "The main database of {service} stopped answering, and {primary} took its place. \
+         Changes had to wait for {gap}. Every change that had been confirmed before was kept, \
+         because a change is confirmed only when most databases hold it. \
+         Changes that were under way at that moment were answered with \
+         \"may have taken effect\" where that could not be known."
+    )
+}
--- /dev/null
+++ b/crates/bluebellferry_explain/src/phrase.rs
@@ -0,0 +1,39 @@
+//! Small building blocks of sentences.
+
+use std::time::Duration;
+
+/// Renders a number without needless decimals.
+pub fn number(value: f64) -> String {
+    if value.fract() == 0.0 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.1}")
+    }
+}
+
+/// Renders a duration in the unit that people would use.
+pub fn duration(duration: Duration) -> String {
+    let millis = duration.as_millis();
+    match millis {
+        0 => "no time at all".to_owned(),
+        1..1_000 => format!("{millis} thousandths of a second"),
+        1_000..120_000 => {
+            let seconds = number(duration.as_secs_f64());
+            if seconds == "1" {
+                "1 second".to_owned()
+            } else {
+                format!("{seconds} seconds")
+            }
+        }
+        _ => format!("{} minutes", number(duration.as_secs_f64() / 60.0)),
+    }
+}
+
+/// Joins names with commas and a final "and".
+pub fn list(names: &[&str]) -> String {
+    match names {
+        [] => "nothing".to_owned(),
+        [one] => (*one).to_owned(),
+        [most @ .., last] => format!("{} and {last}", most.join(", ")),
+    }
+}
--- a/crates/bluebellferry_keys/src/table.rs
+++ b/crates/bluebellferry_keys/src/table.rs
@@ -61,6 +61,13 @@
         stored.matches(presented).then_some(owner)
     }
 
+    /// Returns the digests of a workspace's keys.
+    pub fn digests(&self, workspace: &name::WorkspaceName) -> &[digest::KeyDigest] {
+        self.workspaces
+            .get(workspace)
+            .map_or(&[], |keys| &keys.digests)
+    }
+
     /// Returns the number of valid keys.
     pub fn len(&self) -> usize {
         self.owners.len()
