--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -63,6 +63,7 @@
     grown: Option<(Instant, ShareSize)>,
     tokens: f64,
     refilled_at: Instant,
+    shut_until: Instant,
     observed_at: Instant,
     lent: SmallVec<[LentTokens; 4]>,
     borrowed: SmallVec<[BorrowedTokens; 4]>,
@@ -73,18 +74,21 @@
     pub fn full(size: ShareSize, now: Instant) -> Self {
         Self {
             tokens: size.burst,
+            refilled_at: now,
             ..Self::empty(size, now)
         }
     }
 
     /// Creates an empty bucket, for a VM that may replace another one whose
-    /// tokens were spent a moment ago.
+    /// tokens were spent a moment ago. It begins to refill once whatever that
+    /// one may have lent has lapsed.
     pub fn empty(size: ShareSize, now: Instant) -> Self {
         Self {
             size,
             grown: None,
             tokens: 0.0,
-            refilled_at: now,
+            refilled_at: now + LOAN_RESERVATION,
+            shut_until: now,
             observed_at: now,
             lent: SmallVec::new(),
             borrowed: SmallVec::new(),
@@ -130,8 +134,17 @@
     /// Returns the tokens that can be spent now.
     pub fn available(&mut self, now: Instant) -> f64 {
         self.refill(now);
-        let borrowed: f64 = self.borrowed.iter().map(|loan| loan.amount).sum();
-        self.tokens + borrowed
+        self.tokens + self.borrowed_total()
+    }
+
+    /// Returns the borrowed tokens that can be spent now.
+    pub fn borrowed(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.borrowed_total()
+    }
+
+    fn borrowed_total(&self) -> f64 {
+        self.borrowed.iter().map(|loan| loan.amount).sum()
     }
 
     /// Moves up to `asked` tokens out, leaving `keep` for own callers. Parts of
@@ -157,8 +170,7 @@
         self.refill(now);
         let valid_until = asked_at + LOAN_VALIDITY;
         let usable = amount.is_finite() && amount > 0.0 && valid_until > now;
-        // A shut bucket refills from a later instant and takes no loans until then.
-        if usable && self.refilled_at <= now {
+        if usable && self.shut_until <= now {
             self.borrowed.push(BorrowedTokens {
                 amount,
                 valid_until,
@@ -208,6 +220,7 @@
         self.tokens = 0.0;
         self.borrowed.clear();
         self.refilled_at = now + PAUSE_RECOVERY;
+        self.shut_until = self.refilled_at;
         self.observed_at = now;
     }
 }
