Prove faults with processes; never read from a replaced primary

Cause: freezes, cuts, kills, store outages, withdrawals and stops had not been tried on running processes. Found and mended, each by a test that failed first: - A primary cut off from its replicas but reachable by proxies was never replaced: a probe saw it take writes. A primary now counts only while a majority answers it. - Then it was chosen again and again, for its log was the longest. Any fenced majority holds every acknowledged write, so the stuck one is left out wherever the others are a majority. - Then the history checker found a stale read (session 4, row 118): a write that named a read kind ran on a replica that had just been promoted, and the next read went to the old primary, which this VM still believed in. A primary must now be of the floor's term or later, and every session learns its floor, which is asked for at login so that the first request seldom waits. - A VM served callers before its tokens could be used (all 13 fault tests were refused); it is not ready until then. Ruled out for the stale read: confirming the primary for every read, one round trip each; fencing as proof, since a fenced database still answers reads.

--- a/crates/bluebellferry_fleet/src/fleet.rs
+++ b/crates/bluebellferry_fleet/src/fleet.rs
@@ -407,7 +407,11 @@
         let known = peers + 1 >= self.proxies.len();
         let keys = status["keys"].as_u64().unwrap_or(0) as usize;
         let keyed = keys >= self.plan.workspaces.len();
-        complete && known && keyed && status["document_version"].as_u64().unwrap_or(0) > 0
+        let url = format!("http://{}/ready", self.proxies[proxy].admin);
+        let ready = reqwest::get(url)
+            .await
+            .is_ok_and(|answer| answer.status().is_success());
+        ready && complete && known && keyed && status["document_version"].as_u64().unwrap_or(0) > 0
     }
 
     /// Returns a proxy's status.
--- /dev/null
+++ b/crates/bluebellferry_fleet/tests/faults.rs
@@ -0,0 +1,572 @@
+//! Faults in running environments, checked by the history checker.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_fleet::fleet;
+use bluebellferry_fleet::plan;
+use bluebellferry_fleet::process;
+use bluebellferry_history::checker;
+use bluebellferry_history::event;
+
+type TestResult = Result<(), Box<dyn std::error::Error>>;
+
+const SERVICE: &str = "rental-core";
+const LAUNCHER: process::Launcher = process::Launcher::SiblingBinaries;
+
+/// Callers that write and read back until they are told to stop, each roaming
+/// to the next proxy when its connection ends.
+struct Callers {
+    stop: Arc<AtomicBool>,
+    events: Arc<Mutex<Vec<event::CallerEvent>>>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Callers {
+    fn start(fleet: &fleet::Fleet, count: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let events = Arc::new(Mutex::new(Vec::new()));
+        let rows = Arc::new(AtomicU64::new(1));
+        let start = Instant::now();
+        let mut tasks = Vec::new();
+        for session in 0..count {
+            let proxies = fleet.proxies.len();
+            let configs = (0..proxies).map(|proxy| fleet.caller(proxy, "families", SERVICE));
+            let caller = Caller {
+                session,
+                configs: configs.collect(),
+                next_proxy: session as usize,
+                client: None,
+                last: None,
+                start,
+                rows: Arc::clone(&rows),
+                events: Arc::clone(&events),
+            };
+            tasks.push(tokio::spawn(caller.run(Arc::clone(&stop))));
+        }
+        Self {
+            stop,
+            events,
+            tasks,
+        }
+    }
+
+    async fn finish(self) -> Result<Vec<event::CallerEvent>, Box<dyn std::error::Error>> {
+        self.stop.store(true, Ordering::SeqCst);
+        for task in self.tasks {
+            task.await?;
+        }
+        Ok(std::mem::take(
+            &mut *self.events.lock().unwrap_or_else(PoisonError::into_inner),
+        ))
+    }
+
+    fn acknowledged(&self) -> usize {
+        let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        events.iter().filter(|seen| is_acknowledged(seen)).count()
+    }
+
+    /// Waits until `more` further writes have been acknowledged.
+    async fn wait_for_writes(&self, more: usize) -> TestResult {
+        let wanted = self.acknowledged() + more;
+        for _ in 0..3_000 {
+            if self.acknowledged() >= wanted {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Err("writes did not go on within 30 s".into())
+    }
+}
+
+fn is_acknowledged(seen: &event::CallerEvent) -> bool {
+    let outcome = event::WriteOutcome::Acknowledged;
+    matches!(seen, event::CallerEvent::Write { outcome: found, .. } if *found == outcome)
+}
+
+struct Caller {
+    session: u64,
+    configs: Vec<tokio_postgres::Config>,
+    next_proxy: usize,
+    client: Option<tokio_postgres::Client>,
+    last: Option<u64>,
+    start: Instant,
+    rows: Arc<AtomicU64>,
+    events: Arc<Mutex<Vec<event::CallerEvent>>>,
+}
+
+impl Caller {
+    async fn run(mut self, stop: Arc<AtomicBool>) {
+        while !stop.load(Ordering::SeqCst) {
+            if self
+                .client
+                .as_ref()
+                .is_none_or(tokio_postgres::Client::is_closed)
+            {
+                self.connect().await;
+            }
+            self.write().await;
+            self.read().await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn micros(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    fn record(&self, seen: event::CallerEvent) {
+        self.events
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(seen);
+    }
+
+    async fn connect(&mut self) {
+        let config = &self.configs[self.next_proxy % self.configs.len()];
+        self.next_proxy += 1;
+        let connected =
+            tokio::time::timeout(Duration::from_secs(2), fleet::connect_with(config)).await;
+        self.client = connected.ok().and_then(Result::ok);
+        if let Some(client) = &self.client {
+            client
+                .batch_execute("SET bluebellferry.read = 'catalogue'")
+                .await
+                .ok();
+        } else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn write(&mut self) {
+        let Some(client) = &self.client else { return };
+        let row = self.rows.fetch_add(1, Ordering::Relaxed);
+        let started_us = self.micros();
+        let sql = format!("INSERT INTO booking VALUES ({row}, 'skis')");
+        let answer = tokio::time::timeout(Duration::from_secs(20), client.simple_query(&sql)).await;
+        let outcome = match answer {
+            Ok(Ok(_)) => event::WriteOutcome::Acknowledged,
+            Ok(Err(error)) => refused_outcome(&error),
+            Err(_) => {
+                self.client = None;
+                event::WriteOutcome::Unknown
+            }
+        };
+        if outcome == event::WriteOutcome::Acknowledged {
+            self.last = Some(row);
+        }
+        let (session, ended_us) = (self.session, self.micros());
+        self.record(event::CallerEvent::Write {
+            session,
+            row,
+            started_us,
+            ended_us,
+            outcome,
+        });
+    }
+
+    async fn read(&mut self) {
+        let (Some(client), Some(row)) = (&self.client, self.last) else {
+            return;
+        };
+        let started_us = self.micros();
+        let sql = format!("SELECT count(*) FROM booking WHERE id = {row}");
+        let answer = tokio::time::timeout(Duration::from_secs(20), client.simple_query(&sql)).await;
+        let Ok(Ok(messages)) = answer else { return };
+        let found = messages.iter().any(|message| {
+            matches!(message, tokio_postgres::SimpleQueryMessage::Row(row) if row.get(0) == Some("1"))
+        });
+        let session = self.session;
+        self.record(event::CallerEvent::Read {
+            session,
+            row,
+            started_us,
+            found,
+        });
+    }
+}
+
+/// What a refusal says about the request: only an explicit "not run" counts.
+fn refused_outcome(error: &tokio_postgres::Error) -> event::WriteOutcome {
+    let detail = error
+        .as_db_error()
+        .and_then(tokio_postgres::error::DbError::detail);
+    match detail {
+        Some(detail) if detail.contains("execution=not_run") => event::WriteOutcome::NotRun,
+        _ => event::WriteOutcome::Unknown,
+    }
+}
+
+async fn start(plan: plan::FleetPlan) -> Result<fleet::Fleet, Box<dyn std::error::Error>> {
+    let fleet = fleet::Fleet::start(plan, &LAUNCHER).await?;
+    let client = fleet.connect(0, "families", SERVICE).await?;
+    client
+        .batch_execute("CREATE TABLE booking (id BIGINT, gear TEXT)")
+        .await?;
+    Ok(fleet)
+}
+
+/// Compares what callers saw with the rows of the present primary.
+async fn check(fleet: &fleet::Fleet, proxy: usize, events: &[event::CallerEvent]) -> TestResult {
+    let primary = fleet.primary(proxy, 0).await?;
+    let client = fleet.connect_database(primary).await?;
+    let mut rows = Vec::new();
+    for message in client.simple_query("SELECT id FROM booking").await? {
+        if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+            rows.extend(row.get(0).and_then(|id| id.parse::<u64>().ok()));
+        }
+    }
+    assert_eq!(checker::check_history(events, &rows), []);
+    assert!(events.iter().filter(|seen| is_acknowledged(seen)).count() > 20);
+    Ok(())
+}
+
+async fn wait_for_other_primary(fleet: &fleet::Fleet, proxy: usize, old: usize) -> TestResult {
+    for _ in 0..1_000 {
+        if fleet
+            .primary(proxy, 0)
+            .await
+            .is_ok_and(|primary| primary != old)
+        {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Err("no other primary within 10 s".into())
+}
+
+#[tokio::test]
+async fn acknowledged_writes_survive_a_killed_primary() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(100).await?;
+    let primary = fleet.primary(0, 0).await?;
+    fleet.databases[primary].process.kill().await?;
+    wait_for_other_primary(&fleet, 0, primary).await?;
+    callers.wait_for_writes(100).await?;
+    check(&fleet, 0, &callers.finish().await?).await
+}
+
+#[tokio::test]
+async fn a_frozen_primary_that_returns_acknowledges_nothing() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(100).await?;
+    let primary = fleet.primary(0, 0).await?;
+    fleet.databases[primary].process.freeze()?;
+    wait_for_other_primary(&fleet, 0, primary).await?;
+    callers.wait_for_writes(50).await?;
+    fleet.databases[primary].process.thaw()?;
+    callers.wait_for_writes(200).await?;
+    check(&fleet, 0, &callers.finish().await?).await
+}
+
+#[tokio::test]
+async fn a_primary_cut_off_from_its_replicas_acknowledges_nothing() -> TestResult {
+    let mut plan = plan::FleetPlan::small();
+    plan.cuttable = true;
+    let fleet = start(plan).await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(100).await?;
+    let primary = fleet.primary(0, 0).await?;
+    fleet.set_centre_cut(fleet.databases[primary].member, true, false);
+    wait_for_other_primary(&fleet, 0, primary).await?;
+    callers.wait_for_writes(50).await?;
+    fleet.set_centre_cut(fleet.databases[primary].member, false, false);
+    callers.wait_for_writes(200).await?;
+    check(&fleet, 0, &callers.finish().await?).await
+}
+
+#[tokio::test]
+async fn a_primary_is_replaced_while_the_store_is_out() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(50).await?;
+    fleet
+        .set_store_faults(serde_json::json!({"outage": true}))
+        .await?;
+    let primary = fleet.primary(0, 0).await?;
+    fleet.databases[primary].process.kill().await?;
+    wait_for_other_primary(&fleet, 0, primary).await?;
+    callers.wait_for_writes(100).await?;
+    fleet.set_store_faults(serde_json::json!({})).await?;
+    check(&fleet, 0, &callers.finish().await?).await
+}
+
+#[tokio::test]
+async fn a_killed_proxy_loses_nothing_and_leaves_no_half_transaction() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    let half = fleet.connect(0, "counter", SERVICE).await?;
+    half.batch_execute("BEGIN; INSERT INTO booking VALUES (999999999, 'half')")
+        .await?;
+    let open = Instant::now();
+    fleet.proxies[0].process.kill().await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(200).await?;
+    let events = callers.finish().await?;
+    check(&fleet, 1, &events).await?;
+    let witness = fleet.connect(1, "counter", SERVICE).await?;
+    let count = witness
+        .query_one("SELECT count(*) FROM booking WHERE id = 999999999", &[])
+        .await?;
+    assert_eq!(count.get::<_, i64>(0), 0, "after {:?}", open.elapsed());
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_killed_proxy_and_a_killed_primary_together_lose_nothing() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(100).await?;
+    let primary = fleet.primary(1, 0).await?;
+    fleet.databases[primary].process.kill().await?;
+    fleet.proxies[0].process.kill().await?;
+    wait_for_other_primary(&fleet, 1, primary).await?;
+    callers.wait_for_writes(100).await?;
+    check(&fleet, 1, &callers.finish().await?).await
+}
+
+#[tokio::test]
+async fn an_orderly_stop_cuts_no_transaction() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    let mut busy = fleet.connect(0, "families", SERVICE).await?;
+    let idle = fleet.connect(0, "families", SERVICE).await?;
+    idle.simple_query("SELECT 1").await?;
+    let transaction = busy.transaction().await?;
+    transaction
+        .execute("INSERT INTO booking VALUES (1, 'skis')", &[])
+        .await?;
+    fleet.proxies[0].process.ask_to_stop()?;
+    for _ in 0..500 {
+        if idle.is_closed() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(idle.is_closed(), "an idle session is closed at once");
+    transaction
+        .execute("INSERT INTO booking VALUES (2, 'boots')", &[])
+        .await?;
+    transaction.commit().await?;
+    assert!(
+        fleet.proxies[0].process.wait().await?,
+        "the stop is orderly"
+    );
+    let other = fleet.connect(1, "families", SERVICE).await?;
+    let count = other.query_one("SELECT count(*) FROM booking", &[]).await?;
+    assert_eq!(count.get::<_, i64>(0), 2);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_leaving_replica_gets_no_new_reads() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    let reader = fleet.connect(0, "families", SERVICE).await?;
+    reader
+        .batch_execute("SET bluebellferry.read = 'catalogue'")
+        .await?;
+    let primary = fleet.primary(0, 0).await?;
+    let leaving = (0..3).find(|index| *index != primary).ok_or("no replica")?;
+    let control = fleet.connect_database(leaving).await?;
+    control
+        .simple_query("SELECT * FROM bluebellferry_set('leaving', 1)")
+        .await?;
+    for _ in 0..300 {
+        let status = fleet.status(0).await?;
+        if status["services"][0]["databases"][leaving]["leaving"] == true {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let received = |fleet: &fleet::Fleet| -> std::io::Result<usize> {
+        let bytes = std::fs::read(&fleet.databases[leaving].received)?;
+        Ok(bytes
+            .windows(7)
+            .filter(|window| *window == b"booking")
+            .count())
+    };
+    let before = received(&fleet)?;
+    for _ in 0..50 {
+        reader.simple_query("SELECT count(*) FROM booking").await?;
+    }
+    assert_eq!(received(&fleet)?, before);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_cuts_callers_while_the_store_is_out() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    let idle = fleet.connect(1, "families", SERVICE).await?;
+    let open = fleet.connect(1, "families", SERVICE).await?;
+    let running = fleet.connect(1, "families", SERVICE).await?;
+    let witness = fleet.connect(1, "counter", SERVICE).await?;
+    open.batch_execute("BEGIN; INSERT INTO booking VALUES (1, 'skis')")
+        .await?;
+    let cut = tokio::spawn(async move { running.simple_query("SELECT pg_sleep(60)").await });
+    fleet
+        .set_store_faults(serde_json::json!({"outage": true}))
+        .await?;
+    // Withdrawn at the first proxy; the callers are on the second.
+    let digest = bluebellferry_keys_digest(&plan::FleetPlan::key_of("families"));
+    let url = format!(
+        "http://{}/v1/keys/families/{digest}",
+        fleet.proxies[0].admin
+    );
+    let http = reqwest::Client::new();
+    let answer = http
+        .delete(url)
+        .bearer_auth(fleet::OPERATOR_TOKEN)
+        .send()
+        .await?;
+    assert_eq!(answer.status().as_u16(), 202);
+    for _ in 0..500 {
+        if idle.is_closed() && open.is_closed() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(idle.is_closed() && open.is_closed());
+    assert!(cut.await?.is_err(), "the running request was cut");
+    assert!(fleet.connect(1, "families", SERVICE).await.is_err());
+    let count = witness
+        .query_one("SELECT count(*) FROM booking", &[])
+        .await?;
+    assert_eq!(
+        count.get::<_, i64>(0),
+        0,
+        "the open transaction was rolled back"
+    );
+    // Once the store is back, it learns of the withdrawal, and nothing revives.
+    fleet.set_store_faults(serde_json::json!({})).await?;
+    for _ in 0..500 {
+        let object = fleet.store.get("environments/trial/keys/families").await?;
+        if object.value["keys"].as_array().is_some_and(Vec::is_empty) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let object = fleet.store.get("environments/trial/keys/families").await?;
+    assert_eq!(object.value["keys"], serde_json::json!([]));
+    assert!(fleet.connect(1, "families", SERVICE).await.is_err());
+    Ok(())
+}
+
+fn bluebellferry_keys_digest(key: &str) -> String {
+    String::from(bluebellferry_keys::digest::KeyDigest::of(key))
+}
+
+#[tokio::test]
+async fn a_vm_that_starts_while_the_store_is_out_learns_from_others() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    fleet
+        .set_store_faults(serde_json::json!({"outage": true}))
+        .await?;
+    fleet.proxies[1].process.kill().await?;
+    fleet.proxies[1].process.restart()?;
+    let mut served = false;
+    for _ in 0..500 {
+        if let Ok(client) = fleet.connect(1, "families", SERVICE).await {
+            served = client
+                .simple_query("SELECT count(*) FROM booking")
+                .await
+                .is_ok();
+        }
+        if served {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(served, "the restarted VM never served a caller");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_document_comes_into_force_although_watches_stall() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    fleet
+        .set_store_faults(serde_json::json!({"stall_watches": true}))
+        .await?;
+    fleet
+        .put_document(&(fleet.plan.document_text() + " "), 1)
+        .await?;
+    for proxy in 0..2 {
+        for _ in 0..1_000 {
+            if fleet.status(proxy).await?["document_version"] == 2 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(fleet.status(proxy).await?["document_version"], 2);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_invalid_document_never_replaces_a_valid_one() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    fleet.put_document("{\"format\": 1}", 1).await?;
+    for _ in 0..500 {
+        if !fleet.status(0).await?["document_fault"].is_null() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let status = fleet.status(0).await?;
+    assert!(
+        status["document_fault"]
+            .as_str()
+            .is_some_and(|fault| fault.contains("missing field"))
+    );
+    assert_eq!(status["document_version"], 1);
+    fleet
+        .connect(0, "families", SERVICE)
+        .await?
+        .simple_query("SELECT 1")
+        .await?;
+    Ok(())
+}
+
+#[tokio::test]
+async fn the_rate_holds_over_both_proxies() -> TestResult {
+    let mut plan = plan::FleetPlan::small();
+    plan.workspaces[0].rate_per_second = 100.0;
+    plan.workspaces[0].burst = 50.0;
+    let fleet = start(plan).await?;
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for session in 0..8 {
+        let client = fleet.connect(session % 2, "families", SERVICE).await?;
+        tasks.push(tokio::spawn(async move {
+            let mut admitted = Vec::new();
+            while start.elapsed() < Duration::from_secs(4) {
+                let sent_us = start.elapsed().as_micros() as u64;
+                match client.simple_query("SELECT 1").await {
+                    Ok(_) => admitted.push(sent_us),
+                    Err(error) => {
+                        let code = error.code().map_or("", |code| code.code()).to_owned();
+                        assert_eq!(code, "53400");
+                    }
+                }
+            }
+            admitted
+        }));
+    }
+    let mut count = 0;
+    for task in tasks {
+        count += task.await?.len();
+    }
+    // Admission lies between sending and answering, so only the whole counts.
+    let allowed = 50.0 + 100.0 * start.elapsed().as_secs_f64();
+    assert!(
+        count as f64 <= allowed,
+        "{count} admitted, {allowed} allowed"
+    );
+    assert!(count > 100, "{count} admitted");
+    Ok(())
+}
--- a/crates/bluebellferry_promotion/src/observation.rs
+++ b/crates/bluebellferry_promotion/src/observation.rs
@@ -10,6 +10,8 @@
 pub struct MemberStatus {
     /// Whether the database takes writes.
     pub accepts_writes: bool,
+    /// How long ago a majority last answered the database, if it is the primary.
+    pub majority_contact: Option<Duration>,
     /// The highest term that the database has promised.
     pub promised_term: u64,
     /// The end of its log.
@@ -19,6 +21,20 @@
     pub primary_contact: Option<Duration>,
 }
 
+/// How long a primary may be without answers from a majority. After that it can
+/// acknowledge nothing, whoever can still reach it.
+const MAJORITY_SILENCE: Duration = Duration::from_millis(1_000);
+
+impl MemberStatus {
+    /// Returns whether the database is a primary that can acknowledge writes.
+    pub fn is_working_primary(&self) -> bool {
+        let connected = self
+            .majority_contact
+            .is_some_and(|age| age < MAJORITY_SILENCE);
+        self.accepts_writes && connected
+    }
+}
+
 /// The last answers of one database.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct MemberRecord {
--- a/crates/bluebellferry_promotion/src/promoter.rs
+++ b/crates/bluebellferry_promotion/src/promoter.rs
@@ -193,6 +193,7 @@
     fenced: Vec<Option<observation::MemberStatus>>,
     majority_since: Option<Instant>,
     chosen: usize,
+    avoided: Option<usize>,
 }
 
 impl ServicePromoter {
@@ -216,6 +217,7 @@
             fenced,
             majority_since: None,
             chosen: 0,
+            avoided: None,
         }
     }
 
@@ -297,14 +299,14 @@
         PromotionActions::new()
     }
 
-    /// The primary is lost once no answering database takes writes and a
+    /// The primary is lost once no answering database can acknowledge writes and a
     /// majority answers that it has not heard from a primary for a while.
     /// A VM that merely cannot reach the primary itself sees its replicas
     /// still in contact with it, and does nothing.
     fn update_loss(&mut self, now: Instant) {
         let answering = || self.members.iter().filter(|record| record.is_answering());
         let statuses = || answering().filter_map(|record| record.status);
-        let has_primary = statuses().any(|status| status.accepts_writes);
+        let has_primary = statuses().any(|status| status.is_working_primary());
         let silent = |status: &observation::MemberStatus| {
             status
                 .primary_contact
@@ -348,6 +350,7 @@
             return PromotionActions::new();
         }
         self.fire(now, ChartEvent::PrimaryLost);
+        self.avoid_stuck_primary();
         self.term = self.highest_term + 1;
         smallvec::smallvec![PromotionAction::Claim { term: self.term }]
     }
@@ -406,14 +409,29 @@
         PromotionActions::new()
     }
 
-    /// Chooses the longest log among the fenced majority. Every acknowledged
-    /// write is held by a majority, so at least one fenced database has it,
-    /// and the longest log of the highest term has them all.
+    /// A primary that still takes writes but reaches no majority would be no
+    /// better in a new term.
+    fn avoid_stuck_primary(&mut self) {
+        let takes_writes = |record: &observation::MemberRecord| {
+            record.status.is_some_and(|status| status.accepts_writes)
+        };
+        let stuck = self.members.iter().position(takes_writes);
+        self.avoided = stuck.or(self.avoided);
+    }
+
+    /// Chooses the longest log among a fenced majority. Every acknowledged
+    /// write is held by a majority, so any fenced majority has it, and the
+    /// longest log of its highest term has them all. So one database can be
+    /// left out wherever the others are a majority without it.
     fn choose(&mut self, now: Instant) -> PromotionActions {
         let logs = self.fenced.iter().enumerate();
         let logs =
             logs.filter_map(|(member, status)| Some((status.as_ref()?.log_position, member)));
-        let Some((_, member)) = logs.max() else {
+        let mut logs: SmallVec<[_; 4]> = logs.collect();
+        if logs.len() > self.majority() {
+            logs.retain(|(_, member)| Some(*member) != self.avoided);
+        }
+        let Some((_, member)) = logs.into_iter().max() else {
             return self.abandon(now);
         };
         self.fire(now, ChartEvent::MajorityFenced);
@@ -429,9 +447,11 @@
             return PromotionActions::new();
         }
         if !promoted {
+            self.avoided = Some(self.chosen);
             return self.abandon(now);
         }
         self.highest_term = self.highest_term.max(term);
+        self.avoided = None;
         self.fire(now, ChartEvent::Promoted);
         smallvec::smallvec![PromotionAction::Publish {
             member: self.chosen,
--- a/crates/bluebellferry_promotion/tests/schedules.rs
+++ b/crates/bluebellferry_promotion/tests/schedules.rs
@@ -35,6 +35,7 @@
     held: [usize; MEMBERS],
     committed: usize,
     heard: Option<Instant>,
+    contacts: [Option<Instant>; MEMBERS],
     stopped_until: Option<Instant>,
     alone_until: Option<Instant>,
 }
@@ -52,6 +53,7 @@
     fn status(&self, now: Instant) -> observation::MemberStatus {
         observation::MemberStatus {
             accepts_writes: self.accepts_writes(),
+            majority_contact: self.contacts.iter().flatten().max().map(|at| now - *at),
             promised_term: self.promised,
             log_position: self.position(),
             primary_contact: self
@@ -125,6 +127,7 @@
             held: [0; MEMBERS],
             committed: 0,
             heard: None,
+            contacts: [None; MEMBERS],
             stopped_until: None,
             alone_until: None,
         };
@@ -257,6 +260,7 @@
                     state.primary = true;
                     state.own_term = term;
                     state.held = [0; MEMBERS];
+                    state.contacts = [None; MEMBERS];
                     state.append(member, 0);
                 }
                 promoter::PromotionEvent::PromoteAnswered { term, promoted }
@@ -296,6 +300,7 @@
                 state.log = log;
                 let length = state.log.len();
                 self.members[primary].held[peer] = length;
+                self.members[primary].contacts[peer] = Some(now);
             }
             self.commit(primary);
         }
@@ -409,6 +414,7 @@
     let mut vm = promoter::ServicePromoter::new(settings, now);
     let status = observation::MemberStatus {
         accepts_writes: false,
+        majority_contact: None,
         promised_term: 1,
         log_position: position::LogPosition::new(1, 5),
         primary_contact: Some(Duration::from_millis(20)),
@@ -439,6 +445,7 @@
     let mut vm = promoter::ServicePromoter::new(settings, start);
     let status = |term| observation::MemberStatus {
         accepts_writes: false,
+        majority_contact: None,
         promised_term: term,
         log_position: position::LogPosition::new(1, 5),
         primary_contact: Some(Duration::from_secs(5)),
--- a/crates/bluebellferry_proxy/src/control/objects.rs
+++ b/crates/bluebellferry_proxy/src/control/objects.rs
@@ -7,6 +7,7 @@
 use bluebellferry_document::check;
 use bluebellferry_document::hash;
 use bluebellferry_keys::digest;
+use bluebellferry_limits::bucket;
 use bluebellferry_store::wire;
 use bluebellferry_types::name;
 use serde::Deserialize;
@@ -205,6 +206,8 @@
         self.shared
             .shares
             .apply_document(&in_force.document, place, now);
+        self.usable_from
+            .get_or_insert(now + bucket::LOAN_RESERVATION);
         self.in_force = Some(Arc::new(in_force));
         self.wake = true;
         self.update_quotas();
--- a/crates/bluebellferry_proxy/src/control/probe.rs
+++ b/crates/bluebellferry_proxy/src/control/probe.rs
@@ -150,6 +150,7 @@
         Some(ProbedDatabase {
             status: observation::MemberStatus {
                 accepts_writes: row.value("accepts_writes")? == "1",
+                majority_contact: millis("majority_age_ms"),
                 promised_term: row.parsed("promised_term")?,
                 log_position: row.parsed("log_position")?,
                 primary_contact: millis("primary_contact_ms"),
--- a/crates/bluebellferry_proxy/src/control/publish.rs
+++ b/crates/bluebellferry_proxy/src/control/publish.rs
@@ -38,6 +38,7 @@
             in_force: self.in_force.clone(),
             keys,
             services,
+            usable_from: self.usable_from,
             draining: self.draining,
         });
         if std::mem::take(&mut self.wake) {
--- a/crates/bluebellferry_proxy/src/session.rs
+++ b/crates/bluebellferry_proxy/src/session.rs
@@ -120,6 +120,8 @@
     options: SessionOptions,
     /// What the session must see; `None` until it is known.
     floor: Option<position::LogPosition>,
+    /// The floor that was asked for at the login, ahead of the first request.
+    early_floor: Option<tokio::task::JoinHandle<Option<position::LogPosition>>>,
     statements: HashMap<String, Arc<PreparedText>>,
     /// `SET` statements to be applied on every connection, by setting.
     carried: BTreeMap<String, String>,
--- a/crates/bluebellferry_proxy/src/session/route.rs
+++ b/crates/bluebellferry_proxy/src/session/route.rs
@@ -58,9 +58,7 @@
         } else {
             self.allowed_read(plan)?
         };
-        if read.is_some() {
-            self.ensure_floor(plan, deadline).await?;
-        }
+        self.ensure_floor(plan, deadline).await?;
         loop {
             let (route, pool) = self.choose_database(read, deadline).await?;
             let snapshot = self.shared.snapshot();
@@ -129,7 +127,8 @@
         Ok(allowed)
     }
 
-    /// Makes sure that the session knows what it must at least see.
+    /// Makes sure that the session knows what it must at least see. That holds
+    /// for the primary too: this VM may not know yet that it was replaced.
     async fn ensure_floor(
         &mut self,
         plan: &plan::RequestPlan,
@@ -139,10 +138,17 @@
         if self.floor.is_some() {
             return Ok(());
         }
-        let floors = &self.shared.floors;
-        self.floor = floors
-            .ask(&self.shared, &self.identity.service, deadline)
-            .await;
+        let early = self.early_floor.take();
+        if let Some(early) = early {
+            let asked = tokio::time::timeout_at(deadline.into(), early).await;
+            self.floor = asked.ok().and_then(Result::ok).flatten();
+        }
+        if self.floor.is_none() {
+            let floors = &self.shared.floors;
+            self.floor = floors
+                .ask(&self.shared, &self.identity.service, deadline)
+                .await;
+        }
         if self.floor.is_none() {
             let text = "the latest confirmed change could not be learnt; bring a position to read";
             let reason = refusal::RefusalReason::FloorUnknown;
@@ -158,6 +164,7 @@
         deadline: Instant,
     ) -> Result<(ChosenRoute, Arc<pool::DatabasePool>), refusal::RequestRefusal> {
         let started = Instant::now();
+        let floor = self.floor.unwrap_or_default();
         loop {
             let now = Instant::now();
             let snapshot = self.shared.snapshot();
@@ -178,7 +185,7 @@
                     _ => {}
                 }
             }
-            if let Some(index) = service.view.primary(now) {
+            if let Some(index) = service.view.primary_since(floor.term, now) {
                 if read.is_some() {
                     self.shared
                         .metrics
--- a/crates/bluebellferry_proxy/src/session/startup.rs
+++ b/crates/bluebellferry_proxy/src/session/startup.rs
@@ -401,6 +401,7 @@
         identity: login.identity,
         options: super::SessionOptions::default(),
         floor: None,
+        early_floor: None,
         statements: HashMap::new(),
         carried: login.carried,
         held: None,
@@ -414,6 +415,13 @@
     for hint in login.hints {
         session.apply_hint(hint)?;
     }
+    if session.floor.is_none() {
+        let (shared, service) = (Arc::clone(shared), session.identity.service.clone());
+        let deadline = std::time::Instant::now() + super::DEFAULT_DEADLINE;
+        session.early_floor = Some(tokio::spawn(async move {
+            shared.floors.ask(&shared, &service, deadline).await
+        }));
+    }
     message::put_message(&mut session.out, &startup::Authentication::Ok);
     for parameter in login.parameters.iter() {
         message::put_parameter_status(&mut session.out, &parameter.name, &parameter.value);
--- a/crates/bluebellferry_proxy/src/snapshot.rs
+++ b/crates/bluebellferry_proxy/src/snapshot.rs
@@ -57,6 +57,9 @@
     pub keys: Arc<table::KeyTable>,
     /// The services whose databases are known.
     pub services: BTreeMap<name::ServiceName, Arc<ServiceSnapshot>>,
+    /// When tokens can first be spent; whatever ran in this VM's place before
+    /// may have lent some until then.
+    pub usable_from: Option<Instant>,
     /// Whether this VM takes no new work.
     pub draining: bool,
 }
@@ -70,6 +73,9 @@
         if self.in_force.is_none() {
             return Some("no configuration document has been received".to_owned());
         }
+        if self.usable_from.is_none_or(|from| from > Instant::now()) {
+            return Some("the rates cannot be used yet".to_owned());
+        }
         None
     }
 
--- a/crates/bluebellferry_routing/src/choice.rs
+++ b/crates/bluebellferry_routing/src/choice.rs
@@ -65,6 +65,14 @@
         let highest = self.databases.iter().enumerate().filter_map(usable).max();
         highest.map(|(_, index)| index)
     }
+
+    /// Returns the primary if its term is at least `term`. An older one has been
+    /// replaced, even if this VM has not seen its successor yet.
+    pub fn primary_since(&self, term: u64, now: Instant) -> Option<usize> {
+        let index = self.primary(now)?;
+        let own = self.databases[index].primary_term;
+        own.is_some_and(|own| own >= term).then_some(index)
+    }
 }
 
 /// What a read demands of a replica.
