Run a request with an identity at most once

Cause: after a lost answer a caller could not send a payment again without the risk of paying twice. Change: a request with a request_id is written to the database together with its identity and outcome, in one transaction; whoever repeats it gets the first outcome. Its answer is kept back until the commit is confirmed. A message that only prepares a statement neither counts against the rate nor uses an identity. Ruled out: a ledger in the proxies or in the platform's store, which could not commit together with the request. Seen: 6 callers sent 360 payments until answered while the primary and then a proxy were killed; 360 rows, 360 distinct. A repeated request through the extended protocol first failed (the preparing message used up the identity).

--- a/crates/bluebellferry_fleet/tests/faults.rs
+++ b/crates/bluebellferry_fleet/tests/faults.rs
@@ -570,3 +570,99 @@
     assert!(count > 100, "{count} admitted");
     Ok(())
 }
+
+#[tokio::test]
+async fn a_repeated_request_runs_once_and_gets_the_first_outcome() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    let first = fleet.connect(0, "families", SERVICE).await?;
+    let second = fleet.connect(1, "families", SERVICE).await?;
+    let other = fleet.connect(1, "counter", SERVICE).await?;
+    let sql = "/* bluebellferry.request_id=pay-7 */ INSERT INTO booking VALUES (7, 'paid')";
+    for client in [&first, &second, &first] {
+        assert_eq!(client.execute(sql, &[]).await?, 1);
+        client.simple_query(sql).await?;
+    }
+    // Identities belong to a workspace.
+    assert_eq!(other.execute(sql, &[]).await?, 1);
+    let count = first
+        .query_one("SELECT count(*) FROM booking WHERE id = 7", &[])
+        .await?;
+    assert_eq!(count.get::<_, i64>(0), 2);
+    // A request that failed has not run, and may be sent again.
+    let failing = "/* bluebellferry.request_id=pay-8 */ INSERT INTO absent VALUES (8)";
+    assert!(first.simple_query(failing).await.is_err());
+    let mended = "/* bluebellferry.request_id=pay-8 */ INSERT INTO booking VALUES (8, 'paid')";
+    first.simple_query(mended).await?;
+    // Within the caller's own transaction it is refused as ran, and all is undone.
+    first.batch_execute("BEGIN").await?;
+    let refused = first.simple_query(mended).await;
+    let detail = refused
+        .as_ref()
+        .err()
+        .and_then(|error| error.as_db_error()?.detail());
+    assert!(
+        detail.is_some_and(|detail| detail.contains("execution=ran")),
+        "{refused:?}"
+    );
+    first.batch_execute("ROLLBACK").await?;
+    let count = first
+        .query_one("SELECT count(*) FROM booking WHERE id = 8", &[])
+        .await?;
+    assert_eq!(count.get::<_, i64>(0), 1);
+    Ok(())
+}
+
+#[tokio::test]
+async fn payments_that_are_sent_until_answered_run_exactly_once() -> TestResult {
+    let mut fleet = start(plan::FleetPlan::small()).await?;
+    let mut tasks = Vec::new();
+    for caller in 0..6_u64 {
+        let configs: Vec<_> = (0..2)
+            .map(|proxy| fleet.caller(proxy, "families", SERVICE))
+            .collect();
+        tasks.push(tokio::spawn(async move {
+            let mut client = None;
+            let mut turn = caller as usize;
+            for number in 0..60 {
+                let row = caller * 1_000 + number;
+                let sql = format!(
+                    "/* bluebellferry.request_id=pay-{row} */ INSERT INTO booking VALUES ({row}, 'paid')"
+                );
+                for _ in 0..2_000 {
+                    if client.as_ref().is_none_or(tokio_postgres::Client::is_closed) {
+                        turn += 1;
+                        client = fleet::connect_with(&configs[turn % 2]).await.ok();
+                    }
+                    let Some(open) = &client else {
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                        continue;
+                    };
+                    let sent = tokio::time::timeout(Duration::from_secs(10), open.simple_query(&sql));
+                    match sent.await {
+                        Ok(Ok(_)) => break,
+                        Ok(Err(_)) => tokio::time::sleep(Duration::from_millis(20)).await,
+                        Err(_) => client = None,
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let primary = fleet.primary(1, 0).await?;
+    fleet.databases[primary].process.kill().await?;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.proxies[0].process.kill().await?;
+    for task in tasks {
+        task.await?;
+    }
+    let witness = fleet.connect(1, "families", SERVICE).await?;
+    let counted = witness
+        .query_one("SELECT count(*), count(DISTINCT id) FROM booking", &[])
+        .await?;
+    assert_eq!(
+        (counted.get::<_, i64>(0), counted.get::<_, i64>(1)),
+        (360, 360)
+    );
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use bluebellferry_types::position;
 use bluebellferry_wire::frame;
 use bluebellferry_wire::message;
 use bluebellferry_wire::reader;
@@ -20,6 +21,9 @@
 /// The longest frame accepted outside of relayed results, in bytes.
 const MAX_CONTROL_FRAME: usize = 1 << 20;
 
+/// The parameter in which databases report a commit's position.
+pub const POSITION_PARAMETER: &str = "bluebellferry.position";
+
 /// The reason a connection cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum BackendError {
@@ -78,6 +82,8 @@
     pub applied_settings: u64,
     /// The parameters that the database reported at the start.
     pub parameters: Vec<snapshot::ServerParameter>,
+    /// The position of the last commit by [`BackendConnection::query`].
+    pub committed: Option<position::LogPosition>,
 }
 
 /// A row of a control query: column names and values in order.
@@ -126,6 +132,7 @@
             known_statements: HashSet::new(),
             applied_settings: 0,
             parameters: Vec::new(),
+            committed: None,
         };
         connection.send_startup(database, account, purpose).await?;
         connection.log_in(account).await?;
@@ -251,6 +258,7 @@
                     row.columns = shape.fields.into_iter().map(|field| field.name).collect();
                 }
                 frame::DATA_ROW => row.values = row_values(&answer),
+                frame::PARAMETER_STATUS => self.note_status(&answer)?,
                 frame::ERROR_RESPONSE => refused = Some(message::ErrorFields::from_frame(&answer)?),
                 frame::READY_FOR_QUERY => break,
                 _ => {}
@@ -262,6 +270,14 @@
         }
     }
 
+    fn note_status(&mut self, status: &frame::WireFrame) -> Result<(), BackendError> {
+        let status: startup::ParameterStatus = message::decode_message(status)?;
+        if status.name == POSITION_PARAMETER {
+            self.committed = status.value.parse().ok();
+        }
+        Ok(())
+    }
+
     /// Returns whether the database has closed the connection, or has sent
     /// something although nothing was asked.
     pub fn is_stale(&self) -> bool {
--- a/crates/bluebellferry_proxy/src/session.rs
+++ b/crates/bluebellferry_proxy/src/session.rs
@@ -26,6 +26,7 @@
 pub mod exchange;
 pub mod hint;
 mod local;
+mod once;
 pub mod plan;
 mod relay;
 mod request;
--- a/crates/bluebellferry_proxy/src/session/plan.rs
+++ b/crates/bluebellferry_proxy/src/session/plan.rs
@@ -53,6 +53,8 @@
     pub carried: Vec<CarriedChange>,
     /// The number of statements found.
     pub statements: usize,
+    /// Whether a statement is run, rather than only prepared or described.
+    pub runs: bool,
 }
 
 /// Finds what a request needs; `default_read` is the session's kind of read.
@@ -66,6 +68,7 @@
 ) -> Result<RequestPlan, refusal::RequestRefusal> {
     let mut plan = RequestPlan::default();
     for frame in frames {
+        plan.runs |= matches!(frame.tag, frame::QUERY | frame::EXECUTE | frame::FLUSH);
         match frame.tag {
             frame::QUERY => {
                 let text = message::query_text(frame).map_err(undecodable)?;
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -14,6 +14,7 @@
 use super::SessionEnd;
 use super::exchange;
 use super::request;
+use crate::backend;
 use crate::metrics;
 use crate::pool;
 
@@ -21,13 +22,25 @@
 const SEND_BYTES: usize = 32 * 1024;
 /// The longest piece in which answers are passed on, in bytes.
 const PIECE_BYTES: usize = 64 * 1024;
+/// The largest answer that is kept back until its commit, in bytes.
+const MAX_KEPT_BYTES: usize = 1024 * 1024;
 /// How much may wait to be written to a database, in bytes.
 const UNSENT_BYTES: usize = 256 * 1024;
-/// The parameter in which databases report a commit's position.
-const POSITION_PARAMETER: &str = "bluebellferry.position";
 /// The SQLSTATE with which a replica refuses a write.
 const READ_ONLY_REFUSAL: &str = "25006";
 
+/// What may be done with a request's answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerHandling {
+    /// They go to the caller as they come.
+    Pass,
+    /// They are kept back while they are small, so that the request can be
+    /// sent elsewhere.
+    Replayable,
+    /// They stay in the session's buffer, without the end of the request.
+    Keep,
+}
+
 /// How a finished request left the session.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RelayEnd {
@@ -44,6 +57,8 @@
     Replay(metrics::RetryReason),
     /// The database went away before the answer was complete.
     DatabaseLost,
+    /// The answer is too large to be kept back.
+    TooLarge,
 }
 
 /// The state of one relay.
@@ -53,6 +68,8 @@
     copy_in: bool,
     /// Whether answers are kept back, so that the request can be replayed.
     holding: bool,
+    /// Whether answers stay in the buffer for good.
+    keeping: bool,
     replay: Option<metrics::RetryReason>,
     cut_at: Option<Instant>,
     end: Option<RelayEnd>,
@@ -71,14 +88,15 @@
         &mut self,
         connection: &mut pool::PooledConnection,
         gathered: &request::GatheredRequest,
-        can_replay: bool,
+        handling: AnswerHandling,
     ) -> Result<RelayOutcome, SessionEnd> {
         let started = Instant::now();
         let mut state = RelayState {
             exchange: exchange::Exchange::default(),
             to_database: BytesMut::new(),
             copy_in: false,
-            holding: can_replay,
+            holding: handling == AnswerHandling::Replayable,
+            keeping: handling == AnswerHandling::Keep,
             replay: None,
             cut_at: None,
             end: None,
@@ -222,7 +240,9 @@
                 self.out.extend_from_slice(&piece.bytes);
             }
             exchange::AnswerEvent::Ready(transaction) => {
-                self.out.extend_from_slice(&piece.bytes);
+                if !state.keeping {
+                    self.out.extend_from_slice(&piece.bytes);
+                }
                 if state.exchange.is_finished() {
                     let failed = state.exchange.has_failed();
                     state.end = Some(RelayEnd {
@@ -250,7 +270,7 @@
             .map(|frame| message::decode_message(&frame));
         let Some(Ok(status)) = status else { return };
         let status: startup::ParameterStatus = status;
-        if status.name == POSITION_PARAMETER {
+        if status.name == backend::POSITION_PARAMETER {
             let written: Option<position::LogPosition> = status.value.parse().ok();
             self.floor = self.floor.max(written);
         }
@@ -267,6 +287,11 @@
                 .prepared
                 .record(&self.identity.service, state.exchange.prepared());
         }
+        if state.keeping {
+            let large = self.out.len() > MAX_KEPT_BYTES;
+            let end = state.end.map(RelayOutcome::Finished);
+            return Ok(end.or_else(|| large.then_some(RelayOutcome::TooLarge)));
+        }
         let full = self.out.len() >= SEND_BYTES;
         if state.end.is_some() || full {
             state.holding = false;
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -150,7 +150,12 @@
         let deadline = plan
             .deadline
             .map_or_else(|| self.request_deadline(), |wait| started + wait);
-        self.admit().await?;
+        if plan.runs {
+            self.admit().await?;
+        }
+        if let Some(id) = plan.request_id.clone().filter(|_| plan.runs) {
+            return self.run_once(gathered, &plan, &id, deadline, started).await;
+        }
         let mut primary_only = false;
         loop {
             let (route, mut connection) = match self.held.take() {
@@ -168,9 +173,14 @@
             let fresh = self.transaction == message::TransactionState::Idle;
             let can_replay =
                 route == route::ChosenRoute::Replica && fresh && gathered.is_complete();
+            let handling = if can_replay {
+                relay::AnswerHandling::Replayable
+            } else {
+                relay::AnswerHandling::Pass
+            };
             self.cancel
                 .set_running(Some(connection.connection.cancel.clone()));
-            let relayed = self.relay(&mut connection, gathered, can_replay).await;
+            let relayed = self.relay(&mut connection, gathered, handling).await;
             self.cancel.set_running(None);
             match relayed {
                 Ok(relay::RelayOutcome::Finished(end)) => {
@@ -190,7 +200,7 @@
                         _ => connection.discard(),
                     }
                 }
-                Ok(relay::RelayOutcome::DatabaseLost) => {
+                Ok(relay::RelayOutcome::DatabaseLost | relay::RelayOutcome::TooLarge) => {
                     connection.discard();
                     return Err(self.lost_refusal(route, &plan).into());
                 }
@@ -224,7 +234,7 @@
     }
 
     /// Records a finished request and returns or keeps its connection.
-    fn record_end(
+    pub(super) fn record_end(
         &mut self,
         route: route::ChosenRoute,
         mut connection: pool::PooledConnection,
@@ -284,7 +294,7 @@
     }
 
     /// Says honestly what became of a request whose database went away.
-    fn lost_refusal(
+    pub(super) fn lost_refusal(
         &mut self,
         route: route::ChosenRoute,
         plan: &plan::RequestPlan,
--- a/crates/bluebellferry_types/src/refusal.rs
+++ b/crates/bluebellferry_types/src/refusal.rs
@@ -81,6 +81,9 @@
     /// The database closed the connection before it answered.
     DatabaseLost => "database_lost", "08006",
         "The database went away while it was working on the request.";
+    /// A request with this identity has run before.
+    AlreadyRan => "already_ran", "23505",
+        "The same request had already been carried out, so it was not carried out again.";
     /// The answer to a commit was lost.
     OutcomeUnknown => "outcome_unknown", "08007",
         "The database went away before it confirmed the change.";
