--- /dev/null
+++ b/crates/bluebellferry_fairness/tests/fairness.rs
@@ -0,0 +1,76 @@
+//! Nobody crowds out anybody.
+
+use std::time::Duration;
+
+use bluebellferry_fairness::concurrency;
+use bluebellferry_fairness::queue;
+use bluebellferry_types::name;
+
+fn workspace(text: &str) -> name::WorkspaceName {
+    name::WorkspaceName::try_from(text).expect("a valid name")
+}
+
+#[test]
+fn turns_follow_weights() {
+    let (heavy, light) = (workspace("heavy"), workspace("light"));
+    let mut queue = queue::FairQueue::new(1_000);
+    for _ in 0..90 {
+        queue.push(&heavy, 3, 'h').expect("room");
+        queue.push(&light, 1, 'l').expect("room");
+    }
+    let served: Vec<char> = (0..80).filter_map(|_| queue.pop()).collect();
+    let heavy = served.iter().filter(|who| **who == 'h').count();
+    assert!((58..=62).contains(&heavy), "{heavy} of 80");
+}
+
+#[test]
+fn a_flood_leaves_room_for_a_quiet_workspace() {
+    let (flood, quiet) = (workspace("flood"), workspace("quiet"));
+    let mut queue = queue::FairQueue::new(64);
+    let mut refused = 0;
+    for _ in 0..1_000 {
+        refused += usize::from(queue.push(&flood, 1, 'f').is_err());
+    }
+    assert!(refused > 0);
+    for _ in 0..4 {
+        queue.push(&quiet, 1, 'q').expect("room for the quiet one");
+    }
+    let first: Vec<char> = (0..8).filter_map(|_| queue.pop()).collect();
+    assert_eq!(first.iter().filter(|who| **who == 'q').count(), 4);
+}
+
+#[test]
+fn quiet_times_are_not_saved_up() {
+    let (early, late) = (workspace("early"), workspace("late"));
+    let mut queue = queue::FairQueue::new(1_000);
+    for _ in 0..100 {
+        queue.push(&early, 1, 'e').expect("room");
+    }
+    for _ in 0..50 {
+        queue.pop();
+    }
+    for _ in 0..50 {
+        queue.push(&late, 1, 'l').expect("room");
+    }
+    let next: Vec<char> = (0..20).filter_map(|_| queue.pop()).collect();
+    let late = next.iter().filter(|who| **who == 'l').count();
+    assert!((9..=11).contains(&late), "{late} of 20");
+}
+
+#[test]
+fn the_limit_falls_when_a_database_queues_and_rises_again() {
+    let mut limit = concurrency::ConcurrencyLimit::new(2, 20);
+    for _ in 0..50 {
+        limit.record(Duration::from_millis(2), true);
+    }
+    assert_eq!(limit.current(), 20);
+    for _ in 0..200 {
+        limit.record(Duration::from_millis(20), true);
+    }
+    let fallen = limit.current();
+    assert!(fallen < 20, "{fallen}");
+    for _ in 0..2_000 {
+        limit.record(Duration::from_millis(2), true);
+    }
+    assert!(limit.current() > fallen, "{}", limit.current());
+}
--- a/crates/bluebellferry_fleet/tests/faults.rs
+++ b/crates/bluebellferry_fleet/tests/faults.rs
@@ -666,3 +666,38 @@
     );
     Ok(())
 }
+
+#[tokio::test]
+async fn a_leaving_primary_hands_over_and_cuts_nothing() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    let mut busy = fleet.connect(0, "counter", SERVICE).await?;
+    let callers = Callers::start(&fleet, 8);
+    callers.wait_for_writes(100).await?;
+    let transaction = busy.transaction().await?;
+    transaction
+        .query("SELECT count(*) FROM booking", &[])
+        .await?;
+    let primary = fleet.primary(0, 0).await?;
+    let control = fleet.connect_database(primary).await?;
+    control
+        .simple_query("SELECT * FROM bluebellferry_set('leaving', 1)")
+        .await?;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    transaction
+        .query("SELECT count(*) FROM booking", &[])
+        .await?;
+    transaction.commit().await?;
+    wait_for_other_primary(&fleet, 0, primary).await?;
+    callers.wait_for_writes(100).await?;
+    let events = callers.finish().await?;
+    let unanswered = events.iter().filter(|seen| {
+        let outcome = event::WriteOutcome::Acknowledged;
+        matches!(seen, event::CallerEvent::Write { outcome: found, .. } if *found != outcome)
+    });
+    assert_eq!(
+        unanswered.count(),
+        0,
+        "a planned change of primary refuses no write"
+    );
+    check(&fleet, 0, &events).await
+}
--- a/crates/bluebellferry_fleet/tests/path.rs
+++ b/crates/bluebellferry_fleet/tests/path.rs
@@ -427,3 +427,129 @@
     }
     Ok(())
 }
+
+#[tokio::test]
+async fn callers_may_use_tls_and_a_new_certificate_is_taken_up() -> TestResult {
+    let mut fleet = start().await?;
+    let folder = fleet.folder().to_path_buf();
+    let (certificate, private_key) = (folder.join("cert.pem"), folder.join("key.pem"));
+    let first = write_certificate(&certificate, &private_key)?;
+    let file = folder.join("amman-0.json");
+    let mut settings: serde_json::Value = serde_json::from_slice(&std::fs::read(&file)?)?;
+    settings["tls"] = serde_json::json!({"certificate": certificate, "private_key": private_key});
+    std::fs::write(&file, settings.to_string())?;
+    fleet.proxies[0].process.kill().await?;
+    fleet.proxies[0].process.restart()?;
+    fleet.wait_until_ready().await?;
+    let listen = fleet.proxies[0].listen;
+    assert_eq!(served_certificate(listen).await?, first);
+    let second = write_certificate(&certificate, &private_key)?;
+    let mut served = first.clone();
+    for _ in 0..200 {
+        served = served_certificate(listen).await?;
+        if served == second {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(served, second);
+    // Callers without TLS are served as before.
+    fleet
+        .connect(0, "families", SERVICE)
+        .await?
+        .simple_query("SELECT 1")
+        .await?;
+    Ok(())
+}
+
+/// Writes a new certificate and returns it in DER.
+fn write_certificate(
+    certificate: &std::path::Path,
+    private_key: &std::path::Path,
+) -> Result<Vec<u8>, Box<dyn std::error::Error>> {
+    let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()])?;
+    std::fs::write(certificate, made.cert.pem())?;
+    std::fs::write(private_key, made.key_pair.serialize_pem())?;
+    Ok(made.cert.der().to_vec())
+}
+
+/// Logs in over TLS, runs a request and returns the certificate that was shown.
+async fn served_certificate(
+    listen: std::net::SocketAddr,
+) -> Result<Vec<u8>, Box<dyn std::error::Error>> {
+    let mut stream = tokio::net::TcpStream::connect(listen).await?;
+    stream.write_all(&[0, 0, 0, 8, 4, 0xd2, 0x16, 0x2f]).await?;
+    assert_eq!(stream.read_u8().await?, b'S');
+    let provider = std::sync::Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(std::sync::Arc::clone(&provider))
+        .with_safe_default_protocol_versions()?
+        .dangerous()
+        .with_custom_certificate_verifier(std::sync::Arc::new(AnyCertificate(provider)))
+        .with_no_client_auth();
+    let connector = tokio_rustls::TlsConnector::from(std::sync::Arc::new(config));
+    let name = rustls::pki_types::ServerName::try_from("localhost")?;
+    let mut stream = connector.connect(name, stream).await?;
+    let shown = stream
+        .get_ref()
+        .1
+        .peer_certificates()
+        .and_then(|chain| chain.first().cloned());
+    let body = b"\0\x03\0\0user\0families\0database\0rental-core\0\0";
+    stream.write_u32(body.len() as u32 + 4).await?;
+    stream.write_all(body).await?;
+    let key = plan::FleetPlan::key_of("families");
+    stream.write_u8(b'p').await?;
+    stream.write_u32(key.len() as u32 + 5).await?;
+    stream.write_all(key.as_bytes()).await?;
+    stream.write_u8(0).await?;
+    stream.write_all(b"Q\0\0\0\x0dSELECT 7\0").await?;
+    stream.write_all(b"X\0\0\0\x04").await?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.ok();
+    assert!(
+        answer.windows(8).any(|window| window == b"SELECT 1"),
+        "the request was answered"
+    );
+    Ok(shown.ok_or("no certificate was shown")?.to_vec())
+}
+
+/// Accepts whatever certificate is shown; the test compares it itself.
+#[derive(Debug)]
+struct AnyCertificate(std::sync::Arc<rustls::crypto::CryptoProvider>);
+
+impl rustls::client::danger::ServerCertVerifier for AnyCertificate {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &rustls::pki_types::CertificateDer<'_>,
+        _intermediates: &[rustls::pki_types::CertificateDer<'_>],
+        _server_name: &rustls::pki_types::ServerName<'_>,
+        _ocsp: &[u8],
+        _now: rustls::pki_types::UnixTime,
+    ) -> Result<rustls::client::danger::ServerCertVerified, rustls::Error> {
+        Ok(rustls::client::danger::ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &rustls::pki_types::CertificateDer<'_>,
+        signature: &rustls::DigitallySignedStruct,
+    ) -> Result<rustls::client::danger::HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, certificate, signature, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &rustls::pki_types::CertificateDer<'_>,
+        signature: &rustls::DigitallySignedStruct,
+    ) -> Result<rustls::client::danger::HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<rustls::SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
--- a/crates/bluebellferry_history/src/checker.rs
+++ b/crates/bluebellferry_history/src/checker.rs
@@ -95,10 +95,9 @@
             outcome,
             ..
         } = *seen
+            && outcome == event::WriteOutcome::Acknowledged
         {
-            if outcome == event::WriteOutcome::Acknowledged {
-                written.insert((session, row), ended_us);
-            }
+            written.insert((session, row), ended_us);
         }
     }
     let stale = |seen: &event::CallerEvent| match *seen {
--- a/crates/bluebellferry_limits/tests/schedules.rs
+++ b/crates/bluebellferry_limits/tests/schedules.rs
@@ -44,7 +44,7 @@
     let mut buckets: Vec<_> = (0..VMS)
         .map(|_| bucket::ShareBucket::full(size, start))
         .collect();
-    let mut paused_until = vec![start; VMS];
+    let mut paused_until = [start; VMS];
     let mut loans: Vec<Loan> = Vec::new();
     let mut events = Vec::new();
     let mut now = start;
--- a/crates/bluebellferry_membership/src/envelope.rs
+++ b/crates/bluebellferry_membership/src/envelope.rs
@@ -106,16 +106,7 @@
         if expected.verify_truncated_left(code).is_err() {
             return Err(EnvelopeError::NotAuthentic);
         }
-        if body[0] != PROTOCOL_VERSION {
-            return Err(EnvelopeError::OtherVersion(body[0]));
-        }
-        let wire: EnvelopeWire = postcard::from_bytes(body)
-            .map_err(|error| EnvelopeError::Malformed(error.to_string()))?;
-        Ok(OpenedEnvelope {
-            incarnation: wire.incarnation,
-            sequence: wire.sequence,
-            message: wire.message,
-        })
+        decode_body(body)
     }
 
     fn code_of(&self, body: &[u8]) -> [u8; CODE_BYTES] {
@@ -125,3 +116,22 @@
         code
     }
 }
+
+/// Decodes the part of a datagram after its authentication code.
+///
+/// # Errors
+/// Fails on other versions of the protocol and on undecodable bytes.
+pub fn decode_body(body: &[u8]) -> Result<OpenedEnvelope, EnvelopeError> {
+    match body.first() {
+        Some(&PROTOCOL_VERSION) => {}
+        Some(&other) => return Err(EnvelopeError::OtherVersion(other)),
+        None => return Err(EnvelopeError::TooShort),
+    }
+    let wire: EnvelopeWire =
+        postcard::from_bytes(body).map_err(|error| EnvelopeError::Malformed(error.to_string()))?;
+    Ok(OpenedEnvelope {
+        incarnation: wire.incarnation,
+        sequence: wire.sequence,
+        message: wire.message,
+    })
+}
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -14,5 +14,6 @@
 //! assert_eq!(promoter.step(), bluebellferry_promotion::promoter::PromotionStep::Watching);
 //! ```
 
+pub mod event;
 pub mod observation;
 pub mod promoter;
--- a/crates/bluebellferry_promotion/src/observation.rs
+++ b/crates/bluebellferry_promotion/src/observation.rs
@@ -16,6 +16,10 @@
     pub promised_term: u64,
     /// The end of its log.
     pub log_position: position::LogPosition,
+    /// Whether the database asks for no new work.
+    pub leaving: bool,
+    /// How many transactions are open on it.
+    pub open_transactions: u64,
     /// How long ago the database last heard from its primary; `None` if never
     /// or if it is the primary itself.
     pub primary_contact: Option<Duration>,
--- a/crates/bluebellferry_promotion/src/promoter.rs
+++ b/crates/bluebellferry_promotion/src/promoter.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use smallvec::SmallVec;
 
+use crate::event;
 use crate::observation;
 
 /// How long the primary must fail its probes before it counts as lost.
@@ -26,6 +27,11 @@
 const PROMOTE_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long the outcome may take to be written to the store.
 const PUBLISH_LIMIT: Duration = Duration::from_millis(2_000);
+/// How long a leaving primary is left alone, so that every VM has noticed and
+/// sends it nothing new.
+const HANDOVER_NOTICE: Duration = Duration::from_millis(400);
+/// After how long a leaving primary is replaced although transactions are open.
+const HANDOVER_LIMIT: Duration = Duration::from_millis(2_500);
 /// The pause after a failed or lost attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
@@ -79,105 +85,8 @@
     }
 }
 
-/// What the promoter is told.
-#[derive(Debug, Clone)]
-pub enum PromotionEvent {
-    /// Time has passed; `rank` is this VM's place in the order of live VMs.
-    Tick {
-        /// 0 for the VM that acts first.
-        rank: usize,
-    },
-    /// A database answered a probe that was sent at `asked`.
-    ProbeAnswered {
-        /// The database's index.
-        member: usize,
-        /// When the probe was sent.
-        asked: Instant,
-        /// Its answer.
-        status: observation::MemberStatus,
-    },
-    /// A probe failed.
-    ProbeFailed {
-        /// The database's index.
-        member: usize,
-    },
-    /// The store has settled or failed to settle the claim of `term`.
-    ClaimAnswered {
-        /// The term that was claimed.
-        term: u64,
-        /// What became of it.
-        outcome: ClaimOutcome,
-    },
-    /// A database answered a fence with `term`.
-    FenceAnswered {
-        /// The database's index.
-        member: usize,
-        /// The term of the fence.
-        term: u64,
-        /// Its state, or `None` if it refused or failed.
-        status: Option<observation::MemberStatus>,
-    },
-    /// The chosen database answered.
-    PromoteAnswered {
-        /// The term of the promotion.
-        term: u64,
-        /// Whether it is primary now.
-        promoted: bool,
-    },
-    /// The store has taken the outcome, or did not answer.
-    PublishAnswered {
-        /// The term that was published.
-        term: u64,
-    },
-}
-
-/// What became of a claim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ClaimOutcome {
-    /// The store has recorded this VM as the claimant.
-    Won,
-    /// Another VM had claimed this or a higher term before.
-    Lost {
-        /// The term that stands in the store.
-        term: u64,
-    },
-    /// The store did not answer; the databases' promises decide alone.
-    StoreUnavailable,
-}
-
-/// What the promoter wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PromotionAction {
-    /// Claim a term in the store.
-    Claim {
-        /// The term.
-        term: u64,
-    },
-    /// Fence a database.
-    Fence {
-        /// The database's index.
-        member: usize,
-        /// The term.
-        term: u64,
-    },
-    /// Promote a database.
-    Promote {
-        /// The database's index.
-        member: usize,
-        /// The term.
-        term: u64,
-    },
-    /// Write the new primary to the store.
-    Publish {
-        /// The database's index.
-        member: usize,
-        /// The term.
-        term: u64,
-    },
-}
-
 /// The actions that follow from an event.
-pub type PromotionActions = SmallVec<[PromotionAction; 4]>;
+pub type PromotionActions = SmallVec<[event::PromotionAction; 4]>;
 
 /// The promoter of one group on one VM.
 #[derive(Debug)]
@@ -186,6 +95,7 @@
     machine: machine::ChartMachine<PromotionStep, ChartEvent>,
     members: Vec<observation::MemberRecord>,
     lost_since: Option<Instant>,
+    leaving_since: Option<Instant>,
     highest_term: u64,
     term: u64,
     step_since: Instant,
@@ -210,6 +120,7 @@
             machine: machine::ChartMachine::new(chart),
             members,
             lost_since: None,
+            leaving_since: None,
             highest_term: 0,
             term: 0,
             step_since: now,
@@ -231,9 +142,10 @@
         self.term
     }
 
-    /// Returns since when the primary has been lost, as far as this VM knows.
-    pub fn primary_lost_since(&self) -> Option<Instant> {
-        self.lost_since
+    /// Returns since when the primary has been lost or leaving, as far as this
+    /// VM knows.
+    pub fn primary_gone_since(&self) -> Option<Instant> {
+        self.lost_since.or(self.leaving_since)
     }
 
     fn majority(&self) -> usize {
@@ -241,29 +153,31 @@
     }
 
     /// Takes an event and returns what is to be done.
-    pub fn handle(&mut self, now: Instant, event: PromotionEvent) -> PromotionActions {
+    pub fn handle(&mut self, now: Instant, event: event::PromotionEvent) -> PromotionActions {
         match event {
-            PromotionEvent::Tick { rank } => self.on_tick(now, rank),
-            PromotionEvent::ProbeAnswered {
+            event::PromotionEvent::Tick { rank } => self.on_tick(now, rank),
+            event::PromotionEvent::ProbeAnswered {
                 member,
                 asked,
                 status,
             } => self.on_probe(now, member, asked, status),
-            PromotionEvent::ProbeFailed { member } => {
+            event::PromotionEvent::ProbeFailed { member } => {
                 self.members[member].record_failure(now);
                 self.update_loss(now);
                 PromotionActions::new()
             }
-            PromotionEvent::ClaimAnswered { term, outcome } => self.on_claim(now, term, outcome),
-            PromotionEvent::FenceAnswered {
+            event::PromotionEvent::ClaimAnswered { term, outcome } => {
+                self.on_claim(now, term, outcome)
+            }
+            event::PromotionEvent::FenceAnswered {
                 member,
                 term,
                 status,
             } => self.on_fence(now, member, term, status),
-            PromotionEvent::PromoteAnswered { term, promoted } => {
+            event::PromotionEvent::PromoteAnswered { term, promoted } => {
                 self.on_promoted(now, term, promoted)
             }
-            PromotionEvent::PublishAnswered { term } => {
+            event::PromotionEvent::PublishAnswered { term } => {
                 if term == self.term {
                     self.fire(now, ChartEvent::Published);
                 }
@@ -293,7 +207,8 @@
         self.members[member].record_answer(asked, status);
         self.highest_term = self.highest_term.max(status.promised_term);
         self.update_loss(now);
-        if self.lost_since.is_none() {
+        self.update_leaving(now);
+        if self.lost_since.is_none() && self.leaving_since.is_none() {
             self.fire(now, ChartEvent::PrimarySeen);
         }
         PromotionActions::new()
@@ -320,13 +235,50 @@
         }
     }
 
+    /// Notes since when the working primary has been asking to leave.
+    fn update_leaving(&mut self, now: Instant) {
+        match self.leaving_primary() {
+            Some(_) => {
+                self.leaving_since.get_or_insert(now);
+            }
+            None => self.leaving_since = None,
+        }
+    }
+
+    fn leaving_primary(&self) -> Option<usize> {
+        self.members.iter().position(|record| {
+            record
+                .status
+                .is_some_and(|status| status.is_working_primary() && status.leaving)
+        })
+    }
+
+    /// Returns since when the primary's replacement has been due: it is lost,
+    /// or it is leaving and its transactions have ended or had their time.
+    fn replacement_due_since(&self, now: Instant) -> Option<Instant> {
+        if self.lost_since.is_some() {
+            return self.lost_since;
+        }
+        let leaving_since = self.leaving_since?;
+        let status = self.members[self.leaving_primary()?].status?;
+        let noticed = leaving_since + HANDOVER_NOTICE;
+        let limit = leaving_since + HANDOVER_LIMIT;
+        let due = if status.open_transactions == 0 {
+            noticed
+        } else {
+            limit
+        };
+        // The silence that a lost primary is given has no meaning here.
+        (due <= now).then_some(due - PRIMARY_SILENCE)
+    }
+
     fn on_tick(&mut self, now: Instant, rank: usize) -> PromotionActions {
         let in_step = now.saturating_duration_since(self.step_since);
         match self.step() {
             PromotionStep::Watching => self.consider_claim(now, rank),
             PromotionStep::Claiming if in_step > CLAIM_LIMIT => {
                 let term = self.term;
-                self.on_claim(now, term, ClaimOutcome::StoreUnavailable)
+                self.on_claim(now, term, event::ClaimOutcome::StoreUnavailable)
             }
             PromotionStep::Fencing => self.consider_choice(now),
             PromotionStep::Promoting if in_step > PROMOTE_LIMIT => self.abandon(now),
@@ -341,7 +293,7 @@
     }
 
     fn consider_claim(&mut self, now: Instant, rank: usize) -> PromotionActions {
-        let Some(lost_since) = self.lost_since else {
+        let Some(lost_since) = self.replacement_due_since(now) else {
             return PromotionActions::new();
         };
         let patience = PRIMARY_SILENCE + TAKEOVER_STEP * rank as u32;
@@ -352,14 +304,19 @@
         self.fire(now, ChartEvent::PrimaryLost);
         self.avoid_stuck_primary();
         self.term = self.highest_term + 1;
-        smallvec::smallvec![PromotionAction::Claim { term: self.term }]
+        smallvec::smallvec![event::PromotionAction::Claim { term: self.term }]
     }
 
-    fn on_claim(&mut self, now: Instant, term: u64, outcome: ClaimOutcome) -> PromotionActions {
+    fn on_claim(
+        &mut self,
+        now: Instant,
+        term: u64,
+        outcome: event::ClaimOutcome,
+    ) -> PromotionActions {
         if term != self.term || self.step() != PromotionStep::Claiming {
             return PromotionActions::new();
         }
-        if let ClaimOutcome::Lost { term } = outcome {
+        if let event::ClaimOutcome::Lost { term } = outcome {
             self.highest_term = self.highest_term.max(term);
             self.fire(now, ChartEvent::ClaimLost);
             return PromotionActions::new();
@@ -367,7 +324,7 @@
         self.fire(now, ChartEvent::ClaimSettled);
         self.fenced.fill(None);
         self.majority_since = None;
-        let fence = |member| PromotionAction::Fence { member, term };
+        let fence = |member| event::PromotionAction::Fence { member, term };
         (0..self.settings.members).map(fence).collect()
     }
 
@@ -436,7 +393,7 @@
         };
         self.fire(now, ChartEvent::MajorityFenced);
         self.chosen = member;
-        smallvec::smallvec![PromotionAction::Promote {
+        smallvec::smallvec![event::PromotionAction::Promote {
             member,
             term: self.term
         }]
@@ -453,7 +410,7 @@
         self.highest_term = self.highest_term.max(term);
         self.avoided = None;
         self.fire(now, ChartEvent::Promoted);
-        smallvec::smallvec![PromotionAction::Publish {
+        smallvec::smallvec![event::PromotionAction::Publish {
             member: self.chosen,
             term
         }]
--- a/crates/bluebellferry_promotion/tests/schedules.rs
+++ b/crates/bluebellferry_promotion/tests/schedules.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bluebellferry_promotion::event;
 use bluebellferry_promotion::observation;
 use bluebellferry_promotion::promoter;
 use bluebellferry_types::position;
@@ -56,6 +57,8 @@
             majority_contact: self.contacts.iter().flatten().max().map(|at| now - *at),
             promised_term: self.promised,
             log_position: self.position(),
+            leaving: false,
+            open_transactions: 0,
             primary_contact: self
                 .heard
                 .filter(|_| !self.primary)
@@ -92,11 +95,11 @@
 enum Delivery {
     Call {
         vm: usize,
-        action: promoter::PromotionAction,
+        action: event::PromotionAction,
     },
     Answer {
         vm: usize,
-        event: promoter::PromotionEvent,
+        event: event::PromotionEvent,
     },
 }
 
@@ -156,13 +159,13 @@
         let end = healed_from + HEALED;
         let mut step = 0_u64;
         while self.now < end {
-            if self.now < healed_from && step % 60 == 0 {
+            if self.now < healed_from && step.is_multiple_of(60) {
                 self.inject_fault();
             }
             self.deliver();
             self.replicate();
             self.write();
-            if step % 20 == 0 {
+            if step.is_multiple_of(20) {
                 self.probe();
             }
             self.tick();
@@ -215,30 +218,30 @@
         self.vm_frozen_until[vm].is_some_and(|until| until > self.now)
     }
 
-    fn handle(&mut self, vm: usize, event: promoter::PromotionEvent) {
+    fn handle(&mut self, vm: usize, event: event::PromotionEvent) {
         for action in self.vms[vm].handle(self.now, event) {
             self.send(Delivery::Call { vm, action });
         }
     }
 
-    fn take_call(&mut self, vm: usize, action: promoter::PromotionAction) {
+    fn take_call(&mut self, vm: usize, action: event::PromotionAction) {
         let now = self.now;
         let event = match action {
-            promoter::PromotionAction::Claim { term } => {
+            event::PromotionAction::Claim { term } => {
                 let out = self.store_out_until.is_some_and(|until| until > now);
                 let outcome = if out {
-                    promoter::ClaimOutcome::StoreUnavailable
+                    event::ClaimOutcome::StoreUnavailable
                 } else if self.store_term >= term {
-                    promoter::ClaimOutcome::Lost {
+                    event::ClaimOutcome::Lost {
                         term: self.store_term,
                     }
                 } else {
                     self.store_term = term;
-                    promoter::ClaimOutcome::Won
+                    event::ClaimOutcome::Won
                 };
-                promoter::PromotionEvent::ClaimAnswered { term, outcome }
+                event::PromotionEvent::ClaimAnswered { term, outcome }
             }
-            promoter::PromotionAction::Fence { member, term } => {
+            event::PromotionAction::Fence { member, term } => {
                 let state = &mut self.members[member];
                 let mut status = None;
                 if !state.is_alone(now) {
@@ -246,13 +249,13 @@
                     let granted = state.promised == term && state.promised_to == Some(vm);
                     status = granted.then(|| state.status(now));
                 }
-                promoter::PromotionEvent::FenceAnswered {
+                event::PromotionEvent::FenceAnswered {
                     member,
                     term,
                     status,
                 }
             }
-            promoter::PromotionAction::Promote { member, term } => {
+            event::PromotionAction::Promote { member, term } => {
                 let state = &mut self.members[member];
                 let granted = state.promised == term && state.promised_to == Some(vm);
                 let promoted = granted && !state.is_alone(now);
@@ -263,10 +266,10 @@
                     state.contacts = [None; MEMBERS];
                     state.append(member, 0);
                 }
-                promoter::PromotionEvent::PromoteAnswered { term, promoted }
+                event::PromotionEvent::PromoteAnswered { term, promoted }
             }
-            promoter::PromotionAction::Publish { term, .. } => {
-                promoter::PromotionEvent::PublishAnswered { term }
+            event::PromotionAction::Publish { term, .. } => {
+                event::PromotionEvent::PublishAnswered { term }
             }
         };
         self.send(Delivery::Answer { vm, event });
@@ -338,10 +341,10 @@
             for member in 0..MEMBERS {
                 let state = &self.members[member];
                 let event = if state.is_alone(self.now) {
-                    promoter::PromotionEvent::ProbeFailed { member }
+                    event::PromotionEvent::ProbeFailed { member }
                 } else {
                     let status = state.status(self.now);
-                    promoter::PromotionEvent::ProbeAnswered {
+                    event::PromotionEvent::ProbeAnswered {
                         member,
                         asked: self.now,
                         status,
@@ -355,7 +358,7 @@
     fn tick(&mut self) {
         for vm in 0..VMS {
             if !self.is_frozen(vm) {
-                self.handle(vm, promoter::PromotionEvent::Tick { rank: vm });
+                self.handle(vm, event::PromotionEvent::Tick { rank: vm });
             }
         }
     }
@@ -417,20 +420,22 @@
         majority_contact: None,
         promised_term: 1,
         log_position: position::LogPosition::new(1, 5),
+        leaving: false,
+        open_transactions: 0,
         primary_contact: Some(Duration::from_millis(20)),
     };
     for step in 0..100 {
         let now = now + Duration::from_millis(100 * step);
-        vm.handle(now, promoter::PromotionEvent::ProbeFailed { member: 0 });
+        vm.handle(now, event::PromotionEvent::ProbeFailed { member: 0 });
         for member in 1..MEMBERS {
-            let event = promoter::PromotionEvent::ProbeAnswered {
+            let event = event::PromotionEvent::ProbeAnswered {
                 member,
                 asked: now,
                 status,
             };
             vm.handle(now, event);
         }
-        let actions = vm.handle(now, promoter::PromotionEvent::Tick { rank: 0 });
+        let actions = vm.handle(now, event::PromotionEvent::Tick { rank: 0 });
         assert!(
             actions.is_empty(),
             "a VM that merely cannot reach the primary acted"
@@ -448,10 +453,12 @@
         majority_contact: None,
         promised_term: term,
         log_position: position::LogPosition::new(1, 5),
+        leaving: false,
+        open_transactions: 0,
         primary_contact: Some(Duration::from_secs(5)),
     };
     for member in 1..MEMBERS {
-        let event = promoter::PromotionEvent::ProbeAnswered {
+        let event = event::PromotionEvent::ProbeAnswered {
             member,
             asked: start,
             status: status(1),
@@ -459,20 +466,20 @@
         vm.handle(start, event);
     }
     let due = start + Duration::from_secs(1);
-    let claim = vm.handle(due, promoter::PromotionEvent::Tick { rank: 0 });
+    let claim = vm.handle(due, event::PromotionEvent::Tick { rank: 0 });
     assert_eq!(
         claim.as_slice(),
-        [promoter::PromotionAction::Claim { term: 2 }]
+        [event::PromotionAction::Claim { term: 2 }]
     );
     // Frozen for ten seconds; meanwhile another VM took term 2.
     let woken = due + Duration::from_secs(10);
-    let lost = promoter::ClaimOutcome::Lost { term: 2 };
-    let event = promoter::PromotionEvent::ClaimAnswered {
+    let lost = event::ClaimOutcome::Lost { term: 2 };
+    let event = event::PromotionEvent::ClaimAnswered {
         term: 2,
         outcome: lost,
     };
     assert!(vm.handle(woken, event).is_empty());
-    let event = promoter::PromotionEvent::FenceAnswered {
+    let event = event::PromotionEvent::FenceAnswered {
         member: 1,
         term: 2,
         status: Some(status(2)),
@@ -480,3 +487,68 @@
     assert!(vm.handle(woken, event).is_empty());
     assert_eq!(vm.step(), promoter::PromotionStep::Watching);
 }
+
+#[test]
+fn a_leaving_primary_is_replaced_once_its_transactions_have_ended() {
+    let start = Instant::now();
+    let settings = promoter::PromoterSettings::new("vm", MEMBERS);
+    let mut vm = promoter::ServicePromoter::new(settings, start);
+    let status = |member: usize, open_transactions| observation::MemberStatus {
+        accepts_writes: member == 0,
+        majority_contact: (member == 0).then_some(Duration::ZERO),
+        promised_term: 1,
+        log_position: position::LogPosition::new(1, 5),
+        leaving: member == 0,
+        open_transactions,
+        primary_contact: (member > 0).then_some(Duration::ZERO),
+    };
+    let mut claimed = None;
+    for step in 0..40 {
+        let now = start + Duration::from_millis(50 * step);
+        let open = u64::from(step < 20);
+        for member in 0..MEMBERS {
+            let status = status(member, open);
+            vm.handle(
+                now,
+                event::PromotionEvent::ProbeAnswered {
+                    member,
+                    asked: now,
+                    status,
+                },
+            );
+        }
+        let actions = vm.handle(now, event::PromotionEvent::Tick { rank: 0 });
+        if !actions.is_empty() && claimed.is_none() {
+            claimed = Some(step);
+            assert_eq!(
+                actions.as_slice(),
+                [event::PromotionAction::Claim { term: 2 }]
+            );
+            let won = event::ClaimOutcome::Won;
+            let event = event::PromotionEvent::ClaimAnswered {
+                term: 2,
+                outcome: won,
+            };
+            assert_eq!(vm.handle(now, event).len(), MEMBERS);
+            let mut actions = promoter::PromotionActions::new();
+            for member in 0..MEMBERS {
+                let status = Some(status(member, 0));
+                let event = event::PromotionEvent::FenceAnswered {
+                    member,
+                    term: 2,
+                    status,
+                };
+                actions.extend(vm.handle(now, event));
+            }
+            let promoted = matches!(
+                actions.as_slice(),
+                [event::PromotionAction::Promote {
+                    member: 1 | 2,
+                    term: 2
+                }]
+            );
+            assert!(promoted, "{actions:?}");
+        }
+    }
+    assert_eq!(claimed, Some(20), "the open transaction was waited for");
+}
--- a/crates/bluebellferry_proxy/src/control.rs
+++ b/crates/bluebellferry_proxy/src/control.rs
@@ -14,7 +14,7 @@
 use bluebellferry_keys::digest;
 use bluebellferry_membership::envelope;
 use bluebellferry_membership::roster;
-use bluebellferry_promotion::promoter;
+use bluebellferry_promotion::event;
 use bluebellferry_store::client;
 use bluebellferry_store::wire;
 use bluebellferry_types::name;
@@ -65,7 +65,7 @@
         /// The service.
         service: name::ServiceName,
         /// The answer.
-        event: promoter::PromotionEvent,
+        event: event::PromotionEvent,
     },
     /// A datagram from another VM.
     Datagram {
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -7,42 +7,25 @@
 use std::time::Instant;
 
 use bluebellferry_keys::digest;
-use bluebellferry_limits::bucket;
 use bluebellferry_membership::envelope;
 use bluebellferry_membership::message;
 use bluebellferry_membership::roster;
-use bluebellferry_store::wire;
 use bluebellferry_types::name;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 
 use super::ControlEvent;
 use super::ControlSender;
 use super::ControlState;
 use crate::shared;
 
+mod stream;
+mod tokens;
+
 /// How many object versions a heartbeat carries at the most.
 const RECENT_OBJECTS: usize = 64;
 /// How many other VMs a heartbeat goes to at the most.
 const HEARTBEAT_FANOUT: usize = 16;
-/// The largest message over TCP, in bytes.
-const MAX_STREAM_BYTES: usize = 64 * 1024 * 1024;
-/// How long an exchange over TCP may take.
-const STREAM_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often tokens are asked for ahead of need.
-const FORESIGHT_INTERVAL: Duration = Duration::from_millis(40);
-/// By how much more than the need is asked for, so that rounding leaves no gap.
-const ASK_SURPLUS: f64 = 1.05;
-/// The smallest part of a token that is asked of one VM; smaller loans are not
-/// given.
-const SMALLEST_ASK: f64 = 2.0 * bucket::SMALLEST_LOAN;
-/// How long the number of a token request is kept.
-const ASK_KEPT: Duration = Duration::from_secs(1);
-
 /// The sockets for other VMs.
 pub(super) struct PeerSockets {
     udp: Arc<UdpSocket>,
@@ -89,7 +72,7 @@
         events: &ControlSender,
     ) -> Self {
         tokio::spawn(receive_datagrams(Arc::clone(&sockets.udp), events.clone()));
-        let serving = serve_streams(
+        let serving = stream::serve_streams(
             sockets.tcp,
             codec.clone(),
             shared.incarnation,
@@ -164,105 +147,6 @@
     }
 }
 
-async fn serve_streams(
-    listener: TcpListener,
-    codec: envelope::EnvelopeCodec,
-    incarnation: u64,
-    events: ControlSender,
-) {
-    while !events.is_closed() {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let (codec, events) = (codec.clone(), events.clone());
-        tokio::spawn(async move {
-            let served = serve_objects(stream, &codec, incarnation, &events);
-            if let Ok(Err(error)) = tokio::time::timeout(STREAM_TIMEOUT, served).await {
-                log::debug!("objects were not served: {error}");
-            }
-        });
-    }
-}
-
-async fn serve_objects(
-    mut stream: TcpStream,
-    codec: &envelope::EnvelopeCodec,
-    incarnation: u64,
-    events: &ControlSender,
-) -> std::io::Result<()> {
-    let request = receive_stream_message(&mut stream, codec).await?;
-    let message::PeerMessage::ObjectRequest { keys } = request else {
-        return Err(std::io::Error::other("not a request for objects"));
-    };
-    let (answer, copies) = oneshot::channel();
-    events
-        .send(ControlEvent::CopyObjects { keys, answer })
-        .map_err(std::io::Error::other)?;
-    let copies = copies.await.map_err(std::io::Error::other)?;
-    let copy = |object: wire::ObjectWire| message::ObjectCopy {
-        key: object.key,
-        version: object.version,
-        value: object.value.to_string(),
-    };
-    let copies = message::PeerMessage::ObjectCopies(copies.into_iter().map(copy).collect());
-    send_stream_message(&mut stream, codec, incarnation, &copies).await
-}
-
-async fn send_stream_message(
-    stream: &mut TcpStream,
-    codec: &envelope::EnvelopeCodec,
-    incarnation: u64,
-    message: &message::PeerMessage,
-) -> std::io::Result<()> {
-    let bytes = codec.seal(incarnation, 0, message);
-    stream.write_u32(bytes.len() as u32).await?;
-    stream.write_all(&bytes).await
-}
-
-async fn receive_stream_message(
-    stream: &mut TcpStream,
-    codec: &envelope::EnvelopeCodec,
-) -> std::io::Result<message::PeerMessage> {
-    let length = stream.read_u32().await? as usize;
-    if length > MAX_STREAM_BYTES {
-        return Err(std::io::Error::other("the message is too long"));
-    }
-    let mut bytes = Vec::new();
-    stream.take(length as u64).read_to_end(&mut bytes).await?;
-    let opened = codec.open(&bytes).map_err(std::io::Error::other)?;
-    Ok(opened.message)
-}
-
-async fn fetch_objects(
-    from: SocketAddr,
-    keys: Vec<String>,
-    codec: envelope::EnvelopeCodec,
-    incarnation: u64,
-    events: ControlSender,
-) {
-    let fetch = async {
-        let mut stream = TcpStream::connect(from).await?;
-        let request = message::PeerMessage::ObjectRequest { keys };
-        send_stream_message(&mut stream, &codec, incarnation, &request).await?;
-        receive_stream_message(&mut stream, &codec).await
-    };
-    let answer = tokio::time::timeout(STREAM_TIMEOUT, fetch).await;
-    let Ok(Ok(message::PeerMessage::ObjectCopies(copies))) = answer else {
-        return;
-    };
-    let object = |copy: message::ObjectCopy| {
-        Some(wire::ObjectWire {
-            key: copy.key,
-            version: copy.version,
-            writer: String::new(),
-            value: serde_json::from_str(&copy.value).ok()?,
-        })
-    };
-    let objects = copies.into_iter().filter_map(object).collect();
-    events.send(ControlEvent::Objects(objects)).ok();
-}
-
 impl ControlState {
     pub(super) fn tick_peers(&mut self, now: Instant) {
         if now >= self.peers.heartbeat_due {
@@ -410,7 +294,7 @@
             .peers
             .fetching
             .get(&from)
-            .is_some_and(|at| now - *at < STREAM_TIMEOUT / 4);
+            .is_some_and(|at| now - *at < stream::STREAM_TIMEOUT / 4);
         if keys.is_empty() || recently {
             return;
         }
@@ -420,81 +304,12 @@
         self.peers.fetching.insert(from, now);
         let codec = self.peers.codec.clone();
         let (incarnation, events) = (self.shared.incarnation, self.events.clone());
-        tokio::spawn(fetch_objects(from, keys, codec, incarnation, events));
-    }
-
-    /// Asks other VMs for tokens where callers need more than there are.
-    pub(super) fn ask_for_tokens(&mut self, now: Instant) {
-        self.peers.ask_due = now + FORESIGHT_INTERVAL;
-        self.peers
-            .open_asks
-            .retain(|_, ask| now - ask.asked_at < ASK_KEPT);
-        let others = self.peers.addresses.len().min(HEARTBEAT_FANOUT);
-        if self.replaced || others == 0 {
-            return;
-        }
-        for (workspace, share) in self.shared.shares.all() {
-            if let Some(missing) = share.begin_ask(now) {
-                let amount = (missing * ASK_SURPLUS / others as f64).max(SMALLEST_ASK);
-                self.ask_peers(workspace, amount, now);
-            }
-        }
-    }
-
-    fn ask_peers(&mut self, workspace: name::WorkspaceName, amount: f64, now: Instant) {
-        let number = self.peers.next_ask;
-        self.peers.next_ask += 1;
-        let text = workspace.to_string();
-        let ask = OpenAsk {
-            workspace,
-            asked_at: now,
-            answered_by: Vec::new(),
-        };
-        self.peers.open_asks.insert(number, ask);
-        let request = message::PeerMessage::TokenRequest {
-            workspace: text,
-            amount,
-            number,
-        };
-        self.peers.send_to_some(&request);
-    }
-
-    fn lend_tokens(
-        &mut self,
-        to: SocketAddr,
-        workspace: String,
-        asked: f64,
-        number: u64,
-        now: Instant,
-    ) {
-        let checked = name::WorkspaceName::try_from(workspace.as_str()).ok();
-        let share = checked.and_then(|name| self.shared.shares.find(&name));
-        let Some(share) = share.filter(|_| !self.replaced) else {
-            return;
-        };
-        let amount = share.lend(asked, now);
-        if amount > 0.0 {
-            let transfer = message::PeerMessage::TokenTransfer {
-                workspace,
-                amount,
-                number,
-            };
-            self.peers.send(to, &transfer);
-        }
-    }
-
-    /// Takes tokens, once for each giver and request: a doubled message must
-    /// not double them.
-    fn accept_tokens(&mut self, from: SocketAddr, amount: f64, number: u64, now: Instant) {
-        let Some(ask) = self.peers.open_asks.get_mut(&number) else {
-            return;
-        };
-        if ask.answered_by.contains(&from) {
-            return;
-        }
-        ask.answered_by.push(from);
-        if let Some(share) = self.shared.shares.find(&ask.workspace) {
-            share.accept_loan(amount, ask.asked_at, now);
-        }
+        tokio::spawn(stream::fetch_objects(
+            from,
+            keys,
+            codec,
+            incarnation,
+            events,
+        ));
     }
 }
--- a/crates/bluebellferry_proxy/src/control/probe.rs
+++ b/crates/bluebellferry_proxy/src/control/probe.rs
@@ -153,6 +153,8 @@
                 majority_contact: millis("majority_age_ms"),
                 promised_term: row.parsed("promised_term")?,
                 log_position: row.parsed("log_position")?,
+                leaving: row.value("leaving")? == "1",
+                open_transactions: row.parsed("open_transactions")?,
                 primary_contact: millis("primary_contact_ms"),
             },
             own_term: row.parsed("own_term")?,
--- a/crates/bluebellferry_proxy/src/control/promotion.rs
+++ b/crates/bluebellferry_proxy/src/control/promotion.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bluebellferry_promotion::event;
 use bluebellferry_promotion::promoter;
 use bluebellferry_routing::choice;
 use bluebellferry_store::client;
@@ -139,13 +140,13 @@
                 control.record_found(report.member, report.asked, found);
                 let asked = report.asked;
                 let status = found.status;
-                promoter::PromotionEvent::ProbeAnswered {
+                event::PromotionEvent::ProbeAnswered {
                     member: report.member,
                     asked,
                     status,
                 }
             }
-            None => promoter::PromotionEvent::ProbeFailed {
+            None => event::PromotionEvent::ProbeFailed {
                 member: report.member,
             },
         };
@@ -157,7 +158,7 @@
         let services: Vec<name::ServiceName> = self.services.keys().cloned().collect();
         for service in services {
             let rank = self.promotion_rank(&service, now);
-            self.take_promotion(&service, promoter::PromotionEvent::Tick { rank });
+            self.take_promotion(&service, event::PromotionEvent::Tick { rank });
         }
     }
 
@@ -173,7 +174,7 @@
     pub(super) fn take_promotion(
         &mut self,
         service: &name::ServiceName,
-        event: promoter::PromotionEvent,
+        event: event::PromotionEvent,
     ) {
         let now = Instant::now();
         let Some(control) = self.services.get_mut(service) else {
@@ -196,16 +197,16 @@
         }
     }
 
-    fn run_action(&self, service: &name::ServiceName, action: promoter::PromotionAction) {
+    fn run_action(&self, service: &name::ServiceName, action: event::PromotionAction) {
         match action {
-            promoter::PromotionAction::Claim { term } => self.claim_term(service, term),
-            promoter::PromotionAction::Fence { member, term } => {
+            event::PromotionAction::Claim { term } => self.claim_term(service, term),
+            event::PromotionAction::Fence { member, term } => {
                 self.fence_member(service, member, term);
             }
-            promoter::PromotionAction::Promote { member, term } => {
+            event::PromotionAction::Promote { member, term } => {
                 self.promote_member(service, member, term);
             }
-            promoter::PromotionAction::Publish { member, term } => {
+            event::PromotionAction::Publish { member, term } => {
                 self.publish_primary(service, member, term);
             }
         }
@@ -225,7 +226,7 @@
         let claimant = self.claimant();
         tokio::spawn(async move {
             let outcome = claim_in_store(&store, &key, term, claimant).await;
-            let event = promoter::PromotionEvent::ClaimAnswered { term, outcome };
+            let event = event::PromotionEvent::ClaimAnswered { term, outcome };
             events.send(ControlEvent::Promotion { service, event }).ok();
         });
     }
@@ -235,20 +236,13 @@
             "SELECT * FROM bluebellferry_fence({term}, '{}')",
             self.claimant()
         );
-        let (call, events) = (self.control_call(service, member, sql), self.events.clone());
-        let service = service.clone();
-        tokio::spawn(async move {
-            let found = tokio::time::timeout(FENCE_TIMEOUT, call)
-                .await
-                .ok()
-                .flatten();
+        self.run_control_call(service, member, sql, FENCE_TIMEOUT, move |found| {
             let status = found.map(|found| found.status);
-            let event = promoter::PromotionEvent::FenceAnswered {
+            event::PromotionEvent::FenceAnswered {
                 member,
                 term,
                 status,
-            };
-            events.send(ControlEvent::Promotion { service, event }).ok();
+            }
         });
     }
 
@@ -257,15 +251,27 @@
             "SELECT * FROM bluebellferry_promote({term}, '{}')",
             self.claimant()
         );
-        let (call, events) = (self.control_call(service, member, sql), self.events.clone());
-        let service = service.clone();
-        tokio::spawn(async move {
-            let found = tokio::time::timeout(PROMOTE_TIMEOUT, call)
-                .await
-                .ok()
-                .flatten();
+        self.run_control_call(service, member, sql, PROMOTE_TIMEOUT, move |found| {
             let promoted = found.is_some_and(|found| found.status.accepts_writes);
-            let event = promoter::PromotionEvent::PromoteAnswered { term, promoted };
+            event::PromotionEvent::PromoteAnswered { term, promoted }
+        });
+    }
+
+    /// Runs a control call in a task of its own and reports what `report` makes
+    /// of its answer, `None` if there was none in time.
+    fn run_control_call(
+        &self,
+        service: &name::ServiceName,
+        member: usize,
+        sql: String,
+        limit: Duration,
+        report: impl FnOnce(Option<probe::ProbedDatabase>) -> event::PromotionEvent + Send + 'static,
+    ) {
+        let call = self.control_call(service, member, sql);
+        let (events, service) = (self.events.clone(), service.clone());
+        tokio::spawn(async move {
+            let found = tokio::time::timeout(limit, call).await.ok().flatten();
+            let event = report(found);
             events.send(ControlEvent::Promotion { service, event }).ok();
         });
     }
@@ -306,7 +312,7 @@
             if let Err(error) = publish_in_store(&store, &key, term, claimant, primary).await {
                 log::warn!("the new primary could not be written to the store: {error}");
             }
-            let event = promoter::PromotionEvent::PublishAnswered { term };
+            let event = event::PromotionEvent::PublishAnswered { term };
             events.send(ControlEvent::Promotion { service, event }).ok();
         });
     }
@@ -317,13 +323,13 @@
     key: &str,
     term: u64,
     claimant: String,
-) -> promoter::ClaimOutcome {
+) -> event::ClaimOutcome {
     let Ok(current) = store.get(key).await else {
-        return promoter::ClaimOutcome::StoreUnavailable;
+        return event::ClaimOutcome::StoreUnavailable;
     };
     let known: Option<TermObjectWire> = serde_json::from_value(current.value).ok();
     if let Some(known) = known.filter(|known| known.term >= term) {
-        return promoter::ClaimOutcome::Lost { term: known.term };
+        return event::ClaimOutcome::Lost { term: known.term };
     }
     let claim = TermObjectWire {
         term,
@@ -331,17 +337,17 @@
         primary: None,
     };
     let Ok(value) = serde_json::to_value(&claim) else {
-        return promoter::ClaimOutcome::StoreUnavailable;
+        return event::ClaimOutcome::StoreUnavailable;
     };
     match store.put(key, current.version, value).await {
-        Ok(client::PutOutcome::Written { .. }) => promoter::ClaimOutcome::Won,
+        Ok(client::PutOutcome::Written { .. }) => event::ClaimOutcome::Won,
         Ok(client::PutOutcome::Conflict { current }) => {
             let known: Option<TermObjectWire> = serde_json::from_value(current.value).ok();
-            promoter::ClaimOutcome::Lost {
+            event::ClaimOutcome::Lost {
                 term: known.map_or(term, |known| known.term),
             }
         }
-        Err(_) => promoter::ClaimOutcome::StoreUnavailable,
+        Err(_) => event::ClaimOutcome::StoreUnavailable,
     }
 }
 
--- a/crates/bluebellferry_proxy/src/control/publish.rs
+++ b/crates/bluebellferry_proxy/src/control/publish.rs
@@ -20,7 +20,7 @@
             let state = snapshot::ServiceSnapshot {
                 view: control.view.clone(),
                 pools: control.pools.clone(),
-                primary_lost_since: control.promoter.primary_lost_since(),
+                primary_lost_since: control.promoter.primary_gone_since(),
                 probe_soon: Arc::clone(&control.probe_soon),
                 parameters: Arc::clone(&control.parameters),
             };
--- a/crates/bluebellferry_proxy/src/settings.rs
+++ b/crates/bluebellferry_proxy/src/settings.rs
@@ -134,11 +134,6 @@
 /// The shortest accepted secret between VMs, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
-fn parse_address(path: &str, text: &str) -> Result<SocketAddr, settings::FieldError> {
-    text.parse()
-        .map_err(|error| settings::FieldError::new(path, format!("'{text}': {error}")))
-}
-
 impl TryFrom<ProxySettingsWire> for ProxySettings {
     type Error = settings::FieldError;
 
@@ -176,10 +171,10 @@
                 data_centre,
                 ordinal: wire.ordinal,
             },
-            listen: parse_address("listen", &wire.listen)?,
-            admin_listen: parse_address("admin_listen", &wire.admin_listen)?,
-            peer_listen: parse_address("peer_listen", &wire.peer_listen)?,
-            store: parse_address("store", &wire.store)?,
+            listen: settings::parse_address("listen", &wire.listen)?,
+            admin_listen: settings::parse_address("admin_listen", &wire.admin_listen)?,
+            peer_listen: settings::parse_address("peer_listen", &wire.peer_listen)?,
+            store: settings::parse_address("store", &wire.store)?,
             database_account: DatabaseAccount {
                 user: wire.database_account.user,
                 password: wire.database_account.password,
--- a/crates/bluebellferry_routing/src/choice.rs
+++ b/crates/bluebellferry_routing/src/choice.rs
@@ -66,12 +66,14 @@
         highest.map(|(_, index)| index)
     }
 
-    /// Returns the primary if its term is at least `term`. An older one has been
-    /// replaced, even if this VM has not seen its successor yet.
+    /// Returns the primary if it may be given new work: it is not leaving, and
+    /// its term is at least `term`. An older one has been replaced, even if this
+    /// VM has not seen its successor yet.
     pub fn primary_since(&self, term: u64, now: Instant) -> Option<usize> {
         let index = self.primary(now)?;
-        let own = self.databases[index].primary_term;
-        own.is_some_and(|own| own >= term).then_some(index)
+        let database = &self.databases[index];
+        let current = database.primary_term.is_some_and(|own| own >= term);
+        (current && !database.leaving).then_some(index)
     }
 }
 
--- a/crates/bluebellferry_runtime/src/settings.rs
+++ b/crates/bluebellferry_runtime/src/settings.rs
@@ -1,5 +1,6 @@
 //! Loading of JSON settings.
 
+use std::net::SocketAddr;
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
@@ -87,3 +88,12 @@
         }
     }
 }
+
+/// Parses a socket address; `path` is named in errors.
+///
+/// # Errors
+/// Fails when the text is not of the form `ip:port`.
+pub fn parse_address(path: &str, text: &str) -> Result<SocketAddr, FieldError> {
+    text.parse()
+        .map_err(|error| FieldError::new(path, format!("'{text}': {error}")))
+}
--- a/crates/bluebellferry_standin_database/src/control.rs
+++ b/crates/bluebellferry_standin_database/src/control.rs
@@ -112,6 +112,7 @@
             "primary_contact_ms",
             contact.map_or(value::SqlValue::Null, millis),
         ),
+        ("open_transactions", integer(state.open_transactions)),
         ("leaving", integer(u64::from(state.leaving))),
     ]
 }
--- a/crates/bluebellferry_standin_database/src/group.rs
+++ b/crates/bluebellferry_standin_database/src/group.rs
@@ -1,6 +1,7 @@
 //! One database's part in its group: role, terms and the replicated log.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -79,6 +80,8 @@
     pub lag: Duration,
     /// Whether the database asks for no new work.
     pub leaving: bool,
+    /// How many client transactions are open.
+    pub open_transactions: u64,
 }
 
 impl MemberState {
@@ -214,6 +217,7 @@
             peers: peers.iter().map(|name| (name.clone(), progress)).collect(),
             lag,
             leaving: false,
+            open_transactions: 0,
         };
         if primary {
             state.become_primary(Instant::now());
@@ -244,3 +248,25 @@
         waited.unwrap_or_else(PoisonError::into_inner).0
     }
 }
+
+/// Counts one open transaction for as long as it lives.
+#[derive(Debug)]
+pub struct TransactionGuard {
+    member: Arc<GroupMember>,
+}
+
+impl TransactionGuard {
+    /// Counts a new transaction.
+    pub fn new(member: &Arc<GroupMember>) -> Self {
+        member.lock().open_transactions += 1;
+        Self {
+            member: Arc::clone(member),
+        }
+    }
+}
+
+impl Drop for TransactionGuard {
+    fn drop(&mut self) {
+        self.member.lock().open_transactions -= 1;
+    }
+}
--- a/crates/bluebellferry_standin_database/src/session/extended.rs
+++ b/crates/bluebellferry_standin_database/src/session/extended.rs
@@ -366,6 +366,7 @@
             column("accepts_writes", value::INT8),
             column("majority_age_ms", value::INT8),
             column("primary_contact_ms", value::INT8),
+            column("open_transactions", value::INT8),
             column("leaving", value::INT8),
         ],
     }
--- a/crates/bluebellferry_standin_database/src/session/transaction.rs
+++ b/crates/bluebellferry_standin_database/src/session/transaction.rs
@@ -20,6 +20,7 @@
     read_only: bool,
     failed: bool,
     implicit: bool,
+    guard: group::TransactionGuard,
 }
 
 /// The rows of a statement.
@@ -73,13 +74,15 @@
 
     /// Opens a transaction; SQLite's own starts with the first statement.
     pub(super) fn open_transaction(&mut self, read_only: bool, implicit: bool) {
+        let started_term = self.server.member.lock().own_term;
         self.transaction = Some(OpenTransaction {
-            started_term: self.server.member.lock().own_term,
+            started_term,
             statements: Vec::new(),
             engine_open: false,
             read_only,
             failed: false,
             implicit,
+            guard: group::TransactionGuard::new(&self.server.member),
         });
     }
 
@@ -135,6 +138,7 @@
             open.started_term,
             open.statements,
         )?;
+        drop(open.guard);
         match outcome {
             engine::CommitOutcome::Committed(position) => {
                 let name = "bluebellferry.position";
--- a/crates/bluebellferry_standin_database/src/settings.rs
+++ b/crates/bluebellferry_standin_database/src/settings.rs
@@ -104,11 +104,6 @@
     pub health_listen: Option<SocketAddr>,
 }
 
-fn parse_address(path: &str, text: &str) -> Result<SocketAddr, settings::FieldError> {
-    text.parse()
-        .map_err(|error| settings::FieldError::new(path, format!("'{text}': {error}")))
-}
-
 impl TryFrom<DatabaseSettingsWire> for DatabaseSettings {
     type Error = settings::FieldError;
 
@@ -122,7 +117,7 @@
         let mut peers = Vec::new();
         for (index, peer) in wire.peers.into_iter().enumerate() {
             let path = format!("peers[{index}].replication");
-            let replication = parse_address(&path, &peer.replication)?;
+            let replication = settings::parse_address(&path, &peer.replication)?;
             peers.push(PeerAddress {
                 name: peer.name,
                 replication,
@@ -130,12 +125,15 @@
         }
         let health_listen = wire.health_listen.as_deref();
         let health_listen = health_listen
-            .map(|text| parse_address("health_listen", text))
+            .map(|text| settings::parse_address("health_listen", text))
             .transpose()?;
         Ok(Self {
             name: wire.name,
-            listen: parse_address("listen", &wire.listen)?,
-            replication_listen: parse_address("replication_listen", &wire.replication_listen)?,
+            listen: settings::parse_address("listen", &wire.listen)?,
+            replication_listen: settings::parse_address(
+                "replication_listen",
+                &wire.replication_listen,
+            )?,
             peers,
             primary: wire.primary,
             account: wire.account,
--- a/crates/bluebellferry_standin_store/src/server.rs
+++ b/crates/bluebellferry_standin_store/src/server.rs
@@ -45,8 +45,7 @@
     type Error = settings::FieldError;
 
     fn try_from(wire: StoreSettingsWire) -> Result<Self, settings::FieldError> {
-        let parsed = wire.listen.parse();
-        let listen = parsed.map_err(|error| settings::FieldError::new("listen", error))?;
+        let listen = settings::parse_address("listen", &wire.listen)?;
         Ok(Self { listen })
     }
 }
