Let two VMs a data centre watch the store, the rest learn from heartbeats

Cause: every VM watched the store and named all objects in each heartbeat: 2,083 bytes a second to each other VM with 12 objects, and at 2,800 VMs more calls than the store serves. Change: heartbeats name what changed in the last 3 s and a digest of the rest; a VM whose digest differs for 1 s fetches everything. The first two live VMs of a data centre watch; the others read the store once a minute. Found and mended, each by a test that failed first: - A VM that owns no part of a rate (the fifth of a data centre) panicked at its first request: a refill at rate 0 takes for ever (a_vm_that_owns_nothing_lives_on_loans). - The database stand-in opened the file of a killed process whose number had come again, which looked like a doubled request (a_database_starts_empty_where_an_earlier_process_was_killed). Ruled out for the second: a replay by the proxy; the route was the primary's, which is never replayed. Seen: vms_that_do_not_watch_the_store_learn_from_those_that_do; 186 tests pass.

--- a/crates/bluebellferry_fleet/src/fleet.rs
+++ b/crates/bluebellferry_fleet/src/fleet.rs
@@ -571,7 +571,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if std::thread::panicking() || std::env::var_os("BLUEBELLFERRY_KEEP").is_some() {
             eprintln!("settings and logs are kept in {}", self.folder.display());
         } else if let Err(error) = std::fs::remove_dir_all(&self.folder) {
             log::debug!("the folder could not be removed: {error}");
--- a/crates/bluebellferry_fleet/src/process.rs
+++ b/crates/bluebellferry_fleet/src/process.rs
@@ -79,6 +79,8 @@
         let child = launcher
             .command(role)?
             .arg(settings)
+            // What a killed process leaves behind goes with the settings' folder.
+            .env("TMPDIR", settings.parent().unwrap_or(Path::new(".")))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/crates/bluebellferry_fleet/tests/faults.rs
+++ b/crates/bluebellferry_fleet/tests/faults.rs
@@ -701,3 +701,38 @@
     );
     check(&fleet, 0, &events).await
 }
+
+#[tokio::test]
+async fn vms_that_do_not_watch_the_store_learn_from_those_that_do() -> TestResult {
+    let mut plan = plan::FleetPlan::small();
+    plan.data_centres[0].vms = 5;
+    let mut fleet = start(plan).await?;
+    fleet
+        .put_document(&(fleet.plan.document_text() + " "), 1)
+        .await?;
+    wait_for_version(&fleet, &[0, 1, 2, 3, 4, 5], 2).await?;
+    // The two that watch in the first data centre die; others take their place.
+    fleet.proxies[0].process.kill().await?;
+    fleet.proxies[1].process.kill().await?;
+    fleet
+        .put_document(&(fleet.plan.document_text() + "  "), 2)
+        .await?;
+    wait_for_version(&fleet, &[2, 3, 4, 5], 3).await
+}
+
+async fn wait_for_version(fleet: &fleet::Fleet, proxies: &[usize], version: u64) -> TestResult {
+    for proxy in proxies {
+        let mut known = 0;
+        for _ in 0..1_000 {
+            known = fleet.status(*proxy).await?["document_version"]
+                .as_u64()
+                .unwrap_or(0);
+            if known >= version {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(known, version, "proxy {proxy}");
+    }
+    Ok(())
+}
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -20,6 +20,8 @@
 /// shrunk its own first.
 pub const GROWTH_DELAY: Duration = Duration::from_secs(5);
 
+/// The longest time that is given for the next own token, also where none comes.
+pub const LONGEST_REFILL: Duration = Duration::from_secs(5);
 /// The smallest part of a token that is worth a message.
 pub const SMALLEST_LOAN: f64 = 0.02;
 
@@ -124,10 +126,11 @@
             return TokenAnswer::Granted;
         }
         let missing = 1.0 - available;
-        let refill = Duration::from_secs_f64(missing / self.size.rate_per_second);
+        let refill = Duration::try_from_secs_f64(missing / self.size.rate_per_second);
+        let refill = refill.unwrap_or(LONGEST_REFILL);
         let shut = self.refilled_at.saturating_duration_since(now);
         TokenAnswer::Empty {
-            refilled_in: refill + shut,
+            refilled_in: (refill + shut).min(LONGEST_REFILL),
         }
     }
 
--- a/crates/bluebellferry_limits/tests/schedules.rs
+++ b/crates/bluebellferry_limits/tests/schedules.rs
@@ -189,3 +189,18 @@
     let together = borrower.borrowed(now) + replacement.available(now);
     assert!(together <= 10.0, "{together} tokens of 10");
 }
+
+#[test]
+fn a_vm_that_owns_nothing_lives_on_loans() {
+    let nothing = bucket::ShareSize {
+        rate_per_second: 0.0,
+        burst: 0.0,
+    };
+    let start = Instant::now();
+    let mut borrower = bucket::ShareBucket::empty(nothing, start);
+    let answer = borrower.try_take(start);
+    let refilled_in = bucket::LONGEST_REFILL;
+    assert_eq!(answer, bucket::TokenAnswer::Empty { refilled_in });
+    borrower.accept_loan(1.0, start, start);
+    assert_eq!(borrower.try_take(start), bucket::TokenAnswer::Granted);
+}
--- a/crates/bluebellferry_membership/src/message.rs
+++ b/crates/bluebellferry_membership/src/message.rs
@@ -63,7 +63,9 @@
     pub leaving: bool,
     /// The version of the configuration document in force.
     pub document_version: u64,
-    /// The versions of the objects that changed most recently.
+    /// A digest of the versions of all objects that the sender knows.
+    pub objects_digest: u64,
+    /// The versions of the objects that changed a moment ago.
     pub recent_objects: Vec<ObjectVersion>,
 }
 
--- a/crates/bluebellferry_membership/src/roster.rs
+++ b/crates/bluebellferry_membership/src/roster.rs
@@ -130,6 +130,17 @@
         self.peers.iter()
     }
 
+    /// Returns how many live VMs of this VM's own data centre come before it.
+    pub fn own_rank_in_centre(&self, now: Instant) -> usize {
+        let before = |place: &share::VmPlace| {
+            place.data_centre == self.own_place.data_centre
+                && place.ordinal < self.own_place.ordinal
+        };
+        self.live_peers(now)
+            .filter(|(place, _)| before(place))
+            .count()
+    }
+
     /// Returns this VM's place in the order of live VMs for a subject, such as
     /// a service: 0 acts first. `score` ranks a VM, the highest first.
     pub fn own_rank(&self, now: Instant, score: impl Fn(&share::VmPlace) -> u64) -> usize {
--- a/crates/bluebellferry_membership/tests/messages.rs
+++ b/crates/bluebellferry_membership/tests/messages.rs
@@ -26,6 +26,7 @@
         place: place(ordinal),
         leaving: false,
         document_version,
+        objects_digest: 0,
         recent_objects: Vec::new(),
     }
 }
--- a/crates/bluebellferry_proxy/src/control.rs
+++ b/crates/bluebellferry_proxy/src/control.rs
@@ -20,6 +20,7 @@
 use bluebellferry_types::name;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::shared;
 use crate::snapshot;
@@ -100,6 +101,8 @@
     keys: EnvironmentKeys,
     objects: BTreeMap<String, KnownObject>,
     store_reachable: bool,
+    /// Whether this VM is one of those that watch the store.
+    watches_store: watch::Sender<bool>,
     in_force: Option<Arc<snapshot::InForceDocument>>,
     usable_from: Option<Instant>,
     document_fault: Option<String>,
@@ -148,11 +151,10 @@
         &writer,
     ));
     let keys = EnvironmentKeys::new(&settings.environment);
-    tokio::spawn(store_watch::watch_store(
-        Arc::clone(&store),
-        keys.prefix(),
-        events.clone(),
-    ));
+    let (watches_store, watching) = watch::channel(true);
+    let watched =
+        store_watch::watch_store(Arc::clone(&store), keys.prefix(), events.clone(), watching);
+    tokio::spawn(watched);
     let codec = envelope::EnvelopeCodec::new(
         settings.environment.as_str(),
         settings.peer_secret.as_bytes(),
@@ -165,6 +167,7 @@
         keys,
         objects: BTreeMap::new(),
         store_reachable: false,
+        watches_store,
         in_force: None,
         usable_from: None,
         document_fault: None,
--- a/crates/bluebellferry_proxy/src/control/objects.rs
+++ b/crates/bluebellferry_proxy/src/control/objects.rs
@@ -175,7 +175,7 @@
             };
             self.objects.insert(object.key.clone(), entry);
             self.apply_object(&object.key, object.version, value);
-            self.note_changed_object(&object.key, object.version);
+            self.note_changed_object(&object.key, known, object.version);
         }
     }
 
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -1,6 +1,7 @@
 //! Messages to and from other VMs.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +24,14 @@
 mod tokens;
 
 /// How many object versions a heartbeat carries at the most.
-const RECENT_OBJECTS: usize = 64;
+const RECENT_OBJECTS: usize = 16;
+/// For how long heartbeats name a changed object.
+const RECENT_FOR: Duration = Duration::from_secs(3);
+/// How long another VM's objects must differ from this one's before all of them
+/// are fetched.
+const DIFFERENCE_LIMIT: Duration = Duration::from_secs(1);
+/// How many VMs of a data centre watch the store; the rest learn from them.
+const WATCHERS_PER_DATA_CENTRE: usize = 2;
 /// How many other VMs a heartbeat goes to at the most.
 const HEARTBEAT_FANOUT: usize = 16;
 /// The sockets for other VMs.
@@ -60,8 +68,11 @@
     ask_due: Instant,
     next_ask: u64,
     open_asks: BTreeMap<u64, OpenAsk>,
-    recent: Vec<message::ObjectVersion>,
+    recent: VecDeque<(Instant, message::ObjectVersion)>,
+    objects_digest: u64,
     fetching: BTreeMap<SocketAddr, Instant>,
+    /// Other VMs whose objects differ, with their digest and since when.
+    differing: BTreeMap<SocketAddr, (u64, Instant)>,
 }
 
 impl PeerLinks {
@@ -92,8 +103,10 @@
             ask_due: now,
             next_ask: 1,
             open_asks: BTreeMap::new(),
-            recent: Vec::new(),
+            recent: VecDeque::new(),
+            objects_digest: 0,
             fetching: BTreeMap::new(),
+            differing: BTreeMap::new(),
         }
     }
 
@@ -153,6 +166,11 @@
             self.peers.heartbeat_due = now + roster::HEARTBEAT_INTERVAL;
             self.send_heartbeat();
             self.roster.forget_silent(now);
+            self.peers
+                .recent
+                .retain(|(changed, _)| now - *changed < RECENT_FOR);
+            let watches = self.roster.own_rank_in_centre(now) < WATCHERS_PER_DATA_CENTRE;
+            self.watches_store.send_replace(watches);
             self.spread_withdrawals();
         }
         if now >= self.peers.ask_due {
@@ -169,7 +187,13 @@
                 .in_force
                 .as_ref()
                 .map_or(0, |in_force| in_force.version),
-            recent_objects: self.peers.recent.clone(),
+            objects_digest: self.peers.objects_digest,
+            recent_objects: self
+                .peers
+                .recent
+                .iter()
+                .map(|(_, object)| object.clone())
+                .collect(),
         };
         self.peers
             .send_to_some(&message::PeerMessage::Heartbeat(news));
@@ -193,15 +217,20 @@
             .send_to_some(&message::PeerMessage::KeysWithdrawn(digests));
     }
 
-    pub(super) fn note_changed_object(&mut self, key: &str, version: u64) {
-        self.peers.recent.retain(|known| known.key != key);
-        self.peers.recent.push(message::ObjectVersion {
+    /// Has a changed object named by the next heartbeats, the first at once.
+    pub(super) fn note_changed_object(&mut self, key: &str, before: u64, version: u64) {
+        let now = Instant::now();
+        self.peers.objects_digest ^= version_digest(key, before) ^ version_digest(key, version);
+        self.peers.recent.retain(|(_, known)| known.key != key);
+        let object = message::ObjectVersion {
             key: key.to_owned(),
             version,
-        });
+        };
+        self.peers.recent.push_back((now, object));
         if self.peers.recent.len() > RECENT_OBJECTS {
-            self.peers.recent.remove(0);
+            self.peers.recent.pop_front();
         }
+        self.peers.heartbeat_due = now;
     }
 
     pub(super) fn take_datagram(&mut self, from: SocketAddr, bytes: &[u8]) {
@@ -218,10 +247,12 @@
             message::PeerMessage::Heartbeat(news) => {
                 self.shared.metrics.count_peer_message("heartbeat");
                 let objects = news.recent_objects.clone();
+                let digest = news.objects_digest;
                 let effect =
                     self.roster
                         .record_heartbeat(now, opened.incarnation, opened.sequence, news);
                 self.take_heartbeat_effect(from, effect, &objects, now);
+                self.compare_objects(from, digest, now);
             }
             message::PeerMessage::Goodbye => self.roster.record_goodbye(opened.incarnation),
             message::PeerMessage::TokenRequest {
@@ -276,6 +307,23 @@
         self.drain();
     }
 
+    /// Fetches everything from a VM whose objects go on differing, in case a
+    /// change was missed on both ways.
+    fn compare_objects(&mut self, from: SocketAddr, digest: u64, now: Instant) {
+        if digest == self.peers.objects_digest {
+            self.peers.differing.remove(&from);
+            return;
+        }
+        let known = self.peers.differing.entry(from).or_insert((digest, now));
+        if known.0 != digest {
+            *known = (digest, now);
+        }
+        let persists = now - known.1 >= DIFFERENCE_LIMIT || self.objects.is_empty();
+        if persists {
+            self.start_fetch(from, Vec::new(), now);
+        }
+    }
+
     /// Fetches objects that another VM has in a newer version.
     fn fetch_newer(&mut self, from: SocketAddr, objects: &[message::ObjectVersion], now: Instant) {
         let newer = |object: &&message::ObjectVersion| {
@@ -285,21 +333,21 @@
                 .map_or(0, |known| known.version);
             object.version > known
         };
-        let mut keys: Vec<String> = objects
+        let keys: Vec<String> = objects
             .iter()
             .filter(newer)
             .map(|object| object.key.clone())
             .collect();
-        let recently = self
-            .peers
-            .fetching
-            .get(&from)
-            .is_some_and(|at| now - *at < stream::STREAM_TIMEOUT / 4);
-        if keys.is_empty() || recently {
-            return;
+        if !keys.is_empty() {
+            self.start_fetch(from, keys, now);
         }
-        if self.objects.is_empty() {
-            keys.clear();
+    }
+
+    /// Fetches objects over TCP; no keys mean all. One fetch a VM at a time.
+    fn start_fetch(&mut self, from: SocketAddr, keys: Vec<String>, now: Instant) {
+        let last = self.peers.fetching.get(&from);
+        if last.is_some_and(|at| now - *at < stream::STREAM_TIMEOUT / 4) {
+            return;
         }
         self.peers.fetching.insert(from, now);
         let codec = self.peers.codec.clone();
@@ -313,3 +361,11 @@
         ));
     }
 }
+
+/// The part of an object's version in the digest of all objects.
+fn version_digest(key: &str, version: u64) -> u64 {
+    if version == 0 {
+        return 0;
+    }
+    xxhash_rust::xxh3::xxh3_64_with_seed(key.as_bytes(), version)
+}
--- a/crates/bluebellferry_proxy/src/control/store_watch.rs
+++ b/crates/bluebellferry_proxy/src/control/store_watch.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bluebellferry_store::client;
+use tokio::sync::watch;
 
 use super::ControlEvent;
 use super::ControlSender;
@@ -16,19 +17,33 @@
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// How often a VM that does not watch the store reads it all the same.
+const UNWATCHED_LIST: Duration = Duration::from_secs(60);
+
+/// Waits until this VM is one of those that watch, or a long time has passed.
+async fn wait_for_turn(watching: &mut watch::Receiver<bool>) {
+    let turn = async { watching.wait_for(|watching| *watching).await.is_ok() };
+    if tokio::time::timeout(UNWATCHED_LIST, turn).await == Ok(false) {
+        // Control has ended; the caller notices by its closed channel.
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// Reads all objects, then watches for changes, for ever.
 pub(super) async fn watch_store(
     store: Arc<client::StoreClient>,
     prefix: String,
     events: ControlSender,
+    mut watching: watch::Receiver<bool>,
 ) {
     loop {
+        wait_for_turn(&mut watching).await;
         let listed = Instant::now();
         match store.list(&prefix).await {
             Ok(list) => {
                 events.send(ControlEvent::StoreReachable(true)).ok();
                 events.send(ControlEvent::Objects(list.objects)).ok();
-                follow(&store, &prefix, &events, list.revision, listed).await;
+                follow(&store, &prefix, &events, list.revision, listed, &watching).await;
             }
             Err(error) => {
                 log::debug!("the store cannot be read: {error}");
@@ -49,8 +64,9 @@
     events: &ControlSender,
     mut revision: u64,
     listed: Instant,
+    watching: &watch::Receiver<bool>,
 ) {
-    while listed.elapsed() < RELIST_AFTER && !events.is_closed() {
+    while *watching.borrow() && listed.elapsed() < RELIST_AFTER && !events.is_closed() {
         match store.watch(prefix, revision, WATCH_WAIT).await {
             Ok(changes) => {
                 revision = changes.revision;
--- a/crates/bluebellferry_standin_database/src/engine.rs
+++ b/crates/bluebellferry_standin_database/src/engine.rs
@@ -30,6 +30,10 @@
     pub fn create(name: &str) -> Result<Self, Box<dyn std::error::Error>> {
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("bluebellferry-{name}-{process}"));
+        // A killed process leaves its folder behind, and its number may come again.
+        if folder.exists() {
+            std::fs::remove_dir_all(&folder)?;
+        }
         std::fs::create_dir_all(&folder)?;
         let engine = Self { folder };
         engine
--- a/crates/bluebellferry_standin_database/tests/settings.rs
+++ b/crates/bluebellferry_standin_database/tests/settings.rs
@@ -37,3 +37,20 @@
     let loaded = load(|value| value["slots"] = 0.into());
     assert_eq!(loaded, Err("slots: must be at least 1".to_owned()));
 }
+
+#[test]
+fn a_database_starts_empty_where_an_earlier_process_was_killed()
+-> Result<(), Box<dyn std::error::Error>> {
+    let name = "starts-empty";
+    let killed = bluebellferry_standin_database::engine::SqlEngine::create(name)?;
+    killed
+        .connect()?
+        .execute_batch("CREATE TABLE booking (id INTEGER)")?;
+    // A killed process removes nothing, and its number is given out again.
+    std::mem::forget(killed);
+    let engine = bluebellferry_standin_database::engine::SqlEngine::create(name)?;
+    engine
+        .connect()?
+        .execute_batch("CREATE TABLE booking (id INTEGER)")?;
+    Ok(())
+}
