--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -33,7 +33,7 @@
 /// How many VMs of a data centre watch the store; the rest learn from them.
 const WATCHERS_PER_DATA_CENTRE: usize = 2;
 /// How many other VMs a heartbeat goes to at the most.
-const HEARTBEAT_FANOUT: usize = 16;
+const HEARTBEAT_FANOUT: usize = 12;
 /// The sockets for other VMs.
 pub(super) struct PeerSockets {
     udp: Arc<UdpSocket>,
