Hand over without refusing a write, also on a busy machine

With 12 busy loops beside it the refusals were seen to be no_primary: between the fence and the first look at the successor a VM saw neither a lost nor a leaving primary, took the gap for a cut and gave up after 1.5 s. Change: a successor is waited for until 3 s after a primary was last seen lost or leaving. Found while looking: - A write that reached a primary after its fence was refused with a bare 25006; nothing had run, so it is now sent to the successor. - A write that named a read kind could run on a replica just promoted; had that died before its answer, the proxy would have sent it again. Connections for reads are now read-only (a_promoted_replica_refuses_writes_on_connections_for_reads). - Two environments of one test process could be given the same port (not ready within 30 s, 2 of 18 tests under load); ports are now handed out once.

--- a/crates/bluebellferry_fleet/src/fleet.rs
+++ b/crates/bluebellferry_fleet/src/fleet.rs
@@ -106,16 +106,30 @@
     store_links: Vec<(usize, link::CuttableLink)>,
 }
 
-/// Reserves free ports by binding them all at once and letting them go.
+/// The first port that environments use; those from 32768 on may be taken by
+/// outgoing connections at any moment.
+const FIRST_PORT: u16 = 12_000;
+/// How many ports environments use.
+const PORTS: u32 = 20_000;
+
+/// Finds free ports that no other environment of this process has been given.
 fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::new();
-    for _ in 0..count {
-        listeners.push(std::net::TcpListener::bind("127.0.0.1:0")?);
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id().wrapping_mul(97);
+    let mut addresses = Vec::new();
+    for _ in 0..PORTS {
+        if addresses.len() == count {
+            return Ok(addresses);
+        }
+        let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(offset) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number as u16));
+        let free = std::net::TcpListener::bind(address).is_ok()
+            && std::net::UdpSocket::bind(address).is_ok();
+        if free {
+            addresses.push(address);
+        }
     }
-    listeners
-        .iter()
-        .map(std::net::TcpListener::local_addr)
-        .collect()
+    Err(std::io::Error::other("no free ports"))
 }
 
 fn new_folder() -> std::io::Result<PathBuf> {
--- a/crates/bluebellferry_fleet/tests/faults.rs
+++ b/crates/bluebellferry_fleet/tests/faults.rs
@@ -736,3 +736,42 @@
     }
     Ok(())
 }
+
+#[tokio::test]
+async fn a_promoted_replica_refuses_writes_on_connections_for_reads() -> TestResult {
+    let fleet = start(plan::FleetPlan::small()).await?;
+    let reader = fleet.connect(0, "families", SERVICE).await?;
+    reader
+        .batch_execute("SET bluebellferry.read = 'catalogue'")
+        .await?;
+    for _ in 0..500 {
+        reader.simple_query("SELECT count(*) FROM booking").await?;
+        if fleet
+            .counter(0, "bluebellferry_requests_total", "replica")
+            .await?
+            > 0.0
+        {
+            break;
+        }
+    }
+    let primary = fleet.primary(0, 0).await?;
+    let mut marked = 0;
+    for database in fleet
+        .databases
+        .iter()
+        .filter(|database| database.member != primary)
+    {
+        let bytes = std::fs::read(&database.received)?;
+        let mark = b"SET default_transaction_read_only = on";
+        marked += usize::from(bytes.windows(mark.len()).any(|window| window == mark));
+    }
+    assert!(marked > 0, "no replica's connection was made read-only");
+    reader
+        .simple_query("INSERT INTO booking VALUES (1, 'skis')")
+        .await?;
+    let count = reader
+        .query_one("SELECT count(*) FROM booking", &[])
+        .await?;
+    assert_eq!(count.get::<_, i64>(0), 1);
+    Ok(())
+}
--- a/crates/bluebellferry_promotion/src/promoter.rs
+++ b/crates/bluebellferry_promotion/src/promoter.rs
@@ -32,6 +32,9 @@
 const HANDOVER_NOTICE: Duration = Duration::from_millis(400);
 /// After how long a leaving primary is replaced although transactions are open.
 const HANDOVER_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long after a primary was last seen lost or leaving its successor is
+/// waited for.
+const SUCCESSOR_WAIT: Duration = Duration::from_secs(3);
 /// The pause after a failed or lost attempt.
 const RETRY_PAUSE: Duration = Duration::from_millis(600);
 
@@ -96,6 +99,7 @@
     members: Vec<observation::MemberRecord>,
     lost_since: Option<Instant>,
     leaving_since: Option<Instant>,
+    last_gone: Option<Instant>,
     highest_term: u64,
     term: u64,
     step_since: Instant,
@@ -121,6 +125,7 @@
             members,
             lost_since: None,
             leaving_since: None,
+            last_gone: None,
             highest_term: 0,
             term: 0,
             step_since: now,
@@ -142,10 +147,11 @@
         self.term
     }
 
-    /// Returns since when the primary has been lost or leaving, as far as this
-    /// VM knows.
-    pub fn primary_gone_since(&self) -> Option<Instant> {
-        self.lost_since.or(self.leaving_since)
+    /// Returns whether a primary is being replaced, by this VM or another, or
+    /// was a moment ago and its successor may not have been seen yet.
+    pub fn expects_replacement(&self, now: Instant) -> bool {
+        let recent = |gone: Instant| now.saturating_duration_since(gone) < SUCCESSOR_WAIT;
+        self.last_gone.is_some_and(recent)
     }
 
     fn majority(&self) -> usize {
@@ -273,6 +279,9 @@
     }
 
     fn on_tick(&mut self, now: Instant, rank: usize) -> PromotionActions {
+        if self.lost_since.is_some() || self.leaving_since.is_some() {
+            self.last_gone = Some(now);
+        }
         let in_step = now.saturating_duration_since(self.step_since);
         match self.step() {
             PromotionStep::Watching => self.consider_claim(now, rank),
--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -80,6 +80,8 @@
     pub known_statements: HashSet<StatementId>,
     /// A digest of the session settings applied on this connection.
     pub applied_settings: u64,
+    /// Whether new transactions on this connection are read-only.
+    pub read_only: bool,
     /// The parameters that the database reported at the start.
     pub parameters: Vec<snapshot::ServerParameter>,
     /// The position of the last commit by [`BackendConnection::query`].
@@ -131,6 +133,7 @@
             cancel,
             known_statements: HashSet::new(),
             applied_settings: 0,
+            read_only: false,
             parameters: Vec::new(),
             committed: None,
         };
--- a/crates/bluebellferry_proxy/src/control/publish.rs
+++ b/crates/bluebellferry_proxy/src/control/publish.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bluebellferry_limits::share;
 use bluebellferry_types::name;
@@ -20,7 +21,7 @@
             let state = snapshot::ServiceSnapshot {
                 view: control.view.clone(),
                 pools: control.pools.clone(),
-                primary_lost_since: control.promoter.primary_gone_since(),
+                expects_primary: control.promoter.expects_replacement(Instant::now()),
                 probe_soon: Arc::clone(&control.probe_soon),
                 parameters: Arc::clone(&control.parameters),
             };
--- a/crates/bluebellferry_proxy/src/metrics.rs
+++ b/crates/bluebellferry_proxy/src/metrics.rs
@@ -31,6 +31,8 @@
     ReplicaRefusedWrite,
     /// A replica went away before it had answered a read.
     ReplicaLost,
+    /// A primary refused a write because it had been replaced; nothing had run.
+    PrimaryReplaced,
     /// A connection could not be opened.
     ConnectFailed,
 }
@@ -40,6 +42,7 @@
         match self {
             Self::ReplicaRefusedWrite => "replica_refused_write",
             Self::ReplicaLost => "replica_lost",
+            Self::PrimaryReplaced => "primary_replaced",
             Self::ConnectFailed => "connect_failed",
         }
     }
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -37,6 +37,9 @@
     /// They are kept back while they are small, so that the request can be
     /// sent elsewhere.
     Replayable,
+    /// They are kept back while they are small, so that the request can be
+    /// sent again if the database refuses it as no longer being the primary.
+    ReplayableIfRefused,
     /// They stay in the session's buffer, without the end of the request.
     Keep,
 }
@@ -68,6 +71,7 @@
     copy_in: bool,
     /// Whether answers are kept back, so that the request can be replayed.
     holding: bool,
+    handling: AnswerHandling,
     /// Whether answers stay in the buffer for good.
     keeping: bool,
     replay: Option<metrics::RetryReason>,
@@ -95,7 +99,11 @@
             exchange: exchange::Exchange::default(),
             to_database: BytesMut::new(),
             copy_in: false,
-            holding: handling == AnswerHandling::Replayable,
+            holding: matches!(
+                handling,
+                AnswerHandling::Replayable | AnswerHandling::ReplayableIfRefused
+            ),
+            handling,
             keeping: handling == AnswerHandling::Keep,
             replay: None,
             cut_at: None,
@@ -224,7 +232,10 @@
             exchange::AnswerEvent::Hide => {}
             exchange::AnswerEvent::Error => {
                 if state.holding && self.is_read_only_refusal(piece) {
-                    state.replay = Some(metrics::RetryReason::ReplicaRefusedWrite);
+                    state.replay = Some(match state.handling {
+                        AnswerHandling::Replayable => metrics::RetryReason::ReplicaRefusedWrite,
+                        _ => metrics::RetryReason::PrimaryReplaced,
+                    });
                 }
                 self.out.extend_from_slice(&piece.bytes);
             }
@@ -305,7 +316,7 @@
 
 /// A read that has shown nothing to its caller can run on another replica.
 fn lost(state: &RelayState) -> RelayOutcome {
-    if state.holding {
+    if state.holding && state.handling == AnswerHandling::Replayable {
         return RelayOutcome::Replay(metrics::RetryReason::ReplicaLost);
     }
     RelayOutcome::DatabaseLost
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -20,6 +20,11 @@
 /// How much of a batch is gathered before a database is chosen, in bytes.
 const GATHER_BYTES: usize = 64 * 1024;
 
+/// How often a request that a database refused as replaced is sent again.
+const MAX_REFUSALS: u32 = 20;
+/// The pause before that.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Why a request did not reach its normal end.
 #[derive(Debug)]
 pub(super) enum RequestFailure {
@@ -157,6 +162,7 @@
             return self.run_once(gathered, &plan, &id, deadline, started).await;
         }
         let mut primary_only = false;
+        let mut refusals = 0;
         loop {
             let (route, mut connection) = match self.held.take() {
                 Some(held) => (self.held_route, held),
@@ -171,12 +177,15 @@
                 return Err(cannot_pin().into());
             }
             let fresh = self.transaction == message::TransactionState::Idle;
-            let can_replay =
-                route == route::ChosenRoute::Replica && fresh && gathered.is_complete();
-            let handling = if can_replay {
-                relay::AnswerHandling::Replayable
-            } else {
-                relay::AnswerHandling::Pass
+            let alone = fresh && gathered.is_complete();
+            let handling = match route {
+                route::ChosenRoute::Replica if alone => relay::AnswerHandling::Replayable,
+                route::ChosenRoute::Primary
+                    if alone && refusals < MAX_REFUSALS && !plan.may_commit =>
+                {
+                    relay::AnswerHandling::ReplayableIfRefused
+                }
+                _ => relay::AnswerHandling::Pass,
             };
             self.cancel
                 .set_running(Some(connection.connection.cancel.clone()));
@@ -194,9 +203,14 @@
                 }
                 Ok(relay::RelayOutcome::Replay(reason)) => {
                     self.shared.metrics.count_retry(reason);
-                    primary_only = reason == metrics::RetryReason::ReplicaRefusedWrite;
+                    primary_only |= reason != metrics::RetryReason::ReplicaLost;
                     match reason {
                         metrics::RetryReason::ReplicaRefusedWrite => connection.give_back(),
+                        metrics::RetryReason::PrimaryReplaced => {
+                            refusals += 1;
+                            connection.give_back();
+                            tokio::time::sleep(REFUSAL_PAUSE).await;
+                        }
                         _ => connection.discard(),
                     }
                 }
@@ -275,21 +289,32 @@
         }
     }
 
-    /// Brings a connection's settings to those of this session.
+    /// Brings a connection's settings to those of this session. Connections to
+    /// replicas are read-only, so that a replica which is promoted meanwhile
+    /// refuses a write, and a read may safely be repeated elsewhere.
     pub(super) async fn apply_carried(
         &self,
         connection: &mut pool::PooledConnection,
+        route: route::ChosenRoute,
     ) -> Result<(), backend::BackendError> {
         let wanted = settings_digest(&self.carried);
         let connection = &mut connection.connection;
-        if connection.applied_settings == wanted {
-            return Ok(());
+        if connection.applied_settings != wanted {
+            connection.query("RESET ALL").await?;
+            connection.read_only = false;
+            for statement in self.carried.values() {
+                connection.query(statement).await?;
+            }
+            connection.applied_settings = wanted;
         }
-        connection.query("RESET ALL").await?;
-        for statement in self.carried.values() {
-            connection.query(statement).await?;
+        let read_only = route == route::ChosenRoute::Replica;
+        if connection.read_only != read_only {
+            let value = if read_only { "on" } else { "off" };
+            connection
+                .query(&format!("SET default_transaction_read_only = {value}"))
+                .await?;
+            connection.read_only = read_only;
         }
-        connection.applied_settings = wanted;
         Ok(())
     }
 
--- a/crates/bluebellferry_proxy/src/session/route.rs
+++ b/crates/bluebellferry_proxy/src/session/route.rs
@@ -73,7 +73,7 @@
             };
             let refused = match pool.acquire(asked).await {
                 Ok(mut connection) => {
-                    if self.apply_carried(&mut connection).await.is_ok() {
+                    if self.apply_carried(&mut connection, route).await.is_ok() {
                         return Ok((route, connection));
                     }
                     connection.discard();
@@ -193,7 +193,7 @@
                 }
                 return Ok((ChosenRoute::Primary, Arc::clone(&service.pools[index])));
             }
-            let explained = service.primary_lost_since.is_some();
+            let explained = service.expects_primary;
             let hopeless = !explained && now - started > UNEXPLAINED_GAP;
             if hopeless || now + RECHECK >= deadline {
                 return Err(no_primary(read.is_some(), explained));
--- a/crates/bluebellferry_proxy/src/snapshot.rs
+++ b/crates/bluebellferry_proxy/src/snapshot.rs
@@ -31,8 +31,9 @@
     pub view: choice::ServiceView,
     /// The pools of the databases, in the order of the view.
     pub pools: Vec<Arc<pool::DatabasePool>>,
-    /// Since when the group has had no primary, as far as this VM knows.
-    pub primary_lost_since: Option<Instant>,
+    /// Whether a primary is being replaced, so that its successor is worth
+    /// waiting for.
+    pub expects_primary: bool,
     /// Notified when a request waits for a replica, so that probes come sooner.
     pub probe_soon: Arc<Notify>,
     /// The start-up parameters that the databases report.
--- a/crates/bluebellferry_standin_database/src/session/transaction.rs
+++ b/crates/bluebellferry_standin_database/src/session/transaction.rs
@@ -207,7 +207,9 @@
     }
 
     fn check_writable(&self) -> Result<(), SqlFailure> {
-        let read_only = self.transaction.as_ref().is_some_and(|open| open.read_only);
+        let default = self.variables.get("default_transaction_read_only");
+        let read_only = self.transaction.as_ref().is_some_and(|open| open.read_only)
+            || default.is_some_and(|value| value == "on");
         let accepts = self.server.member.lock().accepts_writes();
         if read_only || !accepts {
             let text = "cannot execute a writing statement in a read-only transaction";
