--- a/crates/bluebellferry_playground/src/tour.rs
+++ b/crates/bluebellferry_playground/src/tour.rs
@@ -86,9 +86,10 @@
 impl BookingAccount {
     fn print(&self) {
         println!("Of {BOOKINGS} bookings made around that moment:");
+        let kept = self.confirmed - self.missing;
         println!(
-            "  {} were confirmed, and all but {} of these are there;",
-            self.confirmed, self.missing
+            "  {} were confirmed, and {kept} of these are there;",
+            self.confirmed
         );
         println!(
             "  {} were refused with a promise that nothing was booked;",
--- a/crates/bluebellferry_standin_store/src/server.rs
+++ b/crates/bluebellferry_standin_store/src/server.rs
@@ -15,7 +15,9 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use bluebellferry_runtime::health;
 use bluebellferry_runtime::settings;
+use prometheus::IntCounterVec;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::watch;
@@ -65,18 +67,36 @@
 }
 
 /// The calls served so far.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Serialize)]
 struct CallCounts {
     reads: u64,
     writes: u64,
     watches: u64,
 }
 
+/// The kinds of call that are counted.
+#[derive(Debug, Clone, Copy)]
+enum CallKind {
+    Read,
+    Write,
+    Watch,
+}
+
+impl CallKind {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::Watch => "watch",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct ServerState {
     table: Mutex<objects::ObjectTable>,
     faults: Mutex<StoreFaults>,
-    calls: Mutex<CallCounts>,
+    calls: IntCounterVec,
     changed: watch::Sender<u64>,
 }
 
@@ -104,21 +124,36 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Creates the store's router with an empty table.
-pub fn store_router() -> Router {
+impl ServerState {
+    fn count_call(&self, kind: CallKind) {
+        self.calls.with_label_values(&[kind.label()]).inc();
+    }
+}
+
+/// Creates the store's router with an empty table, `/metrics` and `/ready`.
+///
+/// # Errors
+/// Fails when the counter cannot be registered.
+pub fn store_router() -> Result<Router, prometheus::Error> {
+    let options = prometheus::Opts::new("standin_store_calls_total", "Calls by kind.");
+    let calls = IntCounterVec::new(options, &["kind"])?;
+    let registry = prometheus::Registry::new();
+    registry.register(Box::new(calls.clone()))?;
+    let health = health::health_router(registry, Arc::new(|| None));
     let state = Arc::new(ServerState {
         table: Mutex::default(),
         faults: Mutex::default(),
-        calls: Mutex::default(),
+        calls,
         changed: watch::channel(0).0,
     });
-    Router::new()
+    let objects = Router::new()
         .route("/objects", get(list_objects))
         .route("/objects/{*key}", get(read_object).put(write_object))
         .route("/watch", get(watch_objects))
         .route("/faults", get(read_faults).put(write_faults))
         .route("/calls", get(read_calls))
-        .with_state(state)
+        .with_state(state);
+    Ok(health.merge(objects))
 }
 
 /// Applies outage and delay; returns the answer that replaces the real one.
@@ -133,7 +168,7 @@
     State(state): State<SharedState>,
     Query(query): Query<ListQuery>,
 ) -> Response {
-    lock(&state.calls).reads += 1;
+    state.count_call(CallKind::Read);
     if let Some(fault) = apply_faults(&state).await {
         return fault;
     }
@@ -149,7 +184,7 @@
 }
 
 async fn read_object(State(state): State<SharedState>, Path(key): Path<String>) -> Response {
-    lock(&state.calls).reads += 1;
+    state.count_call(CallKind::Read);
     if let Some(fault) = apply_faults(&state).await {
         return fault;
     }
@@ -162,7 +197,7 @@
     Path(key): Path<String>,
     Json(write): Json<objects::WriteRequest>,
 ) -> Response {
-    lock(&state.calls).writes += 1;
+    state.count_call(CallKind::Write);
     if let Some(fault) = apply_faults(&state).await {
         return fault;
     }
@@ -194,7 +229,7 @@
     State(state): State<SharedState>,
     Query(query): Query<WatchQuery>,
 ) -> Response {
-    lock(&state.calls).watches += 1;
+    state.count_call(CallKind::Watch);
     if let Some(fault) = apply_faults(&state).await {
         return fault;
     }
@@ -235,7 +270,12 @@
 }
 
 async fn read_calls(State(state): State<SharedState>) -> Json<CallCounts> {
-    Json(lock(&state.calls).clone())
+    let count = |kind: CallKind| state.calls.with_label_values(&[kind.label()]).get();
+    Json(CallCounts {
+        reads: count(CallKind::Read),
+        writes: count(CallKind::Write),
+        watches: count(CallKind::Watch),
+    })
 }
 
 /// Serves the store until a stop is requested.
@@ -243,6 +283,7 @@
 /// # Errors
 /// Fails when the address cannot be listened on.
 pub async fn serve_store(settings: &StoreSettings) -> std::io::Result<()> {
+    let router = store_router().map_err(std::io::Error::other)?;
     let listener = tokio::net::TcpListener::bind(settings.listen).await?;
     log::info!("the store listens on {}", settings.listen);
     let stop = async {
@@ -252,7 +293,7 @@
     };
     // Waiting watches would hold a graceful shutdown for up to half a minute.
     tokio::select! {
-        served = axum::serve(listener, store_router()).into_future() => served,
+        served = axum::serve(listener, router).into_future() => served,
         () = stop => Ok(()),
     }
 }
