Remove what was written twice or never read

Cause: one more reading of the whole change. Every finished command was copied into an exchange that nobody asked for it (on the path of each request); a family of gauges was registered and never set; the mark of a VM's start was put together in four places; whether a database answers was decided in status as well as in routing. Change: the first two are gone; ProxyShared::process_mark and DatabaseView::is_reachable serve the rest. Behaviour stays as it is.

--- a/crates/bluebellferry_proxy/src/admin.rs
+++ b/crates/bluebellferry_proxy/src/admin.rs
@@ -93,7 +93,7 @@
     let ready = Arc::clone(shared);
     let check: health::ReadyCheck = Arc::new(move || ready.snapshot().not_ready_reason());
     let settings = &shared.settings;
-    let writer = format!("{}-{:x}-admin", settings.vm, shared.incarnation);
+    let writer = format!("{}-admin", shared.process_mark());
     let state = AdminState {
         shared: Arc::clone(shared),
         events,
--- a/crates/bluebellferry_proxy/src/control.rs
+++ b/crates/bluebellferry_proxy/src/control.rs
@@ -145,7 +145,7 @@
     sockets: peers::PeerSockets,
 ) {
     let settings = &shared.settings;
-    let writer = format!("{}-{:x}", settings.vm, shared.incarnation);
+    let writer = shared.process_mark();
     let store = Arc::new(client::StoreClient::new(
         &settings.store.to_string(),
         &writer,
--- a/crates/bluebellferry_proxy/src/control/promotion.rs
+++ b/crates/bluebellferry_proxy/src/control/promotion.rs
@@ -75,7 +75,7 @@
         let open_pool = |database: &objects::GroupDatabase| {
             pool::DatabasePool::new(database.address, service.clone(), account.clone())
         };
-        let claimant = format!("{}-{:x}", self.shared.settings.vm, self.shared.incarnation);
+        let claimant = self.shared.process_mark();
         let settings = promoter::PromoterSettings::new(&claimant, databases.len());
         let probe_soon = Arc::new(Notify::new());
         let control = ServiceControl {
@@ -212,10 +212,6 @@
         }
     }
 
-    fn claimant(&self) -> String {
-        format!("{}-{:x}", self.shared.settings.vm, self.shared.incarnation)
-    }
-
     fn claim_term(&self, service: &name::ServiceName, term: u64) {
         let (store, events, service) = (
             Arc::clone(&self.store),
@@ -223,7 +219,7 @@
             service.clone(),
         );
         let key = self.keys.term(service.as_str());
-        let claimant = self.claimant();
+        let claimant = self.shared.process_mark();
         tokio::spawn(async move {
             let outcome = claim_in_store(&store, &key, term, claimant).await;
             let event = event::PromotionEvent::ClaimAnswered { term, outcome };
@@ -234,7 +230,7 @@
     fn fence_member(&self, service: &name::ServiceName, member: usize, term: u64) {
         let sql = format!(
             "SELECT * FROM bluebellferry_fence({term}, '{}')",
-            self.claimant()
+            self.shared.process_mark()
         );
         self.run_control_call(service, member, sql, FENCE_TIMEOUT, move |found| {
             let status = found.map(|found| found.status);
@@ -249,7 +245,7 @@
     fn promote_member(&self, service: &name::ServiceName, member: usize, term: u64) {
         let sql = format!(
             "SELECT * FROM bluebellferry_promote({term}, '{}')",
-            self.claimant()
+            self.shared.process_mark()
         );
         self.run_control_call(service, member, sql, PROMOTE_TIMEOUT, move |found| {
             let promoted = found.is_some_and(|found| found.status.accepts_writes);
@@ -305,7 +301,7 @@
             service.clone(),
         );
         let key = self.keys.term(service.as_str());
-        let claimant = self.claimant();
+        let claimant = self.shared.process_mark();
         let control = self.services.get(&service);
         let primary = control.map(|control| control.databases[member].name.to_string());
         tokio::spawn(async move {
--- a/crates/bluebellferry_proxy/src/control/status.rs
+++ b/crates/bluebellferry_proxy/src/control/status.rs
@@ -166,15 +166,12 @@
                 .zip(&control.pools)
                 .map(|(database, pool)| {
                     let age = view.history.age_of(database.replayed, now);
-                    let fresh = |asked: Instant| {
-                        now - asked <= bluebellferry_routing::choice::REACHABLE_FOR
-                    };
                     DatabaseStatus {
                         database: database.name.to_string(),
                         data_centre: database.data_centre.to_string(),
                         replayed: database.replayed.to_string(),
                         age_ms: age.map(|age| age.as_millis() as u64),
-                        reachable: database.answered.is_some_and(fresh),
+                        reachable: database.is_reachable(now),
                         leaving: database.leaving,
                         load: pool.load(),
                     }
--- a/crates/bluebellferry_proxy/src/metrics.rs
+++ b/crates/bluebellferry_proxy/src/metrics.rs
@@ -3,7 +3,6 @@
 use bluebellferry_types::refusal;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
-use prometheus::IntGaugeVec;
 use prometheus::Registry;
 
 /// Where a request was run.
@@ -61,8 +60,6 @@
     peer_messages: IntCounterVec,
     peer_sent_bytes: IntCounterVec,
     latency: HistogramVec,
-    /// Gauges by name and subject.
-    pub state: IntGaugeVec,
 }
 
 fn counter(
@@ -132,11 +129,6 @@
         let buckets = prometheus::exponential_buckets(0.0001, 2.0, 18)?;
         let latency = HistogramVec::new(options.buckets(buckets), &["route"])?;
         registry.register(Box::new(latency.clone()))?;
-        let state = IntGaugeVec::new(
-            prometheus::Opts::new("bluebellferry_state", "Present values by name and subject."),
-            &["name", "subject"],
-        )?;
-        registry.register(Box::new(state.clone()))?;
         Ok(Self {
             registry,
             requests,
@@ -147,7 +139,6 @@
             peer_messages,
             peer_sent_bytes,
             latency,
-            state,
         })
     }
 
--- a/crates/bluebellferry_proxy/src/session/exchange.rs
+++ b/crates/bluebellferry_proxy/src/session/exchange.rs
@@ -13,7 +13,6 @@
 use bluebellferry_wire::frame;
 use bluebellferry_wire::message;
 use bluebellferry_wire::reader;
-use bytes::Bytes;
 use bytes::BytesMut;
 use pgwire::messages::extendedquery;
 use smallvec::SmallVec;
@@ -68,7 +67,6 @@
     expected: VecDeque<ExpectedAnswer>,
     batch_open: bool,
     failed: bool,
-    last_command: Option<Bytes>,
     prepared: SmallVec<[backend::StatementId; 2]>,
 }
 
@@ -121,13 +119,6 @@
         &self.prepared
     }
 
-    /// Returns the last finished command, such as `COMMIT`.
-    pub fn last_command(&self) -> Option<&[u8]> {
-        self.last_command
-            .as_deref()
-            .map(|body| body.strip_suffix(&[0]).unwrap_or(body))
-    }
-
     /// Translates a caller's message into `to_database`; answers that the
     /// database need not give go to `to_caller` when their turn comes.
     ///
@@ -286,18 +277,12 @@
             | frame::CLOSE_COMPLETE
             | frame::ROW_DESCRIPTION
             | frame::NO_DATA
+            | frame::COMMAND_COMPLETE
             | frame::EMPTY_QUERY
             | frame::PORTAL_SUSPENDED => {
                 self.pop_extended();
                 Ok(AnswerEvent::Pass)
             }
-            frame::COMMAND_COMPLETE => {
-                self.last_command = piece
-                    .whole_frame()
-                    .map(|frame| frame.bytes.slice(frame::HEADER_BYTES..));
-                self.pop_extended();
-                Ok(AnswerEvent::Pass)
-            }
             frame::COPY_IN => {
                 self.forget_ignored_sync();
                 Ok(AnswerEvent::CopyIn)
--- a/crates/bluebellferry_proxy/src/shared.rs
+++ b/crates/bluebellferry_proxy/src/shared.rs
@@ -64,6 +64,12 @@
         }))
     }
 
+    /// Returns what marks this start of this VM, in the store and in terms that
+    /// databases promise.
+    pub fn process_mark(&self) -> String {
+        format!("{}-{:x}", self.settings.vm, self.incarnation)
+    }
+
     /// Returns the present snapshot.
     pub fn snapshot(&self) -> Arc<snapshot::ControlSnapshot> {
         self.snapshot.load_full()
--- a/crates/bluebellferry_routing/src/choice.rs
+++ b/crates/bluebellferry_routing/src/choice.rs
@@ -36,7 +36,8 @@
 }
 
 impl DatabaseView {
-    fn is_reachable(&self, now: Instant) -> bool {
+    /// Returns whether the database answered a probe lately.
+    pub fn is_reachable(&self, now: Instant) -> bool {
         let fresh = |asked: Instant| now.saturating_duration_since(asked) <= REACHABLE_FOR;
         self.answered.is_some_and(fresh)
     }
