--- /dev/null
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -0,0 +1,64 @@
+//! The control thread: everything that this VM believes and tells others.
+//!
+//! One [`state::ControlState`] holds the beliefs; a few tasks on the same
+//! thread feed it from the store, the other VMs and callers' statements.
+
+pub mod configuration;
+pub mod copies;
+pub mod members;
+pub mod orders;
+pub mod peers;
+pub mod registry;
+pub mod replacement;
+pub mod state;
+pub mod suspicion;
+pub mod tokens;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::shared;
+
+/// The control state as its tasks share it.
+pub type ControlCell = Rc<RefCell<state::ControlState>>;
+
+/// The sockets towards other VMs.
+#[derive(Debug)]
+pub struct PeerSockets {
+    /// For heartbeats and tokens.
+    pub udp: UdpSocket,
+    /// For copies of objects.
+    pub copies: TcpListener,
+}
+
+/// Runs the control tasks until the process ends.
+pub async fn run(
+    shared: Arc<shared::EdgeShared>,
+    evidence: mpsc::Receiver<shared::LeaderEvidence>,
+    sockets: PeerSockets,
+) {
+    let links = Rc::new(peers::PeerLinks::new(sockets.udp, &shared));
+    let control = Rc::new(RefCell::new(state::ControlState::new(shared)));
+    let tasks = [
+        tokio::task::spawn_local(configuration::follow(Rc::clone(&control))),
+        tokio::task::spawn_local(registry::follow(Rc::clone(&control))),
+        tokio::task::spawn_local(members::follow(Rc::clone(&control))),
+        tokio::task::spawn_local(members::confirm_table(Rc::clone(&control))),
+        tokio::task::spawn_local(peers::send_beats(Rc::clone(&control), Rc::clone(&links))),
+        tokio::task::spawn_local(peers::receive(Rc::clone(&control), Rc::clone(&links))),
+        tokio::task::spawn_local(tokens::ask(Rc::clone(&control), links)),
+        tokio::task::spawn_local(copies::serve(Rc::clone(&control), sockets.copies)),
+        tokio::task::spawn_local(suspicion::gather(Rc::clone(&control), evidence)),
+        tokio::task::spawn_local(replacement::watch(control)),
+    ];
+    for task in tasks {
+        if let Err(error) = task.await {
+            log::error!(error:% = error; "a control task ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -0,0 +1,172 @@
+//! This VM's own entry in the store, the list of all VMs, and the table of leaders.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::Duration;
+
+use bluebellferry_catalog::leadership;
+use bluebellferry_platform::objects;
+use bluebellferry_runtime::clock;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::control;
+use crate::control::configuration;
+use crate::control::state;
+
+/// The kind of the VMs' entries.
+const VM_KIND: &str = "bluebellferry-vms";
+/// The kind and name of the table of leaders.
+pub const TABLE_KIND: &str = "bluebellferry-leaders";
+/// The name of the table of leaders.
+pub const TABLE_NAME: &str = "table";
+/// How often VMs are listed while the list changes, as at a start, and later.
+const FIRST_INTERVAL: Duration = Duration::from_millis(700);
+const LATER_INTERVAL: Duration = Duration::from_secs(5);
+/// How many listings are made at the shorter interval.
+const FIRST_LISTINGS: u32 = 4;
+/// The table is read from the store when the lease would end within this time.
+const CONFIRM_BEFORE_END: Duration = Duration::from_millis(600);
+/// How often it is looked whether the lease is about to end.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A VM's entry as it stands in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct VmEntryWire {
+    address: IpAddr,
+    incarnation: u64,
+}
+
+/// Registers this VM and follows the list of all VMs.
+pub async fn follow(control: control::ControlCell) {
+    let (settings, incarnation) = {
+        let control = control.borrow();
+        (control.shared.settings.clone(), control.shared.incarnation)
+    };
+    let mut client = objects::ObjectClient::new(settings.store_address);
+    let mut pause = configuration::RetryPause::default();
+    let mut dependency = configuration::DependencyLog::new("list of VMs in the store");
+    let mut listings = 0;
+    loop {
+        let asked = clock::now();
+        match client.list(VM_KIND).await {
+            Ok(listing) => {
+                dependency.record_success();
+                let own = listing.objects.iter().find(|one| one.name == settings.vm);
+                let entry = VmEntryWire {
+                    address: settings.address,
+                    incarnation,
+                };
+                if let Err(error) = register(&mut client, &settings.vm, own, &entry).await {
+                    log::warn!(error:% = error; "this VM is not registered yet");
+                    pause.wait().await;
+                    continue;
+                }
+                pause.reset();
+                let mut members = decode_members(&listing);
+                let own = state::MemberRecord {
+                    address: settings.address,
+                };
+                members.insert(settings.vm.clone(), own);
+                control.borrow_mut().apply_members(members, asked);
+                listings += 1;
+                let interval = if listings <= FIRST_LISTINGS {
+                    FIRST_INTERVAL
+                } else {
+                    LATER_INTERVAL
+                };
+                tokio::time::sleep(interval).await;
+            }
+            Err(error) => {
+                dependency.record_failure(&error);
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+fn decode_members(listing: &objects::ObjectListing) -> BTreeMap<String, state::MemberRecord> {
+    let decode = |object: &objects::StoredObject| match VmEntryWire::deserialize(&object.value) {
+        Ok(wire) => {
+            let record = state::MemberRecord {
+                address: wire.address,
+            };
+            Some((object.name.clone(), record))
+        }
+        Err(error) => {
+            log::warn!(vm = object.name.as_str(), error:% = error; "a VM's entry is skipped");
+            None
+        }
+    };
+    listing.objects.iter().filter_map(decode).collect()
+}
+
+/// Writes this VM's entry unless it stands there already.
+async fn register(
+    client: &mut objects::ObjectClient,
+    name: &str,
+    known: Option<&objects::StoredObject>,
+    entry: &VmEntryWire,
+) -> Result<(), objects::StoreError> {
+    let undecodable =
+        |error: serde_json::Error| objects::StoreError::Undecodable(error.to_string());
+    let value = serde_json::to_value(entry).map_err(undecodable)?;
+    let written = match known {
+        Some(known) if known.value == value => return Ok(()),
+        Some(known) => client.replace(VM_KIND, name, known.revision, value).await,
+        None => client.create(VM_KIND, name, value).await,
+    };
+    written.map(|_| ())
+}
+
+/// Reads the table of leaders.
+///
+/// # Errors
+/// Fails when the store does not answer or the table cannot be decoded.
+pub async fn read_table(
+    client: &mut objects::ObjectClient,
+) -> Result<leadership::LeadershipTable, objects::StoreError> {
+    match client.get(TABLE_KIND, TABLE_NAME).await {
+        Ok(object) => decode_table(&object),
+        Err(objects::StoreError::Missing) => Ok(leadership::LeadershipTable::default()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Decodes the table of leaders.
+///
+/// # Errors
+/// Fails when it is not of the expected form.
+pub fn decode_table(
+    object: &objects::StoredObject,
+) -> Result<leadership::LeadershipTable, objects::StoreError> {
+    let mut table = leadership::LeadershipTable::deserialize(&object.value)
+        .map_err(|error| objects::StoreError::Undecodable(error.to_string()))?;
+    table.revision = object.revision;
+    Ok(table)
+}
+
+/// Reads the table whenever other VMs do not confirm it in time.
+pub async fn confirm_table(control: control::ControlCell) {
+    let address = control.borrow().shared.settings.store_address;
+    let mut client = objects::ObjectClient::new(address);
+    let mut dependency = configuration::DependencyLog::new("table of leaders in the store");
+    loop {
+        tokio::time::sleep(CONFIRM_INTERVAL).await;
+        let asked = clock::now();
+        let valid_until = control.borrow().lease.valid_until();
+        if valid_until.is_some_and(|until| until > asked + CONFIRM_BEFORE_END) {
+            continue;
+        }
+        match read_table(&mut client).await {
+            Ok(table) => {
+                dependency.record_success();
+                let mut control = control.borrow_mut();
+                control.apply_table(&table);
+                control.lease.record_store(asked, table.revision);
+                control.publish();
+            }
+            Err(error) => dependency.record_failure(&error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -0,0 +1,92 @@
+//! Following the databases' registrations.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::database;
+use bluebellferry_platform::objects;
+use bluebellferry_platform::registry;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+
+use crate::control;
+use crate::control::configuration;
+
+/// How often the registrations are listed. Every database writes its entry more
+/// often than that, so a watch would cost a call for each.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The shortest time between two listings that were asked for out of turn.
+const LEAST_INTERVAL: Duration = Duration::from_millis(300);
+/// For how long after the store's return entries that lapsed meanwhile are
+/// kept; databases that live are back within about two seconds.
+const LAPSED_KEPT: Duration = Duration::from_millis(2_500);
+
+/// Keeps registrations that lapsed while the store was away.
+#[derive(Debug, Default)]
+pub struct LapsedEntries {
+    known: BTreeMap<name::DatabaseName, database::DatabaseEntry>,
+    was_away: bool,
+    returned: Option<Instant>,
+}
+
+impl LapsedEntries {
+    /// Notes that the store did not answer.
+    pub fn record_away(&mut self) {
+        self.was_away = true;
+    }
+
+    /// Takes a listing; returns the databases to use.
+    pub fn record_listing(
+        &mut self,
+        listed: Vec<database::DatabaseEntry>,
+        now: Instant,
+    ) -> Vec<database::DatabaseEntry> {
+        if std::mem::take(&mut self.was_away) {
+            self.returned = Some(now);
+        }
+        let is_settling = self
+            .returned
+            .is_some_and(|returned| now.saturating_duration_since(returned) < LAPSED_KEPT);
+        if !is_settling {
+            self.known.clear();
+        }
+        let listed = listed.into_iter().map(|entry| (entry.id.clone(), entry));
+        self.known.extend(listed);
+        self.known.values().cloned().collect()
+    }
+}
+
+/// Follows the registrations until the process ends.
+pub async fn follow(control: control::ControlCell) {
+    let (address, wanted) = {
+        let control = control.borrow();
+        let address = control.shared.settings.store_address;
+        (address, Arc::clone(&control.list_databases))
+    };
+    let mut client = objects::ObjectClient::new(address);
+    let mut pause = configuration::RetryPause::default();
+    let mut dependency = configuration::DependencyLog::new("registrations in the store");
+    let mut lapsed = LapsedEntries::default();
+    loop {
+        match client.list(registry::KIND).await {
+            Ok(listing) => {
+                dependency.record_success();
+                pause.reset();
+                let entries = registry::decode_entries(&listing);
+                let entries = lapsed.record_listing(entries, clock::now());
+                control.borrow_mut().apply_databases(entries);
+                tokio::time::sleep(LEAST_INTERVAL).await;
+                let rest = LIST_INTERVAL.saturating_sub(LEAST_INTERVAL);
+                // A listing that is due anyway needs no reason.
+                tokio::time::timeout(rest, wanted.notified()).await.ok();
+            }
+            Err(error) => {
+                lapsed.record_away();
+                dependency.record_failure(&error);
+                pause.wait().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -0,0 +1,583 @@
+//! Replacing a leader that is lost or leaving.
+//!
+//! The VM that holds the duty enters the replacement into the table of leaders,
+//! has every replica stop receiving and the old leader stop leading as far as
+//! they can be reached, waits until no VM may rely on the old leader any more,
+//! and names the database that certainly holds every acknowledged commit.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::database as catalog;
+use bluebellferry_catalog::leadership;
+use bluebellferry_platform::database;
+use bluebellferry_platform::duty;
+use bluebellferry_platform::objects;
+use bluebellferry_promotion::lease;
+use bluebellferry_promotion::successor;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use rand::Rng;
+
+use crate::control;
+use crate::control::members;
+use crate::control::orders;
+use crate::control::state;
+use crate::shared;
+
+/// How often it is looked whether a leader is to be replaced.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// The pause between two rounds of orders.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// How long a leader that another VM has used lately is not taken for lost.
+const USED_LATELY: Duration = Duration::from_millis(700);
+/// How long before a call to the platform the duty must have been confirmed.
+const DUTY_CONFIRMED: Duration = Duration::from_millis(500);
+/// How long a call to the platform may take. With [`DUTY_CONFIRMED`] it ends
+/// before the wait of whoever takes the duty over.
+const DUTY_CALL_LIMIT: Duration = Duration::from_millis(700);
+/// How long a VM waits before it takes the duty from a silent holder.
+const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
+/// How long after a planned replacement the same service is left alone.
+const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Why a leader is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReplacementCause {
+    Leaving,
+    Lost,
+    CannotCommit,
+}
+
+impl ReplacementCause {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Lost => "lost",
+            Self::CannotCommit => "cannot commit",
+        }
+    }
+}
+
+/// A replacement under way.
+struct Replacement {
+    service: name::ServiceName,
+    leader: name::DatabaseName,
+    cause: ReplacementCause,
+    claimed: Instant,
+    held: BTreeMap<name::DatabaseName, position::LogPosition>,
+    term: u64,
+}
+
+/// Looks after all leaders until the process ends.
+pub async fn watch(control: control::ControlCell) {
+    let address = control.borrow().shared.settings.store_address;
+    let mut client = objects::ObjectClient::new(address);
+    let mut settled: BTreeMap<name::ServiceName, Instant> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let services: Vec<name::ServiceName> = {
+            let control = control.borrow();
+            control
+                .configuration
+                .decoded
+                .services
+                .keys()
+                .cloned()
+                .collect()
+        };
+        for service in services {
+            let now = clock::now();
+            if settled.get(&service).is_some_and(|until| *until > now) {
+                continue;
+            }
+            if !is_responsible(&control.borrow(), now) {
+                continue;
+            }
+            let Some((leader, cause)) = find_cause(&control, &service).await else {
+                continue;
+            };
+            replace(&control, &mut client, &service, &leader, cause).await;
+            settled.insert(service, clock::now() + SETTLE_TIME);
+        }
+    }
+}
+
+/// Returns whether this VM acts: it holds the duty, or the holder is silent and
+/// this VM's name comes first among those that live.
+fn is_responsible(control: &state::ControlState, now: Instant) -> bool {
+    let own = control.own_name();
+    let is_leaving = *control.shared.drain.borrow() != shared::DrainPhase::Serving;
+    if is_leaving || !control.members.contains_key(own) || !is_known_to_all(control, now) {
+        return false;
+    }
+    let holder = control.table.holder.as_str();
+    if holder == own {
+        return true;
+    }
+    let holder_record = control.peers.get(holder);
+    let is_holder_live = holder_record.is_some_and(|record| {
+        now.saturating_duration_since(record.heard) < HOLDER_SILENCE && !record.beat.is_leaving
+    });
+    if is_holder_live && control.members.contains_key(holder) {
+        return false;
+    }
+    let mut live = control
+        .live_peers(now)
+        .filter(|(_, record)| !record.beat.is_leaving);
+    live.all(|(name, _)| name.as_str() > own)
+}
+
+/// Returns whether every other live VM counts this one as a member, so that its
+/// answers to heartbeats mean that it waits for this VM.
+fn is_known_to_all(control: &state::ControlState, now: Instant) -> bool {
+    let own = control.own_name();
+    let knows = |record: &state::PeerRecord| record.beat.echoes.iter().any(|echo| echo.vm == own);
+    control.live_peers(now).all(|(_, record)| knows(record))
+}
+
+async fn find_cause(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+) -> Option<(name::DatabaseName, ReplacementCause)> {
+    let now = clock::now();
+    let (leader, entry, is_suspected, is_used) = {
+        let control = control.borrow();
+        let leader = control.leader_of(service)?;
+        let entry = find_entry(&control, &leader.database);
+        if leader.is_replacing {
+            // A replacement that its VM did not finish.
+            return Some((leader.database, ReplacementCause::Lost));
+        }
+        let is_suspected = is_suspected(&control, service, &leader.database, now);
+        let is_used = is_used_lately(&control, service, &leader.database, now);
+        (leader.database, entry, is_suspected, is_used)
+    };
+    if entry.as_ref().is_some_and(|entry| entry.leaving) {
+        return Some((leader, ReplacementCause::Leaving));
+    }
+    if !is_suspected {
+        return None;
+    }
+    let workspace = any_workspace(control)?;
+    let Some(entry) = entry else {
+        return (!is_used).then_some((leader, ReplacementCause::Lost));
+    };
+    let status = orders::give_order(&entry, &workspace, database::DatabaseOrder::Status).await;
+    match status {
+        Ok(status) if !status.is_primary => Some((leader, ReplacementCause::Lost)),
+        Ok(status) => {
+            let is_stalled =
+                is_cut_from_replicas(control, service, &entry, status, &workspace).await;
+            is_stalled.then_some((leader, ReplacementCause::CannotCommit))
+        }
+        Err(orders::OrderError::Refused(_)) => None,
+        Err(error) => {
+            log::warn!(database = leader.as_str(), error:% = error, used = is_used; "a suspected leader does not answer");
+            (!is_used).then_some((leader, ReplacementCause::Lost))
+        }
+    }
+}
+
+/// Returns whether no replica has received what the leader wrote a while ago.
+async fn is_cut_from_replicas(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+    leader: &catalog::DatabaseEntry,
+    before: database::DatabaseStatus,
+    workspace: &name::WorkspaceName,
+) -> bool {
+    /// Longer than any replica's receipt takes, shorter than callers' patience.
+    const RECEIPT_TIME: Duration = Duration::from_millis(250);
+    tokio::time::sleep(RECEIPT_TIME).await;
+    let replicas: Vec<catalog::DatabaseEntry> = {
+        let control = control.borrow();
+        let is_replica =
+            |entry: &&catalog::DatabaseEntry| entry.service == *service && entry.id != leader.id;
+        control
+            .databases
+            .iter()
+            .filter(is_replica)
+            .cloned()
+            .collect()
+    };
+    let mut has_answer = false;
+    for replica in &replicas {
+        let order = database::DatabaseOrder::Status;
+        if let Ok(status) = orders::give_order(replica, workspace, order).await {
+            has_answer = true;
+            if status.received >= before.received {
+                return false;
+            }
+        }
+    }
+    has_answer
+}
+
+fn find_entry(
+    control: &state::ControlState,
+    id: &name::DatabaseName,
+) -> Option<catalog::DatabaseEntry> {
+    control
+        .databases
+        .iter()
+        .find(|entry| entry.id == *id)
+        .cloned()
+}
+
+/// Returns a workspace under whose name orders are given; databases ask for one.
+fn any_workspace(control: &control::ControlCell) -> Option<name::WorkspaceName> {
+    let control = control.borrow();
+    control
+        .configuration
+        .decoded
+        .workspaces
+        .keys()
+        .min()
+        .cloned()
+}
+
+fn is_suspected(
+    control: &state::ControlState,
+    service: &name::ServiceName,
+    leader: &name::DatabaseName,
+    now: Instant,
+) -> bool {
+    let names = |suspicions: &[bluebellferry_membership::beat::LeaderSuspicion]| {
+        suspicions
+            .iter()
+            .any(|one| one.service == *service && one.database == *leader)
+    };
+    names(&control.suspicions.own_suspicions(now))
+        || control
+            .live_peers(now)
+            .any(|(_, record)| names(&record.beat.suspicions))
+}
+
+/// Returns whether some VM had an answer from the leader a moment ago.
+fn is_used_lately(
+    control: &state::ControlState,
+    service: &name::ServiceName,
+    leader: &name::DatabaseName,
+    now: Instant,
+) -> bool {
+    let answered = control.suspicions.answered(service, leader);
+    let by_own = answered.is_some_and(|at| now.saturating_duration_since(at) < USED_LATELY);
+    let is_fresh = |record: &state::PeerRecord| {
+        let since_beat = now.saturating_duration_since(record.heard);
+        record.beat.positions.iter().any(|sample| {
+            let age = Duration::from_millis(u64::from(sample.age_ms)) + since_beat;
+            sample.service == *service && age < USED_LATELY
+        })
+    };
+    by_own || control.live_peers(now).any(|(_, record)| is_fresh(record))
+}
+
+async fn replace(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    service: &name::ServiceName,
+    leader: &name::DatabaseName,
+    cause: ReplacementCause,
+) {
+    log::warn!(
+        service = service.as_str(), database = leader.as_str(), cause = cause.as_str();
+        "a leader is to be replaced"
+    );
+    control.borrow_mut().is_claiming = true;
+    let entry = leadership::LeaderEntry {
+        database: leader.clone(),
+        phase: leadership::LeaderPhase::Replacing,
+        floor: None,
+    };
+    if write_entry(control, client, service, entry).await {
+        control.borrow().news.notify_one();
+        let newest = newest_term(control, service);
+        let replacement = Replacement {
+            service: service.clone(),
+            leader: leader.clone(),
+            cause,
+            claimed: clock::now(),
+            held: BTreeMap::new(),
+            term: newest + 1,
+        };
+        carry_out(control, client, replacement).await;
+    }
+    control.borrow_mut().is_claiming = false;
+    control.borrow().news.notify_one();
+}
+
+fn newest_term(control: &control::ControlCell, service: &name::ServiceName) -> u64 {
+    let control = control.borrow();
+    let positions = control.shared.positions();
+    let latest = positions.get(service).and_then(|history| history.latest());
+    latest.map_or(1, |position| position.term)
+}
+
+/// Writes an entry of the table under a condition. Returns whether it stands.
+async fn write_entry(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    service: &name::ServiceName,
+    entry: leadership::LeaderEntry,
+) -> bool {
+    let nonce = rand::rng().random();
+    let (next, revision) = {
+        let control = control.borrow();
+        let next = control
+            .table
+            .with_entry(control.own_name(), nonce, service, entry);
+        (next, control.table.revision)
+    };
+    let value = match serde_json::to_value(&next) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!(error:% = error; "the table of leaders cannot be coded");
+            return false;
+        }
+    };
+    let (kind, name) = (members::TABLE_KIND, members::TABLE_NAME);
+    let written = if revision == 0 {
+        client.create(kind, name, value).await
+    } else {
+        client.replace(kind, name, revision, value).await
+    };
+    if let Err(error) = &written {
+        log::warn!(error:% = error; "the table of leaders was not confirmed");
+    }
+    // An answer may be lost although the change was made, so what counts is
+    // what stands in the store.
+    let read = match written {
+        Ok(object) => members::decode_table(&object),
+        Err(_) => members::read_table(client).await,
+    };
+    match read {
+        Ok(table) => {
+            control.borrow_mut().apply_table(&table);
+            table.nonce == nonce
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "the table of leaders cannot be read");
+            false
+        }
+    }
+}
+
+async fn carry_out(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    mut replacement: Replacement,
+) {
+    loop {
+        hold_databases(control, &mut replacement).await;
+        if !is_still_holder(control) {
+            log::warn!(service = replacement.service.as_str(); "another VM has taken the duty over");
+            return;
+        }
+        let choice = successor::choose_successor(&evidence(control, &replacement));
+        if let successor::SuccessorChoice::Promote { id, position } = choice {
+            wait_for_leases(control, replacement.claimed).await;
+            if promote(control, client, &replacement, &id).await {
+                publish_leader(control, client, &replacement, id, position).await;
+                return;
+            }
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
+
+/// Has every database of the service that can be reached stop.
+async fn hold_databases(control: &control::ControlCell, replacement: &mut Replacement) {
+    let Some(workspace) = any_workspace(control) else {
+        return;
+    };
+    let entries: Vec<catalog::DatabaseEntry> = {
+        let control = control.borrow();
+        let of_service = |entry: &&catalog::DatabaseEntry| entry.service == replacement.service;
+        control
+            .databases
+            .iter()
+            .filter(of_service)
+            .cloned()
+            .collect()
+    };
+    let mut tasks = Vec::new();
+    for entry in entries {
+        if replacement.held.contains_key(&entry.id) {
+            continue;
+        }
+        let is_leader = entry.id == replacement.leader;
+        // A leader that leaves in an orderly way sends its replicas what it has.
+        let is_needed = is_leader
+            || replacement.cause != ReplacementCause::Leaving
+            || replacement.held.contains_key(&replacement.leader);
+        if !is_needed {
+            continue;
+        }
+        let term = replacement.term;
+        let order = match (is_leader, replacement.cause) {
+            (true, _) => database::DatabaseOrder::StepDown { term },
+            (false, ReplacementCause::Leaving) => database::DatabaseOrder::Status,
+            (false, _) => database::DatabaseOrder::Pause { term },
+        };
+        let workspace = workspace.clone();
+        tasks.push(tokio::task::spawn_local(async move {
+            let result = orders::give_order(&entry, &workspace, order).await;
+            (entry, order, result)
+        }));
+    }
+    for task in tasks {
+        let Ok((entry, order, result)) = task.await else {
+            continue;
+        };
+        match result {
+            Ok(status) => record_status(replacement, &entry, order, status),
+            Err(error) => {
+                log::info!(database = entry.id.as_str(), error:% = error; "an order was not confirmed");
+            }
+        }
+    }
+}
+
+fn record_status(
+    replacement: &mut Replacement,
+    entry: &catalog::DatabaseEntry,
+    order: database::DatabaseOrder,
+    status: database::DatabaseStatus,
+) {
+    log::info!(
+        database = entry.id.as_str(), term = status.term, received = status.received.offset,
+        held_term = status.held_term, is_primary = status.is_primary;
+        "a database reports its state"
+    );
+    replacement.term = replacement.term.max(status.term + 1);
+    let is_held = match order {
+        database::DatabaseOrder::StepDown { .. } => !status.is_primary,
+        database::DatabaseOrder::Pause { term } => {
+            !status.is_primary && status.held_term >= term && term > status.term
+        }
+        // The leader has stopped; a replica that has all of its log suffices.
+        _ => {
+            let end = replacement.held.get(&replacement.leader);
+            end.is_some_and(|end| status.received >= *end)
+        }
+    };
+    if is_held {
+        replacement.held.insert(entry.id.clone(), status.received);
+    }
+}
+
+fn evidence(
+    control: &control::ControlCell,
+    replacement: &Replacement,
+) -> Vec<successor::MemberEvidence> {
+    let control = control.borrow();
+    let of_service = |entry: &&catalog::DatabaseEntry| entry.service == replacement.service;
+    let member = |entry: &catalog::DatabaseEntry| successor::MemberEvidence {
+        id: entry.id.clone(),
+        is_leader: entry.id == replacement.leader,
+        is_leaving: entry.leaving,
+        held_at: replacement.held.get(&entry.id).copied(),
+    };
+    control
+        .databases
+        .iter()
+        .filter(of_service)
+        .map(member)
+        .collect()
+}
+
+fn is_still_holder(control: &control::ControlCell) -> bool {
+    let control = control.borrow();
+    control.table.holder == control.own_name()
+}
+
+/// Waits until no VM may rely on the table as it was before the claim.
+async fn wait_for_leases(control: &control::ControlCell, claimed: Instant) {
+    /// How often it is looked whether all VMs have seen the claim.
+    const STEP: Duration = Duration::from_millis(20);
+    let until = claimed + lease::LEASE_TERM;
+    while clock::now() < until {
+        let has_seen_all = {
+            let control = control.borrow();
+            let own = control.own_name();
+            let revision = control.table.revision;
+            let has_seen = |name: &String| {
+                name == own
+                    || control.peers.get(name).is_some_and(|record| {
+                        record.beat.table.revision >= revision && !record.beat.is_claiming
+                    })
+            };
+            control.members.keys().all(has_seen)
+        };
+        if has_seen_all {
+            return;
+        }
+        tokio::time::sleep(STEP).await;
+    }
+}
+
+async fn promote(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    replacement: &Replacement,
+    id: &name::DatabaseName,
+) -> bool {
+    let asked = clock::now();
+    // The duty may have changed hands while this VM stood still.
+    match members::read_table(client).await {
+        Ok(table) => control.borrow_mut().apply_table(&table),
+        Err(error) => {
+            log::warn!(error:% = error; "the duty cannot be confirmed");
+            return false;
+        }
+    }
+    if !is_still_holder(control) {
+        return false;
+    }
+    let (holder, token, address) = {
+        let control = control.borrow();
+        let address = control.shared.settings.duty_address;
+        (control.own_name().to_owned(), control.table.token, address)
+    };
+    if clock::now().saturating_duration_since(asked) > DUTY_CONFIRMED {
+        return false;
+    }
+    let client = duty::DutyClient::new(address);
+    let service = replacement.service.as_str();
+    let answer = client
+        .promote(&holder, token, service, id.as_str(), DUTY_CALL_LIMIT)
+        .await;
+    log::warn!(
+        service = service, database = id.as_str(), token = token, answer:? = answer,
+        since_claim_ms = clock::now().saturating_duration_since(replacement.claimed).as_millis() as u64;
+        "the platform was asked for a new leader"
+    );
+    answer == duty::PromotionAnswer::Accepted
+}
+
+/// Enters the new leader into the table; tries until it stands there.
+async fn publish_leader(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    replacement: &Replacement,
+    id: name::DatabaseName,
+    position: position::LogPosition,
+) {
+    let entry = leadership::LeaderEntry {
+        database: id,
+        phase: leadership::LeaderPhase::Steady,
+        floor: Some(position),
+    };
+    while is_still_holder(control) {
+        if write_entry(control, client, &replacement.service, entry.clone()).await {
+            let news = Arc::clone(&control.borrow().news);
+            news.notify_one();
+            return;
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -0,0 +1,322 @@
+//! What this VM believes.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::database;
+use bluebellferry_catalog::leadership;
+use bluebellferry_limits::bucket;
+use bluebellferry_membership::beat;
+use bluebellferry_promotion::lease;
+use bluebellferry_runtime::clock;
+use bluebellferry_shares::lending;
+use bluebellferry_types::name;
+use tokio::sync::Notify;
+
+use crate::control::suspicion;
+use crate::shared;
+
+/// After how long without a heartbeat a VM counts as silent.
+pub const SILENT_AFTER: Duration = Duration::from_millis(1_300);
+
+/// A VM as the store lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberRecord {
+    /// Its address.
+    pub address: IpAddr,
+}
+
+/// What was last heard of another VM.
+#[derive(Debug, Clone)]
+pub struct PeerRecord {
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The number of its last heartbeat.
+    pub sequence: u64,
+    /// When that came.
+    pub heard: Instant,
+    /// What it said.
+    pub beat: beat::FleetBeat,
+}
+
+/// The configuration in force with its text, for other VMs.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigurationRecord {
+    /// The configuration.
+    pub decoded: Arc<configuration::Configuration>,
+    /// The value as it stands in the store.
+    pub text: String,
+}
+
+/// The beliefs of the control thread.
+#[derive(Debug)]
+pub struct ControlState {
+    /// What traffic shares.
+    pub shared: Arc<shared::EdgeShared>,
+    /// The configuration in force.
+    pub configuration: ConfigurationRecord,
+    /// The registered databases.
+    pub databases: Arc<Vec<database::DatabaseEntry>>,
+    /// Who leads, as the fleet has agreed.
+    pub table: leadership::LeadershipTable,
+    /// How long the table may be relied on.
+    pub lease: lease::LeaseKeeper,
+    /// All VMs by name, this one included.
+    pub members: BTreeMap<String, MemberRecord>,
+    /// What was heard of other VMs.
+    pub peers: BTreeMap<String, PeerRecord>,
+    /// The parts of fleet-wide limits.
+    pub weights: beat::WeightTable,
+    /// Whether this VM is entering a replacement into the table or carrying it out.
+    pub is_claiming: bool,
+    /// What statements showed about leaders.
+    pub suspicions: suspicion::SuspicionBook,
+    /// Tokens on their way.
+    pub lending: lending::TokenLending<String>,
+    /// Notified when other VMs should hear news at once.
+    pub news: Arc<Notify>,
+    /// Notified when the databases should be listed at once.
+    pub list_databases: Arc<Notify>,
+    published: shared::EdgeSnapshot,
+}
+
+impl ControlState {
+    /// Creates a state that believes nothing.
+    pub fn new(shared: Arc<shared::EdgeShared>) -> Self {
+        Self {
+            shared,
+            configuration: ConfigurationRecord::default(),
+            databases: Arc::default(),
+            table: leadership::LeadershipTable::default(),
+            lease: lease::LeaseKeeper::default(),
+            members: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            weights: beat::WeightTable::default(),
+            is_claiming: false,
+            suspicions: suspicion::SuspicionBook::default(),
+            lending: lending::TokenLending::default(),
+            news: Arc::new(Notify::new()),
+            list_databases: Arc::new(Notify::new()),
+            published: shared::EdgeSnapshot::default(),
+        }
+    }
+
+    /// Returns this VM's name.
+    pub fn own_name(&self) -> &str {
+        &self.shared.settings.vm
+    }
+
+    /// Takes a configuration unless a newer one is in force. `source` is where
+    /// it came from.
+    pub fn apply_configuration(
+        &mut self,
+        decoded: configuration::Configuration,
+        text: String,
+        source: &'static str,
+    ) {
+        if decoded.version <= self.configuration.decoded.version {
+            return;
+        }
+        log::info!(
+            version = decoded.version, before = self.configuration.decoded.version,
+            source = source, routes = decoded.routes.len() as u64;
+            "a configuration is in force"
+        );
+        let decoded = Arc::new(decoded);
+        self.configuration = ConfigurationRecord { decoded, text };
+        self.apply_shares();
+        self.publish();
+        self.news.notify_one();
+    }
+
+    /// Takes the registered databases.
+    pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>) {
+        if *self.databases != databases {
+            self.log_databases(&databases);
+            self.databases = Arc::new(databases);
+            self.publish();
+        }
+    }
+
+    fn log_databases(&self, databases: &[database::DatabaseEntry]) {
+        for entry in databases {
+            if !self.databases.contains(entry) {
+                let role = format!("{:?}", entry.role);
+                log::info!(
+                    database = entry.id.as_str(), service = entry.service.as_str(),
+                    data_centre = entry.data_centre.as_str(), leaving = entry.leaving,
+                    role = role.as_str(), born = entry.born;
+                    "a database is registered"
+                );
+            }
+        }
+        for entry in self.databases.iter() {
+            if !databases.iter().any(|other| other.id == entry.id) {
+                log::info!(database = entry.id.as_str(); "a database is no longer registered");
+            }
+        }
+    }
+
+    /// Takes a leadership table unless a newer one is known.
+    pub fn apply_table(&mut self, table: &leadership::LeadershipTable) {
+        self.lease.record_revision(table.revision);
+        if table.revision <= self.table.revision {
+            return;
+        }
+        log::info!(
+            revision = table.revision, holder = table.holder.as_str(), token = table.token;
+            "a leadership table is in force"
+        );
+        for (service, entry) in &table.leaders {
+            if self.table.leaders.get(service) != Some(entry) {
+                let phase = format!("{:?}", entry.phase);
+                log::info!(
+                    service = service.as_str(), database = entry.database.as_str(),
+                    phase = phase.as_str();
+                    "a leader has changed"
+                );
+            }
+        }
+        self.table = table.clone();
+        self.publish();
+        self.news.notify_one();
+    }
+
+    /// Takes the VMs that the store lists.
+    pub fn apply_members(&mut self, members: BTreeMap<String, MemberRecord>, asked: Instant) {
+        let own = self.own_name().to_owned();
+        let others = members.keys().filter(|name| **name != own).cloned();
+        self.lease.record_members(asked, others.collect());
+        if self.members != members {
+            log::info!(members = members.len() as u64; "the list of VMs has changed");
+            self.members = members;
+            self.apply_shares();
+            self.publish();
+        }
+    }
+
+    /// Takes the parts of fleet-wide limits unless newer ones are known.
+    pub fn apply_weights(&mut self, weights: &beat::WeightTable) {
+        let order = |table: &beat::WeightTable| (table.token, table.number);
+        if order(weights) > order(&self.weights) {
+            self.weights = weights.clone();
+            self.apply_shares();
+            self.publish();
+        }
+    }
+
+    /// Returns this VM's part of fleet-wide limits: as the holder of the duty
+    /// set it if that covers all VMs, else an equal one.
+    pub fn own_part(&self) -> shared::FleetPart {
+        let own = self.own_name();
+        let count = self.members.len().max(1) as f64;
+        let weight_of = |name: &str| {
+            let set = self.weights.weights.iter().find(|weight| weight.vm == name);
+            set.map(|weight| weight.part)
+        };
+        let is_covered = self.members.keys().all(|name| weight_of(name).is_some())
+            && self.weights.weights.len() == self.members.len();
+        let mut from = 0.0;
+        for name in self.members.keys() {
+            let part = weight_of(name)
+                .filter(|_| is_covered)
+                .unwrap_or(1.0 / count);
+            if name == own {
+                return shared::FleetPart {
+                    from,
+                    to: from + part,
+                };
+            }
+            from += part;
+        }
+        shared::FleetPart::default()
+    }
+
+    fn apply_shares(&self) {
+        let part = self.own_part().size();
+        // Until all VMs are known, nothing may be spent; a bucket of no size
+        // would also be slow to grow.
+        if part <= 0.0 {
+            return;
+        }
+        let size =
+            |(workspace, policy): (&name::WorkspaceName, &configuration::WorkspacePolicy)| {
+                let size = bucket::ShareSize {
+                    rate_per_second: policy.rate_per_second * part,
+                    burst: policy.burst * part,
+                };
+                (workspace.clone(), size)
+            };
+        let workspaces = &self.configuration.decoded.workspaces;
+        let sizes = workspaces.iter().map(size).collect();
+        self.shared.shares.apply_sizes(&sizes);
+    }
+
+    /// Returns the leader of a service as this VM knows it.
+    pub fn leader_of(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
+        if let Some(entry) = self.table.leaders.get(service) {
+            return Some(shared::LeaderView {
+                database: entry.database.clone(),
+                floor: entry.floor,
+                is_replacing: entry.phase == leadership::LeaderPhase::Replacing,
+            });
+        }
+        // Before the first replacement, the database that registers as primary leads.
+        let mut primaries = self.databases.iter().filter(|entry| {
+            entry.service == *service && entry.role == database::DatabaseRole::Primary
+        });
+        let first = primaries.next()?;
+        let view = shared::LeaderView {
+            database: first.id.clone(),
+            floor: None,
+            is_replacing: false,
+        };
+        primaries.next().is_none().then_some(view)
+    }
+
+    /// Returns the other VMs that were heard a moment ago.
+    pub fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &PeerRecord)> {
+        let is_live =
+            move |record: &PeerRecord| now.saturating_duration_since(record.heard) < SILENT_AFTER;
+        self.peers
+            .iter()
+            .filter(move |(name, record)| is_live(record) && self.members.contains_key(*name))
+    }
+
+    /// Tells traffic what has changed.
+    pub fn publish(&mut self) {
+        let mut leaders = BTreeMap::new();
+        for service in self.configuration.decoded.services.keys() {
+            let known = self.published.leaders.get(service).cloned();
+            // A leader whose registration lapsed stays the leader.
+            if let Some(leader) = self.leader_of(service).or(known) {
+                leaders.insert(service.clone(), leader);
+            }
+        }
+        let next = shared::EdgeSnapshot {
+            configuration: Arc::clone(&self.configuration.decoded),
+            databases: Arc::clone(&self.databases),
+            leaders: Arc::new(leaders),
+            lease_until: self.lease.valid_until(),
+            part: self.own_part(),
+        };
+        let now = clock::now();
+        let before = &self.published;
+        let is_held = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        let regained = is_held(next.lease_until) && !is_held(before.lease_until);
+        if regained {
+            log::info!("the leadership lease is held");
+        }
+        let is_news = regained
+            || !Arc::ptr_eq(&next.configuration, &before.configuration)
+            || !Arc::ptr_eq(&next.databases, &before.databases)
+            || next.leaders != before.leaders
+            || next.part != before.part;
+        self.published = next.clone();
+        self.shared.publish(next, is_news);
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/tokens.rs
@@ -0,0 +1,65 @@
+//! Tokens of workspaces' rates between VMs.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_membership::message;
+use bluebellferry_runtime::clock;
+use bluebellferry_shares::lending;
+
+use crate::control;
+use crate::control::peers;
+use crate::control::state;
+
+/// How often tokens are asked for at the most.
+const ASK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Asks other VMs for tokens whenever callers wait for some.
+pub async fn ask(control: control::ControlCell, links: Rc<peers::PeerLinks>) {
+    let shared = Arc::clone(&control.borrow().shared);
+    loop {
+        shared.tokens_wanted.notified().await;
+        {
+            let mut control = control.borrow_mut();
+            let now = clock::now();
+            let live: Vec<String> = control
+                .live_peers(now)
+                .map(|(name, _)| name.clone())
+                .collect();
+            let asks = control.lending.begin_asks(&shared.shares, live.len(), now);
+            for ask in asks {
+                let request = message::PeerMessage::TokenRequest {
+                    workspace: ask.workspace.into(),
+                    amount: ask.amount,
+                    number: ask.number,
+                };
+                for vm in &live {
+                    links.send(vm, &request);
+                }
+            }
+        }
+        tokio::time::sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// Moves tokens to another VM that asks for them.
+pub fn lend(
+    control: &state::ControlState,
+    links: &peers::PeerLinks,
+    to: Option<String>,
+    workspace: String,
+    amount: f64,
+    number: u64,
+) {
+    let Some(to) = to else { return };
+    let amount = lending::lend(&control.shared.shares, &workspace, amount, clock::now());
+    if amount > 0.0 {
+        let transfer = message::PeerMessage::TokenTransfer {
+            workspace,
+            amount,
+            number,
+        };
+        links.send(&to, &transfer);
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/settings.rs
@@ -0,0 +1,137 @@
+//! The settings of one process.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use bluebellferry_runtime::settings;
+use bluebellferry_types::name;
+use serde::Deserialize;
+
+/// The settings as they stand in the file. Unknown fields are ignored, since
+/// the platform may add some.
+#[derive(Debug, Deserialize)]
+struct SettingsWire {
+    vm: String,
+    address: String,
+    data_centre: String,
+    region: String,
+    #[serde(default)]
+    data_centres: BTreeMap<String, String>,
+    caller_address: String,
+    readiness_address: String,
+    #[serde(default)]
+    control_address: Option<String>,
+    peer_ports: Vec<u16>,
+    #[serde(default)]
+    seeds: Vec<String>,
+    max_descriptors: u64,
+    store_address: String,
+    duty_address: String,
+    grace_s: f64,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EdgeSettings {
+    /// This VM's name.
+    pub vm: String,
+    /// Its address.
+    pub address: IpAddr,
+    /// Its data centre.
+    pub data_centre: name::DataCentreName,
+    /// Its region.
+    pub region: String,
+    /// The regions of all data centres.
+    pub regions: BTreeMap<name::DataCentreName, String>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks for readiness.
+    pub readiness_address: SocketAddr,
+    /// Where other VMs fetch copies of objects.
+    pub copies_address: SocketAddr,
+    /// The port for heartbeats; the same on every VM.
+    pub peer_port: u16,
+    /// The port for metrics.
+    pub metrics_port: u16,
+    /// Where a few VMs serve copies of objects; they may be stale or down.
+    pub seeds: Vec<SocketAddr>,
+    /// The most callers that may be connected.
+    pub max_callers: usize,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// The platform's duty calls.
+    pub duty_address: SocketAddr,
+    /// How long the platform waits between SIGTERM and SIGKILL.
+    pub grace: Duration,
+}
+
+/// Descriptors that are kept for databases, other VMs and the platform.
+const RESERVED_DESCRIPTORS: u64 = 800;
+
+impl TryFrom<SettingsWire> for EdgeSettings {
+    type Error = settings::FieldError;
+
+    fn try_from(wire: SettingsWire) -> Result<Self, settings::FieldError> {
+        let address = |path: &str, text: &str| settings::parse_address(path, text);
+        let centre = |path: &str, text: &str| {
+            name::DataCentreName::try_from(text)
+                .map_err(|error| settings::FieldError::new(path, error))
+        };
+        let ip: IpAddr = wire
+            .address
+            .parse()
+            .map_err(|error| settings::FieldError::new("address", error))?;
+        let (Some(first_port), Some(last_port)) = (wire.peer_ports.first(), wire.peer_ports.last())
+        else {
+            let message = "a first and a last port are needed";
+            return Err(settings::FieldError::new("peer_ports", message));
+        };
+        let mut regions = BTreeMap::new();
+        for (name, region) in wire.data_centres {
+            regions.insert(centre("data_centres", &name)?, region);
+        }
+        let seeds: Result<Vec<SocketAddr>, _> = wire
+            .seeds
+            .iter()
+            .map(|text| address("seeds", text))
+            .collect();
+        let copies_address = match &wire.control_address {
+            Some(text) => address("control_address", text)?,
+            None => SocketAddr::new(ip, first_port + 1),
+        };
+        if !(wire.grace_s > 0.0 && wire.grace_s.is_finite()) {
+            return Err(settings::FieldError::new("grace_s", "must be above 0"));
+        }
+        Ok(Self {
+            vm: wire.vm,
+            address: ip,
+            data_centre: centre("data_centre", &wire.data_centre)?,
+            region: wire.region,
+            regions,
+            caller_address: address("caller_address", &wire.caller_address)?,
+            readiness_address: address("readiness_address", &wire.readiness_address)?,
+            copies_address,
+            peer_port: *first_port,
+            metrics_port: *last_port,
+            seeds: seeds?,
+            max_callers: wire
+                .max_descriptors
+                .saturating_sub(RESERVED_DESCRIPTORS)
+                .max(64) as usize,
+            store_address: address("store_address", &wire.store_address)?,
+            duty_address: address("duty_address", &wire.duty_address)?,
+            grace: Duration::from_secs_f64(wire.grace_s),
+        })
+    }
+}
+
+/// Loads and checks a settings file.
+///
+/// # Errors
+/// Names the file, the field and what is wrong.
+pub fn load(file: &Path) -> Result<EdgeSettings, settings::SettingsError> {
+    settings::load_settings::<SettingsWire, EdgeSettings>(file)
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -0,0 +1,82 @@
+//! The traffic thread: callers' sessions and connections to databases.
+
+pub mod connection;
+pub mod dispatch;
+pub mod metrics;
+pub mod reads;
+pub mod session;
+pub mod statement;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_runtime::clock;
+use tokio::net::TcpListener;
+
+use crate::shared;
+
+/// How long the listener rests after an error such as too few descriptors.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
+/// How often connections that are no longer needed are looked for.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// What all sessions of the thread use.
+#[derive(Debug)]
+pub struct TrafficContext {
+    /// The state that control shares.
+    pub shared: Arc<shared::EdgeShared>,
+    /// The connections to databases.
+    pub dispatch: Rc<dispatch::Dispatcher>,
+    /// The counters.
+    pub metrics: metrics::TrafficMetrics,
+    /// The callers that are connected.
+    pub callers: Cell<usize>,
+}
+
+/// Serves callers until the process ends.
+pub async fn serve(
+    listener: TcpListener,
+    shared: Arc<shared::EdgeShared>,
+    metrics: metrics::TrafficMetrics,
+) {
+    let dispatch = Rc::new(dispatch::Dispatcher::new(
+        Arc::clone(&shared),
+        metrics.clone(),
+    ));
+    let context = Rc::new(TrafficContext {
+        shared,
+        dispatch,
+        metrics,
+        callers: Cell::new(0),
+    });
+    tokio::task::spawn_local(upkeep(Rc::clone(&context)));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if context.callers.get() >= context.shared.settings.max_callers {
+                    log::warn!(callers = context.callers.get(); "a caller is turned away: too many");
+                    continue;
+                }
+                tokio::task::spawn_local(session::serve(stream, Rc::clone(&context)));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "no caller can be accepted");
+                tokio::time::sleep(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+/// Applies changes of the snapshot to the connections.
+async fn upkeep(context: Rc<TrafficContext>) {
+    let mut changes = context.shared.changes();
+    loop {
+        context.dispatch.apply_snapshot(clock::now());
+        let change = tokio::time::timeout(UPKEEP_INTERVAL, changes.changed()).await;
+        if matches!(change, Ok(Err(_))) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -0,0 +1,545 @@
+//! Finding a connection for a statement.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::database;
+use bluebellferry_pool::budget;
+use bluebellferry_pool::estimate;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+use bluebellferry_types::refusal;
+use tokio::sync::oneshot;
+
+use crate::shared;
+use crate::traffic::connection;
+use crate::traffic::metrics;
+
+/// What an answer is expected to take before one was seen: in this data
+/// centre, in this region, elsewhere.
+const FIRST_GUESS: [Duration; 3] = [
+    Duration::from_millis(20),
+    Duration::from_millis(25),
+    Duration::from_millis(45),
+];
+/// How long a database that cannot be reached is avoided, at first and at most.
+const AVOID_AT_FIRST: Duration = Duration::from_millis(200);
+const AVOID_AT_MOST: Duration = Duration::from_millis(1_600);
+/// How long a replica that lagged behind a read is avoided, at first and at most.
+const LAG_AVOID_AT_FIRST: Duration = Duration::from_millis(50);
+const LAG_AVOID_AT_MOST: Duration = Duration::from_millis(800);
+/// What reading from the leader costs beyond its answer time, since only it
+/// can serve writes.
+const LEADER_READ_COST: Duration = Duration::from_millis(15);
+/// How long an unused connection is kept; shorter than the platform's own limit.
+const KEEP_UNUSED: Duration = Duration::from_secs(45);
+/// The shortest and longest time that a read waits for one database's answer.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+const MOST_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// A connection that a statement holds.
+pub type HeldConnection = connection::DatabaseConnection;
+
+type Grant = budget::ConnectionGrant<HeldConnection>;
+
+/// What a statement needs.
+#[derive(Debug, Clone)]
+pub struct ConnectionDemand {
+    /// The service.
+    pub service: name::ServiceName,
+    /// Who asks.
+    pub request: budget::GrantRequest,
+    /// Whether a replica will do.
+    pub allows_replica: bool,
+    /// Whether the leader must be known not to have been replaced.
+    pub needs_lease: bool,
+    /// Databases that have just failed the statement.
+    pub excluded: Vec<budget::DatabaseIndex>,
+    /// When the statement must be given up.
+    pub deadline: Instant,
+}
+
+/// An avoided database.
+#[derive(Debug, Clone, Copy, Default)]
+struct AvoidedUntil {
+    until: Option<Instant>,
+    pause: Duration,
+}
+
+impl AvoidedUntil {
+    fn extend(&mut self, first: Duration, most: Duration, now: Instant) {
+        self.pause = (self.pause * 2).clamp(first, most);
+        self.until = Some(now + self.pause);
+    }
+
+    fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn holds(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| until > now)
+    }
+}
+
+#[derive(Debug)]
+struct DatabaseRecord {
+    entry: Arc<database::DatabaseEntry>,
+    is_listed: bool,
+    latency: estimate::LatencyEstimate,
+    unreachable: AvoidedUntil,
+    lagging: AvoidedUntil,
+}
+
+#[derive(Debug, Default)]
+struct DispatchState {
+    records: Vec<DatabaseRecord>,
+    indexes: HashMap<name::DatabaseName, budget::DatabaseIndex>,
+    budget: budget::ConnectionBudget<HeldConnection>,
+    waiters: BTreeMap<budget::WaiterId, oneshot::Sender<Grant>>,
+}
+
+/// The databases and connections of this VM.
+#[derive(Debug)]
+pub struct Dispatcher {
+    shared: Arc<shared::EdgeShared>,
+    metrics: metrics::TrafficMetrics,
+    state: RefCell<DispatchState>,
+}
+
+/// A step towards a connection.
+enum ObtainStep {
+    Granted(Grant),
+    Wait(budget::WaiterId, oneshot::Receiver<Grant>),
+    NoDatabase,
+    TooManyWaiting,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher that knows no database.
+    pub fn new(shared: Arc<shared::EdgeShared>, metrics: metrics::TrafficMetrics) -> Self {
+        Self {
+            shared,
+            metrics,
+            state: RefCell::default(),
+        }
+    }
+
+    /// Applies the registered databases and this VM's part of their limits.
+    pub fn apply_snapshot(&self, now: Instant) {
+        let snapshot = self.shared.snapshot();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        for record in &mut state.records {
+            record.is_listed = false;
+        }
+        for entry in snapshot.databases.iter() {
+            let index = self.admit_entry(state, entry);
+            let service = snapshot.configuration.services.get(&entry.service);
+            let limit = service.map_or(0, |service| service.max_connections);
+            // One connection is left for whoever replaces a leader.
+            let own = snapshot.part.count_of(limit.saturating_sub(1));
+            drop(state.budget.set_allowance(index, own.max(1)));
+        }
+        for (index, record) in state.records.iter().enumerate() {
+            if !record.is_listed || record.entry.leaving {
+                drop(state.budget.drain_idle(index));
+            }
+        }
+        drop(state.budget.drain_unused(KEEP_UNUSED, now));
+        for index in 0..state.records.len() {
+            while let Some(grant) = state.budget.serve_waiting(index, now) {
+                state.deliver(grant);
+            }
+        }
+    }
+
+    fn admit_entry(
+        &self,
+        state: &mut DispatchState,
+        entry: &database::DatabaseEntry,
+    ) -> budget::DatabaseIndex {
+        let known = state.indexes.get(&entry.id).copied();
+        let index = known.unwrap_or_else(|| {
+            let guess = self.first_guess(entry);
+            state.records.push(DatabaseRecord {
+                entry: Arc::new(entry.clone()),
+                is_listed: true,
+                latency: estimate::LatencyEstimate::new(guess),
+                unreachable: AvoidedUntil::default(),
+                lagging: AvoidedUntil::default(),
+            });
+            let index = state.records.len() - 1;
+            state.indexes.insert(entry.id.clone(), index);
+            index
+        });
+        let record = &mut state.records[index];
+        record.is_listed = true;
+        if *record.entry != *entry {
+            if record.entry.born != entry.born {
+                // A restart: what its connections held is gone.
+                drop(state.budget.drain_idle(index));
+                record.unreachable.clear();
+                record.lagging.clear();
+            }
+            record.entry = Arc::new(entry.clone());
+        }
+        index
+    }
+
+    fn first_guess(&self, entry: &database::DatabaseEntry) -> Duration {
+        let settings = &self.shared.settings;
+        let region = settings.regions.get(&entry.data_centre);
+        if entry.data_centre == settings.data_centre {
+            FIRST_GUESS[0]
+        } else if region == Some(&settings.region) {
+            FIRST_GUESS[1]
+        } else {
+            FIRST_GUESS[2]
+        }
+    }
+
+    /// Returns a connection for a statement, waiting until one can be had.
+    ///
+    /// # Errors
+    /// Returns an honest refusal when there is none before the deadline; the
+    /// statement has not run.
+    pub async fn obtain(
+        self: &Rc<Self>,
+        demand: &mut ConnectionDemand,
+    ) -> Result<HeldConnection, refusal::RequestRefusal> {
+        let mut changes = self.shared.changes();
+        loop {
+            changes.mark_unchanged();
+            let now = clock::now();
+            if now >= demand.deadline {
+                return Err(refuse(
+                    refusal::RefusalReason::QueueTimeout,
+                    "no connection came free in time",
+                ));
+            }
+            let left = demand.deadline.saturating_duration_since(now);
+            match self.begin_obtain(demand, now) {
+                ObtainStep::Granted(grant) => {
+                    if let Some(held) = self.realise(grant, demand).await {
+                        return Ok(held);
+                    }
+                }
+                ObtainStep::Wait(waiter, granted) => {
+                    let granted = tokio::time::timeout(left, granted).await;
+                    if let Ok(Ok(grant)) = granted {
+                        if let Some(held) = self.realise(grant, demand).await {
+                            return Ok(held);
+                        }
+                    } else {
+                        self.state.borrow_mut().budget.cancel(waiter);
+                        self.state.borrow_mut().waiters.remove(&waiter);
+                    }
+                }
+                ObtainStep::NoDatabase => {
+                    demand.excluded.clear();
+                    self.wait_for_database(demand, left, &mut changes).await?;
+                }
+                ObtainStep::TooManyWaiting => {
+                    let refusal =
+                        refuse(refusal::RefusalReason::QueueFull, "too many wait already");
+                    return Err(refusal.retry_after(AVOID_AT_FIRST));
+                }
+            }
+        }
+    }
+
+    /// Waits for news of a database that can be used.
+    async fn wait_for_database(
+        &self,
+        demand: &ConnectionDemand,
+        left: Duration,
+        changes: &mut tokio::sync::watch::Receiver<u64>,
+    ) -> Result<(), refusal::RequestRefusal> {
+        let pause = left.min(AVOID_AT_FIRST / 4);
+        tokio::time::timeout(pause, changes.changed()).await.ok();
+        if clock::now() < demand.deadline {
+            return Ok(());
+        }
+        let reason = if demand.allows_replica {
+            refusal::RefusalReason::PositionUnreachable
+        } else {
+            refusal::RefusalReason::NoPrimary
+        };
+        Err(refuse(reason, "no database could take the statement").retry_after(AVOID_AT_FIRST))
+    }
+
+    fn begin_obtain(&self, demand: &ConnectionDemand, now: Instant) -> ObtainStep {
+        let snapshot = self.shared.snapshot();
+        let mut state = self.state.borrow_mut();
+        let ranked = rank_databases(&state, &snapshot, demand, now);
+        let Some((best, _)) = ranked.first().copied() else {
+            return ObtainStep::NoDatabase;
+        };
+        if let Some(grant) = state.budget.request(&demand.request, best, now) {
+            return ObtainStep::Granted(grant);
+        }
+        let indexes = ranked.iter().map(|(index, _)| *index).collect();
+        let Some(waiter) = state.budget.wait(demand.request.clone(), indexes) else {
+            return ObtainStep::TooManyWaiting;
+        };
+        let (sender, granted) = oneshot::channel();
+        state.waiters.insert(waiter, sender);
+        ObtainStep::Wait(waiter, granted)
+    }
+
+    /// Turns a grant into a usable connection; `None` when it cannot be had.
+    async fn realise(
+        self: &Rc<Self>,
+        grant: Grant,
+        demand: &mut ConnectionDemand,
+    ) -> Option<HeldConnection> {
+        let database = match grant {
+            Grant::Kept { connection, .. } => {
+                if connection.is_usable() {
+                    return Some(connection);
+                }
+                self.forget(connection);
+                return None;
+            }
+            Grant::Open { database, closing } => {
+                drop(closing);
+                database
+            }
+        };
+        let entry = Arc::clone(&self.state.borrow().records[database].entry);
+        let left = demand.deadline.saturating_duration_since(clock::now());
+        let workspace = &demand.request.workspace;
+        let opened = HeldConnection::open(database, &entry, workspace, left).await;
+        match opened {
+            Ok(held) => {
+                self.metrics.count_connection("opened");
+                self.state.borrow_mut().records[database]
+                    .unreachable
+                    .clear();
+                Some(held)
+            }
+            Err(error) => {
+                self.record_open_error(database, error);
+                demand.excluded.push(database);
+                None
+            }
+        }
+    }
+
+    fn record_open_error(&self, database: budget::DatabaseIndex, error: connection::OpenError) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let record = &mut state.records[database];
+        let entry = Arc::clone(&record.entry);
+        let result = match error {
+            connection::OpenError::Limit => {
+                state.budget.record_limit(database, now);
+                "limit"
+            }
+            connection::OpenError::Busy => "busy",
+            connection::OpenError::Misrouted => {
+                record.unreachable.extend(AVOID_AT_MOST, AVOID_AT_MOST, now);
+                "misrouted"
+            }
+            connection::OpenError::Unreachable => {
+                record
+                    .unreachable
+                    .extend(AVOID_AT_FIRST, AVOID_AT_MOST, now);
+                "unreachable"
+            }
+        };
+        self.metrics.count_connection(result);
+        log::info!(database = entry.id.as_str(), result = result; "no connection to a database");
+        if let Some(grant) = state.budget.forget(database, now) {
+            state.deliver(grant);
+        }
+        drop(state);
+        if matches!(error, connection::OpenError::Unreachable) {
+            self.report_evidence(database, shared::EvidenceKind::Silent);
+        }
+    }
+
+    /// Takes back a connection that can be used again.
+    pub fn release(&self, held: HeldConnection) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let record = &state.records[held.database];
+        if !record.is_listed || record.entry.leaving {
+            drop(state);
+            self.forget(held);
+            return;
+        }
+        let (database, workspace) = (held.database, held.workspace.clone());
+        if let Some(grant) = state.budget.release(database, workspace, held, now) {
+            state.deliver(grant);
+        }
+    }
+
+    /// Closes a connection that must not be used again.
+    pub fn forget(&self, held: HeldConnection) {
+        let database = held.database;
+        drop(held);
+        let mut state = self.state.borrow_mut();
+        if let Some(grant) = state.budget.forget(database, clock::now()) {
+            state.deliver(grant);
+        }
+    }
+
+    /// Returns a database's entry.
+    pub fn entry(&self, database: budget::DatabaseIndex) -> Arc<database::DatabaseEntry> {
+        Arc::clone(&self.state.borrow().records[database].entry)
+    }
+
+    /// Notes the time that an answer took.
+    pub fn record_answer(&self, database: budget::DatabaseIndex, latency: Duration) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let record = &mut state.records[database];
+        record.latency.record(latency, now);
+        record.unreachable.clear();
+    }
+
+    /// Notes that a replica served a read that asked for a position.
+    pub fn record_caught_up(&self, database: budget::DatabaseIndex) {
+        self.state.borrow_mut().records[database].lagging.clear();
+    }
+
+    /// Notes that a replica was behind what a read asked for.
+    pub fn record_lag(&self, database: budget::DatabaseIndex) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let lagging = &mut state.records[database].lagging;
+        lagging.extend(LAG_AVOID_AT_FIRST, LAG_AVOID_AT_MOST, now);
+    }
+
+    /// Notes that no answer came.
+    pub fn record_silence(&self, database: budget::DatabaseIndex) {
+        let now = clock::now();
+        self.state.borrow_mut().records[database]
+            .unreachable
+            .extend(AVOID_AT_FIRST, AVOID_AT_MOST, now);
+    }
+
+    /// Returns how long a read waits for an answer before it runs elsewhere.
+    pub fn patience(&self, database: budget::DatabaseIndex) -> Duration {
+        let state = self.state.borrow();
+        let latency = &state.records[database].latency;
+        latency.patience(LEAST_PATIENCE, MOST_PATIENCE)
+    }
+
+    /// Tells control what a statement showed about a leader.
+    pub fn report_evidence(&self, database: budget::DatabaseIndex, kind: shared::EvidenceKind) {
+        let entry = self.entry(database);
+        let snapshot = self.shared.snapshot();
+        let leader = snapshot.leaders.get(&entry.service);
+        if leader.is_none_or(|leader| leader.database != entry.id) {
+            return;
+        }
+        let evidence = shared::LeaderEvidence {
+            service: entry.service.clone(),
+            database: entry.id.clone(),
+            kind,
+        };
+        // A full queue means that control has plenty of evidence already.
+        self.shared.evidence.try_send(evidence).ok();
+    }
+}
+
+impl DispatchState {
+    /// Hands a grant to its statement, or on to the next if it is gone.
+    fn deliver(&mut self, grant: budget::WaiterGrant<HeldConnection>) {
+        let now = clock::now();
+        let mut next = Some(grant);
+        while let Some(budget::WaiterGrant { waiter, grant }) = next.take() {
+            let Some(sender) = self.waiters.remove(&waiter) else {
+                next = self.take_back(grant, now);
+                continue;
+            };
+            if let Err(grant) = sender.send(grant) {
+                next = self.take_back(grant, now);
+            }
+        }
+    }
+
+    fn take_back(
+        &mut self,
+        grant: Grant,
+        now: Instant,
+    ) -> Option<budget::WaiterGrant<HeldConnection>> {
+        match grant {
+            Grant::Kept {
+                database,
+                connection,
+            } => {
+                let workspace = connection.workspace.clone();
+                self.budget.release(database, workspace, connection, now)
+            }
+            Grant::Open { database, .. } => self.budget.forget(database, now),
+        }
+    }
+}
+
+/// Orders the databases that may serve a statement by expected finish.
+fn rank_databases(
+    state: &DispatchState,
+    snapshot: &shared::EdgeSnapshot,
+    demand: &ConnectionDemand,
+    now: Instant,
+) -> Vec<(budget::DatabaseIndex, Duration)> {
+    let leader = snapshot.leaders.get(&demand.service);
+    let is_trusted = if demand.needs_lease {
+        snapshot.trusted_leader(&demand.service, now).is_some()
+    } else {
+        leader.is_some_and(|leader| !leader.is_replacing)
+    };
+    let cost = |(index, record): (budget::DatabaseIndex, &DatabaseRecord)| {
+        let entry = &record.entry;
+        let is_leader = leader.is_some_and(|leader| leader.database == entry.id);
+        let is_usable = if is_leader {
+            is_trusted
+        } else {
+            demand.allows_replica && !entry.leaving && !record.lagging.holds(now)
+        };
+        let is_wanted = entry.service == demand.service
+            && record.is_listed
+            && !demand.excluded.contains(&index)
+            && !record.unreachable.holds(now);
+        if !is_usable || !is_wanted {
+            return None;
+        }
+        let answer = record.latency.expected(now);
+        let connection = state
+            .budget
+            .opening_cost(&demand.request.workspace, index, now)
+            .unwrap_or_else(|| expected_wait(state, index, answer));
+        let scarcity = if is_leader && demand.allows_replica {
+            LEADER_READ_COST
+        } else {
+            Duration::ZERO
+        };
+        Some((index, answer + connection + scarcity))
+    };
+    let mut ranked: Vec<_> = state.records.iter().enumerate().filter_map(cost).collect();
+    ranked.sort_by_key(|(_, cost)| *cost);
+    ranked
+}
+
+/// Estimates how long a statement waits for one of a database's connections.
+fn expected_wait(
+    state: &DispatchState,
+    index: budget::DatabaseIndex,
+    answer: Duration,
+) -> Duration {
+    let in_use = state.budget.in_use(index).max(1) as f64;
+    let ahead = state.budget.waiting_for(index) as f64 + 1.0;
+    answer.mul_f64(ahead / in_use) + budget::OPENING_COST
+}
+
+fn refuse(reason: refusal::RefusalReason, message: &str) -> refusal::RequestRefusal {
+    refusal::RequestRefusal::not_run(reason, message)
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -0,0 +1,636 @@
+//! Running one statement of a caller.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_platform::caller;
+use bluebellferry_platform::database;
+use bluebellferry_pool::budget;
+use bluebellferry_runtime::clock;
+use bluebellferry_session::state;
+use bluebellferry_session::statement;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use bluebellferry_types::refusal;
+
+use crate::shared;
+use crate::traffic::connection;
+use crate::traffic::dispatch;
+use crate::traffic::reads;
+use crate::traffic::session;
+
+/// How long a statement rests before it is tried again at a leader that does
+/// not lead yet.
+const LEADER_REST: Duration = Duration::from_millis(40);
+/// When a refused caller should come back if nothing better is known: about the
+/// time of one statement.
+const SHORT_RETRY: Duration = Duration::from_millis(50);
+
+/// What a statement runs under.
+#[derive(Debug, Clone)]
+struct StatementScope {
+    policy: configuration::RoutePolicy,
+    workspace: name::WorkspaceName,
+    /// When the first byte of the statement, or of its transaction, arrived.
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// How a try at one database ended.
+enum TryEnd {
+    /// This is the answer.
+    Answered(database::DatabaseAnswer),
+    /// The statement has not run and may run elsewhere.
+    Elsewhere(&'static str),
+    /// The statement is given up.
+    GivenUp(refusal::RequestRefusal),
+}
+
+impl session::CallerSession {
+    /// Runs a statement and writes its answer, up to the READY line. Returns
+    /// the position that the READY line shows.
+    pub(super) async fn run_statement(
+        &mut self,
+        statement: &statement::Statement,
+        arrived: Instant,
+        out: &mut String,
+    ) -> Option<String> {
+        let result = self.carry_out(statement, arrived).await;
+        let kind = kind_label(&statement.action);
+        let elapsed = clock::now().saturating_duration_since(arrived);
+        self.context.metrics.count_statement(kind, elapsed);
+        match result {
+            Ok(Some(answer)) => {
+                caller::encode_answer(out, &answer);
+                answer.position_text
+            }
+            Ok(None) => {
+                caller::encode_done(out);
+                None
+            }
+            Err(refusal) => {
+                self.context.metrics.count_refusal(refusal.reason);
+                log::info!(
+                    id = statement.id.as_str(), kind = kind, route = self.identity.route.as_str(),
+                    reason = refusal.reason.code(), execution = refusal.execution.as_str(),
+                    elapsed_ms = elapsed.as_millis() as u64, detail = refusal.message.as_str();
+                    "a statement is refused"
+                );
+                caller::encode_refusal(out, &refusal);
+                None
+            }
+        }
+    }
+
+    async fn carry_out(
+        &mut self,
+        statement: &statement::Statement,
+        arrived: Instant,
+    ) -> Result<Option<database::DatabaseAnswer>, refusal::RequestRefusal> {
+        let starts = self.state.starts_operation(statement);
+        let scope = self.scope(starts, arrived).await?;
+        if starts && matches!(statement.action, statement::StatementAction::Begin { .. }) {
+            self.transaction = Some(session::TransactionContext {
+                policy: scope.policy.clone(),
+                workspace: scope.workspace.clone(),
+                arrived,
+            });
+        }
+        let plan = match self.state.plan(statement) {
+            state::StatementPlan::Answer(answer) => {
+                self.forget_ended_transaction();
+                return match answer {
+                    state::LocalAnswer::Done => Ok(None),
+                    state::LocalAnswer::Refused(refusal) => Err(refusal),
+                };
+            }
+            state::StatementPlan::Run(plan) => plan,
+        };
+        let answer = if self.held.is_some() {
+            self.run_held(statement, &plan, &scope).await
+        } else if plan.opening.is_some() {
+            self.open_and_run(statement, &plan, &scope).await
+        } else {
+            self.run_single(statement, &plan, &scope).await
+        };
+        self.forget_ended_transaction();
+        answer.map(Some)
+    }
+
+    fn forget_ended_transaction(&mut self) {
+        if self.state.reported() == state::ReportedState::Idle {
+            self.transaction = None;
+            if let Some(held) = self.held.take() {
+                self.context.dispatch.release(held);
+            }
+        }
+    }
+
+    /// Checks the caller and returns what the statement runs under.
+    async fn scope(
+        &mut self,
+        starts: bool,
+        arrived: Instant,
+    ) -> Result<StatementScope, refusal::RequestRefusal> {
+        let snapshot = self.context.shared.snapshot();
+        let checked = session::check_caller(&snapshot.configuration, &self.identity);
+        if let Some(transaction) = self.transaction.clone() {
+            // The route may be gone; its transactions may end. The key may not.
+            if let Err(refusal) = &checked
+                && refusal.reason == refusal::RefusalReason::KeyRefused
+            {
+                self.abandon_transaction("key withdrawn");
+                return Err(refusal.clone());
+            }
+            return Ok(StatementScope {
+                deadline: arrived + transaction.policy.statement_timeout,
+                policy: transaction.policy,
+                workspace: transaction.workspace,
+                arrived: transaction.arrived,
+            });
+        }
+        let (policy, workspace) = checked?;
+        if starts {
+            self.context
+                .shared
+                .operations
+                .fetch_add(1, Ordering::Relaxed);
+            self.admit(&workspace).await?;
+        }
+        Ok(StatementScope {
+            deadline: arrived + policy.statement_timeout,
+            policy,
+            workspace,
+            arrived,
+        })
+    }
+
+    /// Takes a token of the workspace's rate.
+    async fn admit(&self, workspace: &name::WorkspaceName) -> Result<(), refusal::RequestRefusal> {
+        let shared = &self.context.shared;
+        let Some(share) = shared.shares.find(workspace) else {
+            return Ok(());
+        };
+        let admitted = share.admit(false, &shared.tokens_wanted).await;
+        admitted.map_err(|refilled_in| {
+            let reason = refusal::RefusalReason::RateExceeded;
+            let text = format!("the workspace {workspace} has used up its rate");
+            refusal::RequestRefusal::not_run(reason, text).retry_after(refilled_in)
+        })
+    }
+
+    /// Runs a statement on the connection of the open transaction.
+    async fn run_held(
+        &mut self,
+        statement: &statement::Statement,
+        plan: &state::RunPlan,
+        scope: &StatementScope,
+    ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
+        let Some(mut held) = self.held.take() else {
+            return Err(aborted("the transaction has no connection"));
+        };
+        let sent = clock::now();
+        let exchanged = self
+            .exchange(&mut held, plan, |out| {
+                database::encode_statement(out, &statement.id, &plan.text);
+            })
+            .await;
+        let exchanged = match exchanged {
+            Ok(count) => held.receive(count, scope.deadline).await,
+            Err(error) => Err(error),
+        };
+        match exchanged {
+            Ok(answer) => {
+                self.record_answer(&held, &answer, sent, plan);
+                self.held = Some(held);
+                self.state.record_outcome(plan, outcome_of(&answer));
+                Ok(answer)
+            }
+            Err(error) => {
+                self.record_failure(held, error, is_commit(plan));
+                self.state.record_outcome(plan, state::RunOutcome::Lost);
+                self.transaction = None;
+                Err(lost_in_transaction(plan.kind, error))
+            }
+        }
+    }
+
+    /// Opens the transaction that a caller has begun, and runs its first statement.
+    async fn open_and_run(
+        &mut self,
+        statement: &statement::Statement,
+        plan: &state::RunPlan,
+        scope: &StatementScope,
+    ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
+        let Some(opening) = plan.opening.clone() else {
+            return Err(aborted("no transaction is to be opened"));
+        };
+        if let Err(refusal) = self.open_transaction(&opening, scope).await {
+            self.state.record_abandoned();
+            self.transaction = None;
+            return Err(refusal);
+        }
+        self.state.record_opened(&opening);
+        self.run_held(statement, plan, scope).await
+    }
+
+    async fn open_transaction(
+        &mut self,
+        opening: &state::TransactionOpening,
+        scope: &StatementScope,
+    ) -> Result<(), refusal::RequestRefusal> {
+        let mut demand = self.demand(scope, opening.read_only, true);
+        while clock::now() < scope.deadline {
+            let read = self.read_demand(scope);
+            demand.allows_replica = opening.read_only && read != reads::ReadDemand::Leader;
+            let mut held = self.context.dispatch.obtain(&mut demand).await?;
+            let since = self.since(&held, scope, read);
+            match self.begin(&mut held, opening, since, scope).await {
+                Ok(None) => {
+                    self.held = Some(held);
+                    return Ok(());
+                }
+                Ok(Some(error)) => {
+                    self.note_rejection(&held, error, since.is_some(), &mut demand)
+                        .await;
+                    self.context.dispatch.release(held);
+                }
+                Err(error) => {
+                    demand.excluded.push(held.database);
+                    self.record_failure(held, error, false);
+                }
+            }
+        }
+        Err(not_run_here())
+    }
+
+    /// Sends BEGIN on its own: a statement sent along with one that is refused
+    /// would run outside any transaction.
+    async fn begin(
+        &self,
+        held: &mut dispatch::HeldConnection,
+        opening: &state::TransactionOpening,
+        since: Option<position::LogPosition>,
+        scope: &StatementScope,
+    ) -> Result<Option<database::DatabaseError>, connection::ExchangeError> {
+        let text = database::begin_text(opening.read_only);
+        let mut out = String::new();
+        match since {
+            Some(since) => database::encode_read_since(&mut out, &opening.begin_id, since, text),
+            None => database::encode_statement(&mut out, &opening.begin_id, text),
+        }
+        let patience = clock::now() + self.context.dispatch.patience(held.database);
+        held.send(&out).await?;
+        let answer = held.receive(1, scope.deadline.min(patience)).await?;
+        Ok(answer.error)
+    }
+
+    /// Runs a statement outside any transaction.
+    async fn run_single(
+        &mut self,
+        statement: &statement::Statement,
+        plan: &state::RunPlan,
+        scope: &StatementScope,
+    ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
+        let is_read = plan.kind == state::RunKind::SingleRead;
+        let is_synchronous = {
+            let snapshot = self.context.shared.snapshot();
+            let service = snapshot.configuration.services.get(&scope.policy.service);
+            service.is_some_and(|service| service.synchronous)
+        };
+        let mut demand = self.demand(scope, is_read, is_read || !is_synchronous);
+        while clock::now() < scope.deadline {
+            let read = self.read_demand(scope);
+            demand.allows_replica = is_read && read != reads::ReadDemand::Leader;
+            let held = self.context.dispatch.obtain(&mut demand).await?;
+            let end = if is_read {
+                self.try_read(statement, plan, scope, read, held, &mut demand)
+                    .await
+            } else {
+                self.try_write(statement, plan, scope, held, &mut demand)
+                    .await
+            };
+            match end {
+                TryEnd::Answered(answer) => return Ok(answer),
+                TryEnd::GivenUp(refusal) => return Err(refusal),
+                TryEnd::Elsewhere(reason) => self.context.metrics.count_retry(reason),
+            }
+        }
+        Err(not_run_here())
+    }
+
+    async fn try_read(
+        &mut self,
+        statement: &statement::Statement,
+        plan: &state::RunPlan,
+        scope: &StatementScope,
+        read: reads::ReadDemand,
+        mut held: dispatch::HeldConnection,
+        demand: &mut dispatch::ConnectionDemand,
+    ) -> TryEnd {
+        let since = self.since(&held, scope, read);
+        let sent = clock::now();
+        let patience = sent + self.context.dispatch.patience(held.database);
+        let exchanged = self
+            .exchange(&mut held, plan, |out| match since {
+                Some(since) => {
+                    database::encode_read_since(out, &statement.id, since, &plan.text);
+                }
+                None => database::encode_statement(out, &statement.id, &plan.text),
+            })
+            .await;
+        let exchanged = match exchanged {
+            Ok(count) => held.receive(count, scope.deadline.min(patience)).await,
+            Err(error) => Err(error),
+        };
+        let answer = match exchanged {
+            Ok(answer) => answer,
+            Err(error) => {
+                demand.excluded.push(held.database);
+                self.record_failure(held, error, false);
+                if clock::now() >= scope.deadline {
+                    return TryEnd::GivenUp(timed_out());
+                }
+                return TryEnd::Elsewhere("no_answer");
+            }
+        };
+        self.record_answer(&held, &answer, sent, plan);
+        let Some(error) = answer.error else {
+            if since.is_some() {
+                self.context.dispatch.record_caught_up(held.database);
+            }
+            self.context.dispatch.release(held);
+            return TryEnd::Answered(answer);
+        };
+        // A read may run again whatever happened to it.
+        let can_retry = error != database::DatabaseError::Other && clock::now() < scope.deadline;
+        self.note_rejection(&held, error, since.is_some(), demand)
+            .await;
+        self.context.dispatch.release(held);
+        if can_retry {
+            TryEnd::Elsewhere(error.as_str())
+        } else {
+            TryEnd::Answered(answer)
+        }
+    }
+
+    async fn try_write(
+        &mut self,
+        statement: &statement::Statement,
+        plan: &state::RunPlan,
+        scope: &StatementScope,
+        mut held: dispatch::HeldConnection,
+        demand: &mut dispatch::ConnectionDemand,
+    ) -> TryEnd {
+        let sent = clock::now();
+        let exchanged = self
+            .exchange(&mut held, plan, |out| {
+                database::encode_statement(out, &statement.id, &plan.text);
+            })
+            .await;
+        let exchanged = match exchanged {
+            Ok(count) => held.receive(count, scope.deadline).await,
+            Err(error) => Err(error),
+        };
+        let answer = match exchanged {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.record_failure(held, error, true);
+                return TryEnd::GivenUp(in_doubt(error));
+            }
+        };
+        self.record_answer(&held, &answer, sent, plan);
+        match answer.error {
+            Some(error) if error.is_not_run() && error != database::DatabaseError::Busy => {
+                self.note_rejection(&held, error, false, demand).await;
+                self.context.dispatch.release(held);
+                TryEnd::Elsewhere(error.as_str())
+            }
+            _ => {
+                self.context.dispatch.release(held);
+                self.state.record_outcome(plan, outcome_of(&answer));
+                TryEnd::Answered(answer)
+            }
+        }
+    }
+
+    /// Sends a statement after whatever brings the connection into the
+    /// session's state. Returns how many answers will come.
+    async fn exchange(
+        &self,
+        held: &mut dispatch::HeldConnection,
+        plan: &state::RunPlan,
+        encode: impl FnOnce(&mut String),
+    ) -> Result<usize, connection::ExchangeError> {
+        let steps = held
+            .memory
+            .adopt(self.state.values(), plan.prepared.as_ref());
+        let mut out = String::new();
+        for step in &steps {
+            database::encode_setup(&mut out, step);
+        }
+        encode(&mut out);
+        held.send(&out).await?;
+        Ok(steps.len() + 1)
+    }
+
+    fn demand(
+        &self,
+        scope: &StatementScope,
+        allows_replica: bool,
+        needs_lease: bool,
+    ) -> dispatch::ConnectionDemand {
+        dispatch::ConnectionDemand {
+            service: scope.policy.service.clone(),
+            request: budget::GrantRequest {
+                workspace: scope.workspace.clone(),
+                priority: scope.policy.priority,
+                due: scope.arrived + scope.policy.objective,
+            },
+            allows_replica,
+            needs_lease,
+            excluded: Vec::new(),
+            deadline: scope.deadline,
+        }
+    }
+
+    fn read_demand(&self, scope: &StatementScope) -> reads::ReadDemand {
+        let positions = self.context.shared.positions();
+        let history = positions.get(&scope.policy.service);
+        let floor = self.state.floor();
+        reads::demand_of(scope.policy.guarantee, floor, history, scope.arrived)
+    }
+
+    /// Returns the position that the database must be asked to hold.
+    fn since(
+        &self,
+        held: &dispatch::HeldConnection,
+        scope: &StatementScope,
+        read: reads::ReadDemand,
+    ) -> Option<position::LogPosition> {
+        let entry = self.context.dispatch.entry(held.database);
+        let snapshot = self.context.shared.snapshot();
+        let leader = snapshot.leaders.get(&scope.policy.service);
+        match leader.filter(|leader| leader.database == entry.id) {
+            // A leader that was just chosen may not have applied all of its log.
+            Some(leader) => leader.floor,
+            None => match read {
+                reads::ReadDemand::Since(position) => Some(position),
+                reads::ReadDemand::Leader => None,
+            },
+        }
+    }
+
+    /// Draws conclusions from an error that means the statement has not run.
+    async fn note_rejection(
+        &self,
+        held: &dispatch::HeldConnection,
+        error: database::DatabaseError,
+        asked_since: bool,
+        demand: &mut dispatch::ConnectionDemand,
+    ) {
+        let dispatch = &self.context.dispatch;
+        demand.excluded.push(held.database);
+        match error {
+            database::DatabaseError::Lagging if asked_since => dispatch.record_lag(held.database),
+            database::DatabaseError::ReadOnly => {
+                // The leader was replaced, or does not lead yet.
+                tokio::time::sleep(LEADER_REST).await;
+                demand.excluded.clear();
+            }
+            _ => {}
+        }
+    }
+
+    fn record_answer(
+        &self,
+        held: &dispatch::HeldConnection,
+        answer: &database::DatabaseAnswer,
+        sent: Instant,
+        plan: &state::RunPlan,
+    ) {
+        let dispatch = &self.context.dispatch;
+        let latency = clock::now().saturating_duration_since(sent);
+        if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
+            dispatch.record_answer(held.database, latency);
+        }
+        let entry = dispatch.entry(held.database);
+        let snapshot = self.context.shared.snapshot();
+        let leader = snapshot.leaders.get(&entry.service);
+        let is_leader =
+            leader.is_some_and(|leader| leader.database == entry.id && !leader.is_replacing);
+        if !is_leader {
+            return;
+        }
+        let leads = answer.error != Some(database::DatabaseError::ReadOnly);
+        let commits = is_commit(plan) && answer.error.is_none();
+        let kind = match (leads, commits) {
+            (false, _) => shared::EvidenceKind::NotLeading,
+            (true, true) => shared::EvidenceKind::Committed,
+            (true, false) => shared::EvidenceKind::Answered,
+        };
+        dispatch.report_evidence(held.database, kind);
+        // Nobody had replaced the leader when it was asked, so its log held
+        // everything that was acknowledged until then.
+        let was_leased = snapshot.lease_until.is_some_and(|until| until >= sent);
+        if let Some(position) = answer.position.filter(|_| was_leased && leads) {
+            self.context
+                .shared
+                .record_position(&entry.service, sent, position);
+        }
+    }
+
+    fn record_failure(
+        &self,
+        held: dispatch::HeldConnection,
+        error: connection::ExchangeError,
+        is_commit: bool,
+    ) {
+        let dispatch = &self.context.dispatch;
+        let database = held.database;
+        self.context.metrics.count_retry("connection_lost");
+        log::info!(
+            database = dispatch.entry(database).id.as_str(), error:% = error;
+            "a database did not answer"
+        );
+        if error != connection::ExchangeError::Malformed {
+            dispatch.record_silence(database);
+            let kind = if is_commit {
+                shared::EvidenceKind::CommitSilent
+            } else {
+                shared::EvidenceKind::Silent
+            };
+            dispatch.report_evidence(database, kind);
+        }
+        dispatch.forget(held);
+    }
+}
+
+/// Returns whether the statement's answer shows that commits are acknowledged.
+fn is_commit(plan: &state::RunPlan) -> bool {
+    matches!(
+        plan.kind,
+        state::RunKind::Commit | state::RunKind::SingleWrite
+    )
+}
+
+fn outcome_of(answer: &database::DatabaseAnswer) -> state::RunOutcome {
+    match answer.error {
+        None => state::RunOutcome::Succeeded {
+            position: answer.position,
+        },
+        Some(_) => state::RunOutcome::Rejected {
+            state: answer.state,
+        },
+    }
+}
+
+fn kind_label(action: &statement::StatementAction) -> &'static str {
+    use statement::StatementAction as Action;
+    match action {
+        Action::Begin { .. } => "begin",
+        Action::Commit => "commit",
+        Action::Rollback => "rollback",
+        Action::Access {
+            kind: statement::AccessKind::Read,
+            ..
+        } => "read",
+        Action::Access { .. } => "write",
+        Action::Execute { .. } => "execute",
+        Action::Set { .. } | Action::Prepare { .. } | Action::Deallocate { .. } => "local",
+    }
+}
+
+fn aborted(message: &str) -> refusal::RequestRefusal {
+    refusal::RequestRefusal::not_run(refusal::RefusalReason::TransactionAborted, message)
+}
+
+fn timed_out() -> refusal::RequestRefusal {
+    let reason = refusal::RefusalReason::StatementTimeout;
+    refusal::RequestRefusal::not_run(reason, "no database answered in time")
+        .retry_after(SHORT_RETRY)
+}
+
+fn not_run_here() -> refusal::RequestRefusal {
+    let reason = refusal::RefusalReason::NoPrimary;
+    refusal::RequestRefusal::not_run(reason, "no database took the statement")
+        .retry_after(SHORT_RETRY)
+}
+
+fn in_doubt(error: connection::ExchangeError) -> refusal::RequestRefusal {
+    refusal::RequestRefusal::unknown(refusal::RefusalReason::OutcomeUnknown, error.to_string())
+}
+
+/// What is true of a transaction whose connection is lost: without its COMMIT
+/// the database rolls it back.
+fn lost_in_transaction(
+    kind: state::RunKind,
+    error: connection::ExchangeError,
+) -> refusal::RequestRefusal {
+    match kind {
+        state::RunKind::Commit => in_doubt(error),
+        _ => aborted(&error.to_string()),
+    }
+}
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -20,6 +20,9 @@
 /// shrunk its own first.
 pub const GROWTH_DELAY: Duration = Duration::from_secs(5);
 
+/// The most sizes that wait to come into force.
+const MAX_GROWTH_STEPS: usize = 8;
+
 /// The longest time that is given for the next own token, also where none comes.
 pub const LONGEST_REFILL: Duration = Duration::from_secs(5);
 /// The smallest part of a token that is worth a message.
@@ -34,6 +37,16 @@
     pub burst: f64,
 }
 
+impl ShareSize {
+    /// Returns the size that is within both.
+    fn smaller_of(self, other: Self) -> Self {
+        Self {
+            rate_per_second: self.rate_per_second.min(other.rate_per_second),
+            burst: self.burst.min(other.burst),
+        }
+    }
+}
+
 /// The answer to a request for a token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TokenAnswer {
@@ -62,7 +75,8 @@
 #[derive(Debug, Clone)]
 pub struct ShareBucket {
     size: ShareSize,
-    grown: Option<(Instant, ShareSize)>,
+    /// Larger sizes that come into force later, the earliest first.
+    growth: SmallVec<[(Instant, ShareSize); 2]>,
     tokens: f64,
     refilled_at: Instant,
     shut_until: Instant,
@@ -87,7 +101,7 @@
     pub fn empty(size: ShareSize, now: Instant) -> Self {
         Self {
             size,
-            grown: None,
+            growth: SmallVec::new(),
             tokens: 0.0,
             refilled_at: now + LOAN_RESERVATION,
             shut_until: now,
@@ -101,13 +115,17 @@
     /// [`GROWTH_DELAY`].
     pub fn resize(&mut self, size: ShareSize, now: Instant) {
         self.refill(now);
-        let at_once = ShareSize {
-            rate_per_second: self.size.rate_per_second.min(size.rate_per_second),
-            burst: self.size.burst.min(size.burst),
-        };
-        self.size = at_once;
+        self.size = self.size.smaller_of(size);
         self.tokens = self.tokens.min(self.capacity());
-        self.grown = (size != at_once).then_some((now + GROWTH_DELAY, size));
+        // What was to grow before still does, up to the new size; a stream of
+        // changes must not put growth off for ever.
+        for (_, planned) in &mut self.growth {
+            *planned = planned.smaller_of(size);
+        }
+        if self.growth.len() >= MAX_GROWTH_STEPS {
+            self.growth.pop();
+        }
+        self.growth.push((now + GROWTH_DELAY, size));
     }
 
     /// Notes that the process is running. Without such notes for
@@ -204,10 +222,10 @@
         self.lent.retain(|loan| loan.reserved_until > now);
         self.borrowed
             .retain(|loan| loan.valid_until > now && loan.amount > 0.0);
-        if let Some((due, size)) = self.grown.filter(|(due, _)| *due <= now) {
+        while let Some((due, size)) = self.growth.first().copied().filter(|(due, _)| *due <= now) {
             self.add_refill(due);
             self.size = size;
-            self.grown = None;
+            self.growth.remove(0);
         }
         self.add_refill(now);
     }
--- /dev/null
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -0,0 +1,83 @@
+//! The heartbeat of VMs whose members and leaders stand in the store.
+
+use bluebellferry_catalog::leadership;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The latest heartbeat that the sender has received from another VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatEcho {
+    /// The other VM.
+    pub vm: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// The sequence number.
+    pub sequence: u64,
+}
+
+/// A position that a leader was seen to hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PositionSample {
+    /// The service.
+    pub service: name::ServiceName,
+    /// The position.
+    pub position: position::LogPosition,
+    /// How long before the heartbeat the leader was asked, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// A leader that the sender cannot use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderSuspicion {
+    /// The service.
+    pub service: name::ServiceName,
+    /// The leader.
+    pub database: name::DatabaseName,
+}
+
+/// The part of a fleet-wide limit that a VM gets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VmWeight {
+    /// The VM.
+    pub vm: String,
+    /// The part, from 0 to 1.
+    pub part: f64,
+}
+
+/// The parts of all VMs, as the holder of the duty set them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct WeightTable {
+    /// The fencing token of the VM that set them.
+    pub token: u64,
+    /// Its number for this table.
+    pub number: u64,
+    /// The parts.
+    pub weights: Vec<VmWeight>,
+}
+
+/// What a VM tells every other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetBeat {
+    /// The sender's name.
+    pub vm: String,
+    /// Whether the sender takes no new callers.
+    pub is_leaving: bool,
+    /// The version of the configuration in force at the sender.
+    pub configuration_version: u64,
+    /// The sender's leadership table.
+    pub table: leadership::LeadershipTable,
+    /// Whether the sender is trying to enter a replacement into the table.
+    pub is_claiming: bool,
+    /// What the sender has received.
+    pub echoes: Vec<BeatEcho>,
+    /// Operations that the sender's callers started, a second.
+    pub operations_per_second: f64,
+    /// The parts that the sender knows.
+    pub weights: WeightTable,
+    /// Leaders that the sender cannot use.
+    pub suspicions: Vec<LeaderSuspicion>,
+    /// What leaders were seen to hold.
+    pub positions: Vec<PositionSample>,
+}
--- a/crates/bluebellferry_membership/src/lib.rs
+++ b/crates/bluebellferry_membership/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), bluebellferry_membership::envelope::EnvelopeError>(())
 //! ```
 
+pub mod beat;
 pub mod envelope;
 pub mod message;
 pub mod roster;
--- a/crates/bluebellferry_membership/src/message.rs
+++ b/crates/bluebellferry_membership/src/message.rs
@@ -4,6 +4,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::beat;
+
 /// A message between two VMs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -11,6 +13,8 @@
     Heartbeat(HeartbeatNews),
     /// The sender is about to stop and takes no new work.
     Goodbye,
+    /// The sender is alive; among VMs whose members stand in the store.
+    Beat(Box<beat::FleetBeat>),
     /// The sender needs tokens of a workspace.
     TokenRequest {
         /// The workspace.
--- /dev/null
+++ b/crates/bluebellferry_pool/src/lib.rs
@@ -0,0 +1,28 @@
+//! Which connection a statement gets, without I/O.
+//!
+//! A connection is opened for one workspace at one database and is worth
+//! keeping: a new one occupies a slot of the database for several
+//! milliseconds. [`budget::ConnectionBudget`] keeps this VM below its part of
+//! each database's limit, prefers a kept connection of the same workspace,
+//! replaces the longest idle one of another workspace before it lets a
+//! statement wait, and hands a released connection to the waiting statement
+//! whose objective falls due first. [`estimate::LatencyEstimate`] learns how
+//! long each database takes to answer.
+//!
+//! ```
+//! use std::time::Instant;
+//! use bluebellferry_pool::budget::{ConnectionBudget, ConnectionGrant, GrantRequest};
+//! use bluebellferry_types::name::WorkspaceName;
+//!
+//! let now = Instant::now();
+//! let mut budget: ConnectionBudget<&str> = ConnectionBudget::default();
+//! budget.set_allowance(0, 1);
+//! let workspace = WorkspaceName::try_from("families")?;
+//! let request = GrantRequest { workspace, priority: 1, due: now };
+//! let grant = budget.request(&request, 0, now);
+//! assert!(matches!(grant, Some(ConnectionGrant::Open { closing: None, .. })));
+//! # Ok::<(), bluebellferry_types::name::NameError>(())
+//! ```
+
+pub mod budget;
+pub mod estimate;
--- /dev/null
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -0,0 +1,134 @@
+//! A VM's right to rely on the leadership table.
+//!
+//! A read that must see every acknowledged commit may run only at a database
+//! that nobody has replaced. A VM may assume that for [`LEASE_TERM`] after an
+//! instant at which it is known that no replacement was under way: the store
+//! returned the table then, or every other member has answered a heartbeat sent
+//! then without having begun one. Whoever replaces a leader first enters it
+//! into the table and then waits until every member has seen that, or until the
+//! term has passed.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// How long a VM may rely on the table after it was confirmed. Over three
+/// heartbeats: a lost datagram does not end it.
+pub const LEASE_TERM: Duration = Duration::from_millis(1_500);
+/// How long a VM that registers waits before it may replace a leader, and for
+/// how long the others may go without looking for new members.
+pub const JOIN_DELAY: Duration = Duration::from_secs(15);
+/// How many heartbeats are remembered; more than fit into a lease's term.
+const REMEMBERED_BEATS: usize = 64;
+
+#[derive(Debug, Clone, Copy)]
+struct SentBeat {
+    sequence: u64,
+    sent: Instant,
+}
+
+/// What another member has confirmed.
+#[derive(Debug, Clone, Copy)]
+struct MemberVouch {
+    incarnation: u64,
+    /// When the latest of this VM's heartbeats that the member answered was sent.
+    confirmed: Instant,
+}
+
+/// What another VM's heartbeat says about the leadership.
+#[derive(Debug, Clone, Copy)]
+pub struct BeatVouch {
+    /// The sender's incarnation.
+    pub incarnation: u64,
+    /// The sequence number of this VM's latest heartbeat that the sender had received.
+    pub echoed: u64,
+    /// The revision of the sender's table.
+    pub revision: u64,
+    /// Whether the sender is trying to enter a replacement into the table.
+    pub is_claiming: bool,
+}
+
+/// Follows how long this VM may rely on its table.
+#[derive(Debug, Default)]
+pub struct LeaseKeeper {
+    revision: u64,
+    sent: VecDeque<SentBeat>,
+    vouches: BTreeMap<String, MemberVouch>,
+    members: Option<(Instant, Vec<String>)>,
+    store_confirmed: Option<Instant>,
+}
+
+impl LeaseKeeper {
+    /// Notes that a heartbeat with this sequence number is about to be sent.
+    pub fn record_sent(&mut self, sequence: u64, now: Instant) {
+        if self.sent.len() == REMEMBERED_BEATS {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(SentBeat {
+            sequence,
+            sent: now,
+        });
+    }
+
+    /// Takes the other members, as the store listed them; `asked` is an instant
+    /// before the question.
+    pub fn record_members(&mut self, asked: Instant, others: Vec<String>) {
+        self.vouches.retain(|name, _| others.contains(name));
+        self.members = Some((asked, others));
+    }
+
+    /// Takes a table revision that has come into force on this VM.
+    pub fn record_revision(&mut self, revision: u64) {
+        // Confirmations stay: whoever changed the table waits for this VM or for
+        // the end of every term that was confirmed before.
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes the store's answer that the table has this revision; `asked` is an
+    /// instant before the question.
+    pub fn record_store(&mut self, asked: Instant, revision: u64) {
+        self.record_revision(revision);
+        self.store_confirmed = self.store_confirmed.max(Some(asked));
+    }
+
+    /// Takes what another VM's heartbeat says.
+    pub fn record_vouch(&mut self, member: &str, vouch: BeatVouch) {
+        if vouch.is_claiming || vouch.revision > self.revision {
+            self.vouches.remove(member);
+            return;
+        }
+        let sent = self.sent.iter().find(|beat| beat.sequence == vouch.echoed);
+        let Some(sent) = sent else { return };
+        let known = self.vouches.get(member);
+        // Heartbeats may arrive out of order; an older one takes nothing back.
+        let is_older = known.is_some_and(|known| {
+            vouch.incarnation < known.incarnation
+                || (vouch.incarnation == known.incarnation && sent.sent < known.confirmed)
+        });
+        if !is_older {
+            let vouch = MemberVouch {
+                incarnation: vouch.incarnation,
+                confirmed: sent.sent,
+            };
+            self.vouches.insert(member.to_owned(), vouch);
+        }
+    }
+
+    /// Returns until when this VM may rely on its table.
+    pub fn valid_until(&self) -> Option<Instant> {
+        let by_store = self.store_confirmed.map(|asked| asked + LEASE_TERM);
+        by_store.max(self.valid_by_members())
+    }
+
+    fn valid_by_members(&self) -> Option<Instant> {
+        let (listed, others) = self.members.as_ref()?;
+        // Without others there is nobody to vouch; only the store can.
+        let first = others.first()?;
+        let mut oldest = self.vouches.get(first)?.confirmed;
+        for member in others {
+            oldest = oldest.min(self.vouches.get(member)?.confirmed);
+        }
+        Some((oldest + LEASE_TERM).min(*listed + JOIN_DELAY))
+    }
+}
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -15,5 +15,7 @@
 //! ```
 
 pub mod event;
+pub mod lease;
 pub mod observation;
 pub mod promoter;
+pub mod successor;
--- /dev/null
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -0,0 +1,66 @@
+//! The choice of the database that takes over from a lost or leaving leader.
+//!
+//! With one synchronous copy, a commit that was acknowledged is in the leader's
+//! log and in that of at least one replica, but nobody knows which. So either
+//! the leader has given up leading and told its position, or every replica must
+//! have been told to receive nothing more and have reported its position.
+
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+
+/// What is known of one database of the service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberEvidence {
+    /// The database.
+    pub id: name::DatabaseName,
+    /// Whether it is the leader to be replaced.
+    pub is_leader: bool,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// The end of its log, reported after it stopped receiving or leading;
+    /// `None` until then.
+    pub held_at: Option<position::LogPosition>,
+}
+
+/// What may be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SuccessorChoice {
+    /// This database holds every acknowledged commit.
+    Promote {
+        /// The database.
+        id: name::DatabaseName,
+        /// The end of its log.
+        position: position::LogPosition,
+    },
+    /// Too little is known; an acknowledged commit might be lost.
+    Wait,
+}
+
+/// Chooses the successor.
+pub fn choose_successor(members: &[MemberEvidence]) -> SuccessorChoice {
+    let leader = members.iter().find(|member| member.is_leader);
+    let leader_end = leader.and_then(|leader| leader.held_at);
+    let replicas = || members.iter().filter(|member| !member.is_leader);
+    let best = replicas()
+        .filter_map(|member| Some((member.held_at?, !member.is_leaving, member)))
+        .max_by_key(|(position, stays, member)| (*position, *stays, &member.id));
+    let all_held = replicas().all(|member| member.held_at.is_some());
+    if let Some((position, _, best)) = best {
+        let has_reached_leader = leader_end.is_some_and(|end| position >= end);
+        if has_reached_leader || all_held {
+            return promote(best, position);
+        }
+    }
+    // The old leader itself lacks nothing.
+    match (leader, leader_end) {
+        (Some(leader), Some(end)) if !leader.is_leaving => promote(leader, end),
+        _ => SuccessorChoice::Wait,
+    }
+}
+
+fn promote(member: &MemberEvidence, position: position::LogPosition) -> SuccessorChoice {
+    SuccessorChoice::Promote {
+        id: member.id.clone(),
+        position,
+    }
+}
--- a/crates/bluebellferry_proxy/src/control/objects.rs
+++ b/crates/bluebellferry_proxy/src/control/objects.rs
@@ -1,13 +1,16 @@
 //! The environment's objects: which keys they have and what they mean.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
 use bluebellferry_document::check;
 use bluebellferry_document::hash;
+use bluebellferry_document::model;
 use bluebellferry_keys::digest;
 use bluebellferry_limits::bucket;
+use bluebellferry_limits::share;
 use bluebellferry_store::wire;
 use bluebellferry_types::name;
 use serde::Deserialize;
@@ -203,9 +206,8 @@
         log::info!(version = version, hash = in_force.hash.short(); "a document is in force");
         let place = &self.shared.settings.place;
         let now = Instant::now();
-        self.shared
-            .shares
-            .apply_document(&in_force.document, place, now);
+        let sizes = share_sizes(&in_force.document, place);
+        self.shared.shares.apply_sizes(&sizes);
         self.usable_from
             .get_or_insert(now + bucket::LOAN_RESERVATION);
         self.in_force = Some(Arc::new(in_force));
@@ -307,3 +309,24 @@
         hash,
     })
 }
+
+/// Returns this VM's part of each workspace's rate.
+fn share_sizes(
+    document: &model::EnvironmentDocument,
+    place: &share::VmPlace,
+) -> BTreeMap<name::WorkspaceName, bucket::ShareSize> {
+    let centres: Vec<(name::DataCentreName, u32)> = document
+        .data_centres
+        .iter()
+        .map(|(name, plan)| (name.clone(), plan.vms))
+        .collect();
+    let size = |(workspace, plan): (&name::WorkspaceName, &model::WorkspacePlan)| {
+        let total = bucket::ShareSize {
+            rate_per_second: plan.rate_per_second,
+            burst: plan.burst,
+        };
+        let part = share::owned_share(workspace, total, place, &centres);
+        (workspace.clone(), part)
+    };
+    document.workspaces.iter().map(size).collect()
+}
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -11,7 +11,7 @@
 use bluebellferry_membership::envelope;
 use bluebellferry_membership::message;
 use bluebellferry_membership::roster;
-use bluebellferry_types::name;
+use bluebellferry_shares::lending;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 
@@ -47,14 +47,6 @@
     Ok(PeerSockets { udp, tcp })
 }
 
-/// A request for tokens that may still be answered.
-#[derive(Debug, Clone)]
-struct OpenAsk {
-    workspace: name::WorkspaceName,
-    asked_at: Instant,
-    answered_by: Vec<SocketAddr>,
-}
-
 /// The links to other VMs.
 pub(super) struct PeerLinks {
     udp: Arc<UdpSocket>,
@@ -66,8 +58,7 @@
     next_address: usize,
     heartbeat_due: Instant,
     ask_due: Instant,
-    next_ask: u64,
-    open_asks: BTreeMap<u64, OpenAsk>,
+    lending: lending::TokenLending<SocketAddr>,
     recent: VecDeque<(Instant, message::ObjectVersion)>,
     objects_digest: u64,
     fetching: BTreeMap<SocketAddr, Instant>,
@@ -101,8 +92,7 @@
             next_address: 0,
             heartbeat_due: now,
             ask_due: now,
-            next_ask: 1,
-            open_asks: BTreeMap::new(),
+            lending: lending::TokenLending::default(),
             recent: VecDeque::new(),
             objects_digest: 0,
             fetching: BTreeMap::new(),
@@ -254,6 +244,7 @@
                 self.take_heartbeat_effect(from, effect, &objects, now);
                 self.compare_objects(from, digest, now);
             }
+            message::PeerMessage::Beat(_) => self.shared.metrics.count_peer_message("refused"),
             message::PeerMessage::Goodbye => self.roster.record_goodbye(opened.incarnation),
             message::PeerMessage::TokenRequest {
                 workspace,
--- a/crates/bluebellferry_proxy/src/lib.rs
+++ b/crates/bluebellferry_proxy/src/lib.rs
@@ -18,6 +18,5 @@
 pub mod session;
 pub mod settings;
 pub mod shared;
-pub mod shares;
 pub mod snapshot;
 pub mod tls;
--- a/crates/bluebellferry_proxy/src/shared.rs
+++ b/crates/bluebellferry_proxy/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use bluebellferry_shares::ledger;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -13,7 +14,6 @@
 use crate::metrics;
 use crate::prepared;
 use crate::settings;
-use crate::shares;
 use crate::snapshot;
 
 /// The shared state of one proxy process.
@@ -26,7 +26,7 @@
     /// The counters.
     pub metrics: metrics::ProxyMetrics,
     /// The token buckets.
-    pub shares: shares::ShareLedger,
+    pub shares: ledger::ShareLedger,
     /// Notified when callers wait for tokens.
     pub tokens_wanted: Notify,
     /// The sessions that cancel requests can reach.
@@ -52,7 +52,7 @@
         Ok(Arc::new(Self {
             incarnation,
             metrics: metrics::ProxyMetrics::new()?,
-            shares: shares::ShareLedger::default(),
+            shares: ledger::ShareLedger::default(),
             tokens_wanted: Notify::new(),
             cancels: cancel::CancelRegistry::default(),
             prepared: prepared::PreparedRegistry::default(),
--- a/crates/bluebellferry_routing/src/history.rs
+++ b/crates/bluebellferry_routing/src/history.rs
@@ -19,11 +19,11 @@
     /// Records that the primary's position was at least `position` at `asked`,
     /// an instant before the question was sent. Older positions are ignored.
     pub fn record(&mut self, asked: Instant, position: position::LogPosition) {
-        if self
-            .samples
-            .back()
-            .is_some_and(|(_, last)| *last > position)
-        {
+        // Answers may come out of order; samples stay sorted by both parts.
+        let is_outdated = |(last_asked, last): &(Instant, position::LogPosition)| {
+            *last > position || *last_asked >= asked
+        };
+        if self.samples.back().is_some_and(is_outdated) {
             return;
         }
         if self.samples.len() == MAX_SAMPLES {
@@ -42,6 +42,19 @@
         Some(now.saturating_duration_since(*asked))
     }
 
+    /// Returns the lowest recorded position that covers everything which was
+    /// acknowledged before `cutoff`, or `None` when the primary has not been
+    /// asked since.
+    pub fn floor_since(&self, cutoff: Instant) -> Option<position::LogPosition> {
+        let first = self.samples.partition_point(|(asked, _)| *asked < cutoff);
+        self.samples.get(first).map(|(_, position)| *position)
+    }
+
+    /// Returns the last sample.
+    pub fn latest_sample(&self) -> Option<(Instant, position::LogPosition)> {
+        self.samples.back().copied()
+    }
+
     /// Returns the instant by which the primary is known to have reached `position`.
     pub fn reached_at(&self, position: position::LogPosition) -> Option<Instant> {
         let before = self
--- a/crates/bluebellferry_runtime/src/lib.rs
+++ b/crates/bluebellferry_runtime/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert!(error.is_some_and(|error| error.to_string().starts_with("proxy.json: port:")));
 //! ```
 
+pub mod clock;
 pub mod health;
 pub mod logging;
 pub mod settings;
--- a/crates/bluebellferry_proxy/src/shares.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -10,10 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bluebellferry_document::model;
 use bluebellferry_limits::bucket;
 use bluebellferry_limits::demand;
-use bluebellferry_limits::share;
 use bluebellferry_types::name;
 use tokio::sync::Notify;
 
@@ -40,6 +38,7 @@
     state: Mutex<WorkspaceBucket>,
     waiting: AtomicUsize,
     arrived: Notify,
+    clock: ShareClock,
 }
 
 impl WorkspaceShare {
@@ -53,7 +52,7 @@
     /// # Errors
     /// Returns when the next own token is due, if none came in time.
     pub async fn admit(&self, in_transaction: bool, wanted: &Notify) -> Result<(), Duration> {
-        let started = Instant::now();
+        let started = self.clock.now();
         {
             let mut state = self.lock();
             state.demand.count(started);
@@ -80,7 +79,7 @@
         };
         loop {
             let arrival = self.arrived.notified();
-            let now = Instant::now();
+            let now = self.clock.now();
             let answer = self.lock().bucket.try_take(now);
             let bucket::TokenAnswer::Empty { refilled_in } = answer else {
                 return Ok(());
@@ -132,13 +131,38 @@
 
 type ShareMap = BTreeMap<name::WorkspaceName, Arc<WorkspaceShare>>;
 
+/// Where buckets read the time from.
+#[derive(Debug, Clone, Copy)]
+pub struct ShareClock(pub fn() -> Instant);
+
+impl ShareClock {
+    fn now(self) -> Instant {
+        (self.0)()
+    }
+}
+
 /// All workspaces' tokens.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ShareLedger {
     shares: RwLock<ShareMap>,
+    clock: ShareClock,
+}
+
+impl Default for ShareLedger {
+    fn default() -> Self {
+        Self::with_clock(ShareClock(Instant::now))
+    }
 }
 
 impl ShareLedger {
+    /// Creates a ledger without workspaces that reads the time from `clock`.
+    pub fn with_clock(clock: ShareClock) -> Self {
+        Self {
+            shares: RwLock::default(),
+            clock,
+        }
+    }
+
     /// Returns a workspace's tokens.
     pub fn find(&self, workspace: &name::WorkspaceName) -> Option<Arc<WorkspaceShare>> {
         self.read().get(workspace).cloned()
@@ -159,30 +183,17 @@
         }
     }
 
-    /// Applies the rates of a document that has come into force.
-    pub fn apply_document(
-        &self,
-        document: &model::EnvironmentDocument,
-        place: &share::VmPlace,
-        now: Instant,
-    ) {
-        let centres: Vec<(name::DataCentreName, u32)> = document
-            .data_centres
-            .iter()
-            .map(|(name, plan)| (name.clone(), plan.vms))
-            .collect();
+    /// Applies the sizes of this VM's parts, one for each workspace in force.
+    pub fn apply_sizes(&self, sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>) {
+        let now = self.clock.now();
         let mut shares = self.shares.write().unwrap_or_else(PoisonError::into_inner);
-        shares.retain(|workspace, _| document.workspaces.contains_key(workspace));
-        for (workspace, plan) in &document.workspaces {
-            let total = bucket::ShareSize {
-                rate_per_second: plan.rate_per_second,
-                burst: plan.burst,
-            };
-            let size = share::owned_share(workspace, total, place, &centres);
+        shares.retain(|workspace, _| sizes.contains_key(workspace));
+        for (workspace, size) in sizes {
             match shares.get(workspace) {
-                Some(share) => share.lock().bucket.resize(size, now),
+                Some(share) => share.lock().bucket.resize(*size, now),
                 None => {
-                    shares.insert(workspace.clone(), Arc::new(new_share(size, now)));
+                    let share = new_share(*size, self.clock, now);
+                    shares.insert(workspace.clone(), Arc::new(share));
                 }
             }
         }
@@ -206,7 +217,7 @@
 
 /// A new bucket starts empty: whatever ran in this place before may just have
 /// spent its tokens.
-fn new_share(size: bucket::ShareSize, now: Instant) -> WorkspaceShare {
+fn new_share(size: bucket::ShareSize, clock: ShareClock, now: Instant) -> WorkspaceShare {
     WorkspaceShare {
         state: Mutex::new(WorkspaceBucket {
             bucket: bucket::ShareBucket::empty(size, now),
@@ -215,5 +226,6 @@
         }),
         waiting: AtomicUsize::new(0),
         arrived: Notify::new(),
+        clock,
     }
 }
--- /dev/null
+++ b/crates/bluebellferry_shares/src/lending.rs
@@ -0,0 +1,122 @@
+//! Tokens on their way between VMs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_limits::bucket;
+use bluebellferry_types::name;
+
+use crate::ledger;
+
+/// By how much more than the need is asked for, so that rounding leaves no gap.
+const ASK_SURPLUS: f64 = 1.05;
+/// The smallest part of a token that is asked of one VM; smaller loans are not
+/// given.
+const SMALLEST_ASK: f64 = 2.0 * bucket::SMALLEST_LOAN;
+/// How long the number of a token request is kept.
+const ASK_KEPT: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct OpenAsk<A> {
+    workspace: name::WorkspaceName,
+    asked_at: Instant,
+    answered_by: Vec<A>,
+}
+
+/// A request for tokens to send to other VMs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TokenAsk {
+    /// The workspace.
+    pub workspace: name::WorkspaceName,
+    /// How many tokens each of the others is asked for.
+    pub amount: f64,
+    /// The number that the answers carry.
+    pub number: u64,
+}
+
+/// The requests for tokens that are under way; `A` identifies another VM.
+#[derive(Debug)]
+pub struct TokenLending<A> {
+    next_number: u64,
+    open_asks: BTreeMap<u64, OpenAsk<A>>,
+}
+
+impl<A> Default for TokenLending<A> {
+    fn default() -> Self {
+        Self {
+            next_number: 0,
+            open_asks: BTreeMap::new(),
+        }
+    }
+}
+
+impl<A: PartialEq> TokenLending<A> {
+    /// Returns what to ask of `others` other VMs, where callers need more
+    /// tokens than there are.
+    pub fn begin_asks(
+        &mut self,
+        ledger: &ledger::ShareLedger,
+        others: usize,
+        now: Instant,
+    ) -> Vec<TokenAsk> {
+        let recent = |ask: &OpenAsk<A>| now.saturating_duration_since(ask.asked_at) < ASK_KEPT;
+        self.open_asks.retain(|_, ask| recent(ask));
+        if others == 0 {
+            return Vec::new();
+        }
+        let mut asks = Vec::new();
+        for (workspace, share) in ledger.all() {
+            if let Some(missing) = share.begin_ask(now) {
+                let amount = (missing * ASK_SURPLUS / others as f64).max(SMALLEST_ASK);
+                asks.push(self.open_ask(workspace, amount, now));
+            }
+        }
+        asks
+    }
+
+    fn open_ask(&mut self, workspace: name::WorkspaceName, amount: f64, now: Instant) -> TokenAsk {
+        let number = self.next_number;
+        self.next_number += 1;
+        let ask = OpenAsk {
+            workspace: workspace.clone(),
+            asked_at: now,
+            answered_by: Vec::new(),
+        };
+        self.open_asks.insert(number, ask);
+        TokenAsk {
+            workspace,
+            amount,
+            number,
+        }
+    }
+
+    /// Takes tokens, once for each giver and request: a doubled message must
+    /// not double them.
+    pub fn accept(
+        &mut self,
+        ledger: &ledger::ShareLedger,
+        from: A,
+        amount: f64,
+        number: u64,
+        now: Instant,
+    ) {
+        let Some(ask) = self.open_asks.get_mut(&number) else {
+            return;
+        };
+        if ask.answered_by.contains(&from) {
+            return;
+        }
+        ask.answered_by.push(from);
+        if let Some(share) = ledger.find(&ask.workspace) {
+            share.accept_loan(amount, ask.asked_at, now);
+        }
+    }
+}
+
+/// Moves tokens out for another VM; returns how many.
+pub fn lend(ledger: &ledger::ShareLedger, workspace: &str, asked: f64, now: Instant) -> f64 {
+    let checked = name::WorkspaceName::try_from(workspace).ok();
+    let share = checked.and_then(|name| ledger.find(&name));
+    share.map_or(0.0, |share| share.lend(asked, now))
+}
--- a/crates/bluebellferry_types/src/refusal.rs
+++ b/crates/bluebellferry_types/src/refusal.rs
@@ -96,6 +96,15 @@
     /// The workspace may not use this service.
     ServiceForbidden => "service_forbidden", "42501",
         "The workspace is not allowed to use this database service.";
+    /// No route has the database name that the caller asked for.
+    UnknownRoute => "unknown_route", "3D000",
+        "The caller asked for a database name that the configuration does not know.";
+    /// The VM does not know at present which database is the primary.
+    LeadershipUnconfirmed => "leadership_unconfirmed", "57P03",
+        "It could not be confirmed which database was the main one.";
+    /// No answer came within the time for one statement.
+    StatementTimeout => "statement_timeout", "57014",
+        "The database did not answer within the time that is allowed for one request.";
     /// The read kind is not declared for the service.
     UnknownReadKind => "unknown_read_kind", "22023",
         "The request named a kind of read that the configuration does not know.";
