Give the duty to who reaches the store; refill buckets for a restart's downtime

Ruled out: detection (suspected 0.6 s after the cut), connections. Change: heartbeats say whether the store answers, only such VMs hold the duty; a restarted bucket holds what would have come back in the shortest downtime, so never more than if the process had lived; a new VM uses its part once all made room.

--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -48,6 +48,7 @@
         tokio::task::spawn_local(configuration::follow(Rc::clone(&control))),
         tokio::task::spawn_local(registry::follow(Rc::clone(&control))),
         tokio::task::spawn_local(members::follow(Rc::clone(&control))),
+        tokio::task::spawn_local(members::join(Rc::clone(&control))),
         tokio::task::spawn_local(members::confirm_table(Rc::clone(&control))),
         tokio::task::spawn_local(peers::send_beats(Rc::clone(&control), Rc::clone(&links))),
         tokio::task::spawn_local(peers::receive(Rc::clone(&control), Rc::clone(&links))),
--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bluebellferry_catalog::leadership;
@@ -23,6 +24,13 @@
 /// How often VMs are listed while the list changes, as at a start, and later.
 const FIRST_INTERVAL: Duration = Duration::from_millis(700);
 const LATER_INTERVAL: Duration = Duration::from_secs(5);
+/// The shortest time between two listings.
+const LEAST_INTERVAL: Duration = Duration::from_millis(300);
+/// After how long a new VM uses its part although not all are known to have
+/// made room: longer than the interval of listings.
+const JOIN_AT_LATEST: Duration = Duration::from_millis(6_500);
+/// How often a new VM looks whether all have made room.
+const JOIN_STEP: Duration = Duration::from_millis(100);
 /// How many listings are made at the shorter interval.
 const FIRST_LISTINGS: u32 = 4;
 /// The table is read from the store when the lease would end within this time.
@@ -39,9 +47,11 @@
 
 /// Registers this VM and follows the list of all VMs.
 pub async fn follow(control: control::ControlCell) {
-    let (settings, incarnation) = {
+    let (settings, incarnation, wanted) = {
         let control = control.borrow();
-        (control.shared.settings.clone(), control.shared.incarnation)
+        let wanted = Arc::clone(&control.list_members);
+        let shared = &control.shared;
+        (shared.settings.clone(), shared.incarnation, wanted)
     };
     let mut client = objects::ObjectClient::new(settings.store_address);
     let mut pause = configuration::RetryPause::default();
@@ -53,6 +63,7 @@
             Ok(listing) => {
                 dependency.record_success();
                 let own = listing.objects.iter().find(|one| one.name == settings.vm);
+                let was_listed = own.is_some();
                 let entry = VmEntryWire {
                     address: settings.address,
                     incarnation,
@@ -70,12 +81,19 @@
                 members.insert(settings.vm.clone(), own);
                 control.borrow_mut().apply_members(members, asked);
                 listings += 1;
+                // The others know of a VM that was listed before it started.
+                if was_listed && listings == 1 {
+                    control.borrow_mut().join("listed before");
+                }
                 let interval = if listings <= FIRST_LISTINGS {
                     FIRST_INTERVAL
                 } else {
                     LATER_INTERVAL
                 };
-                tokio::time::sleep(interval).await;
+                tokio::time::sleep(LEAST_INTERVAL).await;
+                let rest = interval.saturating_sub(LEAST_INTERVAL);
+                // A listing that is due anyway needs no reason.
+                tokio::time::timeout(rest, wanted.notified()).await.ok();
             }
             Err(error) => {
                 dependency.record_failure(&error);
@@ -170,3 +188,27 @@
         }
     }
 }
+
+/// Waits until the other VMs have made room for this one.
+pub async fn join(control: control::ControlCell) {
+    let mut registered = None;
+    loop {
+        tokio::time::sleep(JOIN_STEP).await;
+        let now = clock::now();
+        let mut control = control.borrow_mut();
+        if control.has_joined {
+            return;
+        }
+        if !control.members.contains_key(control.own_name()) {
+            continue;
+        }
+        let since = *registered.get_or_insert(now);
+        let waited = now.saturating_duration_since(since);
+        let has_heard_others = control.live_peers(now).count() + 1 >= control.members.len();
+        if has_heard_others && control.is_known_to_all(now) {
+            control.join("known to all");
+        } else if waited >= JOIN_AT_LATEST {
+            control.join("waited");
+        }
+    }
+}
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -156,6 +156,7 @@
     let beat = beat::FleetBeat {
         vm: control.own_name().to_owned(),
         is_leaving: *control.shared.drain.borrow() != shared::DrainPhase::Serving,
+        has_store: control.has_store,
         configuration_version: control.configuration.decoded.version,
         table: control.table.clone(),
         is_claiming: control.is_claiming,
@@ -324,6 +325,10 @@
     }
     if known.is_none_or(|known| known.incarnation != incarnation) {
         log::info!(vm = beat.vm.as_str(), incarnation = incarnation; "another VM is heard");
+        // A VM that is new to this one may be new to the fleet.
+        if !control.members.contains_key(&beat.vm) {
+            control.list_members.notify_one();
+        }
     }
     control.apply_table(&beat.table);
     control.apply_weights(&beat.weights);
--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -76,6 +76,7 @@
                 pause.reset();
                 let entries = registry::decode_entries(&listing);
                 let entries = lapsed.record_listing(entries, clock::now());
+                control.borrow_mut().has_store = true;
                 control.borrow_mut().apply_databases(entries);
                 tokio::time::sleep(LEAST_INTERVAL).await;
                 let rest = LIST_INTERVAL.saturating_sub(LEAST_INTERVAL);
@@ -84,6 +85,7 @@
             }
             Err(error) => {
                 lapsed.record_away();
+                control.borrow_mut().has_store = false;
                 dependency.record_failure(&error);
                 pause.wait().await;
             }
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -12,6 +12,7 @@
 
 use bluebellferry_catalog::database as catalog;
 use bluebellferry_catalog::leadership;
+use bluebellferry_membership::beat;
 use bluebellferry_platform::database;
 use bluebellferry_platform::duty;
 use bluebellferry_platform::objects;
@@ -111,7 +112,10 @@
 fn is_responsible(control: &state::ControlState, now: Instant) -> bool {
     let own = control.own_name();
     let is_leaving = *control.shared.drain.borrow() != shared::DrainPhase::Serving;
-    if is_leaving || !control.members.contains_key(own) || !is_known_to_all(control, now) {
+    // Only who counts as a member everywhere may act: an answer to a heartbeat
+    // is a promise of each member to wait.
+    let may_act = control.has_store && control.members.contains_key(own);
+    if is_leaving || !may_act || !control.is_known_to_all(now) {
         return false;
     }
     let holder = control.table.holder.as_str();
@@ -120,23 +124,20 @@
     }
     let holder_record = control.peers.get(holder);
     let is_holder_live = holder_record.is_some_and(|record| {
-        now.saturating_duration_since(record.heard) < HOLDER_SILENCE && !record.beat.is_leaving
+        now.saturating_duration_since(record.heard) < HOLDER_SILENCE && may_hold(&record.beat)
     });
     if is_holder_live && control.members.contains_key(holder) {
         return false;
     }
     let mut live = control
         .live_peers(now)
-        .filter(|(_, record)| !record.beat.is_leaving);
+        .filter(|(_, record)| may_hold(&record.beat));
     live.all(|(name, _)| name.as_str() > own)
 }
 
-/// Returns whether every other live VM counts this one as a member, so that its
-/// answers to heartbeats mean that it waits for this VM.
-fn is_known_to_all(control: &state::ControlState, now: Instant) -> bool {
-    let own = control.own_name();
-    let knows = |record: &state::PeerRecord| record.beat.echoes.iter().any(|echo| echo.vm == own);
-    control.live_peers(now).all(|(_, record)| knows(record))
+/// Returns whether a VM can hold the duty.
+fn may_hold(beat: &beat::FleetBeat) -> bool {
+    !beat.is_leaving && beat.has_store
 }
 
 async fn find_cause(
@@ -246,7 +247,7 @@
     leader: &name::DatabaseName,
     now: Instant,
 ) -> bool {
-    let names = |suspicions: &[bluebellferry_membership::beat::LeaderSuspicion]| {
+    let names = |suspicions: &[beat::LeaderSuspicion]| {
         suspicions
             .iter()
             .any(|one| one.service == *service && one.database == *leader)
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -79,6 +79,12 @@
     pub lending: lending::TokenLending<String>,
     /// Notified when other VMs should hear news at once.
     pub news: Arc<Notify>,
+    /// Whether the store answered the last call.
+    pub has_store: bool,
+    /// Whether this VM may use its part of fleet-wide limits.
+    pub has_joined: bool,
+    /// Notified when the VMs should be listed at once.
+    pub list_members: Arc<Notify>,
     /// Notified when the databases should be listed at once.
     pub list_databases: Arc<Notify>,
     published: shared::EdgeSnapshot,
@@ -99,6 +105,9 @@
             is_claiming: false,
             suspicions: suspicion::SuspicionBook::default(),
             lending: lending::TokenLending::default(),
+            has_store: false,
+            has_joined: false,
+            list_members: Arc::new(Notify::new()),
             news: Arc::new(Notify::new()),
             list_databases: Arc::new(Notify::new()),
             published: shared::EdgeSnapshot::default(),
@@ -126,6 +135,7 @@
             source = source, routes = decoded.routes.len() as u64;
             "a configuration is in force"
         );
+        self.log_rates(&decoded);
         let decoded = Arc::new(decoded);
         self.configuration = ConfigurationRecord { decoded, text };
         self.apply_shares();
@@ -133,6 +143,21 @@
         self.news.notify_one();
     }
 
+    fn log_rates(&self, next: &configuration::Configuration) {
+        if self.configuration.decoded.version == 0 {
+            return;
+        }
+        for (workspace, policy) in &next.workspaces {
+            if self.configuration.decoded.workspaces.get(workspace) != Some(policy) {
+                log::info!(
+                    workspace = workspace.as_str(), rate_per_second = policy.rate_per_second,
+                    burst = policy.burst, version = next.version;
+                    "a workspace's rate has changed"
+                );
+            }
+        }
+    }
+
     /// Takes the registered databases.
     pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>) {
         if *self.databases != databases {
@@ -212,6 +237,9 @@
     /// Returns this VM's part of fleet-wide limits: as the holder of the duty
     /// set it if that covers all VMs, else an equal one.
     pub fn own_part(&self) -> shared::FleetPart {
+        if !self.has_joined {
+            return shared::FleetPart::default();
+        }
         let own = self.own_name();
         let count = self.members.len().max(1) as f64;
         let weight_of = |name: &str| {
@@ -256,6 +284,24 @@
         self.shared.shares.apply_sizes(&sizes);
     }
 
+    /// Lets this VM use its part of fleet-wide limits. The others must have
+    /// made room for it first.
+    pub fn join(&mut self, reason: &'static str) {
+        if !self.has_joined {
+            log::info!(reason = reason; "this VM uses its part of fleet-wide limits");
+            self.has_joined = true;
+            self.apply_shares();
+            self.publish();
+        }
+    }
+
+    /// Returns whether every other live VM counts this one as a member.
+    pub fn is_known_to_all(&self, now: Instant) -> bool {
+        let own = self.own_name();
+        let knows = |record: &PeerRecord| record.beat.echoes.iter().any(|echo| echo.vm == own);
+        self.live_peers(now).all(|(_, record)| knows(record))
+    }
+
     /// Returns the leader of a service as this VM knows it.
     pub fn leader_of(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
         if let Some(entry) = self.table.leaders.get(service) {
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -156,7 +156,8 @@
         let shared = Self {
             settings,
             incarnation,
-            shares: ledger::ShareLedger::with_clock(ledger::ShareClock(clock::now)),
+            shares: ledger::ShareLedger::with_clock(ledger::ShareClock(clock::now))
+                .after_downtime(),
             tokens_wanted: Notify::new(),
             operations: AtomicU64::new(0),
             evidence,
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -20,6 +20,9 @@
 /// shrunk its own first.
 pub const GROWTH_DELAY: Duration = Duration::from_secs(5);
 
+/// The shortest time between a process's end and its successor's first request:
+/// it must be started and must have read the configuration.
+pub const LEAST_DOWNTIME: Duration = Duration::from_millis(500);
 /// The most sizes that wait to come into force.
 const MAX_GROWTH_STEPS: usize = 8;
 
@@ -111,6 +114,20 @@
         }
     }
 
+    /// Creates the bucket of a process that was started anew under a name that
+    /// it alone can have, and that spent nothing for at least [`LEAST_DOWNTIME`].
+    ///
+    /// It holds what would have come back meanwhile, so it never has more than
+    /// if the process had gone on.
+    pub fn restarted(size: ShareSize, now: Instant) -> Self {
+        let refilled = size.rate_per_second * LEAST_DOWNTIME.as_secs_f64();
+        Self {
+            tokens: refilled.min(size.burst / 2.0),
+            refilled_at: now,
+            ..Self::empty(size, now)
+        }
+    }
+
     /// Changes the owned part. A smaller one holds at once, a larger one after
     /// [`GROWTH_DELAY`].
     pub fn resize(&mut self, size: ShareSize, now: Instant) {
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -64,6 +64,8 @@
     pub vm: String,
     /// Whether the sender takes no new callers.
     pub is_leaving: bool,
+    /// Whether the store answers the sender.
+    pub has_store: bool,
     /// The version of the configuration in force at the sender.
     pub configuration_version: u64,
     /// The sender's leadership table.
--- a/crates/bluebellferry_shares/src/ledger.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -146,6 +146,9 @@
 pub struct ShareLedger {
     shares: RwLock<ShareMap>,
     clock: ShareClock,
+    /// What a workspace that is new to this process starts with. By default that
+    /// is nothing: whatever ran in this place before may just have spent its tokens.
+    new_bucket: fn(bucket::ShareSize, Instant) -> bucket::ShareBucket,
 }
 
 impl Default for ShareLedger {
@@ -158,11 +161,20 @@
     /// Creates a ledger without workspaces that reads the time from `clock`.
     pub fn with_clock(clock: ShareClock) -> Self {
         Self {
+            new_bucket: bucket::ShareBucket::empty,
             shares: RwLock::default(),
             clock,
         }
     }
 
+    /// Returns the ledger of a process that nothing can have replaced while it
+    /// was down; see [`bucket::ShareBucket::restarted`].
+    #[must_use]
+    pub fn after_downtime(mut self) -> Self {
+        self.new_bucket = bucket::ShareBucket::restarted;
+        self
+    }
+
     /// Returns a workspace's tokens.
     pub fn find(&self, workspace: &name::WorkspaceName) -> Option<Arc<WorkspaceShare>> {
         self.read().get(workspace).cloned()
@@ -192,7 +204,8 @@
             match shares.get(workspace) {
                 Some(share) => share.lock().bucket.resize(*size, now),
                 None => {
-                    let share = new_share(*size, self.clock, now);
+                    let bucket = (self.new_bucket)(*size, now);
+                    let share = new_share(bucket, self.clock, now);
                     shares.insert(workspace.clone(), Arc::new(share));
                 }
             }
@@ -215,12 +228,10 @@
     }
 }
 
-/// A new bucket starts empty: whatever ran in this place before may just have
-/// spent its tokens.
-fn new_share(size: bucket::ShareSize, clock: ShareClock, now: Instant) -> WorkspaceShare {
+fn new_share(bucket: bucket::ShareBucket, clock: ShareClock, now: Instant) -> WorkspaceShare {
     WorkspaceShare {
         state: Mutex::new(WorkspaceBucket {
-            bucket: bucket::ShareBucket::empty(size, now),
+            bucket,
             demand: demand::DemandMeter::new(now),
             asked_at: now,
         }),
