Trial: deal rates out by each workspace's demand

Suspected cause: with a small limit that everyone presses, parts of tokens are lent back and forth and lapse.

--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -7,6 +7,7 @@
 pub mod copies;
 pub mod members;
 pub mod orders;
+pub mod parts;
 pub mod peers;
 pub mod registry;
 pub mod replacement;
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -19,6 +19,7 @@
 
 use crate::control;
 use crate::control::copies;
+use crate::control::parts;
 use crate::control::state;
 use crate::control::tokens;
 use crate::shared;
@@ -29,12 +30,6 @@
 const LEAST_INTERVAL: Duration = Duration::from_millis(20);
 /// Positions older than this are of no use to other VMs.
 const POSITION_KEPT: Duration = Duration::from_millis(2_500);
-/// The part of fleet-wide limits that is dealt out evenly; the rest follows demand.
-const EVEN_PART: f64 = 0.4;
-/// How often the parts of fleet-wide limits are worked out anew.
-const WEIGHT_INTERVAL: Duration = Duration::from_secs(4);
-/// By how much a part must change for new parts to be worth telling.
-const WEIGHT_CHANGE: f64 = 0.02;
 /// How much of a new measurement enters the rate of operations.
 const RATE_SMOOTHING: f64 = 0.3;
 
@@ -125,6 +120,7 @@
         measured: clock::now(),
         per_second: 0.0,
     };
+    let mut demands = parts::DemandBook::default();
     let mut weighed = clock::now();
     loop {
         let now = clock::now();
@@ -133,12 +129,13 @@
             control.shared.shares.observe(now);
             let total = control.shared.operations.load(Ordering::Relaxed);
             let per_second = meter.measure(total, now);
-            if now.saturating_duration_since(weighed) >= WEIGHT_INTERVAL {
+            let demands = demands.measure(&control, now);
+            if now.saturating_duration_since(weighed) >= parts::SETTING_INTERVAL {
                 weighed = now;
-                set_weights(&mut control, per_second, now);
+                parts::set(&mut control, per_second, &demands, now);
             }
             links.apply_members(&control);
-            send_beat(&mut control, &links, per_second, now);
+            send_beat(&mut control, &links, per_second, demands, now);
             control.publish();
         }
         tokio::time::sleep(LEAST_INTERVAL).await;
@@ -151,6 +148,7 @@
     control: &mut state::ControlState,
     links: &PeerLinks,
     operations_per_second: f64,
+    demands: Vec<beat::WorkspaceDemand>,
     now: Instant,
 ) {
     let beat = beat::FleetBeat {
@@ -162,7 +160,9 @@
         is_claiming: control.is_claiming,
         echoes: echoes(control),
         operations_per_second,
-        weights: own_weights(control),
+        demands,
+        parts_number: control.weights.number,
+        weights: parts::to_send(control),
         suspicions: control.suspicions.own_suspicions(now),
         positions: position_samples(control, now),
     };
@@ -190,14 +190,6 @@
     listed.map(echo).collect()
 }
 
-fn own_weights(control: &state::ControlState) -> beat::WeightTable {
-    if control.table.holder == control.own_name() || control.weights.token == 0 {
-        control.weights.clone()
-    } else {
-        beat::WeightTable::default()
-    }
-}
-
 fn position_samples(control: &state::ControlState, now: Instant) -> Vec<beat::PositionSample> {
     let positions = control.shared.positions();
     let sample = |(service, history): (&_, &bluebellferry_routing::history::PositionHistory)| {
@@ -212,45 +204,6 @@
     positions.iter().filter_map(sample).collect()
 }
 
-/// Works out the parts of fleet-wide limits, at the VM that does so: the one
-/// whose name comes first among those that live.
-fn set_weights(control: &mut state::ControlState, own_rate: f64, now: Instant) {
-    let own = control.own_name().to_owned();
-    let live: BTreeMap<String, f64> = control
-        .live_peers(now)
-        .map(|(name, record)| (name.clone(), record.beat.operations_per_second))
-        .chain(std::iter::once((own.clone(), own_rate)))
-        .collect();
-    let total: f64 = live.values().sum();
-    let count = control.members.len() as f64;
-    let is_first = live.keys().next() == Some(&own);
-    if !is_first || total <= 0.0 || count == 0.0 {
-        return;
-    }
-    let weigh = |name: &String| beat::VmWeight {
-        vm: name.clone(),
-        part: EVEN_PART / count
-            + (1.0 - EVEN_PART) * live.get(name).copied().unwrap_or(0.0) / total,
-    };
-    let weights: Vec<beat::VmWeight> = control.members.keys().map(weigh).collect();
-    let before = &control.weights.weights;
-    let is_same = before.len() == weights.len()
-        && before
-            .iter()
-            .zip(&weights)
-            .all(|(old, new)| old.vm == new.vm && (old.part - new.part).abs() < WEIGHT_CHANGE);
-    if is_same {
-        return;
-    }
-    let next = beat::WeightTable {
-        token: control.table.token.max(control.weights.token),
-        number: control.weights.number + 1,
-        weights,
-    };
-    control.apply_weights(&next);
-    control.news.notify_one();
-}
-
 /// Receives messages from other VMs until the process ends.
 pub async fn receive(control: control::ControlCell, links: Rc<PeerLinks>) {
     let mut buffer = vec![0; envelope::MAX_DATAGRAM_BYTES];
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -17,6 +17,7 @@
 use bluebellferry_types::name;
 use tokio::sync::Notify;
 
+use crate::control::parts;
 use crate::control::suspicion;
 use crate::shared;
 
@@ -226,8 +227,7 @@
 
     /// Takes the parts of fleet-wide limits unless newer ones are known.
     pub fn apply_weights(&mut self, weights: &beat::WeightTable) {
-        let order = |table: &beat::WeightTable| (table.token, table.number);
-        if order(weights) > order(&self.weights) {
+        if weights.number > self.weights.number {
             self.weights = weights.clone();
             self.apply_shares();
             self.publish();
@@ -246,8 +246,7 @@
             let set = self.weights.weights.iter().find(|weight| weight.vm == name);
             set.map(|weight| weight.part)
         };
-        let is_covered = self.members.keys().all(|name| weight_of(name).is_some())
-            && self.weights.weights.len() == self.members.len();
+        let is_covered = self.is_covered_by_weights();
         let mut from = 0.0;
         for name in self.members.keys() {
             let part = weight_of(name)
@@ -264,16 +263,38 @@
         shared::FleetPart::default()
     }
 
+    /// Returns a VM's part of a workspace's rate.
+    pub fn rate_part(&self, vm: &str, workspace: &name::WorkspaceName) -> f64 {
+        let equal = 1.0 / self.members.len().max(1) as f64;
+        if !self.is_covered_by_weights() {
+            return equal;
+        }
+        let weights = &self.weights;
+        let Some(index) = weights.weights.iter().position(|one| one.vm == vm) else {
+            return equal;
+        };
+        let parts = weights.workspaces.iter().find(|one| one.workspace == *workspace);
+        let part = parts.and_then(|one| one.parts.get(index));
+        part.map_or(weights.weights[index].part, |part| f64::from(*part))
+    }
+
+    /// Returns whether the parts that were dealt out are those of all VMs.
+    fn is_covered_by_weights(&self) -> bool {
+        let weights = &self.weights.weights;
+        weights.len() == self.members.len()
+            && weights.iter().all(|one| self.members.contains_key(&one.vm))
+    }
+
     fn apply_shares(&self) {
-        let part = self.own_part().size();
         // Until all VMs are known, nothing may be spent; a bucket of no size
         // would also be slow to grow.
-        if part <= 0.0 {
+        if !self.has_joined {
             return;
         }
         let size =
             |(workspace, policy): (&name::WorkspaceName, &configuration::WorkspacePolicy)| {
-                let size = bucket::ShareSize {
+                let part = self.rate_part(self.own_name(), workspace);
+            let size = bucket::ShareSize {
                     rate_per_second: policy.rate_per_second * part,
                     burst: policy.burst * part,
                 };
@@ -281,7 +302,7 @@
             };
         let workspaces = &self.configuration.decoded.workspaces;
         let sizes = workspaces.iter().map(size).collect();
-        self.shared.shares.apply_sizes(&sizes);
+        self.shared.shares.apply_sizes(&sizes, parts::GROWTH_DELAY);
     }
 
     /// Lets this VM use its part of fleet-wide limits. The others must have
--- a/crates/bluebellferry_edge/src/control/tokens.rs
+++ b/crates/bluebellferry_edge/src/control/tokens.rs
@@ -12,6 +12,8 @@
 use crate::control::peers;
 use crate::control::state;
 
+/// How often tokens are asked for ahead of need; a loan is valid three times as long.
+const FORESIGHT: Duration = Duration::from_millis(80);
 /// How often tokens are asked for at the most.
 const ASK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -19,7 +21,9 @@
 pub async fn ask(control: control::ControlCell, links: Rc<peers::PeerLinks>) {
     let shared = Arc::clone(&control.borrow().shared);
     loop {
-        shared.tokens_wanted.notified().await;
+        // Without a waiting caller, tokens are still asked for ahead of need.
+        let waited = tokio::time::timeout(FORESIGHT, shared.tokens_wanted.notified());
+        waited.await.ok();
         {
             let mut control = control.borrow_mut();
             let now = clock::now();
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -131,6 +131,12 @@
     /// Changes the owned part. A smaller one holds at once, a larger one after
     /// [`GROWTH_DELAY`].
     pub fn resize(&mut self, size: ShareSize, now: Instant) {
+        self.resize_after(size, GROWTH_DELAY, now);
+    }
+
+    /// Changes the owned part. A smaller one holds at once, a larger one after
+    /// `delay`, by when every other VM must have shrunk its own.
+    pub fn resize_after(&mut self, size: ShareSize, delay: Duration, now: Instant) {
         self.refill(now);
         self.size = self.size.smaller_of(size);
         self.tokens = self.tokens.min(self.capacity());
@@ -142,7 +148,7 @@
         if self.growth.len() >= MAX_GROWTH_STEPS {
             self.growth.pop();
         }
-        self.growth.push((now + GROWTH_DELAY, size));
+        self.growth.push((now + delay, size));
     }
 
     /// Notes that the process is running. Without such notes for
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -46,15 +46,33 @@
     pub part: f64,
 }
 
-/// The parts of all VMs, as the holder of the duty set them.
+/// The parts of one workspace's rate.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceParts {
+    /// The workspace.
+    pub workspace: name::WorkspaceName,
+    /// The parts, in the order of the table's VMs.
+    pub parts: Vec<f32>,
+}
+
+/// What callers of a workspace ask of a VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceDemand {
+    /// The workspace.
+    pub workspace: name::WorkspaceName,
+    /// Operations a second.
+    pub per_second: f32,
+}
+
+/// The parts of all VMs, as one of them has set them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WeightTable {
-    /// The fencing token of the VM that set them.
-    pub token: u64,
-    /// Its number for this table.
+    /// The number of this table; higher ones replace lower ones.
     pub number: u64,
-    /// The parts.
+    /// The parts of connections.
     pub weights: Vec<VmWeight>,
+    /// The parts of rates, for workspaces whose demand is known.
+    pub workspaces: Vec<WorkspaceParts>,
 }
 
 /// What a VM tells every other.
@@ -76,7 +94,12 @@
     pub echoes: Vec<BeatEcho>,
     /// Operations that the sender's callers started, a second.
     pub operations_per_second: f64,
-    /// The parts that the sender knows.
+    /// What the sender's callers ask for, by workspace; none where there are too
+    /// many workspaces to tell.
+    pub demands: Vec<WorkspaceDemand>,
+    /// The number of the parts that the sender knows.
+    pub parts_number: u64,
+    /// The parts that the sender has set, or none.
     pub weights: WeightTable,
     /// Leaders that the sender cannot use.
     pub suspicions: Vec<LeaderSuspicion>,
--- a/crates/bluebellferry_proxy/src/control/objects.rs
+++ b/crates/bluebellferry_proxy/src/control/objects.rs
@@ -207,7 +207,7 @@
         let place = &self.shared.settings.place;
         let now = Instant::now();
         let sizes = share_sizes(&in_force.document, place);
-        self.shared.shares.apply_sizes(&sizes);
+        self.shared.shares.apply_sizes(&sizes, bucket::GROWTH_DELAY);
         self.usable_from
             .get_or_insert(now + bucket::LOAN_RESERVATION);
         self.in_force = Some(Arc::new(in_force));
--- a/crates/bluebellferry_shares/src/ledger.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -123,6 +123,11 @@
         Some(missing)
     }
 
+    /// Returns the operations a second that callers have asked for.
+    pub fn demand_per_second(&self, now: Instant) -> f64 {
+        self.lock().demand.per_second(now)
+    }
+
     /// Returns the tokens that can be spent now.
     pub fn available(&self, now: Instant) -> f64 {
         self.lock().bucket.available(now)
@@ -196,13 +201,18 @@
     }
 
     /// Applies the sizes of this VM's parts, one for each workspace in force.
-    pub fn apply_sizes(&self, sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>) {
+    /// Larger ones hold after `delay`.
+    pub fn apply_sizes(
+        &self,
+        sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>,
+        delay: Duration,
+    ) {
         let now = self.clock.now();
         let mut shares = self.shares.write().unwrap_or_else(PoisonError::into_inner);
         shares.retain(|workspace, _| sizes.contains_key(workspace));
         for (workspace, size) in sizes {
             match shares.get(workspace) {
-                Some(share) => share.lock().bucket.resize(*size, now),
+                Some(share) => share.lock().bucket.resize_after(*size, delay, now),
                 None => {
                     let bucket = (self.new_bucket)(*size, now);
                     let share = new_share(bucket, self.clock, now);
