Change the parts of rates seldom; keep a whole token where callers come in

Two causes: parts that change every 2 s lose their growth delay each time, and parts of tokens that are lent around lapse.

--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -18,15 +18,17 @@
 pub const SETTING_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a larger part waits: several heartbeats, so that all have shrunk theirs.
 pub const GROWTH_DELAY: Duration = Duration::from_secs(2);
-/// The part of a limit that is dealt out evenly; the rest follows demand.
-const EVEN_PART: f64 = 0.25;
+/// The demand that is added evenly, as a part of the whole demand for connections
+/// and of the limit for rates: little demand says little about what comes next.
+const EVEN_DEMAND: f64 = 0.6;
+const EVEN_RATE: f64 = 0.3;
 /// By how much a part must change for new parts to be worth telling.
-const LEAST_CHANGE: f64 = 0.03;
+const LEAST_CHANGE: f64 = 0.06;
 /// The most parts of rates that are dealt out by workspace: VMs times
 /// workspaces. They must fit into a datagram with the rest of a heartbeat.
 const MAX_PARTS: usize = 256;
 /// How much of a new measurement enters a workspace's demand.
-const DEMAND_SMOOTHING: f64 = 0.2;
+const DEMAND_SMOOTHING: f64 = 0.1;
 
 /// What callers of each workspace ask of this VM.
 #[derive(Debug, Default)]
@@ -53,12 +55,11 @@
             let known = self.per_second.entry(workspace.clone()).or_insert(0.0);
             *known += DEMAND_SMOOTHING * (seen - *known);
         }
-        let demand = |(workspace, per_second): (&name::WorkspaceName, &f64)| {
-            beat::WorkspaceDemand {
+        let demand =
+            |(workspace, per_second): (&name::WorkspaceName, &f64)| beat::WorkspaceDemand {
                 workspace: workspace.clone(),
                 per_second: *per_second as f32,
-            }
-        };
+            };
         self.per_second.iter().map(demand).collect()
     }
 }
@@ -98,7 +99,8 @@
         .collect();
     let demand = |name: &str| live.get(name).map(|(rate, _)| *rate);
     let before = |name: &str| weight_before(control, name);
-    let shares = deal(&names, demand, before);
+    let total: f64 = live.values().map(|(rate, _)| rate).sum();
+    let shares = deal(&names, total * EVEN_DEMAND, demand, before);
     let weight = |(vm, part): (&String, &f64)| beat::VmWeight {
         vm: vm.clone(),
         part: *part,
@@ -114,15 +116,28 @@
                 Some(found.map_or(0.0, |one| f64::from(one.per_second)))
             };
             let before = |name: &str| control.rate_part(name, workspace);
-            let parts = deal(&names, demand, before);
-            beat::WorkspaceParts {
+            let policies = &control.configuration.decoded.workspaces;
+            let rate = policies
+                .get(workspace)
+                .map_or(0.0, |one| one.rate_per_second);
+            let parts = deal(&names, rate * EVEN_RATE, demand, before);
+            let parts = parts.iter().map(|part| *part as f32).collect();
+            let next = beat::WorkspaceParts {
                 workspace: workspace.clone(),
-                parts: parts.iter().map(|part| *part as f32).collect(),
+                parts,
+            };
+            // Each change costs a part of the limit until the larger parts hold.
+            let known = known_parts(&control.weights, &names, workspace);
+            match known.filter(|known| !are_far(&known.parts, &next.parts)) {
+                Some(known) => known.clone(),
+                None => next,
             }
         })
         .collect();
     // A VM that was started anew has forgotten the number that others know.
-    let known = control.live_peers(now).map(|(_, record)| record.beat.parts_number);
+    let known = control
+        .live_peers(now)
+        .map(|(_, record)| record.beat.parts_number);
     let known = known.fold(control.weights.number, u64::max);
     let next = beat::WeightTable {
         number: known + 1,
@@ -141,9 +156,10 @@
 }
 
 /// Deals a limit out. `demand` is `None` for a VM that is silent; it keeps what
-/// it had `before`.
+/// it had `before`. `even` is a demand that all others are taken to share.
 pub fn deal(
     names: &[String],
+    even: f64,
     demand: impl Fn(&str) -> Option<f64>,
     before: impl Fn(&str) -> f64,
 ) -> Vec<f64> {
@@ -154,27 +170,40 @@
     let free = (1.0 - kept).max(0.0);
     let part = |name: &String| match demand(name) {
         None => before(name),
-        Some(_) if total <= 0.0 => free / count,
-        Some(one) => free * (EVEN_PART / count + (1.0 - EVEN_PART) * one / total),
+        Some(_) if total + even <= 0.0 => free / count,
+        Some(one) => free * (one + even / count) / (total + even),
     };
     names.iter().map(part).collect()
 }
 
+/// Returns a workspace's parts if they were dealt out among the same VMs.
+fn known_parts<'a>(
+    table: &'a beat::WeightTable,
+    names: &[String],
+    workspace: &name::WorkspaceName,
+) -> Option<&'a beat::WorkspaceParts> {
+    let have_same_vms = table.weights.iter().map(|one| &one.vm).eq(names);
+    let known = table
+        .workspaces
+        .iter()
+        .find(|one| one.workspace == *workspace);
+    known.filter(|_| have_same_vms)
+}
+
+fn are_far(before: &[f32], next: &[f32]) -> bool {
+    let mut parts = before.iter().zip(next);
+    before.len() != next.len()
+        || parts.any(|(old, new)| f64::from((old - new).abs()) >= LEAST_CHANGE)
+}
+
 fn differs(before: &beat::WeightTable, next: &beat::WeightTable) -> bool {
-    let is_far = |old: f64, new: f64| (old - new).abs() >= LEAST_CHANGE;
-    let have_same_vms = before.weights.len() == next.weights.len()
-        && before.weights.iter().zip(&next.weights).all(|(old, new)| old.vm == new.vm);
-    if !have_same_vms || before.workspaces.len() != next.workspaces.len() {
-        return true;
-    }
-    let mut weights = before.weights.iter().zip(&next.weights);
-    if weights.any(|(old, new)| is_far(old.part, new.part)) {
-        return true;
-    }
-    let mut workspaces = before.workspaces.iter().zip(&next.workspaces);
-    workspaces.any(|(old, new)| {
-        let mut parts = old.parts.iter().zip(&new.parts);
-        old.workspace != new.workspace
-            || parts.any(|(old, new)| is_far(f64::from(*old), f64::from(*new)))
-    })
+    let parts = |table: &beat::WeightTable| -> Vec<f32> {
+        table.weights.iter().map(|one| one.part as f32).collect()
+    };
+    let have_same_vms = before
+        .weights
+        .iter()
+        .map(|one| &one.vm)
+        .eq(next.weights.iter().map(|one| &one.vm));
+    !have_same_vms || before.workspaces != next.workspaces || are_far(&parts(before), &parts(next))
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -273,7 +273,10 @@
         let Some(index) = weights.weights.iter().position(|one| one.vm == vm) else {
             return equal;
         };
-        let parts = weights.workspaces.iter().find(|one| one.workspace == *workspace);
+        let parts = weights
+            .workspaces
+            .iter()
+            .find(|one| one.workspace == *workspace);
         let part = parts.and_then(|one| one.parts.get(index));
         part.map_or(weights.weights[index].part, |part| f64::from(*part))
     }
@@ -294,7 +297,7 @@
         let size =
             |(workspace, policy): (&name::WorkspaceName, &configuration::WorkspacePolicy)| {
                 let part = self.rate_part(self.own_name(), workspace);
-            let size = bucket::ShareSize {
+                let size = bucket::ShareSize {
                     rate_per_second: policy.rate_per_second * part,
                     burst: policy.burst * part,
                 };
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -181,6 +181,11 @@
         self.tokens + self.borrowed_total()
     }
 
+    /// Returns whether the owned part is large enough to save up a whole token.
+    pub fn can_save_token(&self) -> bool {
+        self.size.burst >= 1.0
+    }
+
     /// Returns the borrowed tokens that can be spent now.
     pub fn borrowed(&mut self, now: Instant) -> f64 {
         self.refill(now);
--- a/crates/bluebellferry_limits/src/demand.rs
+++ b/crates/bluebellferry_limits/src/demand.rs
@@ -7,9 +7,14 @@
 const WINDOW: Duration = Duration::from_millis(50);
 /// How much of a new window enters the moving average.
 const SMOOTHING: f64 = 0.4;
+/// The same for the average over some seconds.
+const SLOW_SMOOTHING: f64 = 0.025;
 /// For how long ahead tokens are kept or asked for.
 const HORIZON: Duration = Duration::from_millis(100);
 
+/// The operations a second from which on a VM keeps a token for its callers: one
+/// within about the validity of a few loans.
+const LIVELY_RATE: f64 = 0.5;
 /// The need below which nothing is asked for ahead of time.
 const SMALLEST_NEED: f64 = 0.5;
 
@@ -17,6 +22,8 @@
 #[derive(Debug, Clone)]
 pub struct DemandMeter {
     per_second: f64,
+    /// The same over some seconds.
+    lately: f64,
     counted: u32,
     window_start: Instant,
 }
@@ -26,6 +33,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             per_second: 0.0,
+            lately: 0.0,
             counted: 0,
             window_start: now,
         }
@@ -48,6 +56,17 @@
         self.per_second(now) * HORIZON.as_secs_f64()
     }
 
+    /// Returns the tokens to keep from others. Where callers come in, a whole
+    /// one is kept: parts of tokens that are lent around lapse unused.
+    pub fn to_keep(&mut self, now: Instant) -> f64 {
+        let soon = self.soon_needed(now);
+        if self.lately >= LIVELY_RATE {
+            soon.max(1.0)
+        } else {
+            soon
+        }
+    }
+
     /// Returns how many tokens to ask of others, given what is available and
     /// how many requests are waiting.
     pub fn missing(&mut self, available: f64, waiting: usize, now: Instant) -> f64 {
@@ -68,6 +87,8 @@
         // Several quiet windows at once weigh as much as they would one by one.
         let weight = 1.0 - (1.0 - SMOOTHING).powf(windows);
         self.per_second += weight * (seen - self.per_second);
+        let weight = 1.0 - (1.0 - SLOW_SMOOTHING).powf(windows);
+        self.lately += weight * (seen - self.lately);
         self.counted = 0;
         self.window_start = now;
     }
--- a/crates/bluebellferry_shares/src/ledger.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -46,6 +46,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts an operation that a caller asks for.
+    pub fn count(&self, now: Instant) {
+        self.lock().demand.count(now);
+    }
+
+    /// Takes a token if there is one.
+    pub fn try_take(&self, now: Instant) -> bool {
+        self.lock().bucket.try_take(now) == bucket::TokenAnswer::Granted
+    }
+
+    /// Sets how many callers wait for a token.
+    pub fn set_waiting(&self, waiting: usize) {
+        self.waiting.store(waiting, Ordering::Relaxed);
+    }
+
     /// Takes a token, waiting briefly for one that is about to come; `wanted`
     /// is notified when others should be asked for some.
     ///
@@ -53,12 +68,9 @@
     /// Returns when the next own token is due, if none came in time.
     pub async fn admit(&self, in_transaction: bool, wanted: &Notify) -> Result<(), Duration> {
         let started = self.clock.now();
-        {
-            let mut state = self.lock();
-            state.demand.count(started);
-            if state.bucket.try_take(started) == bucket::TokenAnswer::Granted {
-                return Ok(());
-            }
+        self.count(started);
+        if self.try_take(started) {
+            return Ok(());
         }
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let waited = self.wait_for_token(started, in_transaction, wanted).await;
@@ -97,7 +109,12 @@
     /// Moves tokens out for another VM; returns how many.
     pub fn lend(&self, asked: f64, now: Instant) -> f64 {
         let mut state = self.lock();
-        let keep = state.demand.soon_needed(now);
+        let keep = if state.bucket.can_save_token() {
+            state.demand.to_keep(now)
+        } else {
+            // On its own it never suffices for an operation.
+            0.0
+        };
         state.bucket.lend(asked, keep, now)
     }
 
