Confirm leaders at the databases when store and VMs are away; detect faster

Ruled out: a lost table (heartbeats and store were cut both). Change: lease/PROBED_TERM and control/probing; the first certain choice ends the orders; one failure has the leader asked; sessions end when quiet for 150 ms and the process ends with its last caller.

--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 pub mod parts;
 pub mod peers;
+pub mod probing;
 pub mod registry;
 pub mod replacement;
 pub mod state;
@@ -55,6 +56,7 @@
         tokio::task::spawn_local(peers::receive(Rc::clone(&control), Rc::clone(&links))),
         tokio::task::spawn_local(tokens::ask(Rc::clone(&control), links)),
         tokio::task::spawn_local(copies::serve(Rc::clone(&control), sockets.copies)),
+        tokio::task::spawn_local(probing::follow(Rc::clone(&control))),
         tokio::task::spawn_local(suspicion::gather(Rc::clone(&control), evidence)),
         tokio::task::spawn_local(replacement::watch(control)),
     ];
--- a/crates/bluebellferry_edge/src/control/orders.rs
+++ b/crates/bluebellferry_edge/src/control/orders.rs
@@ -12,7 +12,7 @@
 
 /// How long an order may take: several round trips between regions and the
 /// wait for a slot.
-pub const ORDER_LIMIT: Duration = Duration::from_millis(500);
+pub const ORDER_LIMIT: Duration = Duration::from_millis(350);
 
 /// The reason an order has no result.
 #[derive(Debug, thiserror::Error)]
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -22,6 +22,7 @@
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use rand::Rng;
+use tokio::task::JoinSet;
 
 use crate::control;
 use crate::control::members;
@@ -34,7 +35,9 @@
 /// The pause between two rounds of orders.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// How long a leader that another VM has used lately is not taken for lost.
-const USED_LATELY: Duration = Duration::from_millis(700);
+const USED_LATELY: Duration = Duration::from_millis(500);
+/// The shortest time between two questions to a suspected leader.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(300);
 /// How long before a call to the platform the duty must have been confirmed.
 const DUTY_CONFIRMED: Duration = Duration::from_millis(500);
 /// How long a call to the platform may take. With [`DUTY_CONFIRMED`] it ends
@@ -71,12 +74,15 @@
     claimed: Instant,
     held: BTreeMap<name::DatabaseName, position::LogPosition>,
     term: u64,
+    /// When the choice became certain: no database was told to stop after that.
+    decided: Option<Instant>,
 }
 
 /// Looks after all leaders until the process ends.
 pub async fn watch(control: control::ControlCell) {
     let address = control.borrow().shared.settings.store_address;
     let mut client = objects::ObjectClient::new(address);
+    // Until when services are left alone.
     let mut settled: BTreeMap<name::ServiceName, Instant> = BTreeMap::new();
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
@@ -99,6 +105,10 @@
                 continue;
             }
             let Some((leader, cause)) = find_cause(&control, &service).await else {
+                let asked = clock::now() + QUESTION_INTERVAL;
+                if is_any_suspected(&control.borrow(), &service, now) {
+                    settled.insert(service, asked);
+                }
                 continue;
             };
             replace(&control, &mut client, &service, &leader, cause).await;
@@ -163,7 +173,7 @@
     if !is_suspected {
         return None;
     }
-    let workspace = any_workspace(control)?;
+    let workspace = control.borrow().any_workspace()?;
     let Some(entry) = entry else {
         return (!is_used).then_some((leader, ReplacementCause::Lost));
     };
@@ -229,16 +239,14 @@
         .cloned()
 }
 
-/// Returns a workspace under whose name orders are given; databases ask for one.
-fn any_workspace(control: &control::ControlCell) -> Option<name::WorkspaceName> {
-    let control = control.borrow();
-    control
-        .configuration
-        .decoded
-        .workspaces
-        .keys()
-        .min()
-        .cloned()
+/// Returns whether the leader of a service is suspected.
+fn is_any_suspected(
+    control: &state::ControlState,
+    service: &name::ServiceName,
+    now: Instant,
+) -> bool {
+    let leader = control.leader_of(service);
+    leader.is_some_and(|leader| is_suspected(control, service, &leader.database, now))
 }
 
 fn is_suspected(
@@ -304,6 +312,7 @@
             claimed: clock::now(),
             held: BTreeMap::new(),
             term: newest + 1,
+            decided: None,
         };
         carry_out(control, client, replacement).await;
     }
@@ -380,7 +389,8 @@
         }
         let choice = successor::choose_successor(&evidence(control, &replacement));
         if let successor::SuccessorChoice::Promote { id, position } = choice {
-            wait_for_leases(control, replacement.claimed).await;
+            let decided = replacement.decided.unwrap_or_else(clock::now);
+            wait_for_leases(control, replacement.claimed, decided).await;
             if promote(control, client, &replacement, &id).await {
                 publish_leader(control, client, &replacement, id, position).await;
                 return;
@@ -392,7 +402,7 @@
 
 /// Has every database of the service that can be reached stop.
 async fn hold_databases(control: &control::ControlCell, replacement: &mut Replacement) {
-    let Some(workspace) = any_workspace(control) else {
+    let Some(workspace) = control.borrow().any_workspace() else {
         return;
     };
     let entries: Vec<catalog::DatabaseEntry> = {
@@ -405,7 +415,7 @@
             .cloned()
             .collect()
     };
-    let mut tasks = Vec::new();
+    let mut tasks = JoinSet::new();
     for entry in entries {
         if replacement.held.contains_key(&entry.id) {
             continue;
@@ -425,13 +435,13 @@
             (false, _) => database::DatabaseOrder::Pause { term },
         };
         let workspace = workspace.clone();
-        tasks.push(tokio::task::spawn_local(async move {
+        tasks.spawn_local(async move {
             let result = orders::give_order(&entry, &workspace, order).await;
             (entry, order, result)
-        }));
+        });
     }
-    for task in tasks {
-        let Ok((entry, order, result)) = task.await else {
+    while let Some(finished) = tasks.join_next().await {
+        let Ok((entry, order, result)) = finished else {
             continue;
         };
         match result {
@@ -440,6 +450,14 @@
                 log::info!(database = entry.id.as_str(), error:% = error; "an order was not confirmed");
             }
         }
+        // Orders that are still on their way to a database that does not answer
+        // need not be waited for.
+        let choice = successor::choose_successor(&evidence(control, replacement));
+        if choice != successor::SuccessorChoice::Wait {
+            tasks.detach_all();
+            replacement.decided.get_or_insert_with(clock::now);
+            return;
+        }
     }
 }
 
@@ -497,10 +515,10 @@
 }
 
 /// Waits until no VM may rely on the table as it was before the claim.
-async fn wait_for_leases(control: &control::ControlCell, claimed: Instant) {
+async fn wait_for_leases(control: &control::ControlCell, claimed: Instant, decided: Instant) {
     /// How often it is looked whether all VMs have seen the claim.
     const STEP: Duration = Duration::from_millis(20);
-    let until = claimed + lease::LEASE_TERM;
+    let until = (claimed + lease::LEASE_TERM).max(decided + lease::PROBED_TERM);
     while clock::now() < until {
         let has_seen_all = {
             let control = control.borrow();
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -88,6 +88,8 @@
     pub list_members: Arc<Notify>,
     /// Notified when the databases should be listed at once.
     pub list_databases: Arc<Notify>,
+    /// Until when leaders may be relied on because they were asked.
+    probed: BTreeMap<name::ServiceName, (name::DatabaseName, Instant)>,
     published: shared::EdgeSnapshot,
 }
 
@@ -111,6 +113,7 @@
             list_members: Arc::new(Notify::new()),
             news: Arc::new(Notify::new()),
             list_databases: Arc::new(Notify::new()),
+            probed: BTreeMap::new(),
             published: shared::EdgeSnapshot::default(),
         }
     }
@@ -357,13 +360,44 @@
             .filter(move |(name, record)| is_live(record) && self.members.contains_key(*name))
     }
 
+    /// Returns a workspace under whose name databases are asked; they want one.
+    pub fn any_workspace(&self) -> Option<name::WorkspaceName> {
+        self.configuration.decoded.workspaces.keys().min().cloned()
+    }
+
+    /// Notes until when a leader may be relied on because it was asked.
+    pub fn record_probed(
+        &mut self,
+        service: &name::ServiceName,
+        leader: &name::DatabaseName,
+        until: Instant,
+    ) {
+        self.probed.insert(service.clone(), (leader.clone(), until));
+        self.publish();
+    }
+
+    fn leased_until(
+        &self,
+        service: &name::ServiceName,
+        leader: &shared::LeaderView,
+    ) -> Option<Instant> {
+        let probed = self.probed.get(service);
+        let probed = probed.filter(|(database, _)| *database == leader.database);
+        self.lease
+            .valid_until()
+            .max(probed.map(|(_, until)| *until))
+    }
+
     /// Tells traffic what has changed.
     pub fn publish(&mut self) {
         let mut leaders = BTreeMap::new();
+        let mut leases = BTreeMap::new();
         for service in self.configuration.decoded.services.keys() {
             let known = self.published.leaders.get(service).cloned();
             // A leader whose registration lapsed stays the leader.
             if let Some(leader) = self.leader_of(service).or(known) {
+                let until = self.leased_until(service, &leader);
+                leases.extend(until.map(|until| (service.clone(), until)));
                 leaders.insert(service.clone(), leader);
             }
         }
@@ -371,17 +405,20 @@
             configuration: Arc::clone(&self.configuration.decoded),
             databases: Arc::clone(&self.databases),
             leaders: Arc::new(leaders),
-            lease_until: self.lease.valid_until(),
+            leases,
             part: self.own_part(),
         };
         let now = clock::now();
         let before = &self.published;
-        let is_held = |until: Option<Instant>| until.is_some_and(|until| until > now);
-        let regained = is_held(next.lease_until) && !is_held(before.lease_until);
-        if regained {
-            log::info!("the leadership lease is held");
+        let held = |snapshot: &shared::EdgeSnapshot| {
+            let leases = snapshot.leases.values();
+            leases.filter(|until| **until > now).count()
+        };
+        let (held_next, held_before) = (held(&next), held(before));
+        if held_next != held_before {
+            log::info!(leaders = held_next as u64, before = held_before as u64; "confirmed leaders have changed");
         }
-        let is_news = regained
+        let is_news = held_next > held_before
             || !Arc::ptr_eq(&next.configuration, &before.configuration)
             || !Arc::ptr_eq(&next.databases, &before.databases)
             || next.leaders != before.leaders
--- a/crates/bluebellferry_edge/src/control/suspicion.rs
+++ b/crates/bluebellferry_edge/src/control/suspicion.rs
@@ -12,8 +12,11 @@
 use crate::control;
 use crate::shared;
 
-/// How many failures without an answer in between make a leader suspect.
-const FAILURES_FOR_SUSPICION: u32 = 2;
+/// How many failures without an answer in between make a leader suspect. One is
+/// enough, since a suspicion only has the leader asked.
+const FAILURES_FOR_SUSPICION: u32 = 1;
+/// How long a database may take to lead after it was named.
+const TAKEOVER_TIME: Duration = Duration::from_millis(2_500);
 /// How long a suspicion lasts without new failures.
 const SUSPICION_KEPT: Duration = Duration::from_millis(2_500);
 
@@ -25,6 +28,8 @@
     commit_failures: u32,
     failed: Option<Instant>,
     answered: Option<Instant>,
+    /// When the first statement was sent to it as the leader.
+    first_used: Instant,
 }
 
 /// The signs of all leaders.
@@ -42,6 +47,7 @@
             commit_failures: 0,
             failed: None,
             answered: None,
+            first_used: now,
         };
         let signs = self
             .leaders
@@ -60,6 +66,9 @@
                 signs.commit_failures = 0;
                 signs.answered = Some(now);
             }
+            // A database leads only a while after it was named.
+            shared::EvidenceKind::NotLeading
+                if now.saturating_duration_since(signs.first_used) < TAKEOVER_TIME => {}
             shared::EvidenceKind::Silent | shared::EvidenceKind::NotLeading => {
                 signs.failures += 1;
                 signs.failed = Some(now);
--- a/crates/bluebellferry_edge/src/server.rs
+++ b/crates/bluebellferry_edge/src/server.rs
@@ -1,6 +1,7 @@
 //! The process: sockets, threads, readiness and the orderly stop.
 
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -8,6 +9,7 @@
 
 use axum::http::StatusCode;
 use axum::routing::get;
+use bluebellferry_runtime::clock;
 use bluebellferry_runtime::health;
 use bluebellferry_runtime::logging;
 use tokio::net::TcpListener;
@@ -22,12 +24,15 @@
 
 /// The part of the grace time after which idle sessions are ended: by then the
 /// platform has noticed that this VM is not ready and sends no new callers.
-const CLOSE_IDLE_PART: f64 = 0.40;
+const CLOSE_IDLE_PART: f64 = 0.38;
 /// The part of the grace time after which open transactions are ended.
 const END_PART: f64 = 0.55;
 /// The part of the grace time after which the process ends.
 const EXIT_PART: f64 = 0.85;
 
+/// How often it is looked whether all callers have left.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
 /// The reason the process cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -83,16 +88,17 @@
     local.block_on(&runtime, async move {
         let listener = TcpListener::bind(shared.settings.caller_address).await?;
         let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-        let draining = Arc::clone(&shared);
-        tokio::task::spawn_local(traffic::serve(listener, shared, metrics));
+        let context = Rc::new(traffic::TrafficContext::new(shared, metrics));
+        tokio::task::spawn_local(traffic::serve(listener, Rc::clone(&context)));
         terminate.recv().await;
-        drain(&draining).await;
+        drain(&context).await;
         Ok(())
     })
 }
 
 /// Takes the process through its phases on the way to its end.
-async fn drain(shared: &shared::EdgeShared) {
+async fn drain(context: &traffic::TrafficContext) {
+    let shared = &context.shared;
     let grace = shared.settings.grace;
     log::info!(grace_ms = grace.as_millis() as u64; "the process is asked to stop");
     let phases = [
@@ -102,7 +108,13 @@
     ];
     for (phase, part) in phases {
         shared.drain.send_replace(phase);
-        tokio::time::sleep(grace.mul_f64(part)).await;
+        let until = clock::now() + grace.mul_f64(part);
+        while clock::now() < until {
+            if phase != shared::DrainPhase::Leaving && context.callers.get() == 0 {
+                break;
+            }
+            tokio::time::sleep(DRAIN_STEP).await;
+        }
     }
     log::info!("the process stops");
     logging::flush_bounded_logging();
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -42,8 +42,8 @@
     pub databases: Arc<Vec<database::DatabaseEntry>>,
     /// The leaders by service.
     pub leaders: Arc<BTreeMap<name::ServiceName, LeaderView>>,
-    /// Until when the leaders may be relied on.
-    pub lease_until: Option<Instant>,
+    /// Until when the leaders may be relied on, by service.
+    pub leases: BTreeMap<name::ServiceName, Instant>,
     /// This VM's part of fleet-wide limits, and the sum of the parts of the VMs
     /// before it in the order of their names.
     pub part: FleetPart,
@@ -75,7 +75,7 @@
 impl EdgeSnapshot {
     /// Returns a service's leader if reads that must see every commit may run there.
     pub fn trusted_leader(&self, service: &name::ServiceName, now: Instant) -> Option<&LeaderView> {
-        let is_leased = self.lease_until.is_some_and(|until| until > now);
+        let is_leased = self.leases.get(service).is_some_and(|until| *until > now);
         self.leaders
             .get(service)
             .filter(|leader| is_leased && !leader.is_replacing)
@@ -113,9 +113,9 @@
 pub enum DrainPhase {
     /// It serves.
     Serving,
-    /// It takes what still comes, and ends sessions when they are idle.
+    /// It takes what still comes; the platform may not have noticed yet.
     Leaving,
-    /// It ends sessions without a transaction.
+    /// It ends sessions that have been quiet for a moment.
     ClosingIdle,
     /// It ends every session.
     Ending,
--- a/crates/bluebellferry_edge/src/traffic.rs
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -35,22 +35,21 @@
     pub callers: Cell<usize>,
 }
 
+impl TrafficContext {
+    /// Creates the context of a traffic thread.
+    pub fn new(shared: Arc<shared::EdgeShared>, metrics: metrics::TrafficMetrics) -> Self {
+        let dispatch = dispatch::Dispatcher::new(Arc::clone(&shared), metrics.clone());
+        Self {
+            shared,
+            dispatch: Rc::new(dispatch),
+            metrics,
+            callers: Cell::new(0),
+        }
+    }
+}
+
 /// Serves callers until the process ends.
-pub async fn serve(
-    listener: TcpListener,
-    shared: Arc<shared::EdgeShared>,
-    metrics: metrics::TrafficMetrics,
-) {
-    let dispatch = Rc::new(dispatch::Dispatcher::new(
-        Arc::clone(&shared),
-        metrics.clone(),
-    ));
-    let context = Rc::new(TrafficContext {
-        shared,
-        dispatch,
-        metrics,
-        callers: Cell::new(0),
-    });
+pub async fn serve(listener: TcpListener, context: Rc<TrafficContext>) {
     tokio::task::spawn_local(upkeep(Rc::clone(&context)));
     loop {
         match listener.accept().await {
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -26,6 +26,9 @@
 /// How long a caller waits for the first configuration; callers themselves
 /// give up a little later.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a session must have been quiet to be ended while the process leaves:
+/// a caller that sends one request after the other would lose the next one.
+const QUIET_TIME: Duration = Duration::from_millis(150);
 /// How long an answer may wait for a caller that does not read.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 /// The workspace that databases are told of on routes without keys.
@@ -223,12 +226,8 @@
         let idle_until = clock::now() + idle;
         loop {
             let phase = *self.drain.borrow_and_update();
-            let must_end = match phase {
-                shared::DrainPhase::Serving | shared::DrainPhase::Leaving => false,
-                shared::DrainPhase::ClosingIdle => is_idle,
-                shared::DrainPhase::Ending => true,
-            };
-            if must_end && !self.decoder.has_partial() {
+            let may_close = is_idle && phase == shared::DrainPhase::ClosingIdle;
+            if phase == shared::DrainPhase::Ending && !self.decoder.has_partial() {
                 return CallerEvent::Stopping;
             }
             let mut drain = self.drain.clone();
@@ -240,6 +239,7 @@
                 }
                 _ = drain.changed() => {}
                 () = tokio::time::sleep(left), if !is_idle => return CallerEvent::TransactionIdle,
+                () = tokio::time::sleep(QUIET_TIME), if may_close => return CallerEvent::Stopping,
             }
         }
     }
@@ -257,7 +257,7 @@
                     let Some(reply) = self.answer(&text).await else {
                         return;
                     };
-                    if !caller.send(&reply).await || self.ends_after_answer(caller) {
+                    if !caller.send(&reply).await {
                         return;
                     }
                 }
@@ -265,14 +265,6 @@
         }
     }
 
-    /// Returns whether the session ends now because the process is leaving:
-    /// right after an answer a new request is least likely to be on its way.
-    fn ends_after_answer(&self, caller: &CallerStream) -> bool {
-        let is_leaving = *caller.drain.borrow() != shared::DrainPhase::Serving;
-        let is_idle = self.state.reported() == state::ReportedState::Idle;
-        is_leaving && is_idle && !caller.decoder.has_partial()
-    }
-
     fn idle_limit(&self) -> Duration {
         let snapshot = self.context.shared.snapshot();
         let limit = snapshot.configuration.transaction_idle;
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -534,7 +534,8 @@
         dispatch.report_evidence(held.database, kind);
         // Nobody had replaced the leader when it was asked, so its log held
         // everything that was acknowledged until then.
-        let was_leased = snapshot.lease_until.is_some_and(|until| until >= sent);
+        let leased_until = snapshot.leases.get(&entry.service);
+        let was_leased = leased_until.is_some_and(|until| *until >= sent);
         if let Some(position) = answer.position.filter(|_| was_leased && leads) {
             self.context
                 .shared
--- a/crates/bluebellferry_promotion/src/lease.rs
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -16,6 +16,10 @@
 /// How long a VM may rely on the table after it was confirmed. Over three
 /// heartbeats: a lost datagram does not end it.
 pub const LEASE_TERM: Duration = Duration::from_millis(1_500);
+/// How long a VM may rely on a leader that, when asked, led, while one of its
+/// replicas was not held back. Whoever replaces a leader waits as long after the
+/// last of them was told to stop.
+pub const PROBED_TERM: Duration = Duration::from_millis(800);
 /// How long a VM that registers waits before it may replace a leader, and for
 /// how long the others may go without looking for new members.
 pub const JOIN_DELAY: Duration = Duration::from_secs(15);
