Open connections in the background; keep them with their workspace under contention

Change: openings go on when their statement is given up, two at once for each database; a kept connection goes to another workspace only if that is due 150 ms earlier; waiting statements look anew every 150 ms.

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -15,9 +15,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-/// How long opening a connection may take: several round trips between regions
-/// and a full queue at the database.
-const OPEN_LIMIT: Duration = Duration::from_millis(600);
+/// How long a database may take to take a connection up.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// How long it may take to open it: a handshake waits in the database's queue,
+/// and one that is given up costs the database as much as one that succeeds.
+const OPEN_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// The reason an exchange has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -72,11 +74,9 @@
         index: budget::DatabaseIndex,
         entry: &catalog::DatabaseEntry,
         workspace: &name::WorkspaceName,
-        limit: Duration,
     ) -> Result<Self, OpenError> {
-        let limit = limit.min(OPEN_LIMIT);
-        let deadline = clock::now() + limit;
-        let stream = http::connect(entry.address, limit)
+        let deadline = clock::now() + OPEN_LIMIT;
+        let stream = http::connect(entry.address, CONNECT_LIMIT)
             .await
             .map_err(|_| OpenError::Unreachable)?;
         let mut connection = Self {
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -36,6 +36,8 @@
 /// What reading from the leader costs beyond its answer time, since only it
 /// can serve writes.
 const LEADER_READ_COST: Duration = Duration::from_millis(15);
+/// After how long a waiting statement looks anew which databases can serve it.
+const RECONSIDER: Duration = Duration::from_millis(150);
 /// How long an unused connection is kept; shorter than the platform's own limit.
 const KEEP_UNUSED: Duration = Duration::from_secs(45);
 /// The shortest and longest time that a read waits for one database's answer.
@@ -45,8 +47,6 @@
 /// A connection that a statement holds.
 pub type HeldConnection = connection::DatabaseConnection;
 
-type Grant = budget::ConnectionGrant<HeldConnection>;
-
 /// What a statement needs.
 #[derive(Debug, Clone)]
 pub struct ConnectionDemand {
@@ -100,7 +100,7 @@
     records: Vec<DatabaseRecord>,
     indexes: HashMap<name::DatabaseName, budget::DatabaseIndex>,
     budget: budget::ConnectionBudget<HeldConnection>,
-    waiters: BTreeMap<budget::WaiterId, oneshot::Sender<Grant>>,
+    waiters: BTreeMap<budget::WaiterId, oneshot::Sender<HeldConnection>>,
 }
 
 /// The databases and connections of this VM.
@@ -113,8 +113,8 @@
 
 /// A step towards a connection.
 enum ObtainStep {
-    Granted(Grant),
-    Wait(budget::WaiterId, oneshot::Receiver<Grant>),
+    Granted(HeldConnection),
+    Wait(budget::WaiterId, oneshot::Receiver<HeldConnection>),
     NoDatabase,
     TooManyWaiting,
 }
@@ -130,7 +130,7 @@
     }
 
     /// Applies the registered databases and this VM's part of their limits.
-    pub fn apply_snapshot(&self, now: Instant) {
+    pub fn apply_snapshot(self: &Rc<Self>, now: Instant) {
         let snapshot = self.shared.snapshot();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -152,9 +152,8 @@
         }
         drop(state.budget.drain_unused(KEEP_UNUSED, now));
         for index in 0..state.records.len() {
-            while let Some(grant) = state.budget.serve_waiting(index, now) {
-                state.deliver(grant);
-            }
+            let action = state.budget.serve_waiting(index, now);
+            self.act(state, action, now);
         }
     }
 
@@ -224,20 +223,19 @@
             }
             let left = demand.deadline.saturating_duration_since(now);
             match self.begin_obtain(demand, now) {
-                ObtainStep::Granted(grant) => {
-                    if let Some(held) = self.realise(grant, demand).await {
-                        return Ok(held);
-                    }
-                }
+                ObtainStep::Granted(held) if held.is_usable() => return Ok(held),
+                ObtainStep::Granted(held) => self.forget(held),
                 ObtainStep::Wait(waiter, granted) => {
-                    let granted = tokio::time::timeout(left, granted).await;
-                    if let Ok(Ok(grant)) = granted {
-                        if let Some(held) = self.realise(grant, demand).await {
-                            return Ok(held);
+                    match tokio::time::timeout(left.min(RECONSIDER), granted).await {
+                        Ok(Ok(held)) if held.is_usable() => return Ok(held),
+                        Ok(Ok(held)) => self.forget(held),
+                        // Its database cannot be had; another one may.
+                        Ok(Err(_)) => {}
+                        Err(_) => {
+                            let mut state = self.state.borrow_mut();
+                            state.budget.cancel(waiter);
+                            state.waiters.remove(&waiter);
                         }
-                    } else {
-                        self.state.borrow_mut().budget.cancel(waiter);
-                        self.state.borrow_mut().waiters.remove(&waiter);
                     }
                 }
                 ObtainStep::NoDatabase => {
@@ -273,15 +271,17 @@
         Err(refuse(reason, "no database could take the statement").retry_after(AVOID_AT_FIRST))
     }
 
-    fn begin_obtain(&self, demand: &ConnectionDemand, now: Instant) -> ObtainStep {
+    fn begin_obtain(self: &Rc<Self>, demand: &ConnectionDemand, now: Instant) -> ObtainStep {
         let snapshot = self.shared.snapshot();
         let mut state = self.state.borrow_mut();
-        let ranked = rank_databases(&state, &snapshot, demand, now);
+        let state = &mut *state;
+        let ranked = rank_databases(state, &snapshot, demand, now);
         let Some((best, _)) = ranked.first().copied() else {
             return ObtainStep::NoDatabase;
         };
-        if let Some(grant) = state.budget.request(&demand.request, best, now) {
-            return ObtainStep::Granted(grant);
+        let workspace = &demand.request.workspace;
+        if let Some(held) = state.budget.take_kept(workspace, best) {
+            return ObtainStep::Granted(held);
         }
         let indexes = ranked.iter().map(|(index, _)| *index).collect();
         let Some(waiter) = state.budget.wait(demand.request.clone(), indexes) else {
@@ -289,44 +289,86 @@
         };
         let (sender, granted) = oneshot::channel();
         state.waiters.insert(waiter, sender);
+        if let Some(opening) = state.budget.begin_open(workspace, best, now) {
+            self.open(opening);
+        }
         ObtainStep::Wait(waiter, granted)
     }
 
-    /// Turns a grant into a usable connection; `None` when it cannot be had.
-    async fn realise(
+    /// Opens a connection. This goes on when the statement that it was meant for
+    /// is given up, so that the database's work for it is not lost.
+    fn open(self: &Rc<Self>, opening: budget::ConnectionOpening<HeldConnection>) {
+        let dispatcher = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let budget::ConnectionOpening {
+                database,
+                workspace,
+                closing,
+            } = opening;
+            drop(closing);
+            let entry = dispatcher.entry(database);
+            match HeldConnection::open(database, &entry, &workspace).await {
+                Ok(held) => dispatcher.finish_open(held),
+                Err(error) => dispatcher.fail_open(database, &workspace, error),
+            }
+        });
+    }
+
+    fn finish_open(self: &Rc<Self>, held: HeldConnection) {
+        self.metrics.count_connection("opened");
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        state.records[held.database].unreachable.clear();
+        let (database, workspace) = (held.database, held.workspace.clone());
+        let action = state.budget.finish_open(database, workspace, held, now);
+        self.act(state, action, now);
+    }
+
+    fn fail_open(
         self: &Rc<Self>,
-        grant: Grant,
-        demand: &mut ConnectionDemand,
-    ) -> Option<HeldConnection> {
-        let database = match grant {
-            Grant::Kept { connection, .. } => {
-                if connection.is_usable() {
-                    return Some(connection);
+        database: budget::DatabaseIndex,
+        workspace: &name::WorkspaceName,
+        error: connection::OpenError,
+    ) {
+        self.record_open_error(database, error);
+        let mut state = self.state.borrow_mut();
+        for waiter in state.budget.fail_open(database, workspace) {
+            // Without its sender the statement looks for another database.
+            state.waiters.remove(&waiter);
+        }
+    }
+
+    /// Carries out what the budget has decided, until nothing is left to do.
+    fn act(
+        self: &Rc<Self>,
+        state: &mut DispatchState,
+        action: Option<budget::PoolAction<HeldConnection>>,
+        now: Instant,
+    ) {
+        let mut next = action;
+        while let Some(action) = next.take() {
+            match action {
+                budget::PoolAction::Open(opening) => {
+                    let database = opening.database;
+                    self.open(opening);
+                    next = state.budget.serve_waiting(database, now);
+                }
+                budget::PoolAction::Deliver { waiter, connection } => {
+                    let database = connection.database;
+                    let sender = state.waiters.remove(&waiter);
+                    let returned = match sender {
+                        Some(sender) => sender.send(connection).err(),
+                        None => Some(connection),
+                    };
+                    next = match returned {
+                        Some(held) => {
+                            let workspace = held.workspace.clone();
+                            state.budget.release(database, workspace, held, now)
+                        }
+                        None => state.budget.serve_waiting(database, now),
+                    };
                 }
-                self.forget(connection);
-                return None;
-            }
-            Grant::Open { database, closing } => {
-                drop(closing);
-                database
-            }
-        };
-        let entry = Arc::clone(&self.state.borrow().records[database].entry);
-        let left = demand.deadline.saturating_duration_since(clock::now());
-        let workspace = &demand.request.workspace;
-        let opened = HeldConnection::open(database, &entry, workspace, left).await;
-        match opened {
-            Ok(held) => {
-                self.metrics.count_connection("opened");
-                self.state.borrow_mut().records[database]
-                    .unreachable
-                    .clear();
-                Some(held)
-            }
-            Err(error) => {
-                self.record_open_error(database, error);
-                demand.excluded.push(database);
-                None
             }
         }
     }
@@ -341,7 +383,10 @@
                 state.budget.record_limit(database, now);
                 "limit"
             }
-            connection::OpenError::Busy => "busy",
+            connection::OpenError::Busy => {
+                state.budget.record_limit(database, now);
+                "busy"
+            }
             connection::OpenError::Misrouted => {
                 record.unreachable.extend(AVOID_AT_MOST, AVOID_AT_MOST, now);
                 "misrouted"
@@ -355,9 +400,6 @@
         };
         self.metrics.count_connection(result);
         log::info!(database = entry.id.as_str(), result = result; "no connection to a database");
-        if let Some(grant) = state.budget.forget(database, now) {
-            state.deliver(grant);
-        }
         drop(state);
         if matches!(error, connection::OpenError::Unreachable) {
             self.report_evidence(database, shared::EvidenceKind::Silent);
@@ -365,7 +407,7 @@
     }
 
     /// Takes back a connection that can be used again.
-    pub fn release(&self, held: HeldConnection) {
+    pub fn release(self: &Rc<Self>, held: HeldConnection) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let record = &state.records[held.database];
@@ -374,20 +416,21 @@
             self.forget(held);
             return;
         }
+        let state = &mut *state;
         let (database, workspace) = (held.database, held.workspace.clone());
-        if let Some(grant) = state.budget.release(database, workspace, held, now) {
-            state.deliver(grant);
-        }
+        let action = state.budget.release(database, workspace, held, now);
+        self.act(state, action, now);
     }
 
     /// Closes a connection that must not be used again.
-    pub fn forget(&self, held: HeldConnection) {
+    pub fn forget(self: &Rc<Self>, held: HeldConnection) {
         let database = held.database;
         drop(held);
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
-        if let Some(grant) = state.budget.forget(database, clock::now()) {
-            state.deliver(grant);
-        }
+        let state = &mut *state;
+        let action = state.budget.forget(database, now);
+        self.act(state, action, now);
     }
 
     /// Returns a database's entry.
@@ -450,40 +493,6 @@
     }
 }
 
-impl DispatchState {
-    /// Hands a grant to its statement, or on to the next if it is gone.
-    fn deliver(&mut self, grant: budget::WaiterGrant<HeldConnection>) {
-        let now = clock::now();
-        let mut next = Some(grant);
-        while let Some(budget::WaiterGrant { waiter, grant }) = next.take() {
-            let Some(sender) = self.waiters.remove(&waiter) else {
-                next = self.take_back(grant, now);
-                continue;
-            };
-            if let Err(grant) = sender.send(grant) {
-                next = self.take_back(grant, now);
-            }
-        }
-    }
-
-    fn take_back(
-        &mut self,
-        grant: Grant,
-        now: Instant,
-    ) -> Option<budget::WaiterGrant<HeldConnection>> {
-        match grant {
-            Grant::Kept {
-                database,
-                connection,
-            } => {
-                let workspace = connection.workspace.clone();
-                self.budget.release(database, workspace, connection, now)
-            }
-            Grant::Open { database, .. } => self.budget.forget(database, now),
-        }
-    }
-}
-
 /// Orders the databases that may serve a statement by expected finish.
 fn rank_databases(
     state: &DispatchState,
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -13,10 +13,14 @@
 /// database and its round trips.
 pub const OPENING_COST: Duration = Duration::from_millis(25);
 /// How much earlier a waiting statement of another workspace must be due to
-/// get a released connection, since it has to open a new one in its place.
-const WORKSPACE_SWITCH_COST: Duration = Duration::from_millis(30);
+/// take a connection's place. A handshake costs the database as much as a
+/// statement, so changing for each would halve what it can serve.
+pub const SWITCH_ADVANTAGE: Duration = Duration::from_millis(150);
 /// The most statements that wait for connections on one VM.
 pub const MAX_WAITING: usize = 2_000;
+/// How many connections a VM opens to one database at once. Handshakes queue
+/// at the database like statements.
+pub const MAX_OPENING: usize = 2;
 /// How long a database that refused a connection for its limit is not asked.
 const LIMIT_BACK_OFF: Duration = Duration::from_millis(150);
 
@@ -31,36 +35,33 @@
     pub due: Instant,
 }
 
-/// A connection for a statement.
+/// A connection to open.
 #[derive(Debug, PartialEq, Eq)]
-pub enum ConnectionGrant<C> {
-    /// A kept connection of the workspace.
-    Kept {
-        /// The database.
-        database: DatabaseIndex,
-        /// The connection.
-        connection: C,
-    },
-    /// A new connection may be opened, after `closing` has been closed.
-    Open {
-        /// The database.
-        database: DatabaseIndex,
-        /// A connection of another workspace that gives way.
-        closing: Option<C>,
-    },
+pub struct ConnectionOpening<C> {
+    /// The database.
+    pub database: DatabaseIndex,
+    /// The workspace.
+    pub workspace: name::WorkspaceName,
+    /// A connection of another workspace that gives way; it must be closed first.
+    pub closing: Option<C>,
 }
 
 /// Identifies a waiting statement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaiterId(u64);
 
-/// A grant to a statement that waited.
+/// What is to be done with a connection that has come free.
 #[derive(Debug, PartialEq, Eq)]
-pub struct WaiterGrant<C> {
-    /// The statement.
-    pub waiter: WaiterId,
-    /// What it gets.
-    pub grant: ConnectionGrant<C>,
+pub enum PoolAction<C> {
+    /// A waiting statement gets it.
+    Deliver {
+        /// The statement.
+        waiter: WaiterId,
+        /// The connection.
+        connection: C,
+    },
+    /// Another connection is to be opened in its place.
+    Open(ConnectionOpening<C>),
 }
 
 #[derive(Debug)]
@@ -73,8 +74,8 @@
 #[derive(Debug)]
 struct DatabaseBudget<C> {
     allowance: usize,
-    /// Connections in use or being opened.
     in_use: usize,
+    opening: Vec<name::WorkspaceName>,
     idle: Vec<IdleConnection<C>>,
     refused_until: Option<Instant>,
 }
@@ -84,12 +85,25 @@
         Self {
             allowance: 0,
             in_use: 0,
+            opening: Vec::new(),
             idle: Vec::new(),
             refused_until: None,
         }
     }
 }
 
+impl<C> DatabaseBudget<C> {
+    fn held(&self) -> usize {
+        self.in_use + self.opening.len() + self.idle.len()
+    }
+
+    fn may_open(&self, now: Instant) -> bool {
+        let is_refused = self.refused_until.is_some_and(|until| until > now);
+        let has_place = !self.idle.is_empty() || self.held() < self.allowance;
+        self.opening.len() < MAX_OPENING && has_place && !is_refused
+    }
+}
+
 #[derive(Debug)]
 struct WaitingStatement {
     request: GrantRequest,
@@ -121,7 +135,7 @@
         let budget = self.databases.entry(database).or_default();
         budget.allowance = allowance;
         let mut surplus = Vec::new();
-        while budget.in_use + budget.idle.len() > allowance {
+        while budget.held() > allowance {
             let Some(connection) = remove_oldest(&mut budget.idle, |_| true) else {
                 break;
             };
@@ -130,39 +144,82 @@
         surplus
     }
 
-    /// Returns a kept or new connection at a database, if one may be had now.
-    pub fn request(
+    /// Takes a kept connection of a workspace.
+    pub fn take_kept(
         &mut self,
-        request: &GrantRequest,
+        workspace: &name::WorkspaceName,
+        database: DatabaseIndex,
+    ) -> Option<C> {
+        let budget = self.databases.get_mut(&database)?;
+        let connection = remove_newest(&mut budget.idle, |idle| idle.workspace == *workspace)?;
+        budget.in_use += 1;
+        Some(connection)
+    }
+
+    /// Begins to open a connection for a workspace, if there is room or an idle
+    /// one of another workspace can give way.
+    pub fn begin_open(
+        &mut self,
+        workspace: &name::WorkspaceName,
         database: DatabaseIndex,
         now: Instant,
-    ) -> Option<ConnectionGrant<C>> {
+    ) -> Option<ConnectionOpening<C>> {
         let budget = self.databases.get_mut(&database)?;
-        let own = |idle: &IdleConnection<C>| idle.workspace == request.workspace;
-        if let Some(connection) = remove_newest(&mut budget.idle, own) {
-            budget.in_use += 1;
-            return Some(ConnectionGrant::Kept {
-                database,
-                connection,
-            });
-        }
-        let has_room = budget.in_use + budget.idle.len() < budget.allowance;
-        let is_refused = budget.refused_until.is_some_and(|until| until > now);
-        if has_room && !is_refused {
-            budget.in_use += 1;
-            return Some(ConnectionGrant::Open {
-                database,
-                closing: None,
-            });
+        if !budget.may_open(now) {
+            return None;
         }
-        let closing = remove_oldest(&mut budget.idle, |_| true)?;
-        budget.in_use += 1;
-        Some(ConnectionGrant::Open {
+        let closing = if budget.held() < budget.allowance {
+            None
+        } else {
+            Some(remove_oldest(&mut budget.idle, |_| true)?)
+        };
+        budget.opening.push(workspace.clone());
+        Some(ConnectionOpening {
             database,
-            closing: Some(closing),
+            workspace: workspace.clone(),
+            closing,
         })
     }
 
+    /// Takes a connection that was opened, for whoever waits for it.
+    pub fn finish_open(
+        &mut self,
+        database: DatabaseIndex,
+        workspace: name::WorkspaceName,
+        connection: C,
+        now: Instant,
+    ) -> Option<PoolAction<C>> {
+        self.end_opening(database, &workspace);
+        self.keep(database, workspace, connection, now)
+    }
+
+    /// Notes that a connection could not be opened. Returns the statements that
+    /// wait for the database and must look for another.
+    pub fn fail_open(
+        &mut self,
+        database: DatabaseIndex,
+        workspace: &name::WorkspaceName,
+    ) -> Vec<WaiterId> {
+        self.end_opening(database, workspace);
+        let wants = |(_, statement): &(&WaiterId, &WaitingStatement)| {
+            statement.databases.contains(&database)
+        };
+        let waiters = self.waiting.iter().filter(wants).map(|(id, _)| *id);
+        let waiters: Vec<WaiterId> = waiters.collect();
+        for waiter in &waiters {
+            self.waiting.remove(waiter);
+        }
+        waiters
+    }
+
+    fn end_opening(&mut self, database: DatabaseIndex, workspace: &name::WorkspaceName) {
+        let budget = self.databases.entry(database).or_default();
+        let found = budget.opening.iter().position(|one| one == workspace);
+        if let Some(index) = found {
+            budget.opening.swap_remove(index);
+        }
+    }
+
     /// Returns what getting a connection at a database would cost in time, or
     /// `None` when the statement would have to wait for a release.
     pub fn opening_cost(
@@ -175,10 +232,7 @@
         if budget.idle.iter().any(|idle| idle.workspace == *workspace) {
             return Some(Duration::ZERO);
         }
-        let has_room = budget.in_use + budget.idle.len() < budget.allowance;
-        let is_refused = budget.refused_until.is_some_and(|until| until > now);
-        let can_open = !budget.idle.is_empty() || (has_room && !is_refused);
-        can_open.then_some(OPENING_COST)
+        budget.may_open(now).then_some(OPENING_COST)
     }
 
     /// Returns how many connections to a database are in use on this VM.
@@ -188,11 +242,11 @@
             .map_or(0, |budget| budget.in_use)
     }
 
-    /// Returns how many connections to a database this VM holds.
+    /// Returns how many connections to a database this VM holds or opens.
     pub fn held(&self, database: DatabaseIndex) -> usize {
         self.databases
             .get(&database)
-            .map_or(0, |budget| budget.in_use + budget.idle.len())
+            .map_or(0, DatabaseBudget::held)
     }
 
     /// Returns how many statements wait.
@@ -228,16 +282,27 @@
         self.waiting.remove(&waiter);
     }
 
-    /// Takes a connection back, and hands it on if a statement waits for it.
+    /// Takes a connection back, for whoever waits for it.
     pub fn release(
         &mut self,
         database: DatabaseIndex,
         workspace: name::WorkspaceName,
         connection: C,
         now: Instant,
-    ) -> Option<WaiterGrant<C>> {
+    ) -> Option<PoolAction<C>> {
         let budget = self.databases.entry(database).or_default();
         budget.in_use = budget.in_use.saturating_sub(1);
+        self.keep(database, workspace, connection, now)
+    }
+
+    fn keep(
+        &mut self,
+        database: DatabaseIndex,
+        workspace: name::WorkspaceName,
+        connection: C,
+        now: Instant,
+    ) -> Option<PoolAction<C>> {
+        let budget = self.databases.entry(database).or_default();
         budget.idle.push(IdleConnection {
             workspace,
             connection,
@@ -246,8 +311,8 @@
         self.serve_waiting(database, now)
     }
 
-    /// Notes that a connection in use, or one being opened, is gone.
-    pub fn forget(&mut self, database: DatabaseIndex, now: Instant) -> Option<WaiterGrant<C>> {
+    /// Notes that a connection in use is gone.
+    pub fn forget(&mut self, database: DatabaseIndex, now: Instant) -> Option<PoolAction<C>> {
         let budget = self.databases.entry(database).or_default();
         budget.in_use = budget.in_use.saturating_sub(1);
         self.serve_waiting(database, now)
@@ -284,35 +349,47 @@
         unused
     }
 
-    /// Gives a database's free connections to the statement that is due first.
+    /// Returns what to do for the statements that wait for a database.
+    ///
+    /// A kept connection goes to the statement of its workspace that is due
+    /// first, unless one of another workspace, which needs a new connection, is
+    /// due much earlier.
     pub fn serve_waiting(
         &mut self,
         database: DatabaseIndex,
         now: Instant,
-    ) -> Option<WaiterGrant<C>> {
+    ) -> Option<PoolAction<C>> {
         let budget = self.databases.get(&database)?;
-        let kept = |workspace: &name::WorkspaceName| {
-            budget.idle.iter().any(|idle| idle.workspace == *workspace)
-        };
-        let rank = |statement: &WaitingStatement| {
-            let request = &statement.request;
-            let switch = if kept(&request.workspace) {
-                Duration::ZERO
-            } else {
-                WORKSPACE_SWITCH_COST
+        let first_of = |accept: &dyn Fn(&name::WorkspaceName) -> bool| {
+            let wants = |statement: &WaitingStatement| {
+                statement.databases.contains(&database) && accept(&statement.request.workspace)
             };
-            (request.priority, request.due + switch)
+            let waiting = self.waiting.iter().filter(|(_, one)| wants(one));
+            waiting.min_by_key(|(id, one)| (one.request.priority, one.request.due, **id))
+        };
+        let is_kept = |workspace: &name::WorkspaceName| {
+            budget.idle.iter().any(|idle| idle.workspace == *workspace)
         };
-        let first = self
-            .waiting
-            .iter()
-            .filter(|(_, statement)| statement.databases.contains(&database))
-            .min_by_key(|(id, statement)| (rank(statement), **id));
-        let waiter = first.map(|(id, _)| *id)?;
-        let request = self.waiting.get(&waiter)?.request.clone();
-        let grant = self.request(&request, database, now)?;
+        let is_coming = |workspace: &name::WorkspaceName| budget.opening.contains(workspace);
+        let of_kept = first_of(&is_kept);
+        let of_other = first_of(&|workspace| !is_kept(workspace) && !is_coming(workspace));
+        let of_other = of_other.filter(|(_, other)| {
+            of_kept.is_none_or(|(_, kept)| {
+                other.request.due + SWITCH_ADVANTAGE < kept.request.due
+                    || other.request.priority < kept.request.priority
+            })
+        });
+        let of_other = of_other.map(|(_, other)| other.request.workspace.clone());
+        let of_kept = of_kept.map(|(id, kept)| (*id, kept.request.workspace.clone()));
+        if let Some(workspace) = of_other {
+            if let Some(opening) = self.begin_open(&workspace, database, now) {
+                return Some(PoolAction::Open(opening));
+            }
+        }
+        let (waiter, workspace) = of_kept?;
+        let connection = self.take_kept(&workspace, database)?;
         self.waiting.remove(&waiter);
-        Some(WaiterGrant { waiter, grant })
+        Some(PoolAction::Deliver { waiter, connection })
     }
 }
 
--- a/crates/bluebellferry_pool/src/lib.rs
+++ b/crates/bluebellferry_pool/src/lib.rs
@@ -11,16 +11,16 @@
 //!
 //! ```
 //! use std::time::Instant;
-//! use bluebellferry_pool::budget::{ConnectionBudget, ConnectionGrant, GrantRequest};
+//! use bluebellferry_pool::budget::ConnectionBudget;
 //! use bluebellferry_types::name::WorkspaceName;
 //!
 //! let now = Instant::now();
 //! let mut budget: ConnectionBudget<&str> = ConnectionBudget::default();
 //! budget.set_allowance(0, 1);
 //! let workspace = WorkspaceName::try_from("families")?;
-//! let request = GrantRequest { workspace, priority: 1, due: now };
-//! let grant = budget.request(&request, 0, now);
-//! assert!(matches!(grant, Some(ConnectionGrant::Open { closing: None, .. })));
+//! assert!(budget.take_kept(&workspace, 0).is_none());
+//! let opening = budget.begin_open(&workspace, 0, now);
+//! assert!(opening.is_some_and(|opening| opening.closing.is_none()));
 //! # Ok::<(), bluebellferry_types::name::NameError>(())
 //! ```
 
