Open one connection at a time for each database; take a reset while opening as the limit

Cause: databases reset connections over their limit, which counted as unreachable and kept a database avoided for up to 1.6 s; handshakes in parallel cost slots that statements need.

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -89,14 +89,11 @@
         let mut text = String::new();
         let (service, id) = (entry.service.as_str(), entry.id.as_str());
         database::encode_startup(&mut text, service, workspace.as_str(), id);
-        connection
-            .send(&text)
-            .await
-            .map_err(|_| OpenError::Unreachable)?;
+        connection.send(&text).await.map_err(startup_error)?;
         let line = connection
             .next_line(deadline)
             .await
-            .map_err(|_| OpenError::Unreachable)?;
+            .map_err(startup_error)?;
         match database::decode_answer_line(&line) {
             Ok(database::AnswerLine::Ready { .. }) => Ok(connection),
             Ok(database::AnswerLine::Error(error)) => Err(match error {
@@ -178,3 +175,12 @@
         }
     }
 }
+
+/// A database that holds as many connections as it may resets further ones; one
+/// that is gone would not have taken the connection up.
+fn startup_error(error: ExchangeError) -> OpenError {
+    match error {
+        ExchangeError::Closed => OpenError::Limit,
+        ExchangeError::Unanswered | ExchangeError::Malformed => OpenError::Unreachable,
+    }
+}
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -20,7 +20,7 @@
 pub const MAX_WAITING: usize = 2_000;
 /// How many connections a VM opens to one database at once. Handshakes queue
 /// at the database like statements.
-pub const MAX_OPENING: usize = 2;
+pub const MAX_OPENING: usize = 1;
 /// How long a database that refused a connection for its limit is not asked.
 const LIMIT_BACK_OFF: Duration = Duration::from_millis(150);
 
