--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -38,6 +38,10 @@
 const LEADER_READ_COST: Duration = Duration::from_millis(15);
 /// After how long a waiting statement looks anew which databases can serve it.
 const RECONSIDER: Duration = Duration::from_millis(150);
+/// One connection in this many is left free at each database. A database holds the
+/// connections of a VM that lost power for seconds, in which the VM is back already,
+/// and whoever replaces a leader needs one too.
+const RESERVED_SHARE: u32 = 3;
 /// How long an unused connection is kept; shorter than the platform's own limit.
 const KEEP_UNUSED: Duration = Duration::from_secs(45);
 /// The shortest and longest time that a read waits for one database's answer.
@@ -141,8 +145,9 @@
             let index = self.admit_entry(state, entry);
             let service = snapshot.configuration.services.get(&entry.service);
             let limit = service.map_or(0, |service| service.max_connections);
-            // One connection is left for whoever replaces a leader.
-            let own = snapshot.part.count_of(limit.saturating_sub(1));
+            let own = snapshot
+                .part
+                .count_of(limit.saturating_sub(limit / RESERVED_SHARE));
             drop(state.budget.set_allowance(index, own.max(1)));
         }
         for (index, record) in state.records.iter().enumerate() {
