--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -518,7 +518,7 @@
 async fn wait_for_leases(control: &control::ControlCell, claimed: Instant, decided: Instant) {
     /// How often it is looked whether all VMs have seen the claim.
     const STEP: Duration = Duration::from_millis(20);
-    let until = (claimed + lease::LEASE_TERM).max(decided + lease::PROBED_TERM);
+    let until = lease::lapsed_from(claimed, decided);
     while clock::now() < until {
         let has_seen_all = {
             let control = control.borrow();
--- /dev/null
+++ b/crates/bluebellferry_pool/tests/contention.rs
@@ -0,0 +1,202 @@
+//! Few connections, many statements.
+//!
+//! Patterns: statements of several workspaces that take turns at a database
+//! with few connections; a database that refuses further connections; a VM that
+//! comes back after a restart.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_pool::budget;
+use bluebellferry_pool::estimate;
+use bluebellferry_types::name;
+
+type Budget = budget::ConnectionBudget<&'static str>;
+
+fn workspace(text: &str) -> name::WorkspaceName {
+    name::WorkspaceName::try_from(text).expect("a valid name")
+}
+
+fn request(text: &str, due: Instant) -> budget::GrantRequest {
+    budget::GrantRequest {
+        workspace: workspace(text),
+        priority: 1,
+        due,
+    }
+}
+
+/// Opens a connection for a workspace that nobody waits for, and takes it.
+fn hold(budget: &mut Budget, text: &str, connection: &'static str, now: Instant) {
+    let name = workspace(text);
+    assert!(budget.begin_open(&name, 0, now).is_some());
+    assert!(
+        budget
+            .finish_open(0, name.clone(), connection, now)
+            .is_none()
+    );
+    assert_eq!(budget.take_kept(&name, 0), Some(connection));
+}
+
+fn is_delivered(
+    action: Option<budget::PoolAction<&'static str>>,
+    expected: budget::WaiterId,
+) -> bool {
+    matches!(action, Some(budget::PoolAction::Deliver { waiter, .. }) if waiter == expected)
+}
+
+#[test]
+fn a_vm_never_holds_more_than_its_allowance() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 2);
+    hold(&mut budget, "a", "c1", now);
+    hold(&mut budget, "b", "c2", now);
+    assert!(budget.begin_open(&workspace("c"), 0, now).is_none());
+    assert_eq!(budget.held(0), 2);
+}
+
+#[test]
+fn the_longest_idle_connection_of_another_workspace_gives_way() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 2);
+    hold(&mut budget, "a", "old", now);
+    hold(&mut budget, "b", "new", now);
+    budget.release(0, workspace("a"), "old", now);
+    budget.release(0, workspace("b"), "new", now + Duration::from_millis(5));
+    let opening = budget
+        .begin_open(&workspace("c"), 0, now)
+        .expect("one gives way");
+    assert_eq!(opening.closing, Some("old"));
+    assert_eq!(budget.held(0), 2);
+}
+
+#[test]
+fn a_connection_stays_with_its_workspace_unless_another_is_due_much_earlier() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 1);
+    hold(&mut budget, "a", "c1", now);
+    let same = budget.wait(request("a", now + Duration::from_millis(100)), vec![0]);
+    let other = budget.wait(request("b", now), vec![0]);
+    let action = budget.release(0, workspace("a"), "c1", now);
+    assert!(is_delivered(action, same.expect("there is room")));
+    // Nobody of the same workspace waits: the other one gets its turn.
+    let action = budget.release(0, workspace("a"), "c1", now);
+    let Some(budget::PoolAction::Open(opening)) = action else {
+        panic!("{action:?}");
+    };
+    assert_eq!(
+        (opening.workspace, opening.closing),
+        (workspace("b"), Some("c1"))
+    );
+    let action = budget.finish_open(0, workspace("b"), "c2", now);
+    assert!(is_delivered(action, other.expect("there is room")));
+}
+
+#[test]
+fn a_statement_that_is_due_much_earlier_takes_the_place() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 1);
+    hold(&mut budget, "a", "c1", now);
+    let late = now + budget::SWITCH_ADVANTAGE + Duration::from_millis(1);
+    budget.wait(request("a", late), vec![0]);
+    budget.wait(request("b", now), vec![0]);
+    let action = budget.release(0, workspace("a"), "c1", now);
+    assert!(
+        matches!(action, Some(budget::PoolAction::Open(_))),
+        "{action:?}"
+    );
+}
+
+#[test]
+fn the_statement_that_is_due_first_is_served_first() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 1);
+    hold(&mut budget, "a", "c1", now);
+    budget.wait(request("a", now + Duration::from_millis(200)), vec![0]);
+    let first = budget.wait(request("a", now + Duration::from_millis(100)), vec![0]);
+    let action = budget.release(0, workspace("a"), "c1", now);
+    assert!(is_delivered(action, first.expect("there is room")));
+}
+
+#[test]
+fn handshakes_do_not_crowd_out_statements() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 8);
+    let openings = (0..8).filter(|_| budget.begin_open(&workspace("a"), 0, now).is_some());
+    assert_eq!(openings.count(), budget::MAX_OPENING);
+}
+
+#[test]
+fn a_database_at_its_limit_is_left_alone_for_a_while() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 4);
+    let name = workspace("a");
+    assert!(budget.begin_open(&name, 0, now).is_some());
+    let waiter = budget
+        .wait(request("a", now), vec![0])
+        .expect("there is room");
+    budget.record_limit(0, now);
+    assert_eq!(budget.fail_open(0, &name), [waiter]);
+    assert!(budget.begin_open(&name, 0, now).is_none());
+    assert!(
+        budget
+            .begin_open(&name, 0, now + Duration::from_secs(1))
+            .is_some()
+    );
+}
+
+#[test]
+fn the_queue_is_bounded() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 1);
+    for _ in 0..budget::MAX_WAITING {
+        assert!(budget.wait(request("a", now), vec![0]).is_some());
+    }
+    assert!(budget.wait(request("a", now), vec![0]).is_none());
+}
+
+#[test]
+fn a_smaller_allowance_closes_idle_connections_only() {
+    let now = Instant::now();
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 3);
+    hold(&mut budget, "a", "c1", now);
+    hold(&mut budget, "a", "c2", now);
+    budget.release(0, workspace("a"), "c1", now);
+    assert_eq!(budget.set_allowance(0, 1), ["c1"]);
+    assert_eq!(budget.in_use(0), 1);
+}
+
+#[test]
+fn a_database_that_was_slow_is_tried_again() {
+    let now = Instant::now();
+    let first = Duration::from_millis(20);
+    let mut latency = estimate::LatencyEstimate::new(first);
+    for _ in 0..100 {
+        latency.record(Duration::from_millis(500), now);
+    }
+    assert!(latency.expected(now) > Duration::from_millis(400));
+    assert!(latency.expected(now + Duration::from_secs(20)) < Duration::from_millis(25));
+}
+
+#[test]
+fn patience_follows_what_was_seen_within_its_bounds() {
+    let now = Instant::now();
+    let (least, most) = (Duration::from_millis(50), Duration::from_secs(1));
+    let mut latency = estimate::LatencyEstimate::new(Duration::from_millis(20));
+    for _ in 0..200 {
+        latency.record(Duration::from_millis(20), now);
+    }
+    assert_eq!(latency.patience(least, most), least);
+    for _ in 0..200 {
+        latency.record(Duration::from_millis(900), now);
+    }
+    assert!(latency.patience(least, most) > Duration::from_millis(800));
+}
--- a/crates/bluebellferry_promotion/src/lease.rs
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -136,3 +136,12 @@
         Some((oldest + LEASE_TERM).min(*listed + JOIN_DELAY))
     }
 }
+
+/// Returns from when on no VM may still rely on a leader that is being replaced,
+/// where not all of them have seen the replacement in the table.
+///
+/// `claimed` is an instant after the table was changed, `decided` one after the
+/// last database was told to stop.
+pub fn lapsed_from(claimed: Instant, decided: Instant) -> Instant {
+    (claimed + LEASE_TERM).max(decided + PROBED_TERM)
+}
--- /dev/null
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -0,0 +1,261 @@
+//! One caller's session.
+
+use bluebellferry_session::memory;
+use bluebellferry_session::state;
+use bluebellferry_session::statement;
+use bluebellferry_types::position;
+use bluebellferry_types::refusal;
+use statement::StatementAction as Action;
+
+fn query(action: Action) -> statement::Statement {
+    statement::Statement::new("id-1", action)
+}
+
+fn access(kind: statement::AccessKind, text: &str) -> statement::Statement {
+    query(Action::Access {
+        kind,
+        text: text.to_owned(),
+    })
+}
+
+fn read() -> statement::Statement {
+    access(statement::AccessKind::Read, "READ 1")
+}
+
+fn write() -> statement::Statement {
+    access(statement::AccessKind::Write, "WRITE 1 x")
+}
+
+fn run(session: &mut state::SessionState, statement: &statement::Statement) -> state::RunPlan {
+    match session.plan(statement) {
+        state::StatementPlan::Run(plan) => plan,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn refused(session: &mut state::SessionState, statement: &statement::Statement) -> String {
+    match session.plan(statement) {
+        state::StatementPlan::Answer(state::LocalAnswer::Refused(refusal)) => {
+            refusal.reason.code().to_owned()
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn succeeded(offset: u64) -> state::RunOutcome {
+    state::RunOutcome::Succeeded {
+        position: Some(position::LogPosition::new(3, offset)),
+    }
+}
+
+fn open_transaction(session: &mut state::SessionState, read_only: bool) {
+    session.plan(&query(Action::Begin { read_only }));
+    let plan = run(session, &read());
+    let opening = plan.opening.clone().expect("the first statement opens");
+    session.record_opened(&opening);
+    session.record_outcome(&plan, succeeded(5));
+}
+
+#[test]
+fn only_a_read_or_a_read_only_transaction_may_use_a_replica() {
+    let mut session = state::SessionState::default();
+    assert!(run(&mut session, &read()).allows_replica());
+    assert!(!run(&mut session, &write()).allows_replica());
+    session.plan(&query(Action::Begin { read_only: false }));
+    assert!(!run(&mut session, &read()).allows_replica());
+    let mut session = state::SessionState::default();
+    session.plan(&query(Action::Begin { read_only: true }));
+    assert!(run(&mut session, &read()).allows_replica());
+}
+
+#[test]
+fn begin_reaches_a_database_with_the_first_statement_under_its_own_identity() {
+    let mut session = state::SessionState::default();
+    let begin = statement::Statement::new("begin-9", Action::Begin { read_only: false });
+    assert!(session.starts_operation(&begin));
+    session.plan(&begin);
+    assert_eq!(session.reported(), state::ReportedState::InTransaction);
+    assert!(!session.holds_connection());
+    let plan = run(&mut session, &write());
+    let opening = plan.opening.as_ref().expect("it opens");
+    assert_eq!(opening.begin_id, "begin-9");
+    assert!(!session.starts_operation(&write()));
+}
+
+#[test]
+fn a_transaction_that_no_database_knows_ends_here() {
+    let mut session = state::SessionState::default();
+    session.plan(&query(Action::Begin { read_only: false }));
+    let answer = session.plan(&query(Action::Rollback));
+    assert_eq!(
+        answer,
+        state::StatementPlan::Answer(state::LocalAnswer::Done)
+    );
+    assert_eq!(session.reported(), state::ReportedState::Idle);
+    // A COMMIT needs the database's receipt, also of an empty transaction.
+    session.plan(&query(Action::Begin { read_only: false }));
+    let plan = run(&mut session, &query(Action::Commit));
+    assert_eq!(plan.kind, state::RunKind::Commit);
+    assert!(plan.opening.is_some());
+}
+
+#[test]
+fn the_floor_rises_with_acknowledged_commits_only() {
+    let mut session = state::SessionState::default();
+    let plan = run(&mut session, &read());
+    session.record_outcome(&plan, succeeded(7));
+    assert_eq!(session.floor(), None);
+    let plan = run(&mut session, &write());
+    session.record_outcome(&plan, state::RunOutcome::Lost);
+    assert_eq!(session.floor(), None);
+    session.record_outcome(&plan, succeeded(9));
+    assert_eq!(session.floor(), Some(position::LogPosition::new(3, 9)));
+    open_transaction(&mut session, false);
+    let plan = run(&mut session, &write());
+    session.record_outcome(&plan, succeeded(20));
+    assert_eq!(session.floor(), Some(position::LogPosition::new(3, 9)));
+    let plan = run(&mut session, &query(Action::Commit));
+    session.record_outcome(&plan, succeeded(21));
+    assert_eq!(session.floor(), Some(position::LogPosition::new(3, 21)));
+    // A transaction that wrote nothing commits nothing.
+    open_transaction(&mut session, false);
+    let plan = run(&mut session, &query(Action::Commit));
+    session.record_outcome(&plan, succeeded(30));
+    assert_eq!(session.floor(), Some(position::LogPosition::new(3, 21)));
+}
+
+#[test]
+fn a_lost_connection_fails_the_transaction_until_the_caller_ends_it() {
+    let mut session = state::SessionState::default();
+    open_transaction(&mut session, false);
+    let plan = run(&mut session, &write());
+    session.record_outcome(&plan, state::RunOutcome::Lost);
+    assert_eq!(session.reported(), state::ReportedState::Failed);
+    assert!(!session.holds_connection());
+    assert_eq!(refused(&mut session, &read()), "protocol_violation");
+    assert_eq!(
+        refused(&mut session, &query(Action::Commit)),
+        "transaction_aborted"
+    );
+    assert_eq!(session.reported(), state::ReportedState::Idle);
+}
+
+#[test]
+fn a_transaction_that_failed_at_the_database_is_rolled_back_there() {
+    let mut session = state::SessionState::default();
+    open_transaction(&mut session, false);
+    let plan = run(&mut session, &write());
+    let state = state::ReportedState::Failed;
+    session.record_outcome(&plan, state::RunOutcome::Rejected { state });
+    assert!(session.holds_connection());
+    let plan = run(&mut session, &query(Action::Commit));
+    assert_eq!(
+        (plan.kind, plan.text.as_str()),
+        (state::RunKind::Rollback, "ROLLBACK")
+    );
+    session.record_outcome(&plan, succeeded(3));
+    assert_eq!(session.reported(), state::ReportedState::Idle);
+}
+
+#[test]
+fn prepared_names_of_callers_become_names_of_shapes() {
+    let mut session = state::SessionState::default();
+    let prepare = |name: &str, kind, shape: &str| {
+        query(Action::Prepare {
+            name: name.to_owned(),
+            kind,
+            shape: shape.to_owned(),
+        })
+    };
+    let execute = |name: &str| {
+        query(Action::Execute {
+            name: name.to_owned(),
+            arguments: "1a4 x".to_owned(),
+        })
+    };
+    session.plan(&prepare("s1", statement::AccessKind::Write, "q2c"));
+    let plan = run(&mut session, &execute("s1"));
+    assert_eq!(plan.kind, state::RunKind::SingleWrite);
+    assert_eq!(plan.text, "EXECUTE w.q2c 1a4 x");
+    assert!(plan.writes);
+    session.plan(&prepare("s1", statement::AccessKind::Read, "q9"));
+    assert_eq!(run(&mut session, &execute("s1")).text, "EXECUTE r.q9 1a4 x");
+    let name = "s1".to_owned();
+    session.plan(&query(Action::Deallocate { name }));
+    assert_eq!(refused(&mut session, &execute("s1")), "protocol_violation");
+}
+
+#[test]
+fn a_session_holds_a_bounded_number_of_values() {
+    let mut session = state::SessionState::default();
+    let set = |number: usize| {
+        query(Action::Set {
+            name: format!("v{number}"),
+            value: "x".to_owned(),
+        })
+    };
+    for number in 0..state::MAX_SESSION_ENTRIES {
+        session.plan(&set(number));
+    }
+    assert_eq!(refused(&mut session, &set(9_999)), "protocol_violation");
+    // A known value may still change.
+    let answer = session.plan(&set(1));
+    assert_eq!(
+        answer,
+        state::StatementPlan::Answer(state::LocalAnswer::Done)
+    );
+}
+
+#[test]
+fn refusals_of_the_session_are_promises() {
+    let mut session = state::SessionState::default();
+    let plan = session.plan(&query(Action::Commit));
+    let state::StatementPlan::Answer(state::LocalAnswer::Refused(refusal)) = plan else {
+        panic!("{plan:?}");
+    };
+    assert_eq!(refusal.execution, refusal::RequestExecution::NotRun);
+}
+
+fn values(pairs: &[(&str, &str)]) -> std::collections::BTreeMap<String, String> {
+    let owned = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+    pairs.iter().map(owned).collect()
+}
+
+#[test]
+fn a_connection_is_brought_into_exactly_the_session_s_state() {
+    let mut memory = memory::ConnectionMemory::default();
+    let set = |name: &str, value: &str| memory::SetupStep::Set {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    };
+    let steps = memory.adopt(&values(&[("a", "1")]), None);
+    assert_eq!(steps.as_slice(), [set("a", "1")]);
+    assert!(memory.adopt(&values(&[("a", "1")]), None).is_empty());
+    let steps = memory.adopt(&values(&[("a", "2"), ("b", "1")]), None);
+    assert_eq!(steps.as_slice(), [set("a", "2"), set("b", "1")]);
+    // Another session's values must go.
+    let steps = memory.adopt(&values(&[("b", "1")]), None);
+    assert_eq!(steps.as_slice(), [memory::SetupStep::Reset, set("b", "1")]);
+    assert_eq!(
+        memory.adopt(&values(&[]), None).as_slice(),
+        [memory::SetupStep::Reset]
+    );
+}
+
+#[test]
+fn a_reset_forgets_prepared_statements() {
+    let mut memory = memory::ConnectionMemory::default();
+    let shape = statement::PreparedShape {
+        kind: statement::AccessKind::Read,
+        shape: "q1".to_owned(),
+    };
+    let prepare = memory::SetupStep::Prepare(shape.clone());
+    assert_eq!(
+        memory.adopt(&values(&[]), Some(&shape)).as_slice(),
+        [prepare.clone()]
+    );
+    assert!(memory.adopt(&values(&[]), Some(&shape)).is_empty());
+    memory.adopt(&values(&[("a", "1")]), None);
+    let steps = memory.adopt(&values(&[]), Some(&shape));
+    assert_eq!(steps.as_slice(), [memory::SetupStep::Reset, prepare]);
+}
