Test the whole platform path against a small stand-in with real processes

A store with versions, watches, outages and lost answers, and a group of databases with terms, lag, held replicas and lost answers; 8 tests start the edge program. One run failed once with 'vm-0 is not ready': two deployments of one test process shared a settings file name (ports wrap after five); the name now holds the subnet.

--- /dev/null
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -0,0 +1,461 @@
+//! The whole path with real processes against the platform's stand-in.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_standin_platform::database;
+use bluebellferry_standin_platform::store;
+use serde_json::json;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
+
+const IDS: [&str; 3] = ["i-a", "i-b", "i-c"];
+const KEY: &str = "secret-key-of-families";
+const LAG: Duration = Duration::from_millis(20);
+
+/// Ports for one deployment; tests run side by side.
+static NEXT_DEPLOYMENT: AtomicU16 = AtomicU16::new(0);
+
+struct Deployment {
+    store: Arc<store::StandinStore>,
+    group: Arc<database::StandinGroup>,
+    vms: Vec<Child>,
+    base_port: u16,
+    subnet: u8,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            vm.kill().ok();
+            vm.wait().ok();
+        }
+    }
+}
+
+fn configuration(version: u64, keys: &[&str], rate: f64) -> serde_json::Value {
+    let route = |host: &str, kind: &str| {
+        json!({"Name": host, "Host": host, "Kind": kind, "TimeoutMs": 1500, "SloMs": 500,
+            "Priority": 1, "Service": "rental", "MaxStalenessMs": 1500, "Public": false})
+    };
+    json!({"Version": version,
+        "Routes": [route("counter", "primary"), route("browse", "bounded_staleness"),
+            route("booking", "read_your_writes")],
+        "Services": [{"Name": "rental", "MaxConns": 20, "SyncReplicas": 1}],
+        "Limits": {"TxIdleMs": 3000},
+        "Tenants": [{"Name": "families", "ApiKeys": keys, "RatePerS": rate, "Burst": rate}]})
+}
+
+impl Deployment {
+    async fn start(vms: u8) -> Self {
+        let number = NEXT_DEPLOYMENT.fetch_add(1, Ordering::SeqCst);
+        // Below the ports that the system hands out for outgoing connections.
+        let base_port = 21_000 + (std::process::id() % 250) as u16 * 40 + number * 8 % 40;
+        let subnet = 10 + number as u8;
+        let host = |last: u8, port: u16| SocketAddr::from(([127, subnet, 0, last], port));
+        let store = Arc::new(store::StandinStore::default());
+        let serving = Arc::clone(&store).serve(host(1, base_port)).await;
+        serving.expect("the store listens");
+        let group = database::StandinGroup::new("rental", &IDS, LAG, 20);
+        let duty = Arc::clone(&group).serve_duty(host(1, base_port + 1)).await;
+        duty.expect("the duty call listens");
+        for (index, id) in IDS.iter().enumerate() {
+            let address = host(100 + index as u8, base_port);
+            let serving = Arc::clone(&group).serve(index, address).await;
+            serving.expect("a database listens");
+            let role = if index == 0 { "primary" } else { "replica" };
+            let entry = json!({"Service": "rental", "Addr": address.to_string(), "Zone": "amman-a",
+                "Version": "v1", "Slots": 3, "State": "ready", "ColdLeftMs": 0, "DbRole": role,
+                "Seq": 1, "born": 1});
+            store.put("servers", id, entry);
+        }
+        store.put("config", "main", configuration(1, &[KEY], 200.0));
+        let mut deployment = Self {
+            store,
+            group,
+            vms: Vec::new(),
+            base_port,
+            subnet,
+        };
+        for index in 0..vms {
+            deployment.start_vm(index);
+        }
+        for index in 0..vms {
+            deployment.wait_ready(index).await;
+        }
+        deployment
+    }
+
+    fn host(&self, vm: u8, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, self.subnet, 0, 10 + vm], self.base_port + port))
+    }
+
+    fn start_vm(&mut self, index: u8) {
+        let platform = SocketAddr::from(([127, self.subnet, 0, 1], self.base_port));
+        let duty = SocketAddr::from(([127, self.subnet, 0, 1], self.base_port + 1));
+        let settings = json!({"vm": format!("vm-{index}"), "address": self.host(index, 0).ip(),
+            "data_centre": "amman-a", "region": "amman", "data_centres": {"amman-a": "amman"},
+            "caller_address": self.host(index, 2), "readiness_address": self.host(index, 3),
+            "control_address": self.host(index, 4),
+            "peer_ports": [self.base_port + 5, self.base_port + 6], "seeds": [],
+            "max_descriptors": 4000, "store_address": platform, "duty_address": duty,
+            "grace_s": 3.0});
+        let name = format!("edge-{}-{}-{index}.json", self.base_port, self.subnet);
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, settings.to_string()).expect("the settings can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_bluebellferry-edge"))
+            .env("BLUEBELLFERRY_BOOT", &file)
+            .stdout(log_target(&file))
+            .spawn();
+        self.vms.push(child.expect("the process starts"));
+    }
+
+    async fn wait_ready(&self, index: u8) {
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < deadline {
+            if self.readiness(index).await == Some(200) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("vm-{index} is not ready");
+    }
+
+    async fn readiness(&self, index: u8) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.host(index, 3)).await.ok()?;
+        let request = "GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).await.ok()?;
+        line.split(' ').nth(1)?.parse().ok()
+    }
+
+    async fn caller(&self, vm: u8, route: &str, key: &str) -> Result<Caller, String> {
+        let stream = TcpStream::connect(self.host(vm, 2)).await;
+        let stream = BufReader::new(stream.map_err(|error| error.to_string())?);
+        let mut caller = Caller { stream, number: 0 };
+        caller.send(&format!("STARTUP {route} {key}\r\n")).await;
+        let first = caller.line().await;
+        if first.starts_with("READY I") {
+            Ok(caller)
+        } else {
+            Err(first)
+        }
+    }
+}
+
+/// Logs go to a file beside the settings, to look at when a test has failed.
+fn log_target(settings: &std::path::Path) -> Stdio {
+    std::fs::File::create(settings.with_extension("log")).map_or(Stdio::null(), Stdio::from)
+}
+
+struct Caller {
+    stream: BufReader<TcpStream>,
+    number: u32,
+}
+
+impl Caller {
+    async fn send(&mut self, text: &str) {
+        let sent = self.stream.get_mut().write_all(text.as_bytes()).await;
+        sent.expect("the VM takes the message");
+    }
+
+    async fn line(&mut self) -> String {
+        let mut line = String::new();
+        let reading = self.stream.read_line(&mut line);
+        let read = tokio::time::timeout(Duration::from_secs(10), reading).await;
+        read.expect("an answer comes").expect("it can be read");
+        line.trim_end().to_owned()
+    }
+
+    /// Runs a statement; returns the answer's lines up to READY.
+    async fn run(&mut self, text: &str) -> Vec<String> {
+        self.number += 1;
+        let number = self.number;
+        self.send(&format!("QUERY q{number} {text}\r\n")).await;
+        let mut lines = Vec::new();
+        loop {
+            let line = self.line().await;
+            let is_last = line.starts_with("READY");
+            lines.push(line);
+            if is_last {
+                return lines;
+            }
+        }
+    }
+
+    async fn succeeds(&mut self, text: &str) -> Vec<String> {
+        let lines = self.run(text).await;
+        assert!(
+            !lines.iter().any(|line| line.starts_with("ERROR")),
+            "{text}: {lines:?}"
+        );
+        lines
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_read_their_own_writes_and_keys_stay_here() {
+    let deployment = Deployment::start(2).await;
+    let mut caller = deployment
+        .caller(0, "booking", KEY)
+        .await
+        .expect("it connects");
+    for number in 0..20 {
+        let data = format!("d{number}");
+        caller.succeeds(&format!("WRITE boots {data}")).await;
+        let lines = caller.succeeds("READ boots").await;
+        assert_eq!(lines[0], format!("DATAROW {data}"));
+    }
+    // Session values and prepared names follow the session.
+    caller.succeeds("SET zone amman").await;
+    caller.succeeds("PREPARE s1 READ q2c").await;
+    let lines = caller.succeeds("EXECUTE s1 boots").await;
+    assert_eq!(lines[0], "DATAROW d19");
+    // A transaction, and what it wrote at another VM on a primary route.
+    caller.succeeds("BEGIN").await;
+    caller.succeeds("READ boots").await;
+    let lines = caller.succeeds("WRITE boots tx").await;
+    assert!(
+        lines.last().is_some_and(|line| line.starts_with("READY T")),
+        "{lines:?}"
+    );
+    caller.succeeds("COMMIT").await;
+    let mut counter = deployment
+        .caller(1, "counter", KEY)
+        .await
+        .expect("it connects");
+    assert_eq!(counter.succeeds("READ boots").await[0], "DATAROW tx");
+    // Refusals.
+    let unknown = deployment.caller(0, "nowhere", KEY).await.err();
+    assert!(unknown.is_some_and(|line| line.starts_with("ERROR NODB")));
+    let denied = deployment.caller(0, "booking", "wrong").await.err();
+    assert!(denied.is_some_and(|line| line.starts_with("ERROR DENIED")));
+    let lines = counter.run("DROP boots").await;
+    assert!(lines[0].starts_with("ERROR MALFORMED"), "{lines:?}");
+    let received = deployment.group.received();
+    assert!(received.iter().all(|line| !line.contains(KEY)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas_serve_reads_that_may_be_old() {
+    let deployment = Deployment::start(1).await;
+    let mut writer = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    writer.succeeds("WRITE boots x").await;
+    let mut tasks = Vec::new();
+    for _ in 0..6 {
+        let mut caller = deployment
+            .caller(0, "browse", KEY)
+            .await
+            .expect("it connects");
+        tasks.push(tokio::spawn(async move {
+            for _ in 0..20 {
+                caller.succeeds("READ boots").await;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.expect("the reads succeed");
+    }
+    let received = deployment.group.received();
+    let by_replicas = received.iter().filter(|line| line.contains("SINCE"));
+    assert!(by_replicas.count() > 20, "{received:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_leader_is_replaced_and_no_acknowledged_write_is_missing() {
+    let deployment = Deployment::start(3).await;
+    let mut acknowledged = Vec::new();
+    let started = Instant::now();
+    let mut recovered = None;
+    for number in 0.. {
+        if number == 10 {
+            deployment.group.set_down(0, true);
+        }
+        let Ok(mut caller) = deployment.caller(number % 3, "counter", KEY).await else {
+            continue;
+        };
+        let lines = caller.run(&format!("WRITE boots w{number}")).await;
+        if !lines[0].starts_with("ERROR") {
+            acknowledged.push(format!("w{number}"));
+            if number > 10 && recovered.is_none() {
+                recovered = Some(started.elapsed());
+            }
+            if acknowledged.len() > 20 {
+                break;
+            }
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(30),
+            "no leader for 30 s"
+        );
+    }
+    let written = deployment.group.written("boots");
+    for data in &acknowledged {
+        let count = written.iter().filter(|one| *one == data).count();
+        assert_eq!(count, 1, "{data} in {written:?}");
+    }
+    let promotions = deployment.group.promotions();
+    assert!(!promotions.is_empty());
+    assert!(
+        promotions
+            .windows(2)
+            .all(|pair| pair[0].token <= pair[1].token)
+    );
+    // Reads on a primary route see it at every VM.
+    for vm in 0..3 {
+        let mut caller = deployment
+            .caller(vm, "counter", KEY)
+            .await
+            .expect("it connects");
+        let last = acknowledged.last().expect("some were acknowledged");
+        assert_eq!(
+            caller.succeeds("READ boots").await[0],
+            format!("DATAROW {last}")
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_withdrawn_key_stops_working_for_callers_that_are_connected() {
+    let deployment = Deployment::start(1).await;
+    let mut caller = deployment
+        .caller(0, "booking", KEY)
+        .await
+        .expect("it connects");
+    caller.succeeds("READ boots").await;
+    deployment
+        .store
+        .put("config", "main", configuration(2, &["another"], 200.0));
+    let withdrawn = Instant::now();
+    loop {
+        let lines = caller.run("READ boots").await;
+        if lines[0].starts_with("ERROR DENIED") {
+            break;
+        }
+        assert!(withdrawn.elapsed() < Duration::from_secs(3));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    deployment
+        .caller(0, "booking", "another")
+        .await
+        .expect("the new key works");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_of_the_store_stops_nobody() {
+    let deployment = Deployment::start(3).await;
+    deployment.store.set_down(true);
+    let mut caller = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    let outage = Instant::now();
+    let mut number = 0;
+    while outage.elapsed() < Duration::from_secs(4) {
+        number += 1;
+        caller.succeeds(&format!("WRITE boots o{number}")).await;
+        assert_eq!(
+            caller.succeeds("READ boots").await[0],
+            format!("DATAROW o{number}")
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_answer_leaves_a_write_in_doubt_and_a_read_runs_elsewhere() {
+    let deployment = Deployment::start(1).await;
+    let mut caller = deployment
+        .caller(0, "booking", KEY)
+        .await
+        .expect("it connects");
+    caller.succeeds("WRITE boots before").await;
+    deployment.group.drop_next_answer();
+    let lines = caller.run("WRITE boots lost").await;
+    assert!(lines[0].starts_with("ERROR INDOUBT"), "{lines:?}");
+    let written = deployment.group.written("boots");
+    assert_eq!(written.iter().filter(|data| *data == "lost").count(), 1);
+    deployment.group.drop_next_answer();
+    let lines = caller.succeeds("READ boots").await;
+    assert_eq!(lines[0], "DATAROW lost");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_is_asked_to_stop_finishes_what_runs() {
+    let mut deployment = Deployment::start(1).await;
+    let mut caller = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    caller.succeeds("BEGIN").await;
+    caller.succeeds("WRITE boots last").await;
+    let process = rustix::process::Pid::from_child(&deployment.vms[0]);
+    rustix::process::kill_process(process, rustix::process::Signal::TERM).expect("it runs");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(deployment.readiness(0).await, Some(503));
+    caller.succeeds("COMMIT").await;
+    assert_eq!(deployment.group.written("boots"), ["last"]);
+    let stopped = Instant::now();
+    while deployment.vms[0]
+        .try_wait()
+        .expect("it can be asked")
+        .is_none()
+    {
+        assert!(
+            stopped.elapsed() < Duration::from_secs(4),
+            "it does not end"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_workspace_gets_no_more_than_its_rate_over_all_vms() {
+    let deployment = Deployment::start(3).await;
+    deployment
+        .store
+        .put("config", "main", configuration(2, &[KEY], 20.0));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for vm in 0..3 {
+        let mut caller = deployment
+            .caller(vm, "browse", KEY)
+            .await
+            .expect("it connects");
+        tasks.push(tokio::spawn(async move {
+            let mut admitted = 0;
+            while started.elapsed() < Duration::from_secs(4) {
+                let lines = caller.run("READ boots").await;
+                if !lines[0].starts_with("ERROR") {
+                    admitted += 1;
+                }
+            }
+            admitted
+        }));
+    }
+    let mut admitted = 0;
+    for task in tasks {
+        admitted += task.await.expect("the caller ends");
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let limit = 20.0 * seconds + 20.0;
+    assert!(f64::from(admitted) <= limit + 1.0, "{admitted} of {limit}");
+    assert!(
+        f64::from(admitted) >= 0.7 * 20.0 * seconds,
+        "{admitted} of {limit}"
+    );
+}
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -381,10 +381,9 @@
         });
         let of_other = of_other.map(|(_, other)| other.request.workspace.clone());
         let of_kept = of_kept.map(|(id, kept)| (*id, kept.request.workspace.clone()));
-        if let Some(workspace) = of_other {
-            if let Some(opening) = self.begin_open(&workspace, database, now) {
-                return Some(PoolAction::Open(opening));
-            }
+        let opening = of_other.and_then(|other| self.begin_open(&other, database, now));
+        if let Some(opening) = opening {
+            return Some(PoolAction::Open(opening));
         }
         let (waiter, workspace) = of_kept?;
         let connection = self.take_kept(&workspace, database)?;
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -252,7 +252,7 @@
     let prepare = memory::SetupStep::Prepare(shape.clone());
     assert_eq!(
         memory.adopt(&values(&[]), Some(&shape)).as_slice(),
-        [prepare.clone()]
+        std::slice::from_ref(&prepare)
     );
     assert!(memory.adopt(&values(&[]), Some(&shape)).is_empty());
     memory.adopt(&values(&[("a", "1")]), None);
--- /dev/null
+++ b/crates/bluebellferry_standin_platform/src/lib.rs
@@ -0,0 +1,9 @@
+//! A small stand-in for the users' platform: its object store, its duty call
+//! and databases that speak its line protocol. For tests only.
+//!
+//! Nothing is persistent, and only what the tests need is there: versions,
+//! watches and outages of the store; positions, terms, lag, connection limits,
+//! held replicas and crashes of databases.
+
+pub mod database;
+pub mod store;
