--- a/crates/bluebellferry_edge/src/traffic.rs
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -1,5 +1,6 @@
 //! The traffic thread: callers' sessions and connections to databases.
 
+pub mod budget_log;
 pub mod connection;
 pub mod dispatch;
 pub mod metrics;
@@ -33,6 +34,8 @@
     pub metrics: metrics::TrafficMetrics,
     /// The callers that are connected.
     pub callers: Cell<usize>,
+    /// The bound on lines about single statements.
+    pub lines: budget_log::LineBudget,
 }
 
 impl TrafficContext {
@@ -44,6 +47,7 @@
             dispatch: Rc::new(dispatch),
             metrics,
             callers: Cell::new(0),
+            lines: budget_log::LineBudget::new(clock::now()),
         }
     }
 }
@@ -73,6 +77,10 @@
     let mut changes = context.shared.changes();
     loop {
         context.dispatch.apply_snapshot(clock::now());
+        let suppressed = context.lines.take_suppressed();
+        if suppressed > 0 {
+            log::warn!(lines = suppressed; "lines about statements were left out");
+        }
         let change = tokio::time::timeout(UPKEEP_INTERVAL, changes.changed()).await;
         if matches!(change, Ok(Err(_))) {
             return;
--- /dev/null
+++ b/crates/bluebellferry_edge/src/traffic/budget_log.rs
@@ -0,0 +1,49 @@
+//! A bound on log lines about single statements.
+
+use std::cell::Cell;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Lines a second about refused statements and retries. At some 400 bytes a line
+/// that is 16 KB a second, and well under a hundredth of a quarter core.
+const LINES_PER_SECOND: u32 = 40;
+/// The span over which lines are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// Counts lines and says whether another one may be written.
+#[derive(Debug)]
+pub struct LineBudget {
+    span_start: Cell<Instant>,
+    written: Cell<u32>,
+    suppressed: Cell<u64>,
+}
+
+impl LineBudget {
+    /// Creates a budget that has written nothing.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            span_start: Cell::new(now),
+            written: Cell::new(0),
+            suppressed: Cell::new(0),
+        }
+    }
+
+    /// Returns whether a line may be written now; counts it if not.
+    pub fn allows(&self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.span_start.get()) >= SPAN {
+            self.span_start.set(now);
+            self.written.set(0);
+        }
+        if self.written.get() < LINES_PER_SECOND {
+            self.written.set(self.written.get() + 1);
+            return true;
+        }
+        self.suppressed.set(self.suppressed.get() + 1);
+        false
+    }
+
+    /// Returns how many lines were not written since the last call.
+    pub fn take_suppressed(&self) -> u64 {
+        self.suppressed.replace(0)
+    }
+}
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -221,10 +221,9 @@
             changes.mark_unchanged();
             let now = clock::now();
             if now >= demand.deadline {
-                return Err(refuse(
-                    refusal::RefusalReason::QueueTimeout,
-                    "no connection came free in time",
-                ));
+                let reason = refusal::RefusalReason::QueueTimeout;
+                let refusal = refuse(reason, "no connection came free in time");
+                return Err(refusal.retry_after(RECONSIDER));
             }
             let left = demand.deadline.saturating_duration_since(now);
             match self.begin_obtain(demand, now) {
@@ -438,6 +437,11 @@
         self.act(state, action, now);
     }
 
+    /// Returns how many statements wait for a connection.
+    pub fn waiting(&self) -> usize {
+        self.state.borrow().budget.waiting()
+    }
+
     /// Returns a database's entry.
     pub fn entry(&self, database: budget::DatabaseIndex) -> Arc<database::DatabaseEntry> {
         Arc::clone(&self.state.borrow().records[database].entry)
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -72,18 +72,50 @@
             }
             Err(refusal) => {
                 self.context.metrics.count_refusal(refusal.reason);
-                log::info!(
-                    id = statement.id.as_str(), kind = kind, route = self.identity.route.as_str(),
-                    reason = refusal.reason.code(), execution = refusal.execution.as_str(),
-                    elapsed_ms = elapsed.as_millis() as u64, detail = refusal.message.as_str();
-                    "a statement is refused"
-                );
+                self.log_refusal(statement, kind, &refusal, elapsed);
                 caller::encode_refusal(out, &refusal);
                 None
             }
         }
     }
 
+    /// Logs a refusal with what this VM believed when it decided.
+    fn log_refusal(
+        &self,
+        statement: &statement::Statement,
+        kind: &'static str,
+        refusal: &refusal::RequestRefusal,
+        elapsed: Duration,
+    ) {
+        let now = clock::now();
+        if !self.context.lines.allows(now) {
+            return;
+        }
+        let snapshot = self.context.shared.snapshot();
+        let configuration = &snapshot.configuration;
+        let policy = configuration.find_route(&self.identity.route);
+        let service = policy.map(|policy| &policy.service);
+        let leader = service.and_then(|service| snapshot.leaders.get(service));
+        let lease = service.and_then(|service| snapshot.leases.get(service));
+        let workspace = configuration.find_workspace(&self.identity.key);
+        let retry_after = refusal
+            .retry_after
+            .map_or(0, |wait| wait.as_millis() as u64);
+        log::info!(
+            id = statement.id.as_str(), kind = kind, route = self.identity.route.as_str(),
+            workspace = workspace.map_or("-", |workspace| workspace.as_str()),
+            configuration_version = configuration.version,
+            leader = leader.map_or("-", |leader| leader.database.as_str()),
+            leader_is_replacing = leader.is_some_and(|leader| leader.is_replacing),
+            lease_left_ms = lease.map_or(0, |until| until.saturating_duration_since(now).as_millis() as u64),
+            waiting = self.context.dispatch.waiting() as u64,
+            reason = refusal.reason.code(), execution = refusal.execution.as_str(),
+            retry_after_ms = retry_after, elapsed_ms = elapsed.as_millis() as u64,
+            detail = refusal.message.as_str();
+            "a statement is refused"
+        );
+    }
+
     async fn carry_out(
         &mut self,
         statement: &statement::Statement,
@@ -209,7 +241,7 @@
                 Ok(answer)
             }
             Err(error) => {
-                self.record_failure(held, error, is_commit(plan));
+                self.record_failure(&statement.id, held, error, is_commit(plan));
                 self.state.record_outcome(plan, state::RunOutcome::Lost);
                 self.transaction = None;
                 Err(lost_in_transaction(plan.kind, error))
@@ -259,7 +291,7 @@
                 }
                 Err(error) => {
                     demand.excluded.push(held.database);
-                    self.record_failure(held, error, false);
+                    self.record_failure(&opening.begin_id, held, error, false);
                 }
             }
         }
@@ -315,12 +347,30 @@
             match end {
                 TryEnd::Answered(answer) => return Ok(answer),
                 TryEnd::GivenUp(refusal) => return Err(refusal),
-                TryEnd::Elsewhere(reason) => self.context.metrics.count_retry(reason),
+                TryEnd::Elsewhere(reason) => self.note_retry(statement, reason, &demand),
             }
         }
         Err(not_run_here())
     }
 
+    fn note_retry(
+        &self,
+        statement: &statement::Statement,
+        reason: &'static str,
+        demand: &dispatch::ConnectionDemand,
+    ) {
+        self.context.metrics.count_retry(reason);
+        if self.context.lines.allows(clock::now()) {
+            let failed = demand.excluded.last();
+            let failed = failed.map(|index| self.context.dispatch.entry(*index));
+            log::info!(
+                id = statement.id.as_str(), route = self.identity.route.as_str(), reason = reason,
+                database = failed.as_ref().map_or("-", |entry| entry.id.as_str());
+                "a statement runs elsewhere"
+            );
+        }
+    }
+
     async fn try_read(
         &mut self,
         statement: &statement::Statement,
@@ -349,7 +399,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 demand.excluded.push(held.database);
-                self.record_failure(held, error, false);
+                self.record_failure(&statement.id, held, error, false);
                 if clock::now() >= scope.deadline {
                     return TryEnd::GivenUp(timed_out());
                 }
@@ -397,7 +447,7 @@
         let answer = match exchanged {
             Ok(answer) => answer,
             Err(error) => {
-                self.record_failure(held, error, true);
+                self.record_failure(&statement.id, held, error, true);
                 return TryEnd::GivenUp(in_doubt(error));
             }
         };
@@ -545,6 +595,7 @@
 
     fn record_failure(
         &self,
+        id: &str,
         held: dispatch::HeldConnection,
         error: connection::ExchangeError,
         is_commit: bool,
@@ -552,10 +603,13 @@
         let dispatch = &self.context.dispatch;
         let database = held.database;
         self.context.metrics.count_retry("connection_lost");
-        log::info!(
-            database = dispatch.entry(database).id.as_str(), error:% = error;
-            "a database did not answer"
-        );
+        if self.context.lines.allows(clock::now()) {
+            log::info!(
+                id = id, database = dispatch.entry(database).id.as_str(), error:% = error,
+                is_commit = is_commit;
+                "a database did not answer"
+            );
+        }
         if error != connection::ExchangeError::Malformed {
             dispatch.record_silence(database);
             let kind = if is_commit {
