--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -286,14 +286,7 @@
 ) -> bool {
     let answered = control.suspicions.answered(service, leader);
     let by_own = answered.is_some_and(|at| now.saturating_duration_since(at) < USED_LATELY);
-    let is_fresh = |record: &state::PeerRecord| {
-        let since_beat = now.saturating_duration_since(record.heard);
-        record.beat.positions.iter().any(|sample| {
-            let age = Duration::from_millis(u64::from(sample.age_ms)) + since_beat;
-            sample.service == *service && age < USED_LATELY
-        })
-    };
-    by_own || control.live_peers(now).any(|(_, record)| is_fresh(record))
+    by_own || control.is_used_by_others(service, USED_LATELY, now)
 }
 
 async fn replace(
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -1,6 +1,7 @@
 //! What this VM believes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 use crate::control::suspicion;
 use crate::shared;
 
+/// How long ago another VM must have had an answer from a leader for callers to be
+/// sent there: a heartbeat's interval and the time between two statements.
+const SERVED_LATELY: Duration = Duration::from_millis(700);
 /// After how long without a heartbeat a VM counts as silent.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_300);
 
@@ -388,6 +392,35 @@
             .max(probed.map(|(_, until)| *until))
     }
 
+    /// Returns the services whose callers do better at another VM when this one
+    /// cannot use the leader.
+    fn served_elsewhere(&self, now: Instant) -> BTreeSet<name::ServiceName> {
+        let services = self.configuration.decoded.services.keys();
+        let is_alone = self.members.len() > 1 && self.live_peers(now).next().is_none();
+        let is_isolated = is_alone && !self.has_store;
+        let is_served = |service: &&name::ServiceName| {
+            is_isolated || self.is_used_by_others(service, SERVED_LATELY, now)
+        };
+        services.filter(is_served).cloned().collect()
+    }
+
+    /// Returns whether another VM had an answer from a service's leader lately.
+    pub fn is_used_by_others(
+        &self,
+        service: &name::ServiceName,
+        lately: Duration,
+        now: Instant,
+    ) -> bool {
+        let is_fresh = |record: &PeerRecord| {
+            let since_beat = now.saturating_duration_since(record.heard);
+            record.beat.positions.iter().any(|sample| {
+                let age = Duration::from_millis(u64::from(sample.age_ms)) + since_beat;
+                sample.service == *service && age < lately
+            })
+        };
+        self.live_peers(now).any(|(_, record)| is_fresh(record))
+    }
+
     /// Tells traffic what has changed.
     pub fn publish(&mut self) {
         let mut leaders = BTreeMap::new();
@@ -406,6 +439,7 @@
             databases: Arc::clone(&self.databases),
             leaders: Arc::new(leaders),
             leases,
+            served_elsewhere: Arc::new(self.served_elsewhere(clock::now())),
             part: self.own_part(),
         };
         let now = clock::now();
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the traffic thread and the control thread share.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -44,6 +45,9 @@
     pub leaders: Arc<BTreeMap<name::ServiceName, LeaderView>>,
     /// Until when the leaders may be relied on, by service.
     pub leases: BTreeMap<name::ServiceName, Instant>,
+    /// The services whose leader other VMs use at present, or may use while this
+    /// VM is cut off from everybody.
+    pub served_elsewhere: Arc<BTreeSet<name::ServiceName>>,
     /// This VM's part of fleet-wide limits, and the sum of the parts of the VMs
     /// before it in the order of their names.
     pub part: FleetPart,
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -44,6 +44,9 @@
 const RESERVED_SHARE: u32 = 3;
 /// How long an unused connection is kept; shorter than the platform's own limit.
 const KEEP_UNUSED: Duration = Duration::from_secs(45);
+/// How long a statement that only other VMs can serve waits here for that to
+/// change: a lease is confirmed anew within that time if at all.
+pub const HOPELESS_AFTER: Duration = Duration::from_millis(150);
 /// The shortest and longest time that a read waits for one database's answer.
 const LEAST_PATIENCE: Duration = Duration::from_millis(250);
 const MOST_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -66,6 +69,8 @@
     pub excluded: Vec<budget::DatabaseIndex>,
     /// When the statement must be given up.
     pub deadline: Instant,
+    /// When it is refused if no database can take it here but another VM serves it.
+    pub hopeless_after: Instant,
 }
 
 /// An avoided database.
@@ -264,7 +269,11 @@
     ) -> Result<(), refusal::RequestRefusal> {
         let pause = left.min(AVOID_AT_FIRST / 4);
         tokio::time::timeout(pause, changes.changed()).await.ok();
-        if clock::now() < demand.deadline {
+        let now = clock::now();
+        let snapshot = self.shared.snapshot();
+        let is_hopeless =
+            now >= demand.hopeless_after && snapshot.served_elsewhere.contains(&demand.service);
+        if now < demand.deadline && !is_hopeless {
             return Ok(());
         }
         let reason = if demand.allows_replica {
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -503,6 +503,7 @@
             needs_lease,
             excluded: Vec::new(),
             deadline: scope.deadline,
+            hopeless_after: clock::now() + dispatch::HOPELESS_AFTER,
         }
     }
 
