--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -434,7 +434,13 @@
             successor::SuccessorChoice::Promote { id, position } => {
                 let decided = replacement.decided.unwrap_or_else(clock::now);
                 wait_for_leases(control, replacement.claimed, decided).await;
-                if promote(control, client, &replacement, &id).await {
+                forget_released(control, &mut replacement).await;
+                let before = successor::SuccessorChoice::Promote {
+                    id: id.clone(),
+                    position,
+                };
+                let is_unchanged = choose(control, &replacement) == before;
+                if is_unchanged && promote(control, client, &replacement, &id).await {
                     publish_leader(control, client, &replacement, id, position).await;
                     return;
                 }
@@ -571,6 +577,43 @@
     }
 }
 
+/// Asks the replicas again: one that was started anew receives again, although
+/// it was held back.
+async fn forget_released(control: &control::ControlCell, replacement: &mut Replacement) {
+    if replacement.cause == ReplacementCause::Leaving {
+        return;
+    }
+    let Some(workspace) = control.borrow().any_workspace() else {
+        return;
+    };
+    let entries: Vec<catalog::DatabaseEntry> = {
+        let control = control.borrow();
+        let is_held_replica = |entry: &&catalog::DatabaseEntry| {
+            replacement.held.contains_key(&entry.id) && entry.id != replacement.leader
+        };
+        let held = control.databases.iter().filter(is_held_replica);
+        held.cloned().collect()
+    };
+    let mut questions = JoinSet::new();
+    for entry in entries {
+        let workspace = workspace.clone();
+        questions.spawn_local(async move {
+            let order = database::DatabaseOrder::Status;
+            (orders::give_order(&entry, &workspace, order).await, entry)
+        });
+    }
+    while let Some(answered) = questions.join_next().await {
+        if let Ok((Ok(status), entry)) = answered
+            && status.held_term == 0
+            && !status.is_primary
+        {
+            log::warn!(database = entry.id.as_str(); "a replica is no longer held back");
+            replacement.held.remove(&entry.id);
+            replacement.decided = None;
+        }
+    }
+}
+
 fn choose(control: &control::ControlCell, replacement: &Replacement) -> successor::SuccessorChoice {
     successor::choose_successor(&evidence(control, replacement), replacement.leader_term)
 }
--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -255,14 +255,8 @@
     assert!(received.iter().all(|line| !line.contains(KEY)));
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn replicas_serve_reads_that_may_be_old() {
-    let deployment = Deployment::start(1).await;
-    let mut writer = deployment
-        .caller(0, "counter", KEY)
-        .await
-        .expect("it connects");
-    writer.succeeds("WRITE boots x").await;
+/// Has six callers read 40 times each.
+async fn read_by_six(deployment: &Deployment) {
     let mut tasks = Vec::new();
     for _ in 0..6 {
         let mut caller = deployment
@@ -270,7 +264,7 @@
             .await
             .expect("it connects");
         tasks.push(tokio::spawn(async move {
-            for _ in 0..20 {
+            for _ in 0..40 {
                 caller.succeeds("READ boots").await;
             }
         }));
@@ -278,10 +272,27 @@
     for task in tasks {
         task.await.expect("the reads succeed");
     }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas_serve_reads_that_may_be_old() {
+    let deployment = Deployment::start(1).await;
+    let mut writer = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    writer.succeeds("WRITE boots x").await;
+    // The answer times of all databases have to be learned first.
+    read_by_six(&deployment).await;
+    let learned = deployment.group.received().len();
+    read_by_six(&deployment).await;
     let received = deployment.group.received();
-    let by_replicas = received.iter().filter(|line| line.contains("SINCE"));
-    let by_replicas = by_replicas.count();
-    assert!(by_replicas > 60, "{by_replicas} of 120");
+    let by_replicas = received[learned..]
+        .iter()
+        .filter(|line| line.contains("SINCE"));
+    // The target for reads that may be old is 97 in 100.
+    let share = by_replicas.count() as f64 / 240.0;
+    assert!(share >= 0.97, "{share}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
