--- a/crates/bluebellferry_edge/src/control/probing.rs
+++ b/crates/bluebellferry_edge/src/control/probing.rs
@@ -69,8 +69,7 @@
         let leader = control
             .leader_of(service)
             .filter(|leader| !leader.is_replacing)?;
-        let of_service = |entry: &&catalog::DatabaseEntry| entry.service == *service;
-        let entries = control.databases.iter().filter(of_service).cloned();
+        let entries = control.databases_of(service).into_iter();
         let (leaders, replicas): (Vec<_>, Vec<_>) =
             entries.partition(|entry| entry.id == leader.database);
         Some(LeaderGroup {
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/replacement/cause.rs
@@ -0,0 +1,193 @@
+//! Whether a leader is to be replaced, and whether by this VM.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::database as catalog;
+use bluebellferry_membership::beat;
+use bluebellferry_platform::database;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+
+use crate::control;
+use crate::control::orders;
+use crate::control::state;
+use crate::shared;
+
+/// How long a leader that another VM has used lately is not taken for lost.
+const USED_LATELY: Duration = Duration::from_millis(500);
+/// How long a VM waits before it takes the duty from a silent holder.
+const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Why a leader is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReplacementCause {
+    /// It is about to stop.
+    Leaving,
+    /// It does not answer, or does not lead.
+    Lost,
+    /// No replica receives what it writes.
+    CannotCommit,
+}
+
+impl ReplacementCause {
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Lost => "lost",
+            Self::CannotCommit => "cannot commit",
+        }
+    }
+}
+
+/// Returns whether this VM acts: it holds the duty, or the holder is silent and
+/// this VM's name comes first among those that live.
+pub(super) fn is_responsible(control: &state::ControlState, now: Instant) -> bool {
+    let own = control.own_name();
+    let is_leaving = *control.shared.drain.borrow() != shared::DrainPhase::Serving;
+    // Only who counts as a member everywhere may act: an answer to a heartbeat
+    // is a promise of each member to wait.
+    let may_act = control.has_store && control.members.contains_key(own);
+    if is_leaving || !may_act || !control.is_known_to_all(now) {
+        return false;
+    }
+    let holder = control.table.holder.as_str();
+    if holder == own {
+        return true;
+    }
+    let holder_record = control.peers.get(holder);
+    let is_holder_live = holder_record.is_some_and(|record| {
+        now.saturating_duration_since(record.heard) < HOLDER_SILENCE && may_hold(&record.beat)
+    });
+    if is_holder_live && control.members.contains_key(holder) {
+        return false;
+    }
+    let mut live = control
+        .live_peers(now)
+        .filter(|(_, record)| may_hold(&record.beat));
+    live.all(|(name, _)| name.as_str() > own)
+}
+
+/// Returns whether a VM can hold the duty.
+fn may_hold(beat: &beat::FleetBeat) -> bool {
+    !beat.is_leaving && beat.has_store
+}
+
+pub(super) async fn find_cause(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+) -> Option<(name::DatabaseName, ReplacementCause)> {
+    let now = clock::now();
+    let (leader, entry, is_suspected, is_used) = {
+        let control = control.borrow();
+        let leader = control.leader_of(service)?;
+        let entry = find_entry(&control, &leader.database);
+        if leader.is_replacing {
+            // A replacement that its VM did not finish.
+            return Some((leader.database, ReplacementCause::Lost));
+        }
+        let is_suspected = is_suspected(&control, service, &leader.database, now);
+        let is_used = is_used_lately(&control, service, &leader.database, now);
+        (leader.database, entry, is_suspected, is_used)
+    };
+    if entry.as_ref().is_some_and(|entry| entry.leaving) {
+        return Some((leader, ReplacementCause::Leaving));
+    }
+    if !is_suspected {
+        return None;
+    }
+    let workspace = control.borrow().any_workspace()?;
+    let Some(entry) = entry else {
+        return (!is_used).then_some((leader, ReplacementCause::Lost));
+    };
+    let status = orders::give_order(&entry, &workspace, database::DatabaseOrder::Status).await;
+    match status {
+        Ok(status) if !status.is_primary => Some((leader, ReplacementCause::Lost)),
+        Ok(status) => {
+            let is_stalled =
+                is_cut_from_replicas(control, service, &entry, status, &workspace).await;
+            is_stalled.then_some((leader, ReplacementCause::CannotCommit))
+        }
+        Err(orders::OrderError::Refused(_)) => None,
+        Err(error) => {
+            log::warn!(database = leader.as_str(), error:% = error, used = is_used; "a suspected leader does not answer");
+            (!is_used).then_some((leader, ReplacementCause::Lost))
+        }
+    }
+}
+
+/// Returns whether no replica has received what the leader wrote a while ago.
+async fn is_cut_from_replicas(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+    leader: &catalog::DatabaseEntry,
+    before: database::DatabaseStatus,
+    workspace: &name::WorkspaceName,
+) -> bool {
+    /// Longer than any replica's receipt takes, shorter than callers' patience.
+    const RECEIPT_TIME: Duration = Duration::from_millis(250);
+    tokio::time::sleep(RECEIPT_TIME).await;
+    let mut replicas = control.borrow().databases_of(service);
+    replicas.retain(|entry| entry.id != leader.id);
+    let mut has_answer = false;
+    for replica in &replicas {
+        let order = database::DatabaseOrder::Status;
+        if let Ok(status) = orders::give_order(replica, workspace, order).await {
+            has_answer = true;
+            if status.received >= before.received {
+                return false;
+            }
+        }
+    }
+    has_answer
+}
+
+fn find_entry(
+    control: &state::ControlState,
+    id: &name::DatabaseName,
+) -> Option<catalog::DatabaseEntry> {
+    control
+        .databases
+        .iter()
+        .find(|entry| entry.id == *id)
+        .cloned()
+}
+
+/// Returns whether the leader of a service is suspected.
+pub(super) fn is_any_suspected(
+    control: &state::ControlState,
+    service: &name::ServiceName,
+    now: Instant,
+) -> bool {
+    let leader = control.leader_of(service);
+    leader.is_some_and(|leader| is_suspected(control, service, &leader.database, now))
+}
+
+fn is_suspected(
+    control: &state::ControlState,
+    service: &name::ServiceName,
+    leader: &name::DatabaseName,
+    now: Instant,
+) -> bool {
+    let names = |suspicions: &[beat::LeaderSuspicion]| {
+        suspicions
+            .iter()
+            .any(|one| one.service == *service && one.database == *leader)
+    };
+    names(&control.suspicions.own_suspicions(now))
+        || control
+            .live_peers(now)
+            .any(|(_, record)| names(&record.beat.suspicions))
+}
+
+/// Returns whether some VM had an answer from the leader a moment ago.
+fn is_used_lately(
+    control: &state::ControlState,
+    service: &name::ServiceName,
+    leader: &name::DatabaseName,
+    now: Instant,
+) -> bool {
+    let answered = control.suspicions.answered(service, leader);
+    let by_own = answered.is_some_and(|at| now.saturating_duration_since(at) < USED_LATELY);
+    by_own || control.is_used_by_others(service, USED_LATELY, now)
+}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -0,0 +1,201 @@
+//! Having databases stop, and the choice among them.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use bluebellferry_catalog::database as catalog;
+use bluebellferry_platform::database;
+use bluebellferry_promotion::successor;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use tokio::task::JoinSet;
+
+use crate::control;
+use crate::control::orders;
+use crate::control::replacement::cause;
+
+/// A replacement under way.
+pub(super) struct LeaderReplacement {
+    /// The service.
+    pub(super) service: name::ServiceName,
+    /// The leader to be replaced.
+    pub(super) leader: name::DatabaseName,
+    /// Why it is replaced.
+    pub(super) cause: cause::ReplacementCause,
+    /// An instant after the replacement was entered into the table.
+    pub(super) claimed: Instant,
+    /// The databases that receive and lead no more, with the ends of their logs.
+    pub(super) held: BTreeMap<name::DatabaseName, position::LogPosition>,
+    /// The term of the orders.
+    pub(super) term: u64,
+    /// The term in which the leader to be replaced leads.
+    pub(super) leader_term: u64,
+    /// When the choice became certain: no database was told to stop after that.
+    pub(super) decided: Option<Instant>,
+    /// The databases that said they lead, with their terms and the ends of their logs.
+    pub(super) leading: BTreeMap<name::DatabaseName, (u64, position::LogPosition)>,
+}
+
+/// Has every database of the service that can be reached stop.
+pub(super) async fn hold_databases(
+    control: &control::ControlCell,
+    replacement: &mut LeaderReplacement,
+) {
+    let Some(workspace) = control.borrow().any_workspace() else {
+        return;
+    };
+    let entries = control.borrow().databases_of(&replacement.service);
+    let mut tasks = JoinSet::new();
+    for entry in entries {
+        if replacement.held.contains_key(&entry.id) {
+            continue;
+        }
+        let is_leader = entry.id == replacement.leader;
+        // A leader that leaves in an orderly way sends its replicas what it has.
+        let is_needed = is_leader
+            || replacement.cause != cause::ReplacementCause::Leaving
+            || replacement.held.contains_key(&replacement.leader);
+        if !is_needed {
+            continue;
+        }
+        let term = replacement.term;
+        let order = match (is_leader, replacement.cause) {
+            (true, _) => database::DatabaseOrder::StepDown { term },
+            (false, cause::ReplacementCause::Leaving) => database::DatabaseOrder::Status,
+            (false, _) => database::DatabaseOrder::Pause { term },
+        };
+        let workspace = workspace.clone();
+        tasks.spawn_local(async move {
+            let result = orders::give_order(&entry, &workspace, order).await;
+            (entry, order, result)
+        });
+    }
+    while let Some(finished) = tasks.join_next().await {
+        let Ok((entry, order, result)) = finished else {
+            continue;
+        };
+        match result {
+            Ok(status) => record_status(replacement, &entry, order, status),
+            Err(error) => {
+                log::info!(database = entry.id.as_str(), error:% = error; "an order was not confirmed");
+            }
+        }
+        // Orders that are still on their way to a database that does not answer
+        // need not be waited for, unless they have to be taken back.
+        let choice = choose(control, replacement);
+        if matches!(choice, successor::SuccessorChoice::Promote { .. }) {
+            tasks.detach_all();
+            replacement.decided.get_or_insert_with(clock::now);
+            return;
+        }
+    }
+}
+
+/// Lets all replicas receive again. One may have been held back without its
+/// answer having come.
+pub(super) async fn resume_replicas(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+) {
+    let Some(workspace) = control.borrow().any_workspace() else {
+        return;
+    };
+    let mut replicas = control.borrow().databases_of(&replacement.service);
+    replicas.retain(|entry| !replacement.leading.contains_key(&entry.id));
+    for entry in replicas {
+        let order = database::DatabaseOrder::Resume;
+        if let Err(error) = orders::give_order(&entry, &workspace, order).await {
+            log::warn!(database = entry.id.as_str(), error:% = error; "a replica may still be held back");
+        }
+    }
+}
+
+fn record_status(
+    replacement: &mut LeaderReplacement,
+    entry: &catalog::DatabaseEntry,
+    order: database::DatabaseOrder,
+    status: database::DatabaseStatus,
+) {
+    log::info!(
+        database = entry.id.as_str(), term = status.term, received = status.received.offset,
+        held_term = status.held_term, is_primary = status.is_primary;
+        "a database reports its state"
+    );
+    replacement.term = replacement.term.max(status.term + 1);
+    if status.is_primary {
+        let leading = (status.term, status.received);
+        replacement.leading.insert(entry.id.clone(), leading);
+    }
+    let is_held = match order {
+        database::DatabaseOrder::StepDown { .. } => !status.is_primary,
+        database::DatabaseOrder::Pause { term } => {
+            !status.is_primary && status.held_term >= term && term > status.term
+        }
+        // The leader has stopped; a replica that has all of its log suffices.
+        _ => {
+            let end = replacement.held.get(&replacement.leader);
+            end.is_some_and(|end| status.received >= *end)
+        }
+    };
+    if is_held {
+        replacement.held.insert(entry.id.clone(), status.received);
+    }
+}
+
+/// Asks the replicas again: one that was started anew receives again, although
+/// it was held back.
+pub(super) async fn forget_released(
+    control: &control::ControlCell,
+    replacement: &mut LeaderReplacement,
+) {
+    if replacement.cause == cause::ReplacementCause::Leaving {
+        return;
+    }
+    let Some(workspace) = control.borrow().any_workspace() else {
+        return;
+    };
+    let mut entries = control.borrow().databases_of(&replacement.service);
+    entries
+        .retain(|entry| replacement.held.contains_key(&entry.id) && entry.id != replacement.leader);
+    let mut questions = JoinSet::new();
+    for entry in entries {
+        let workspace = workspace.clone();
+        questions.spawn_local(async move {
+            let order = database::DatabaseOrder::Status;
+            (orders::give_order(&entry, &workspace, order).await, entry)
+        });
+    }
+    while let Some(answered) = questions.join_next().await {
+        if let Ok((Ok(status), entry)) = answered
+            && status.held_term == 0
+            && !status.is_primary
+        {
+            log::warn!(database = entry.id.as_str(); "a replica is no longer held back");
+            replacement.held.remove(&entry.id);
+            replacement.decided = None;
+        }
+    }
+}
+
+pub(super) fn choose(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+) -> successor::SuccessorChoice {
+    successor::choose_successor(&evidence(control, replacement), replacement.leader_term)
+}
+
+fn evidence(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+) -> Vec<successor::MemberEvidence> {
+    let member = |entry: &catalog::DatabaseEntry| successor::MemberEvidence {
+        id: entry.id.clone(),
+        is_leader: entry.id == replacement.leader,
+        is_leaving: entry.leaving,
+        held_at: replacement.held.get(&entry.id).copied(),
+        leads: replacement.leading.get(&entry.id).copied(),
+    };
+    let entries = control.borrow().databases_of(&replacement.service);
+    entries.iter().map(member).collect()
+}
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -355,6 +355,12 @@
         primaries.next().is_none().then_some(view)
     }
 
+    /// Returns the registered databases of a service.
+    pub fn databases_of(&self, service: &name::ServiceName) -> Vec<database::DatabaseEntry> {
+        let of_service = |entry: &&database::DatabaseEntry| entry.service == *service;
+        self.databases.iter().filter(of_service).cloned().collect()
+    }
+
     /// Returns the other VMs that were heard a moment ago.
     pub fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &PeerRecord)> {
         let is_live =
--- a/crates/bluebellferry_edge/src/server.rs
+++ b/crates/bluebellferry_edge/src/server.rs
@@ -77,13 +77,18 @@
     (milliseconds << 8) | u64::from(rand::random::<u8>())
 }
 
+/// Returns the runtime of one thread.
+fn new_runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+}
+
 fn run_traffic(
     shared: Arc<shared::EdgeShared>,
     metrics: metrics::TrafficMetrics,
 ) -> Result<(), StartError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = new_runtime()?;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async move {
         let listener = TcpListener::bind(shared.settings.caller_address).await?;
@@ -126,9 +131,7 @@
     registry: prometheus::Registry,
     file: PathBuf,
 ) -> Result<(), StartError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = new_runtime()?;
     let local = tokio::task::LocalSet::new();
     local.block_on(&runtime, async move {
         let settings = &shared.settings;
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -1,7 +1,9 @@
 //! Running one statement of a caller.
 
+mod notes;
+mod outcomes;
+
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
@@ -15,19 +17,11 @@
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
 
-use crate::shared;
 use crate::traffic::connection;
 use crate::traffic::dispatch;
 use crate::traffic::reads;
 use crate::traffic::session;
 
-/// How long a statement rests before it is tried again at a leader that does
-/// not lead yet.
-const LEADER_REST: Duration = Duration::from_millis(40);
-/// When a refused caller should come back if nothing better is known: about the
-/// time of one statement.
-const SHORT_RETRY: Duration = Duration::from_millis(50);
-
 /// What a statement runs under.
 #[derive(Debug, Clone)]
 struct StatementScope {
@@ -58,7 +52,7 @@
         out: &mut String,
     ) -> Option<String> {
         let result = self.carry_out(statement, arrived).await;
-        let kind = kind_label(&statement.action);
+        let kind = outcomes::kind_label(&statement.action);
         let elapsed = clock::now().saturating_duration_since(arrived);
         self.context.metrics.count_statement(kind, elapsed);
         match result {
@@ -79,43 +73,6 @@
         }
     }
 
-    /// Logs a refusal with what this VM believed when it decided.
-    fn log_refusal(
-        &self,
-        statement: &statement::Statement,
-        kind: &'static str,
-        refusal: &refusal::RequestRefusal,
-        elapsed: Duration,
-    ) {
-        let now = clock::now();
-        if !self.context.lines.allows(now) {
-            return;
-        }
-        let snapshot = self.context.shared.snapshot();
-        let configuration = &snapshot.configuration;
-        let policy = configuration.find_route(&self.identity.route);
-        let service = policy.map(|policy| &policy.service);
-        let leader = service.and_then(|service| snapshot.leaders.get(service));
-        let lease = service.and_then(|service| snapshot.leases.get(service));
-        let workspace = configuration.find_workspace(&self.identity.key);
-        let retry_after = refusal
-            .retry_after
-            .map_or(0, |wait| wait.as_millis() as u64);
-        log::info!(
-            id = statement.id.as_str(), kind = kind, route = self.identity.route.as_str(),
-            workspace = workspace.map_or("-", |workspace| workspace.as_str()),
-            configuration_version = configuration.version,
-            leader = leader.map_or("-", |leader| leader.database.as_str()),
-            leader_is_replacing = leader.is_some_and(|leader| leader.is_replacing),
-            lease_left_ms = lease.map_or(0, |until| until.saturating_duration_since(now).as_millis() as u64),
-            waiting = self.context.dispatch.waiting() as u64,
-            reason = refusal.reason.code(), execution = refusal.execution.as_str(),
-            retry_after_ms = retry_after, elapsed_ms = elapsed.as_millis() as u64,
-            detail = refusal.message.as_str();
-            "a statement is refused"
-        );
-    }
-
     async fn carry_out(
         &mut self,
         statement: &statement::Statement,
@@ -221,30 +178,27 @@
         scope: &StatementScope,
     ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
         let Some(mut held) = self.held.take() else {
-            return Err(aborted("the transaction has no connection"));
+            return Err(outcomes::aborted("the transaction has no connection"));
         };
         let sent = clock::now();
         let exchanged = self
-            .exchange(&mut held, plan, |out| {
+            .exchange(&mut held, plan, scope.deadline, |out| {
                 database::encode_statement(out, &statement.id, &plan.text);
             })
             .await;
-        let exchanged = match exchanged {
-            Ok(count) => held.receive(count, scope.deadline).await,
-            Err(error) => Err(error),
-        };
         match exchanged {
             Ok(answer) => {
                 self.record_answer(&held, &answer, sent, plan);
                 self.held = Some(held);
-                self.state.record_outcome(plan, outcome_of(&answer));
+                self.state
+                    .record_outcome(plan, outcomes::outcome_of(&answer));
                 Ok(answer)
             }
             Err(error) => {
-                self.record_failure(&statement.id, held, error, is_commit(plan));
+                self.record_failure(&statement.id, held, error, outcomes::is_commit(plan));
                 self.state.record_outcome(plan, state::RunOutcome::Lost);
                 self.transaction = None;
-                Err(lost_in_transaction(plan.kind, error))
+                Err(outcomes::lost_in_transaction(plan.kind, error))
             }
         }
     }
@@ -257,7 +211,7 @@
         scope: &StatementScope,
     ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
         let Some(opening) = plan.opening.clone() else {
-            return Err(aborted("no transaction is to be opened"));
+            return Err(outcomes::aborted("no transaction is to be opened"));
         };
         if let Err(refusal) = self.open_transaction(&opening, scope).await {
             self.state.record_abandoned();
@@ -295,7 +249,7 @@
                 }
             }
         }
-        Err(not_run_here())
+        Err(outcomes::not_run_here())
     }
 
     /// Sends BEGIN on its own: a statement sent along with one that is refused
@@ -350,25 +304,7 @@
                 TryEnd::Elsewhere(reason) => self.note_retry(statement, reason, &demand),
             }
         }
-        Err(not_run_here())
-    }
-
-    fn note_retry(
-        &self,
-        statement: &statement::Statement,
-        reason: &'static str,
-        demand: &dispatch::ConnectionDemand,
-    ) {
-        self.context.metrics.count_retry(reason);
-        if self.context.lines.allows(clock::now()) {
-            let failed = demand.excluded.last();
-            let failed = failed.map(|index| self.context.dispatch.entry(*index));
-            log::info!(
-                id = statement.id.as_str(), route = self.identity.route.as_str(), reason = reason,
-                database = failed.as_ref().map_or("-", |entry| entry.id.as_str());
-                "a statement runs elsewhere"
-            );
-        }
+        Err(outcomes::not_run_here())
     }
 
     async fn try_read(
@@ -384,24 +320,25 @@
         let sent = clock::now();
         let patience = sent + self.context.dispatch.patience(held.database);
         let exchanged = self
-            .exchange(&mut held, plan, |out| match since {
-                Some(since) => {
-                    database::encode_read_since(out, &statement.id, since, &plan.text);
-                }
-                None => database::encode_statement(out, &statement.id, &plan.text),
-            })
+            .exchange(
+                &mut held,
+                plan,
+                scope.deadline.min(patience),
+                |out| match since {
+                    Some(since) => {
+                        database::encode_read_since(out, &statement.id, since, &plan.text);
+                    }
+                    None => database::encode_statement(out, &statement.id, &plan.text),
+                },
+            )
             .await;
-        let exchanged = match exchanged {
-            Ok(count) => held.receive(count, scope.deadline.min(patience)).await,
-            Err(error) => Err(error),
-        };
         let answer = match exchanged {
             Ok(answer) => answer,
             Err(error) => {
                 demand.excluded.push(held.database);
                 self.record_failure(&statement.id, held, error, false);
                 if clock::now() >= scope.deadline {
-                    return TryEnd::GivenUp(timed_out());
+                    return TryEnd::GivenUp(outcomes::timed_out());
                 }
                 return TryEnd::Elsewhere("no_answer");
             }
@@ -436,19 +373,15 @@
     ) -> TryEnd {
         let sent = clock::now();
         let exchanged = self
-            .exchange(&mut held, plan, |out| {
+            .exchange(&mut held, plan, scope.deadline, |out| {
                 database::encode_statement(out, &statement.id, &plan.text);
             })
             .await;
-        let exchanged = match exchanged {
-            Ok(count) => held.receive(count, scope.deadline).await,
-            Err(error) => Err(error),
-        };
         let answer = match exchanged {
             Ok(answer) => answer,
             Err(error) => {
                 self.record_failure(&statement.id, held, error, true);
-                return TryEnd::GivenUp(in_doubt(error));
+                return TryEnd::GivenUp(outcomes::in_doubt(error));
             }
         };
         self.record_answer(&held, &answer, sent, plan);
@@ -460,20 +393,22 @@
             }
             _ => {
                 self.context.dispatch.release(held);
-                self.state.record_outcome(plan, outcome_of(&answer));
+                self.state
+                    .record_outcome(plan, outcomes::outcome_of(&answer));
                 TryEnd::Answered(answer)
             }
         }
     }
 
     /// Sends a statement after whatever brings the connection into the
-    /// session's state. Returns how many answers will come.
+    /// session's state, and receives its answer.
     async fn exchange(
         &self,
         held: &mut dispatch::HeldConnection,
         plan: &state::RunPlan,
+        deadline: Instant,
         encode: impl FnOnce(&mut String),
-    ) -> Result<usize, connection::ExchangeError> {
+    ) -> Result<database::DatabaseAnswer, connection::ExchangeError> {
         let steps = held
             .memory
             .adopt(self.state.values(), plan.prepared.as_ref());
@@ -483,7 +418,7 @@
         }
         encode(&mut out);
         held.send(&out).await?;
-        Ok(steps.len() + 1)
+        held.receive(steps.len() + 1, deadline).await
     }
 
     fn demand(
@@ -533,160 +468,4 @@
             },
         }
     }
-
-    /// Draws conclusions from an error that means the statement has not run.
-    async fn note_rejection(
-        &self,
-        held: &dispatch::HeldConnection,
-        error: database::DatabaseError,
-        asked_since: bool,
-        demand: &mut dispatch::ConnectionDemand,
-    ) {
-        let dispatch = &self.context.dispatch;
-        demand.excluded.push(held.database);
-        match error {
-            database::DatabaseError::Lagging if asked_since => dispatch.record_lag(held.database),
-            database::DatabaseError::ReadOnly => {
-                // The leader was replaced, or does not lead yet.
-                tokio::time::sleep(LEADER_REST).await;
-                demand.excluded.clear();
-            }
-            _ => {}
-        }
-    }
-
-    fn record_answer(
-        &self,
-        held: &dispatch::HeldConnection,
-        answer: &database::DatabaseAnswer,
-        sent: Instant,
-        plan: &state::RunPlan,
-    ) {
-        let dispatch = &self.context.dispatch;
-        let latency = clock::now().saturating_duration_since(sent);
-        if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
-            dispatch.record_answer(held.database, latency);
-        }
-        let entry = dispatch.entry(held.database);
-        let snapshot = self.context.shared.snapshot();
-        let leader = snapshot.leaders.get(&entry.service);
-        let is_leader =
-            leader.is_some_and(|leader| leader.database == entry.id && !leader.is_replacing);
-        if !is_leader {
-            return;
-        }
-        let leads = answer.error != Some(database::DatabaseError::ReadOnly);
-        let commits = is_commit(plan) && answer.error.is_none();
-        let kind = match (leads, commits) {
-            (false, _) => shared::EvidenceKind::NotLeading,
-            (true, true) => shared::EvidenceKind::Committed,
-            (true, false) => shared::EvidenceKind::Answered,
-        };
-        dispatch.report_evidence(held.database, kind);
-        // Nobody had replaced the leader when it was asked, so its log held
-        // everything that was acknowledged until then.
-        let leased_until = snapshot.leases.get(&entry.service);
-        let was_leased = leased_until.is_some_and(|until| *until >= sent);
-        if let Some(position) = answer.position.filter(|_| was_leased && leads) {
-            self.context
-                .shared
-                .record_position(&entry.service, sent, position);
-        }
-    }
-
-    fn record_failure(
-        &self,
-        id: &str,
-        held: dispatch::HeldConnection,
-        error: connection::ExchangeError,
-        is_commit: bool,
-    ) {
-        let dispatch = &self.context.dispatch;
-        let database = held.database;
-        self.context.metrics.count_retry("connection_lost");
-        if self.context.lines.allows(clock::now()) {
-            log::info!(
-                id = id, database = dispatch.entry(database).id.as_str(), error:% = error,
-                is_commit = is_commit;
-                "a database did not answer"
-            );
-        }
-        if error != connection::ExchangeError::Malformed {
-            dispatch.record_silence(database);
-            let kind = if is_commit {
-                shared::EvidenceKind::CommitSilent
-            } else {
-                shared::EvidenceKind::Silent
-            };
-            dispatch.report_evidence(database, kind);
-        }
-        dispatch.forget(held);
-    }
-}
-
-/// Returns whether the statement's answer shows that commits are acknowledged.
-fn is_commit(plan: &state::RunPlan) -> bool {
-    matches!(
-        plan.kind,
-        state::RunKind::Commit | state::RunKind::SingleWrite
-    )
-}
-
-fn outcome_of(answer: &database::DatabaseAnswer) -> state::RunOutcome {
-    match answer.error {
-        None => state::RunOutcome::Succeeded {
-            position: answer.position,
-        },
-        Some(_) => state::RunOutcome::Rejected {
-            state: answer.state,
-        },
-    }
-}
-
-fn kind_label(action: &statement::StatementAction) -> &'static str {
-    use statement::StatementAction as Action;
-    match action {
-        Action::Begin { .. } => "begin",
-        Action::Commit => "commit",
-        Action::Rollback => "rollback",
-        Action::Access {
-            kind: statement::AccessKind::Read,
-            ..
-        } => "read",
-        Action::Access { .. } => "write",
-        Action::Execute { .. } => "execute",
-        Action::Set { .. } | Action::Prepare { .. } | Action::Deallocate { .. } => "local",
-    }
-}
-
-fn aborted(message: &str) -> refusal::RequestRefusal {
-    refusal::RequestRefusal::not_run(refusal::RefusalReason::TransactionAborted, message)
-}
-
-fn timed_out() -> refusal::RequestRefusal {
-    let reason = refusal::RefusalReason::StatementTimeout;
-    refusal::RequestRefusal::not_run(reason, "no database answered in time")
-        .retry_after(SHORT_RETRY)
-}
-
-fn not_run_here() -> refusal::RequestRefusal {
-    let reason = refusal::RefusalReason::NoPrimary;
-    refusal::RequestRefusal::not_run(reason, "no database took the statement")
-        .retry_after(SHORT_RETRY)
-}
-
-fn in_doubt(error: connection::ExchangeError) -> refusal::RequestRefusal {
-    refusal::RequestRefusal::unknown(refusal::RefusalReason::OutcomeUnknown, error.to_string())
-}
-
-/// What is true of a transaction whose connection is lost: without its COMMIT
-/// the database rolls it back.
-fn lost_in_transaction(
-    kind: state::RunKind,
-    error: connection::ExchangeError,
-) -> refusal::RequestRefusal {
-    match kind {
-        state::RunKind::Commit => in_doubt(error),
-        _ => aborted(&error.to_string()),
-    }
 }
--- /dev/null
+++ b/crates/bluebellferry_edge/src/traffic/statement/notes.rs
@@ -0,0 +1,166 @@
+//! What a statement's end teaches this VM and its logs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_platform::database;
+use bluebellferry_runtime::clock;
+use bluebellferry_session::state;
+use bluebellferry_session::statement;
+use bluebellferry_types::refusal;
+
+use crate::shared;
+use crate::traffic::connection;
+use crate::traffic::dispatch;
+use crate::traffic::session;
+use crate::traffic::statement::outcomes;
+
+/// How long a statement rests before it is tried again at a leader that does
+/// not lead yet.
+const LEADER_REST: Duration = Duration::from_millis(40);
+
+impl session::CallerSession {
+    /// Logs a refusal with what this VM believed when it decided.
+    pub(super) fn log_refusal(
+        &self,
+        statement: &statement::Statement,
+        kind: &'static str,
+        refusal: &refusal::RequestRefusal,
+        elapsed: Duration,
+    ) {
+        let now = clock::now();
+        if !self.context.lines.allows(now) {
+            return;
+        }
+        let snapshot = self.context.shared.snapshot();
+        let configuration = &snapshot.configuration;
+        let policy = configuration.find_route(&self.identity.route);
+        let service = policy.map(|policy| &policy.service);
+        let leader = service.and_then(|service| snapshot.leaders.get(service));
+        let lease = service.and_then(|service| snapshot.leases.get(service));
+        let workspace = configuration.find_workspace(&self.identity.key);
+        let retry_after = refusal
+            .retry_after
+            .map_or(0, |wait| wait.as_millis() as u64);
+        log::info!(
+            id = statement.id.as_str(), kind = kind, route = self.identity.route.as_str(),
+            workspace = workspace.map_or("-", |workspace| workspace.as_str()),
+            configuration_version = configuration.version,
+            leader = leader.map_or("-", |leader| leader.database.as_str()),
+            leader_is_replacing = leader.is_some_and(|leader| leader.is_replacing),
+            lease_left_ms = lease.map_or(0, |until| until.saturating_duration_since(now).as_millis() as u64),
+            waiting = self.context.dispatch.waiting() as u64,
+            reason = refusal.reason.code(), execution = refusal.execution.as_str(),
+            retry_after_ms = retry_after, elapsed_ms = elapsed.as_millis() as u64,
+            detail = refusal.message.as_str();
+            "a statement is refused"
+        );
+    }
+
+    pub(super) fn note_retry(
+        &self,
+        statement: &statement::Statement,
+        reason: &'static str,
+        demand: &dispatch::ConnectionDemand,
+    ) {
+        self.context.metrics.count_retry(reason);
+        if self.context.lines.allows(clock::now()) {
+            let failed = demand.excluded.last();
+            let failed = failed.map(|index| self.context.dispatch.entry(*index));
+            log::info!(
+                id = statement.id.as_str(), route = self.identity.route.as_str(), reason = reason,
+                database = failed.as_ref().map_or("-", |entry| entry.id.as_str());
+                "a statement runs elsewhere"
+            );
+        }
+    }
+
+    /// Draws conclusions from an error that means the statement has not run.
+    pub(super) async fn note_rejection(
+        &self,
+        held: &dispatch::HeldConnection,
+        error: database::DatabaseError,
+        asked_since: bool,
+        demand: &mut dispatch::ConnectionDemand,
+    ) {
+        let dispatch = &self.context.dispatch;
+        demand.excluded.push(held.database);
+        match error {
+            database::DatabaseError::Lagging if asked_since => dispatch.record_lag(held.database),
+            database::DatabaseError::ReadOnly => {
+                // The leader was replaced, or does not lead yet.
+                tokio::time::sleep(LEADER_REST).await;
+                demand.excluded.clear();
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn record_answer(
+        &self,
+        held: &dispatch::HeldConnection,
+        answer: &database::DatabaseAnswer,
+        sent: Instant,
+        plan: &state::RunPlan,
+    ) {
+        let dispatch = &self.context.dispatch;
+        let latency = clock::now().saturating_duration_since(sent);
+        if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
+            dispatch.record_answer(held.database, latency);
+        }
+        let entry = dispatch.entry(held.database);
+        let snapshot = self.context.shared.snapshot();
+        let leader = snapshot.leaders.get(&entry.service);
+        let is_leader =
+            leader.is_some_and(|leader| leader.database == entry.id && !leader.is_replacing);
+        if !is_leader {
+            return;
+        }
+        let leads = answer.error != Some(database::DatabaseError::ReadOnly);
+        let commits = outcomes::is_commit(plan) && answer.error.is_none();
+        let kind = match (leads, commits) {
+            (false, _) => shared::EvidenceKind::NotLeading,
+            (true, true) => shared::EvidenceKind::Committed,
+            (true, false) => shared::EvidenceKind::Answered,
+        };
+        dispatch.report_evidence(held.database, kind);
+        // Nobody had replaced the leader when it was asked, so its log held
+        // everything that was acknowledged until then.
+        let leased_until = snapshot.leases.get(&entry.service);
+        let was_leased = leased_until.is_some_and(|until| *until >= sent);
+        if let Some(position) = answer.position.filter(|_| was_leased && leads) {
+            self.context
+                .shared
+                .record_position(&entry.service, sent, position);
+        }
+    }
+
+    pub(super) fn record_failure(
+        &self,
+        id: &str,
+        held: dispatch::HeldConnection,
+        error: connection::ExchangeError,
+        is_commit: bool,
+    ) {
+        let dispatch = &self.context.dispatch;
+        let database = held.database;
+        self.context.metrics.count_retry("connection_lost");
+        if self.context.lines.allows(clock::now()) {
+            log::info!(
+                id = id, database = dispatch.entry(database).id.as_str(), error:% = error,
+                is_commit = is_commit;
+                "a database did not answer"
+            );
+        }
+        if error != connection::ExchangeError::Malformed {
+            dispatch.record_silence(database);
+            let kind = if is_commit {
+                shared::EvidenceKind::CommitSilent
+            } else {
+                shared::EvidenceKind::Silent
+            };
+            dispatch.report_evidence(database, kind);
+        }
+        dispatch.forget(held);
+    }
+}
--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bluebellferry_standin_platform::caller;
+use bluebellferry_standin_platform::contents;
 use bluebellferry_standin_platform::database;
 use bluebellferry_standin_platform::store;
 use serde_json::json;
@@ -43,16 +45,7 @@
 }
 
 fn configuration(version: u64, keys: &[&str], rate: f64) -> serde_json::Value {
-    let route = |host: &str, kind: &str| {
-        json!({"Name": host, "Host": host, "Kind": kind, "TimeoutMs": 1500, "SloMs": 500,
-            "Priority": 1, "Service": "rental", "MaxStalenessMs": 1500, "Public": false})
-    };
-    json!({"Version": version,
-        "Routes": [route("counter", "primary"), route("browse", "bounded_staleness"),
-            route("booking", "read_your_writes")],
-        "Services": [{"Name": "rental", "MaxConns": 20, "SyncReplicas": 1}],
-        "Limits": {"TxIdleMs": 3000},
-        "Tenants": [{"Name": "families", "ApiKeys": keys, "RatePerS": rate, "Burst": rate}]})
+    contents::configuration(version, "rental", keys, rate)
 }
 
 impl Deployment {
@@ -79,13 +72,10 @@
             let address = host(100 + index as u8, base_port);
             let serving = Arc::clone(&group).serve(index, address).await;
             serving.expect("a database listens");
-            let role = if index == 0 { "primary" } else { "replica" };
-            let entry = json!({"Service": "rental", "Addr": address.to_string(), "Zone": "amman-a",
-                "Version": "v1", "Slots": 3, "State": "ready", "ColdLeftMs": 0, "DbRole": role,
-                "Seq": 1, "born": 1});
-            store.put("servers", id, entry);
+            let entry = contents::registration("rental", address, index == 0);
+            store.put(contents::REGISTRATIONS, id, entry);
         }
-        store.put("config", "main", configuration(1, &[KEY], 200.0));
+        deploy_configuration(&store, configuration(1, &[KEY], 200.0));
         Self {
             store,
             group,
@@ -148,68 +138,35 @@
         line.split(' ').nth(1)?.parse().ok()
     }
 
-    async fn caller(&self, vm: u8, route: &str, key: &str) -> Result<Caller, String> {
-        let stream = TcpStream::connect(self.host(vm, 2)).await;
-        let stream = BufReader::new(stream.map_err(|error| error.to_string())?);
-        let mut caller = Caller { stream, number: 0 };
-        caller.send(&format!("STARTUP {route} {key}\r\n")).await;
-        let first = caller.line().await;
-        if first.starts_with("READY I") {
-            Ok(caller)
-        } else {
-            Err(first)
-        }
+    async fn caller(
+        &self,
+        vm: u8,
+        route: &str,
+        key: &str,
+    ) -> Result<caller::StandinCaller, caller::CallerRefusal> {
+        caller::StandinCaller::connect(self.host(vm, 2), route, key).await
     }
 }
 
-/// Logs go to a file beside the settings, to look at when a test has failed.
-fn log_target(settings: &std::path::Path) -> Stdio {
-    std::fs::File::create(settings.with_extension("log")).map_or(Stdio::null(), Stdio::from)
+fn deploy_configuration(store: &store::StandinStore, value: serde_json::Value) {
+    let (kind, name) = contents::CONFIGURATION;
+    store.put(kind, name, value);
 }
 
-struct Caller {
-    stream: BufReader<TcpStream>,
-    number: u32,
+async fn run(caller: &mut caller::StandinCaller, text: &str) -> caller::CallerAnswer {
+    caller.run(text).await.expect("an answer comes")
 }
 
-impl Caller {
-    async fn send(&mut self, text: &str) {
-        let sent = self.stream.get_mut().write_all(text.as_bytes()).await;
-        sent.expect("the VM takes the message");
-    }
-
-    async fn line(&mut self) -> String {
-        let mut line = String::new();
-        let reading = self.stream.read_line(&mut line);
-        let read = tokio::time::timeout(Duration::from_secs(10), reading).await;
-        read.expect("an answer comes").expect("it can be read");
-        line.trim_end().to_owned()
-    }
-
-    /// Runs a statement; returns the answer's lines up to READY.
-    async fn run(&mut self, text: &str) -> Vec<String> {
-        self.number += 1;
-        let number = self.number;
-        self.send(&format!("QUERY q{number} {text}\r\n")).await;
-        let mut lines = Vec::new();
-        loop {
-            let line = self.line().await;
-            let is_last = line.starts_with("READY");
-            lines.push(line);
-            if is_last {
-                return lines;
-            }
-        }
-    }
+/// Runs a statement that must succeed; returns its rows.
+async fn succeeds(caller: &mut caller::StandinCaller, text: &str) -> Vec<String> {
+    let answer = run(caller, text).await;
+    assert_eq!(answer.refusal, None, "{text}");
+    answer.rows
+}
 
-    async fn succeeds(&mut self, text: &str) -> Vec<String> {
-        let lines = self.run(text).await;
-        assert!(
-            !lines.iter().any(|line| line.starts_with("ERROR")),
-            "{text}: {lines:?}"
-        );
-        lines
-    }
+/// Logs go to a file beside the settings, to look at when a test has failed.
+fn log_target(settings: &std::path::Path) -> Stdio {
+    std::fs::File::create(settings.with_extension("log")).map_or(Stdio::null(), Stdio::from)
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -221,36 +178,36 @@
         .expect("it connects");
     for number in 0..20 {
         let data = format!("d{number}");
-        caller.succeeds(&format!("WRITE boots {data}")).await;
-        let lines = caller.succeeds("READ boots").await;
-        assert_eq!(lines[0], format!("DATAROW {data}"));
+        succeeds(&mut caller, &format!("WRITE boots {data}")).await;
+        let rows = succeeds(&mut caller, "READ boots").await;
+        assert_eq!(rows[0], data);
     }
     // Session values and prepared names follow the session.
-    caller.succeeds("SET zone amman").await;
-    caller.succeeds("PREPARE s1 READ q2c").await;
-    let lines = caller.succeeds("EXECUTE s1 boots").await;
-    assert_eq!(lines[0], "DATAROW d19");
+    succeeds(&mut caller, "SET zone amman").await;
+    succeeds(&mut caller, "PREPARE s1 READ q2c").await;
+    let rows = succeeds(&mut caller, "EXECUTE s1 boots").await;
+    assert_eq!(rows[0], "d19");
     // A transaction, and what it wrote at another VM on a primary route.
-    caller.succeeds("BEGIN").await;
-    caller.succeeds("READ boots").await;
-    let lines = caller.succeeds("WRITE boots tx").await;
+    succeeds(&mut caller, "BEGIN").await;
+    succeeds(&mut caller, "READ boots").await;
+    let answer = run(&mut caller, "WRITE boots tx").await;
     assert!(
-        lines.last().is_some_and(|line| line.starts_with("READY T")),
-        "{lines:?}"
+        answer.refusal.is_none() && answer.is_in_transaction,
+        "{answer:?}"
     );
-    caller.succeeds("COMMIT").await;
+    succeeds(&mut caller, "COMMIT").await;
     let mut counter = deployment
         .caller(1, "counter", KEY)
         .await
         .expect("it connects");
-    assert_eq!(counter.succeeds("READ boots").await[0], "DATAROW tx");
+    assert_eq!(succeeds(&mut counter, "READ boots").await[0], "tx");
     // Refusals.
     let unknown = deployment.caller(0, "nowhere", KEY).await.err();
-    assert!(unknown.is_some_and(|line| line.starts_with("ERROR NODB")));
+    assert_eq!(unknown, Some(caller::CallerRefusal::UnknownRoute));
     let denied = deployment.caller(0, "booking", "wrong").await.err();
-    assert!(denied.is_some_and(|line| line.starts_with("ERROR DENIED")));
-    let lines = counter.run("DROP boots").await;
-    assert!(lines[0].starts_with("ERROR MALFORMED"), "{lines:?}");
+    assert_eq!(denied, Some(caller::CallerRefusal::KeyRefused));
+    let answer = run(&mut counter, "DROP boots").await;
+    assert_eq!(answer.refusal, Some(caller::CallerRefusal::Malformed));
     let received = deployment.group.received();
     assert!(received.iter().all(|line| !line.contains(KEY)));
 }
@@ -265,7 +222,7 @@
             .expect("it connects");
         tasks.push(tokio::spawn(async move {
             for _ in 0..40 {
-                caller.succeeds("READ boots").await;
+                succeeds(&mut caller, "READ boots").await;
             }
         }));
     }
@@ -281,7 +238,7 @@
         .caller(0, "counter", KEY)
         .await
         .expect("it connects");
-    writer.succeeds("WRITE boots x").await;
+    succeeds(&mut writer, "WRITE boots x").await;
     // The answer times of all databases have to be learned first.
     read_by_six(&deployment).await;
     let learned = deployment.group.received().len();
@@ -308,8 +265,8 @@
         let Ok(mut caller) = deployment.caller(number % 3, "counter", KEY).await else {
             continue;
         };
-        let lines = caller.run(&format!("WRITE boots w{number}")).await;
-        if !lines[0].starts_with("ERROR") {
+        let answer = run(&mut caller, &format!("WRITE boots w{number}")).await;
+        if answer.refusal.is_none() {
             acknowledged.push(format!("w{number}"));
             if number > 10 && recovered.is_none() {
                 recovered = Some(started.elapsed());
@@ -342,10 +299,7 @@
             .await
             .expect("it connects");
         let last = acknowledged.last().expect("some were acknowledged");
-        assert_eq!(
-            caller.succeeds("READ boots").await[0],
-            format!("DATAROW {last}")
-        );
+        assert_eq!(succeeds(&mut caller, "READ boots").await[0], *last);
     }
 }
 
@@ -366,7 +320,7 @@
             .caller(0, "counter", KEY)
             .await
             .expect("it connects");
-        if !caller.run("WRITE boots x").await[0].starts_with("ERROR") {
+        if run(&mut caller, "WRITE boots x").await.refusal.is_none() {
             break;
         }
         assert!(started.elapsed() < Duration::from_secs(10), "nobody leads");
@@ -382,14 +336,12 @@
         .caller(0, "booking", KEY)
         .await
         .expect("it connects");
-    caller.succeeds("READ boots").await;
-    deployment
-        .store
-        .put("config", "main", configuration(2, &["another"], 200.0));
+    succeeds(&mut caller, "READ boots").await;
+    deploy_configuration(&deployment.store, configuration(2, &["another"], 200.0));
     let withdrawn = Instant::now();
     loop {
-        let lines = caller.run("READ boots").await;
-        if lines[0].starts_with("ERROR DENIED") {
+        let answer = run(&mut caller, "READ boots").await;
+        if answer.refusal == Some(caller::CallerRefusal::KeyRefused) {
             break;
         }
         assert!(withdrawn.elapsed() < Duration::from_secs(3));
@@ -413,10 +365,10 @@
     let mut number = 0;
     while outage.elapsed() < Duration::from_secs(4) {
         number += 1;
-        caller.succeeds(&format!("WRITE boots o{number}")).await;
+        succeeds(&mut caller, &format!("WRITE boots o{number}")).await;
         assert_eq!(
-            caller.succeeds("READ boots").await[0],
-            format!("DATAROW o{number}")
+            succeeds(&mut caller, "READ boots").await[0],
+            format!("o{number}")
         );
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -429,15 +381,15 @@
         .caller(0, "booking", KEY)
         .await
         .expect("it connects");
-    caller.succeeds("WRITE boots before").await;
+    succeeds(&mut caller, "WRITE boots before").await;
     deployment.group.drop_next_answer();
-    let lines = caller.run("WRITE boots lost").await;
-    assert!(lines[0].starts_with("ERROR INDOUBT"), "{lines:?}");
+    let answer = run(&mut caller, "WRITE boots lost").await;
+    assert_eq!(answer.refusal, Some(caller::CallerRefusal::InDoubt));
     let written = deployment.group.written("boots");
     assert_eq!(written.iter().filter(|data| *data == "lost").count(), 1);
     deployment.group.drop_next_answer();
-    let lines = caller.succeeds("READ boots").await;
-    assert_eq!(lines[0], "DATAROW lost");
+    let rows = succeeds(&mut caller, "READ boots").await;
+    assert_eq!(rows[0], "lost");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -447,13 +399,13 @@
         .caller(0, "counter", KEY)
         .await
         .expect("it connects");
-    caller.succeeds("BEGIN").await;
-    caller.succeeds("WRITE boots last").await;
+    succeeds(&mut caller, "BEGIN").await;
+    succeeds(&mut caller, "WRITE boots last").await;
     let process = rustix::process::Pid::from_child(&deployment.vms[0]);
     rustix::process::kill_process(process, rustix::process::Signal::TERM).expect("it runs");
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(deployment.readiness(0).await, Some(503));
-    caller.succeeds("COMMIT").await;
+    succeeds(&mut caller, "COMMIT").await;
     assert_eq!(deployment.group.written("boots"), ["last"]);
     let stopped = Instant::now();
     while deployment.vms[0]
@@ -472,9 +424,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_workspace_gets_no_more_than_its_rate_over_all_vms() {
     let deployment = Deployment::start(3).await;
-    deployment
-        .store
-        .put("config", "main", configuration(2, &[KEY], 20.0));
+    deploy_configuration(&deployment.store, configuration(2, &[KEY], 20.0));
     tokio::time::sleep(Duration::from_millis(500)).await;
     let started = Instant::now();
     let mut tasks = Vec::new();
@@ -486,8 +436,8 @@
         tasks.push(tokio::spawn(async move {
             let mut admitted = 0;
             while started.elapsed() < Duration::from_secs(4) {
-                let lines = caller.run("READ boots").await;
-                if !lines[0].starts_with("ERROR") {
+                let answer = run(&mut caller, "READ boots").await;
+                if answer.refusal.is_none() {
                     admitted += 1;
                 }
             }
--- a/crates/bluebellferry_fleet/tests/matrix.rs
+++ b/crates/bluebellferry_fleet/tests/matrix.rs
@@ -22,8 +22,12 @@
 fn every_test_that_the_matrix_names_exists() -> std::io::Result<()> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     let mut names = BTreeSet::new();
+    let mut packages = vec![root.join("platform")];
     for entry in std::fs::read_dir(root.join("crates"))? {
-        let tests = entry?.path().join("tests");
+        packages.push(entry?.path());
+    }
+    for package in packages {
+        let tests = package.join("tests");
         if tests.is_dir() {
             collect_tests(&tests, &mut names)?;
         }
