--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -64,12 +64,11 @@
     }
 }
 
-/// Returns the parts to tell others: those that this VM would set itself.
-pub fn to_send(control: &state::ControlState) -> beat::WeightTable {
-    if is_setter(control, bluebellferry_runtime::clock::now()) {
-        return control.weights.clone();
-    }
-    beat::WeightTable::default()
+/// Returns the parts to tell others, if this VM sets them and some VM lacks them.
+pub fn to_send(control: &state::ControlState, now: Instant) -> Option<beat::WeightTable> {
+    let own = control.weights.number;
+    let lacks = control.is_lacked(now, |beat| beat.parts_number < own);
+    (is_setter(control, now) && lacks).then(|| control.weights.clone())
 }
 
 fn is_setter(control: &state::ControlState, now: Instant) -> bool {
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -156,13 +156,14 @@
         is_leaving: *control.shared.drain.borrow() != shared::DrainPhase::Serving,
         has_store: control.has_store,
         configuration_version: control.configuration.decoded.version,
-        table: control.table.clone(),
+        table_revision: control.table.revision,
+        table: table_to_send(control, now),
         is_claiming: control.claims > 0,
         echoes: echoes(control),
         operations_per_second,
         demands,
         parts_number: control.weights.number,
-        weights: parts::to_send(control),
+        weights: parts::to_send(control, now),
         suspicions: control.suspicions.own_suspicions(now),
         positions: position_samples(control, now),
     };
@@ -190,6 +191,16 @@
     listed.map(echo).collect()
 }
 
+/// Returns the table if a VM that was heard, or one that was not, lacks it.
+fn table_to_send(
+    control: &state::ControlState,
+    now: Instant,
+) -> Option<bluebellferry_catalog::leadership::LeadershipTable> {
+    let own = control.table.revision;
+    let lacks = control.is_lacked(now, |beat| beat.table_revision < own);
+    (own > 0 && lacks).then(|| control.table.clone())
+}
+
 fn position_samples(control: &state::ControlState, now: Instant) -> Vec<beat::PositionSample> {
     let positions = control.shared.positions();
     let sample = |(service, history): (&_, &bluebellferry_routing::history::PositionHistory)| {
@@ -283,8 +294,12 @@
             control.list_members.notify_one();
         }
     }
-    control.apply_table(&beat.table);
-    control.apply_weights(&beat.weights);
+    if let Some(table) = &beat.table {
+        control.apply_table(table);
+    }
+    if let Some(weights) = &beat.weights {
+        control.apply_weights(weights);
+    }
     take_positions(&control, &beat, now);
     let own = control.own_name().to_owned();
     let own_incarnation = control.shared.incarnation;
@@ -296,7 +311,7 @@
         let vouch = lease::BeatVouch {
             incarnation,
             echoed: echo.sequence,
-            revision: beat.table.revision,
+            revision: beat.table_revision,
             is_claiming: beat.is_claiming,
         };
         control.lease.record_vouch(&beat.vm, vouch);
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -181,7 +181,7 @@
             let has_seen = |name: &String| {
                 name == own
                     || control.peers.get(name).is_some_and(|record| {
-                        record.beat.table.revision >= revision && !record.beat.is_claiming
+                        record.beat.table_revision >= revision && !record.beat.is_claiming
                     })
             };
             control.members.keys().all(has_seen)
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -355,6 +355,14 @@
         primaries.next().is_none().then_some(view)
     }
 
+    /// Returns whether a VM may lack something: one that was heard says so, or
+    /// one was not heard.
+    pub fn is_lacked(&self, now: Instant, lacks: impl Fn(&beat::FleetBeat) -> bool) -> bool {
+        let is_silent = self.live_peers(now).count() + 1 < self.members.len();
+        let mut live = self.live_peers(now);
+        is_silent || live.any(|(_, record)| lacks(&record.beat))
+    }
+
     /// Returns the registered databases of a service.
     pub fn databases_of(&self, service: &name::ServiceName) -> Vec<database::DatabaseEntry> {
         let of_service = |entry: &&database::DatabaseEntry| entry.service == *service;
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -86,8 +86,10 @@
     pub has_store: bool,
     /// The version of the configuration in force at the sender.
     pub configuration_version: u64,
-    /// The sender's leadership table.
-    pub table: leadership::LeadershipTable,
+    /// The revision of the sender's leadership table.
+    pub table_revision: u64,
+    /// The table, if some other VM may not have it.
+    pub table: Option<leadership::LeadershipTable>,
     /// Whether the sender is trying to enter a replacement into the table.
     pub is_claiming: bool,
     /// What the sender has received.
@@ -99,8 +101,8 @@
     pub demands: Vec<WorkspaceDemand>,
     /// The number of the parts that the sender knows.
     pub parts_number: u64,
-    /// The parts that the sender has set, or none.
-    pub weights: WeightTable,
+    /// The parts that the sender has set, if some other VM may not have them.
+    pub weights: Option<WeightTable>,
     /// Leaders that the sender cannot use.
     pub suspicions: Vec<LeaderSuspicion>,
     /// What leaders were seen to hold.
