--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -1,7 +1,6 @@
 //! Following the databases' registrations.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,8 +16,6 @@
 /// How often the registrations are listed. Every database writes its entry more
 /// often than that, so a watch would cost a call for each.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
-/// The shortest time between two listings that were asked for out of turn.
-const LEAST_INTERVAL: Duration = Duration::from_millis(300);
 /// For how long after the store's return entries that lapsed meanwhile are
 /// kept; databases that live are back within about two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2_500);
@@ -60,11 +57,7 @@
 
 /// Follows the registrations until the process ends.
 pub async fn follow(control: control::ControlCell) {
-    let (address, wanted) = {
-        let control = control.borrow();
-        let address = control.shared.settings.store_address;
-        (address, Arc::clone(&control.list_databases))
-    };
+    let address = control.borrow().shared.settings.store_address;
     let mut client = objects::ObjectClient::new(address);
     let mut pause = configuration::RetryPause::default();
     let mut dependency = configuration::DependencyLog::new("registrations in the store");
@@ -78,10 +71,7 @@
                 let entries = lapsed.record_listing(entries, clock::now());
                 control.borrow_mut().has_store = true;
                 control.borrow_mut().apply_databases(entries);
-                tokio::time::sleep(LEAST_INTERVAL).await;
-                let rest = LIST_INTERVAL.saturating_sub(LEAST_INTERVAL);
-                // A listing that is due anyway needs no reason.
-                tokio::time::timeout(rest, wanted.notified()).await.ok();
+                tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => {
                 lapsed.record_away();
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -90,8 +90,6 @@
     pub has_joined: bool,
     /// Notified when the VMs should be listed at once.
     pub list_members: Arc<Notify>,
-    /// Notified when the databases should be listed at once.
-    pub list_databases: Arc<Notify>,
     /// Until when leaders may be relied on because they were asked.
     probed: BTreeMap<name::ServiceName, (name::DatabaseName, Instant)>,
     published: shared::EdgeSnapshot,
@@ -116,7 +114,6 @@
             has_joined: false,
             list_members: Arc::new(Notify::new()),
             news: Arc::new(Notify::new()),
-            list_databases: Arc::new(Notify::new()),
             probed: BTreeMap::new(),
             published: shared::EdgeSnapshot::default(),
         }
--- a/crates/bluebellferry_edge/src/settings.rs
+++ b/crates/bluebellferry_edge/src/settings.rs
@@ -25,8 +25,6 @@
     #[serde(default)]
     control_address: Option<String>,
     peer_ports: Vec<u16>,
-    #[serde(default)]
-    seeds: Vec<String>,
     max_descriptors: u64,
     store_address: String,
     duty_address: String,
@@ -56,8 +54,6 @@
     pub peer_port: u16,
     /// The port for metrics.
     pub metrics_port: u16,
-    /// Where a few VMs serve copies of objects; they may be stale or down.
-    pub seeds: Vec<SocketAddr>,
     /// The most callers that may be connected.
     pub max_callers: usize,
     /// The platform's store.
@@ -93,11 +89,6 @@
         for (name, region) in wire.data_centres {
             regions.insert(centre("data_centres", &name)?, region);
         }
-        let seeds: Result<Vec<SocketAddr>, _> = wire
-            .seeds
-            .iter()
-            .map(|text| address("seeds", text))
-            .collect();
         let copies_address = match &wire.control_address {
             Some(text) => address("control_address", text)?,
             None => SocketAddr::new(ip, first_port + 1),
@@ -116,7 +107,6 @@
             copies_address,
             peer_port: *first_port,
             metrics_port: *last_port,
-            seeds: seeds?,
             max_callers: wire
                 .max_descriptors
                 .saturating_sub(RESERVED_DESCRIPTORS)
--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -105,7 +105,7 @@
             "data_centre": "amman-a", "region": "amman", "data_centres": {"amman-a": "amman"},
             "caller_address": self.host(index, 2), "readiness_address": self.host(index, 3),
             "control_address": self.host(index, 4),
-            "peer_ports": [self.base_port + 5, self.base_port + 6], "seeds": [],
+            "peer_ports": [self.base_port + 5, self.base_port + 6],
             "max_descriptors": 4000, "store_address": platform, "duty_address": duty,
             "grace_s": 3.0});
         let name = format!("edge-{}-{}-{index}.json", self.base_port, self.subnet);
