--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -32,6 +32,8 @@
 /// How long a new VM waits at least: others may be starting with it that are not
 /// listed yet. Longer than two listings.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// How long a new VM waits for members that are silent, such as the one it replaces.
+const SILENT_MEMBERS_TIME: Duration = Duration::from_millis(2_500);
 /// How often a new VM looks whether all have made room.
 const JOIN_STEP: Duration = Duration::from_millis(100);
 /// How many listings are made at the shorter interval.
@@ -192,6 +194,15 @@
     }
 }
 
+/// Returns whether a new VM may use its part: all others that are heard count it
+/// as a member. A silent one keeps a part that is a little too large; that is
+/// within what limits allow as long as most have shrunk theirs.
+pub fn may_join(waited: Duration, heard: usize, others: usize, is_known_to_all: bool) -> bool {
+    let has_heard_all = waited >= SETTLE_TIME && heard >= others;
+    let has_heard_most = waited >= SILENT_MEMBERS_TIME && heard * 2 > others;
+    waited >= JOIN_AT_LATEST || (is_known_to_all && (has_heard_all || has_heard_most))
+}
+
 /// Waits until the other VMs have made room for this one.
 pub async fn join(control: control::ControlCell) {
     let mut registered = None;
@@ -207,12 +218,10 @@
         }
         let since = *registered.get_or_insert(now);
         let waited = now.saturating_duration_since(since);
-        let has_heard_others = control.live_peers(now).count() + 1 >= control.members.len();
-        let is_settled = waited >= SETTLE_TIME && has_heard_others;
-        if is_settled && control.is_known_to_all(now) {
-            control.join("known to all");
-        } else if waited >= JOIN_AT_LATEST {
-            control.join("waited");
+        let heard = control.live_peers(now).count();
+        let others = control.members.len().saturating_sub(1);
+        if may_join(waited, heard, others, control.is_known_to_all(now)) {
+            control.join("registered anew");
         }
     }
 }
--- a/crates/bluebellferry_edge/tests/decisions.rs
+++ b/crates/bluebellferry_edge/tests/decisions.rs
@@ -5,6 +5,7 @@
 
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::database;
+use bluebellferry_edge::control::members;
 use bluebellferry_edge::control::parts;
 use bluebellferry_edge::control::registry;
 use bluebellferry_edge::control::suspicion;
@@ -168,3 +169,19 @@
     assert_eq!(budget.take_suppressed(), 1_000 - written as u64);
     assert!(budget.allows(start + Duration::from_secs(1)));
 }
+
+#[test]
+fn a_vm_that_replaces_a_lost_one_joins_without_hearing_it() {
+    let after = Duration::from_millis;
+    // All others are heard, once those that start with it can be listed.
+    assert!(!members::may_join(after(1_000), 5, 5, true));
+    assert!(members::may_join(after(1_600), 5, 5, true));
+    // The lost one is still listed and never heard.
+    assert!(!members::may_join(after(1_600), 5, 6, true));
+    assert!(members::may_join(after(2_600), 5, 6, true));
+    // Somebody who is heard has not made room yet.
+    assert!(!members::may_join(after(2_600), 5, 6, false));
+    // Cut off from most, it waits until they have listed it themselves.
+    assert!(!members::may_join(after(5_000), 2, 6, true));
+    assert!(members::may_join(after(6_600), 0, 6, true));
+}
