--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -218,7 +218,7 @@
             self.transaction = None;
             return Err(refusal);
         }
-        self.state.record_opened(&opening);
+        self.state.record_opened();
         self.run_held(statement, plan, scope).await
     }
 
--- a/crates/bluebellferry_session/src/memory.rs
+++ b/crates/bluebellferry_session/src/memory.rs
@@ -68,17 +68,4 @@
         }
         steps
     }
-
-    /// Returns how many steps [`ConnectionMemory::adopt`] would need, to prefer
-    /// connections that hold the caller's state already.
-    pub fn distance(&self, values: &BTreeMap<String, String>) -> usize {
-        let foreign = self
-            .values
-            .keys()
-            .filter(|name| !values.contains_key(*name));
-        let missing = values
-            .iter()
-            .filter(|(name, value)| self.values.get(*name) != Some(*value));
-        foreign.count() * 2 + missing.count()
-    }
 }
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -30,7 +30,7 @@
     /// The caller began it; no database knows of it yet.
     Declared { read_only: bool, begin_id: String },
     /// It is open on a connection.
-    Open { read_only: bool, has_written: bool },
+    Open { has_written: bool },
     /// It failed. `at_database` tells whether a connection still holds it.
     Failed { at_database: bool },
 }
@@ -328,11 +328,8 @@
     }
 
     /// Notes that the transaction of a plan has been opened at a database.
-    pub fn record_opened(&mut self, opening: &TransactionOpening) {
-        self.transaction = TransactionState::Open {
-            read_only: opening.read_only,
-            has_written: false,
-        };
+    pub fn record_opened(&mut self) {
+        self.transaction = TransactionState::Open { has_written: false };
     }
 
     /// Notes how a statement at a database ended.
@@ -358,17 +355,14 @@
             RunKind::SingleRead => {}
             RunKind::SingleWrite => self.raise_floor(position),
             RunKind::Inside => {
-                if let TransactionState::Open { has_written, .. } = &mut self.transaction {
+                if let TransactionState::Open { has_written } = &mut self.transaction {
                     *has_written |= plan.writes;
                 }
             }
             RunKind::Commit => {
                 let wrote = matches!(
                     self.transaction,
-                    TransactionState::Open {
-                        has_written: true,
-                        ..
-                    }
+                    TransactionState::Open { has_written: true }
                 );
                 self.transaction = TransactionState::None;
                 if wrote {
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -51,8 +51,8 @@
 fn open_transaction(session: &mut state::SessionState, read_only: bool) {
     session.plan(&query(Action::Begin { read_only }));
     let plan = run(session, &read());
-    let opening = plan.opening.clone().expect("the first statement opens");
-    session.record_opened(&opening);
+    assert!(plan.opening.is_some(), "the first statement opens");
+    session.record_opened();
     session.record_outcome(&plan, succeeded(5));
 }
 
