--- a/crates/bluebellferry_catalog/src/database.rs
+++ b/crates/bluebellferry_catalog/src/database.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 
 use bluebellferry_types::name;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// The role that a database says it has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum DatabaseRole {
     /// It takes writes.
     Primary,
@@ -14,7 +17,7 @@
 }
 
 /// A registered database.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DatabaseEntry {
     /// The identity, which connections name so that a reused address is noticed.
     pub id: name::DatabaseName,
--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -4,10 +4,14 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bluebellferry_catalog::leadership;
+use bluebellferry_membership::circle;
 use bluebellferry_platform::objects;
+use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -38,15 +42,23 @@
 const JOIN_STEP: Duration = Duration::from_millis(100);
 /// How many listings are made at the shorter interval.
 const FIRST_LISTINGS: u32 = 4;
+/// How often it is looked whether this VM is to list VMs for others.
+const READER_STEP: Duration = Duration::from_millis(500);
 /// The table is read from the store when the lease would end within this time.
 const CONFIRM_BEFORE_END: Duration = Duration::from_millis(600);
+/// The same where a head confirms it: another heartbeat comes before that.
+const CONFIRM_BEFORE_END_OF_HEAD: Duration = Duration::from_millis(300);
 /// How often it is looked whether the lease is about to end.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+/// How old a confirmation may be that the head of a data centre passes on: with the
+/// interval of looking and the time on the way, half of the term is left.
+const HEAD_CONFIRMS_AFTER: Duration = Duration::from_millis(400);
 
 /// A VM's entry as it stands in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct VmEntryWire {
     address: IpAddr,
+    data_centre: name::DataCentreName,
     incarnation: u64,
 }
 
@@ -63,14 +75,20 @@
     let mut dependency = configuration::DependencyLog::new("list of VMs in the store");
     let mut listings = 0;
     loop {
+        if listings > FIRST_LISTINGS && !lists_members(&control.borrow(), clock::now()) {
+            tokio::time::sleep(READER_STEP).await;
+            continue;
+        }
         let asked = clock::now();
         match client.list(VM_KIND).await {
             Ok(listing) => {
                 dependency.record_success();
+                control.borrow_mut().has_store = true;
                 let own = listing.objects.iter().find(|one| one.name == settings.vm);
                 let was_listed = own.is_some();
                 let entry = VmEntryWire {
                     address: settings.address,
+                    data_centre: settings.data_centre.clone(),
                     incarnation,
                 };
                 if let Err(error) = register(&mut client, &settings.vm, own, &entry).await {
@@ -82,13 +100,15 @@
                 let mut members = decode_members(&listing);
                 let own = state::MemberRecord {
                     address: settings.address,
+                    data_centre: settings.data_centre.clone(),
                 };
                 members.insert(settings.vm.clone(), own);
-                control.borrow_mut().apply_members(members, asked);
+                let as_of = listing.as_of;
+                control.borrow_mut().apply_members(members, as_of, asked);
                 listings += 1;
-                // The others know of a VM that was listed before it started.
-                if was_listed && listings == 1 {
-                    control.borrow_mut().join("listed before");
+                if listings == 1 {
+                    // The others know of a VM that was listed before it started.
+                    note_registered(&mut control.borrow_mut(), was_listed, clock::now());
                 }
                 let interval = if listings <= FIRST_LISTINGS {
                     FIRST_INTERVAL
@@ -101,6 +121,7 @@
                 tokio::time::timeout(rest, wanted.notified()).await.ok();
             }
             Err(error) => {
+                control.borrow_mut().has_store = false;
                 dependency.record_failure(&error);
                 pause.wait().await;
             }
@@ -108,11 +129,29 @@
     }
 }
 
+/// Returns whether this VM lists the VMs itself: where heartbeats confirm leases, a
+/// list must not be older than its listing, so all do.
+fn lists_members(control: &state::ControlState, now: Instant) -> bool {
+    control.circle.is_full_exchange() || control.reads_for_centre(now)
+}
+
+/// Notes that this VM stands in the list. One that stood there before is known to
+/// all; another must let every list lapse in which it is missing before it acts.
+fn note_registered(control: &mut state::ControlState, was_listed: bool, now: Instant) {
+    if was_listed {
+        control.acts_from = Some(now);
+        control.join("listed before");
+    } else {
+        control.acts_from = Some(now + lease::JOIN_DELAY);
+    }
+}
+
 fn decode_members(listing: &objects::ObjectListing) -> BTreeMap<String, state::MemberRecord> {
     let decode = |object: &objects::StoredObject| match VmEntryWire::deserialize(&object.value) {
         Ok(wire) => {
             let record = state::MemberRecord {
                 address: wire.address,
+                data_centre: wire.data_centre,
             };
             Some((object.name.clone(), record))
         }
@@ -173,27 +212,48 @@
 pub async fn confirm_table(control: control::ControlCell) {
     let address = control.borrow().shared.settings.store_address;
     let mut client = objects::ObjectClient::new(address);
+    let mut pause = configuration::RetryPause::default();
     let mut dependency = configuration::DependencyLog::new("table of leaders in the store");
     loop {
         tokio::time::sleep(CONFIRM_INTERVAL).await;
         let asked = clock::now();
-        let valid_until = control.borrow().lease.valid_until();
-        if valid_until.is_some_and(|until| until > asked + CONFIRM_BEFORE_END) {
+        if !is_confirmation_due(&control.borrow(), asked) {
             continue;
         }
         match read_table(&mut client).await {
             Ok(table) => {
                 dependency.record_success();
+                pause.reset();
                 let mut control = control.borrow_mut();
                 control.apply_table(&table);
                 control.lease.record_store(asked, table.revision);
                 control.publish();
+                if control.confirms_for_others(asked) {
+                    control.news.notify_one();
+                }
+            }
+            Err(error) => {
+                dependency.record_failure(&error);
+                pause.wait().await;
             }
-            Err(error) => dependency.record_failure(&error),
         }
     }
 }
 
+fn is_confirmation_due(control: &state::ControlState, now: Instant) -> bool {
+    let valid_until = control.lease.valid_until();
+    let before_end = if control.relies_on_head(now) {
+        CONFIRM_BEFORE_END_OF_HEAD
+    } else {
+        CONFIRM_BEFORE_END
+    };
+    let is_ending = valid_until.is_none_or(|until| until <= now + before_end);
+    let confirmed = control.lease.store_confirmed();
+    let is_old = confirmed
+        .is_none_or(|confirmed| now.saturating_duration_since(confirmed) >= HEAD_CONFIRMS_AFTER);
+    is_ending || (control.confirms_for_others(now) && is_old)
+}
+
 /// Returns whether a new VM may use its part: all others that are heard count it
 /// as a member. A silent one keeps a part that is a little too large; that is
 /// within what limits allow as long as most have shrunk theirs.
@@ -219,7 +279,10 @@
         let since = *registered.get_or_insert(now);
         let waited = now.saturating_duration_since(since);
         let heard = control.live_peers(now).count();
-        let others = control.members.len().saturating_sub(1);
+        let mut others = control.group().count().saturating_sub(1);
+        if !control.circle.is_full_exchange() {
+            others = others.min(circle::NEAR_CHOICES);
+        }
         if may_join(waited, heard, others, control.is_known_to_all(now)) {
             control.join("registered anew");
         }
--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -1,8 +1,10 @@
 //! The parts of fleet-wide limits that each VM gets.
 //!
 //! Callers are spread unevenly over the VMs, and those of one workspace more so.
-//! One VM, the first by name among those that live, deals the limits out by
-//! demand and tells the others. A part that shrinks does so at once, one that
+//! One VM, the first among those that live, deals the limits out by demand and tells
+//! the others. Where data centres have heads, the first head deals them out among the
+//! data centres, and each head among the VMs of its own; rates go to their owners there
+//! (`owners`). A part that shrinks does so at once, one that
 //! grows waits; a VM that is silent keeps what it has, since it cannot be told.
 
 use std::collections::BTreeMap;
@@ -10,8 +12,10 @@
 use std::time::Instant;
 
 use bluebellferry_membership::beat;
+use bluebellferry_membership::circle;
 use bluebellferry_types::name;
 
+use crate::control::owners;
 use crate::control::state;
 
 /// How often the parts are worked out anew.
@@ -24,16 +28,21 @@
 const EVEN_RATE: f64 = 0.3;
 /// By how much a part must change for new parts to be worth telling.
 const LEAST_CHANGE: f64 = 0.06;
-/// The most parts of rates that are dealt out by workspace: VMs times
-/// workspaces. They must fit into a datagram with the rest of a heartbeat.
-const MAX_PARTS: usize = 256;
-/// How much of a new measurement enters a workspace's demand.
-const DEMAND_SMOOTHING: f64 = 0.1;
+/// The most parts of rates that are dealt out by workspace: VMs, or data centres,
+/// times workspaces. At four bytes each they fit into a datagram with the rest of a
+/// heartbeat.
+const MAX_PARTS: usize = 2_048;
+/// Over which time a workspace's demand is averaged, in seconds: ten heartbeats, or,
+/// where parts are dealt out twice, long enough for a few operations of a small
+/// workspace in each data centre.
+const DEMAND_TIME: f64 = 4.0;
+const CENTRE_DEMAND_TIME: f64 = 12.0;
 
 /// What callers of each workspace ask of this VM.
 #[derive(Debug, Default)]
 pub struct DemandBook {
     per_second: BTreeMap<name::WorkspaceName, f64>,
+    measured: Option<Instant>,
 }
 
 impl DemandBook {
@@ -44,16 +53,27 @@
         now: Instant,
     ) -> Vec<beat::WorkspaceDemand> {
         let shares = control.shared.shares.all();
-        if shares.len() * control.members.len() > MAX_PARTS {
+        let others = control.group().count().max(control.centres().len());
+        if shares.len() * others > MAX_PARTS {
             return Vec::new();
         }
         let names = shares.iter().map(|(name, _)| name);
         let names: std::collections::BTreeSet<_> = names.collect();
         self.per_second.retain(|name, _| names.contains(name));
+        let elapsed = self.measured.map_or(0.0, |measured| {
+            now.saturating_duration_since(measured).as_secs_f64()
+        });
+        self.measured = Some(now);
+        let time = if control.circle.is_full_exchange() {
+            DEMAND_TIME
+        } else {
+            CENTRE_DEMAND_TIME
+        };
+        let weight = 1.0 - (-elapsed / time).exp();
         for (workspace, share) in &shares {
             let seen = share.demand_per_second(now);
             let known = self.per_second.entry(workspace.clone()).or_insert(0.0);
-            *known += DEMAND_SMOOTHING * (seen - *known);
+            *known += weight * (seen - *known);
         }
         let demand =
             |(workspace, per_second): (&name::WorkspaceName, &f64)| beat::WorkspaceDemand {
@@ -64,94 +84,275 @@
     }
 }
 
-/// Returns the parts to tell others, if this VM sets them and some VM lacks them.
-pub fn to_send(control: &state::ControlState, now: Instant) -> Option<beat::WeightTable> {
-    let own = control.weights.number;
-    let lacks = control.is_lacked(now, |beat| beat.parts_number < own);
-    (is_setter(control, now) && lacks).then(|| control.weights.clone())
+/// What this VM's own callers ask for.
+#[derive(Debug, Clone)]
+pub struct OwnLoad {
+    /// Operations that they start, a second.
+    pub operations_per_second: f64,
+    /// The same for each workspace; none where there are too many.
+    pub demands: Vec<beat::WorkspaceDemand>,
 }
 
-fn is_setter(control: &state::ControlState, now: Instant) -> bool {
-    let own = control.own_name();
-    control.live_peers(now).all(|(name, _)| name.as_str() > own)
+/// Parts that were dealt out, if they are those of the present members.
+#[derive(Debug)]
+pub struct KnownParts<'a> {
+    table: Option<&'a beat::WeightTable>,
+    count: usize,
 }
 
-/// Works the parts out, if this VM is to do so.
-pub fn set(
-    control: &mut state::ControlState,
-    own_rate: f64,
-    own_demands: &[beat::WorkspaceDemand],
+impl<'a> KnownParts<'a> {
+    /// Creates a view of a table for members that are named in order.
+    pub fn new<S: AsRef<str>>(table: &'a beat::WeightTable, names: &[S]) -> Self {
+        let dealt = table.weights.iter().map(|one| one.vm.as_str());
+        let is_known = dealt.eq(names.iter().map(AsRef::as_ref));
+        Self {
+            table: is_known.then_some(table),
+            count: names.len(),
+        }
+    }
+
+    /// Returns whether the table is that of the present members.
+    pub const fn is_known(&self) -> bool {
+        self.table.is_some()
+    }
+
+    /// Returns a member's part, an equal one if none was dealt out.
+    pub fn part(&self, index: usize) -> f64 {
+        let equal = 1.0 / self.count.max(1) as f64;
+        let dealt = self.table.and_then(|table| table.weights.get(index));
+        dealt.map_or(equal, |weight| weight.part)
+    }
+
+    /// Returns a member's part of a workspace's rate.
+    pub fn rate_part(&self, index: usize, workspace: &name::WorkspaceName) -> f64 {
+        let workspaces = self.table.map(|table| &table.workspaces);
+        let dealt = workspaces
+            .and_then(|all| all.iter().find(|one| one.workspace == *workspace))
+            .and_then(|one| one.parts.get(index));
+        dealt.map_or_else(|| self.part(index), |part| f64::from(*part))
+    }
+}
+
+/// Returns whether this VM deals out the parts of its group.
+pub fn is_group_setter(control: &state::ControlState, now: Instant) -> bool {
+    if !control.circle.is_full_exchange() {
+        return control.circle.is_head(now);
+    }
+    control.comes_first(now, |_| true)
+}
+
+/// Returns whether this VM deals out the parts of the data centres.
+fn is_centre_setter(control: &state::ControlState, now: Instant) -> bool {
+    let is_full = control.circle.is_full_exchange();
+    let is_head = |beat: &beat::FleetBeat| beat.is_head && !beat.is_leaving;
+    !is_full && control.circle.is_head(now) && control.comes_first(now, is_head)
+}
+
+/// Returns what the callers of this VM's data centre ask for.
+pub fn centre_demand(
+    control: &state::ControlState,
+    own: &OwnLoad,
     now: Instant,
-) {
-    if !control.has_joined || !is_setter(control, now) {
+) -> beat::CentreDemand {
+    let mut sums: BTreeMap<&name::WorkspaceName, f32> = BTreeMap::new();
+    let mut operations_per_second = own.operations_per_second;
+    let near = control.live_peers(now);
+    let near: Vec<_> = near.filter(|(name, _)| control.is_in_group(name)).collect();
+    for (_, record) in &near {
+        operations_per_second += record.beat.operations_per_second;
+    }
+    let told = near.iter().flat_map(|(_, record)| record.demands.iter());
+    for demand in told.chain(&own.demands) {
+        *sums.entry(&demand.workspace).or_default() += demand.per_second;
+    }
+    let demand = |(workspace, per_second): (&&name::WorkspaceName, &f32)| beat::WorkspaceDemand {
+        workspace: Clone::clone(*workspace),
+        per_second: *per_second,
+    };
+    beat::CentreDemand {
+        operations_per_second,
+        workspaces: sums.iter().map(demand).collect(),
+    }
+}
+
+/// Works the parts out, if this VM is to do so.
+pub fn set(control: &mut state::ControlState, own: &OwnLoad, now: Instant) {
+    if !control.has_joined {
         return;
     }
-    let names: Vec<String> = control.members.keys().cloned().collect();
+    if is_centre_setter(control, now) {
+        set_centres(control, own, now);
+    }
+    if is_group_setter(control, now) {
+        set_group(control, own, now);
+    }
+}
+
+/// The demand of one of those among which a limit is dealt out.
+struct KnownDemand<'a> {
+    operations_per_second: f64,
+    workspaces: &'a [beat::WorkspaceDemand],
+}
+
+/// Returns the parts of rates that the VMs of this VM's data centre own.
+fn owned_parts<'a>(
+    control: &state::ControlState,
+    names: &'a [String],
+    now: Instant,
+) -> Vec<beat::WorkspaceParts> {
+    let workspaces = &control.configuration.decoded.workspaces;
+    if workspaces.len() * names.len() > MAX_PARTS {
+        return Vec::new();
+    }
+    let known = KnownParts::new(&control.weights, names);
+    let equal = 1.0 / control.members.len().max(1) as f64;
     let own = control.own_name();
-    let live: BTreeMap<&str, (f64, &[beat::WorkspaceDemand])> = control
-        .live_peers(now)
-        .map(|(name, record)| {
-            let beat = &record.beat;
-            (name.as_str(), (beat.operations_per_second, &*beat.demands))
-        })
-        .chain(std::iter::once((own, (own_rate, own_demands))))
-        .collect();
-    let demand = |name: &str| live.get(name).map(|(rate, _)| *rate);
-    let before = |name: &str| weight_before(control, name);
-    let total: f64 = live.values().map(|(rate, _)| rate).sum();
-    let shares = deal(&names, total * EVEN_DEMAND, demand, before);
-    let weight = |(vm, part): (&String, &f64)| beat::VmWeight {
-        vm: vm.clone(),
-        part: *part,
+    let silence = |vm: &str| {
+        let silence = control.silence_of(vm, now);
+        (vm != own && silence >= circle::SILENT_AFTER).then_some(silence)
     };
-    let weights = names.iter().zip(&shares).map(weight).collect();
-    let workspaces = own_demands
-        .iter()
-        .map(|own_demand| {
-            let workspace = &own_demand.workspace;
-            let demand = |name: &str| {
-                let (_, demands) = live.get(name)?;
-                let found = demands.iter().find(|one| one.workspace == *workspace);
-                Some(found.map_or(0.0, |one| f64::from(one.per_second)))
-            };
-            let before = |name: &str| control.rate_part(name, workspace);
-            let policies = &control.configuration.decoded.workspaces;
-            let rate = policies
-                .get(workspace)
-                .map_or(0.0, |one| one.rate_per_second);
-            let parts = deal(&names, rate * EVEN_RATE, demand, before);
-            let parts = parts.iter().map(|part| *part as f32).collect();
-            let next = beat::WorkspaceParts {
-                workspace: workspace.clone(),
-                parts,
+    let silences: Vec<_> = names.iter().map(|vm| silence(vm)).collect();
+    let mut all = Vec::new();
+    for (workspace, policy) in workspaces {
+        let centre_part = control.centre_rate_part(workspace);
+        let candidate = |(index, vm): (usize, &'a String)| owners::OwnerCandidate {
+            vm,
+            silence: silences[index],
+            before: known.rate_part(index, workspace),
+        };
+        let candidates: Vec<_> = names.iter().enumerate().map(candidate).collect();
+        let rate = policy.rate_per_second * centre_part;
+        let equal = equal / centre_part.max(equal);
+        all.push(beat::WorkspaceParts {
+            workspace: workspace.clone(),
+            parts: owners::deal(workspace, rate, equal, &candidates),
+        });
+    }
+    all
+}
+
+fn set_group(control: &mut state::ControlState, own: &OwnLoad, now: Instant) {
+    let names: Vec<String> = control.group().cloned().collect();
+    let mut live = BTreeMap::new();
+    let mut number = control.weights.number;
+    for (name, record) in control.live_peers(now) {
+        if control.is_in_group(name) {
+            let demand = KnownDemand {
+                operations_per_second: record.beat.operations_per_second,
+                workspaces: &record.demands,
             };
-            // Each change costs a part of the limit until the larger parts hold.
-            let known = known_parts(&control.weights, &names, workspace);
-            match known.filter(|known| !are_far(&known.parts, &next.parts)) {
-                Some(known) => known.clone(),
-                None => next,
-            }
-        })
-        .collect();
-    // A VM that was started anew has forgotten the number that others know.
-    let known = control
-        .live_peers(now)
-        .map(|(_, record)| record.beat.parts_number);
-    let known = known.fold(control.weights.number, u64::max);
-    let next = beat::WeightTable {
-        number: known + 1,
-        weights,
-        workspaces,
+            live.insert(name.as_str(), demand);
+            // A VM that was started anew has forgotten the number that others know.
+            number = number.max(record.beat.parts_number);
+        }
+    }
+    let demand = KnownDemand {
+        operations_per_second: own.operations_per_second,
+        workspaces: &own.demands,
+    };
+    live.insert(control.own_name(), demand);
+    let rate_of = |workspace: &name::WorkspaceName| {
+        let policies = &control.configuration.decoded.workspaces;
+        let rate = policies.get(workspace);
+        let rate = rate.map_or(0.0, |one| one.rate_per_second);
+        rate * control.centre_rate_part(workspace)
     };
-    if known > control.weights.number || differs(&control.weights, &next) {
+    let mut next = next_table(&control.weights, number, &names, &live, rate_of);
+    if !control.circle.is_full_exchange() {
+        next.workspaces = owned_parts(control, &names, now);
+    }
+    if number > control.weights.number || differs(&control.weights, &next) {
         control.apply_weights(&next);
         control.news.notify_one();
     }
 }
 
-fn weight_before(control: &state::ControlState, name: &str) -> f64 {
-    let set = control.weights.weights.iter().find(|one| one.vm == name);
-    set.map_or(1.0 / control.members.len().max(1) as f64, |one| one.part)
+fn set_centres(control: &mut state::ControlState, own: &OwnLoad, now: Instant) {
+    let names: Vec<String> = control
+        .centres()
+        .keys()
+        .map(|&name| name.to_owned())
+        .collect();
+    let own_demand = centre_demand(control, own, now);
+    let mut live = BTreeMap::new();
+    let mut number = control.centre_weights.number;
+    for (name, record) in control.live_peers(now) {
+        number = number.max(record.beat.centre_parts_number);
+        let member = control.members.get(name).filter(|_| record.beat.is_head);
+        if let (Some(member), Some(told)) = (member, &record.centre_demand) {
+            let demand = KnownDemand {
+                operations_per_second: told.operations_per_second,
+                workspaces: &told.workspaces,
+            };
+            live.insert(member.data_centre.as_str(), demand);
+        }
+    }
+    let demand = KnownDemand {
+        operations_per_second: own_demand.operations_per_second,
+        workspaces: &own_demand.workspaces,
+    };
+    live.insert(control.shared.settings.data_centre.as_str(), demand);
+    let rate_of = |workspace: &name::WorkspaceName| {
+        let policies = &control.configuration.decoded.workspaces;
+        policies
+            .get(workspace)
+            .map_or(0.0, |one| one.rate_per_second)
+    };
+    let next = next_table(&control.centre_weights, number, &names, &live, rate_of);
+    if number > control.centre_weights.number || differs(&control.centre_weights, &next) {
+        control.apply_centre_weights(&next);
+        control.news.notify_one();
+    }
+}
+
+/// Returns the next table of parts. `number` is the highest that is known, `rate_of`
+/// what is dealt out of a workspace's rate.
+fn next_table(
+    table: &beat::WeightTable,
+    number: u64,
+    names: &[String],
+    live: &BTreeMap<&str, KnownDemand<'_>>,
+    rate_of: impl Fn(&name::WorkspaceName) -> f64,
+) -> beat::WeightTable {
+    let known = KnownParts::new(table, names);
+    let index_of = |name: &str| names.iter().position(|one| one == name);
+    let before = |name: &str| index_of(name).map_or(0.0, |index| known.part(index));
+    let demand = |name: &str| live.get(name).map(|one| one.operations_per_second);
+    let total: f64 = live.values().map(|one| one.operations_per_second).sum();
+    let shares = deal(names, total * EVEN_DEMAND, demand, before);
+    let weight = |(vm, part): (&String, &f64)| beat::VmWeight {
+        vm: vm.clone(),
+        part: *part,
+    };
+    let weights = names.iter().zip(&shares).map(weight).collect();
+    let wanted = live.values().flat_map(|one| one.workspaces.iter());
+    let wanted: std::collections::BTreeSet<_> = wanted.map(|one| &one.workspace).collect();
+    let parts_of = |workspace: &&name::WorkspaceName| {
+        let workspace = *workspace;
+        let demand = |name: &str| {
+            let demands = live.get(name)?.workspaces;
+            let found = demands.iter().find(|one| one.workspace == *workspace);
+            Some(found.map_or(0.0, |one| f64::from(one.per_second)))
+        };
+        let before =
+            |name: &str| index_of(name).map_or(0.0, |index| known.rate_part(index, workspace));
+        let parts = deal(names, rate_of(workspace) * EVEN_RATE, demand, before);
+        let next = beat::WorkspaceParts {
+            workspace: workspace.clone(),
+            parts: parts.iter().map(|part| *part as f32).collect(),
+        };
+        // Each change costs a part of the limit until the larger parts hold.
+        let known = known_parts(table, names, workspace);
+        match known.filter(|known| !are_far(&known.parts, &next.parts)) {
+            Some(known) => known.clone(),
+            None => next,
+        }
+    };
+    beat::WeightTable {
+        number: number + 1,
+        weights,
+        workspaces: wanted.iter().map(parts_of).collect(),
+    }
 }
 
 /// Deals a limit out. `demand` is `None` for a VM that is silent; it keeps what
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -1,4 +1,4 @@
-//! Heartbeats between VMs.
+//! The socket towards other VMs, and what their messages change.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,19 +18,12 @@
 
 use crate::control;
 use crate::control::copies;
-use crate::control::parts;
 use crate::control::state;
 use crate::control::tokens;
 use crate::shared;
 
-/// How often each VM sends a heartbeat to every other. A lease outlives three.
-pub const BEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// The shortest time between two heartbeats, when there is news.
-const LEAST_INTERVAL: Duration = Duration::from_millis(20);
-/// Positions older than this are of no use to other VMs.
-const POSITION_KEPT: Duration = Duration::from_millis(2_500);
-/// How much of a new measurement enters the rate of operations.
-const RATE_SMOOTHING: f64 = 0.3;
+/// The pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(20);
 
 /// The socket towards other VMs.
 #[derive(Debug)]
@@ -62,26 +54,28 @@
 
     /// Sends a message to a VM. A full socket loses it, like the network.
     pub fn send(&self, vm: &str, text: &message::PeerMessage) {
-        let address = self.addresses.borrow().get(vm).copied();
-        if let Some(address) = address {
-            let bytes = self.seal(text);
-            self.send_bytes(address, &bytes);
-        }
+        self.send_numbered(vm, self.next_sequence(), text);
     }
 
-    fn seal(&self, text: &message::PeerMessage) -> Vec<u8> {
+    /// Returns the number of the next message.
+    pub fn next_sequence(&self) -> u64 {
         self.sequence.set(self.sequence.get() + 1);
-        self.codec.seal(self.incarnation, self.sequence.get(), text)
+        self.sequence.get()
     }
 
-    fn send_bytes(&self, address: SocketAddr, bytes: &[u8]) {
-        if let Err(error) = self.udp.try_send_to(bytes, address) {
+    /// Sends a message under a number that was drawn for it.
+    pub fn send_numbered(&self, vm: &str, sequence: u64, text: &message::PeerMessage) {
+        let Some(address) = self.addresses.borrow().get(vm).copied() else {
+            return;
+        };
+        let bytes = self.codec.seal(self.incarnation, sequence, text);
+        if let Err(error) = self.udp.try_send_to(&bytes, address) {
             log::debug!(error:% = error; "a datagram was not sent");
         }
     }
 
     /// Takes the addresses of the VMs that the store lists.
-    fn apply_members(&self, control: &state::ControlState) {
+    pub fn apply_members(&self, control: &state::ControlState) {
         let own = control.own_name();
         let others = control.members.iter().filter(|(name, _)| *name != own);
         let address = |(name, record): (&String, &state::MemberRecord)| {
@@ -91,130 +85,6 @@
     }
 }
 
-/// Measures the operations that callers start.
-#[derive(Debug)]
-struct OperationMeter {
-    counted: u64,
-    measured: Instant,
-    per_second: f64,
-}
-
-impl OperationMeter {
-    fn measure(&mut self, total: u64, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.measured).as_secs_f64();
-        if elapsed >= BEAT_INTERVAL.as_secs_f64() / 2.0 {
-            let seen = total.saturating_sub(self.counted) as f64 / elapsed;
-            self.per_second += RATE_SMOOTHING * (seen - self.per_second);
-            self.counted = total;
-            self.measured = now;
-        }
-        self.per_second
-    }
-}
-
-/// Sends heartbeats until the process ends.
-pub async fn send_beats(control: control::ControlCell, links: Rc<PeerLinks>) {
-    let news = Arc::clone(&control.borrow().news);
-    let mut meter = OperationMeter {
-        counted: 0,
-        measured: clock::now(),
-        per_second: 0.0,
-    };
-    let mut demands = parts::DemandBook::default();
-    let mut weighed = clock::now();
-    loop {
-        let now = clock::now();
-        {
-            let mut control = control.borrow_mut();
-            control.shared.shares.observe(now);
-            let total = control.shared.operations.load(Ordering::Relaxed);
-            let per_second = meter.measure(total, now);
-            let demands = demands.measure(&control, now);
-            if now.saturating_duration_since(weighed) >= parts::SETTING_INTERVAL {
-                weighed = now;
-                parts::set(&mut control, per_second, &demands, now);
-            }
-            links.apply_members(&control);
-            send_beat(&mut control, &links, per_second, demands, now);
-            control.publish();
-        }
-        tokio::time::sleep(LEAST_INTERVAL).await;
-        let rest = BEAT_INTERVAL.saturating_sub(LEAST_INTERVAL);
-        tokio::time::timeout(rest, news.notified()).await.ok();
-    }
-}
-
-fn send_beat(
-    control: &mut state::ControlState,
-    links: &PeerLinks,
-    operations_per_second: f64,
-    demands: Vec<beat::WorkspaceDemand>,
-    now: Instant,
-) {
-    let beat = beat::FleetBeat {
-        vm: control.own_name().to_owned(),
-        is_leaving: *control.shared.drain.borrow() != shared::DrainPhase::Serving,
-        has_store: control.has_store,
-        configuration_version: control.configuration.decoded.version,
-        table_revision: control.table.revision,
-        table: table_to_send(control, now),
-        is_claiming: control.claims > 0,
-        echoes: echoes(control),
-        operations_per_second,
-        demands,
-        parts_number: control.weights.number,
-        weights: parts::to_send(control, now),
-        suspicions: control.suspicions.own_suspicions(now),
-        positions: position_samples(control, now),
-    };
-    let bytes = links.seal(&message::PeerMessage::Beat(Box::new(beat)));
-    control
-        .lease
-        .record_sent(links.sequence.get(), clock::now());
-    for address in links.addresses.borrow().values() {
-        links.send_bytes(*address, &bytes);
-    }
-}
-
-/// Returns what was received of other VMs. Only VMs that this one counts as
-/// members are answered, since an answer is a promise to wait for them.
-fn echoes(control: &state::ControlState) -> Vec<beat::BeatEcho> {
-    let listed = control
-        .peers
-        .iter()
-        .filter(|(name, _)| control.members.contains_key(*name));
-    let echo = |(name, record): (&String, &state::PeerRecord)| beat::BeatEcho {
-        vm: name.clone(),
-        incarnation: record.incarnation,
-        sequence: record.sequence,
-    };
-    listed.map(echo).collect()
-}
-
-/// Returns the table if a VM that was heard, or one that was not, lacks it.
-fn table_to_send(
-    control: &state::ControlState,
-    now: Instant,
-) -> Option<bluebellferry_catalog::leadership::LeadershipTable> {
-    let own = control.table.revision;
-    let lacks = control.is_lacked(now, |beat| beat.table_revision < own);
-    (own > 0 && lacks).then(|| control.table.clone())
-}
-
-fn position_samples(control: &state::ControlState, now: Instant) -> Vec<beat::PositionSample> {
-    let positions = control.shared.positions();
-    let sample = |(service, history): (&_, &bluebellferry_routing::history::PositionHistory)| {
-        let (asked, position) = history.latest_sample()?;
-        let age = now.saturating_duration_since(asked);
-        (age <= POSITION_KEPT).then(|| beat::PositionSample {
-            service: Clone::clone(service),
-            position,
-            age_ms: age.as_millis() as u32,
-        })
-    };
-    positions.iter().filter_map(sample).collect()
-}
-
 /// Receives messages from other VMs until the process ends.
 pub async fn receive(control: control::ControlCell, links: Rc<PeerLinks>) {
     let mut buffer = vec![0; envelope::MAX_DATAGRAM_BYTES];
@@ -223,7 +93,7 @@
             Ok(received) => received,
             Err(error) => {
                 log::debug!(error:% = error; "a datagram cannot be received");
-                tokio::time::sleep(LEAST_INTERVAL).await;
+                tokio::time::sleep(RECEIVE_PAUSE).await;
                 continue;
             }
         };
@@ -294,50 +164,80 @@
             control.list_members.notify_one();
         }
     }
+    control
+        .circle
+        .record_heard(&beat.vm, beat.asks_answer, beat.is_leaving, now);
     if let Some(table) = &beat.table {
         control.apply_table(table);
     }
-    if let Some(weights) = &beat.weights {
-        control.apply_weights(weights);
+    take_parts(&mut control, &beat);
+    let sent = take_echo(&mut control, incarnation, &beat);
+    take_positions(&control, &beat, sent, now);
+    if control.lacks_copies(&beat, now) {
+        copies::fetch(&mut control, cell, from.ip());
     }
-    take_positions(&control, &beat, now);
-    let own = control.own_name().to_owned();
-    let own_incarnation = control.shared.incarnation;
-    let echo = beat
-        .echoes
-        .iter()
-        .find(|echo| echo.vm == own && echo.incarnation == own_incarnation);
-    if let Some(echo) = echo {
-        let vouch = lease::BeatVouch {
-            incarnation,
-            echoed: echo.sequence,
-            revision: beat.table_revision,
-            is_claiming: beat.is_claiming,
-        };
-        control.lease.record_vouch(&beat.vm, vouch);
+    control.record_peer((incarnation, sequence), beat, now);
+    control.publish();
+}
+
+fn take_parts(control: &mut state::ControlState, beat: &beat::FleetBeat) {
+    if let Some(weights) = &beat.weights
+        && control.is_in_group(&beat.vm)
+    {
+        control.apply_weights(weights);
     }
-    if beat.configuration_version > control.configuration.decoded.version {
-        copies::fetch(cell, from.ip());
+    if let Some(weights) = &beat.centre_weights {
+        control.apply_centre_weights(weights);
     }
-    let record = state::PeerRecord {
+}
+
+/// Takes what the sender has heard of this VM. Returns the latest instant before
+/// which the sender certainly had not composed its heartbeat.
+fn take_echo(
+    control: &mut state::ControlState,
+    incarnation: u64,
+    beat: &beat::FleetBeat,
+) -> Option<Instant> {
+    let own_incarnation = control.shared.incarnation;
+    let echo = beat.echo.as_ref();
+    let echo = echo.filter(|echo| echo.incarnation == own_incarnation)?;
+    let vouch = lease::BeatVouch {
         incarnation,
-        sequence,
-        heard: now,
-        beat,
+        echoed: echo.sequence,
+        revision: beat.table_revision,
+        is_claiming: beat.is_claiming,
     };
-    control.peers.insert(record.beat.vm.clone(), record);
-    control.publish();
+    control.lease.record_vouch(&beat.vm, vouch);
+    if let Some(confirmed) = echo.confirmed {
+        control.lease.record_relayed(confirmed, beat.table_revision);
+    }
+    for probed in &beat.probed {
+        if let Some(asked) = control.lease.sent_at(probed.sequence) {
+            control.record_probed(&probed.service, &probed.database, asked);
+        }
+    }
+    let sent = control.lease.sent_at(echo.sequence)?;
+    control.record_echoed(sent);
+    Some(sent + Duration::from_millis(u64::from(echo.held_ms)))
 }
 
-/// Takes positions that another VM has seen. They were asked for before the
-/// heartbeat was sent, so counting their age from now makes them younger than
-/// they are by its time on the way; a margin makes up for that.
-fn take_positions(control: &state::ControlState, beat: &beat::FleetBeat, now: Instant) {
+/// Takes positions that another VM has seen. Their ages are counted from when the
+/// heartbeat was composed: not before `composed`, or, where that is not known, not
+/// longer ago than a margin.
+fn take_positions(
+    control: &state::ControlState,
+    beat: &beat::FleetBeat,
+    composed: Option<Instant>,
+    now: Instant,
+) {
     /// The longest time that a heartbeat is taken to be on its way.
     const TRAVEL_MARGIN: Duration = Duration::from_millis(500);
+    let Some(composed) = composed.or_else(|| now.checked_sub(TRAVEL_MARGIN)) else {
+        return;
+    };
     for sample in &beat.positions {
-        let age = Duration::from_millis(u64::from(sample.age_ms)) + TRAVEL_MARGIN;
-        if let Some(asked) = now.checked_sub(age) {
+        let age = Duration::from_millis(u64::from(sample.age_ms));
+        if let Some(asked) = composed.checked_sub(age) {
             let service = &sample.service;
             control
                 .shared
--- a/crates/bluebellferry_edge/src/control/probing.rs
+++ b/crates/bluebellferry_edge/src/control/probing.rs
@@ -11,7 +11,6 @@
 
 use bluebellferry_catalog::database as catalog;
 use bluebellferry_platform::database;
-use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
 use tokio::task::JoinSet;
@@ -26,6 +25,9 @@
 /// asked earlier, since that costs less.
 const PROBE_BEFORE_END: Duration = Duration::from_millis(150);
 
+/// How long after the end of a head's confirmation a VM asks a leader itself.
+const HEAD_LATE_AFTER: Duration = Duration::from_millis(300);
+
 /// A leader with its replicas.
 struct LeaderGroup {
     service: name::ServiceName,
@@ -37,14 +39,9 @@
 pub async fn follow(control: control::ControlCell) {
     loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
-        let now = clock::now();
-        let valid_until = control.borrow().lease.valid_until();
-        if valid_until.is_some_and(|until| until > now + PROBE_BEFORE_END) {
-            continue;
-        }
         let (groups, workspace) = {
             let control = control.borrow();
-            (find_groups(&control), control.any_workspace())
+            (find_groups(&control, clock::now()), control.any_workspace())
         };
         let Some(workspace) = workspace else { continue };
         let mut probes = JoinSet::new();
@@ -54,17 +51,29 @@
         }
         while let Some(probed) = probes.join_next().await {
             if let Ok((Some(asked), group)) = probed {
-                let until = asked + lease::PROBED_TERM;
-                control
-                    .borrow_mut()
-                    .record_probed(&group.service, &group.leader.id, until);
+                let mut control = control.borrow_mut();
+                control.record_probed(&group.service, &group.leader.id, asked);
+                if control.confirms_for_others(asked) {
+                    control.news.notify_one();
+                }
             }
         }
     }
 }
 
-fn find_groups(control: &state::ControlState) -> Vec<LeaderGroup> {
+/// Returns the leaders that nothing else confirms in time.
+fn find_groups(control: &state::ControlState, now: Instant) -> Vec<LeaderGroup> {
     let services = control.configuration.decoded.services.keys();
+    let is_due = |until: Option<Instant>| until.is_none_or(|until| until <= now + PROBE_BEFORE_END);
+    if !is_due(control.lease.valid_until()) {
+        return Vec::new();
+    }
+    // The head asks for its data centre, unless that does not reach this VM in time.
+    let relies_on_head = control.relies_on_head(now);
+    let is_confirmed = |service: &&name::ServiceName| {
+        let until = control.service_leased_until(service);
+        relies_on_head && until.is_some_and(|until| until + HEAD_LATE_AFTER > now)
+    };
     let group = |service: &name::ServiceName| {
         let leader = control
             .leader_of(service)
@@ -78,7 +87,10 @@
             replicas,
         })
     };
-    services.filter_map(group).collect()
+    services
+        .filter(|service| !is_confirmed(service))
+        .filter_map(group)
+        .collect()
 }
 
 /// Returns an instant at which the leader certainly had not been replaced.
--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -12,10 +12,13 @@
 
 use crate::control;
 use crate::control::configuration;
+use crate::control::state;
 
 /// How often the registrations are listed. Every database writes its entry more
 /// often than that, so a watch would cost a call for each.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// How often it is looked whether this VM is to list them for others.
+const READER_STEP: Duration = Duration::from_millis(300);
 /// For how long after the store's return entries that lapsed meanwhile are
 /// kept; databases that live are back within about two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2_500);
@@ -55,6 +58,12 @@
     }
 }
 
+/// Returns whether this VM lists the registrations itself: it does so for its data
+/// centre, or nobody has told it of any.
+fn is_reader(control: &state::ControlState, now: Instant) -> bool {
+    control.reads_for_centre(now) || control.versions.databases == 0
+}
+
 /// Follows the registrations until the process ends.
 pub async fn follow(control: control::ControlCell) {
     let address = control.borrow().shared.settings.store_address;
@@ -63,14 +72,22 @@
     let mut dependency = configuration::DependencyLog::new("registrations in the store");
     let mut lapsed = LapsedEntries::default();
     loop {
+        if !is_reader(&control.borrow(), clock::now()) {
+            // Entries that lapsed unseen are no longer known here.
+            lapsed = LapsedEntries::default();
+            tokio::time::sleep(READER_STEP).await;
+            continue;
+        }
         match client.list(registry::KIND).await {
             Ok(listing) => {
                 dependency.record_success();
                 pause.reset();
                 let entries = registry::decode_entries(&listing);
                 let entries = lapsed.record_listing(entries, clock::now());
-                control.borrow_mut().has_store = true;
-                control.borrow_mut().apply_databases(entries);
+                let mut control = control.borrow_mut();
+                control.has_store = true;
+                control.apply_databases(entries, listing.as_of);
+                drop(control);
                 tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => {
--- a/crates/bluebellferry_edge/src/control/replacement/cause.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/cause.rs
@@ -41,14 +41,16 @@
 }
 
 /// Returns whether this VM acts: it holds the duty, or the holder is silent and
-/// this VM's name comes first among those that live.
+/// this VM comes first among those that live. Where data centres have heads, only
+/// heads act, since only they hear of all suspicions.
 pub(super) fn is_responsible(control: &state::ControlState, now: Instant) -> bool {
     let own = control.own_name();
     let is_leaving = *control.shared.drain.borrow() != shared::DrainPhase::Serving;
     // Only who counts as a member everywhere may act: an answer to a heartbeat
     // is a promise of each member to wait.
     let may_act = control.has_store && control.members.contains_key(own);
-    if is_leaving || !may_act || !control.is_known_to_all(now) {
+    let is_head = control.circle.is_head(now);
+    if is_leaving || !may_act || !is_head || !control.is_known_everywhere(now) {
         return false;
     }
     let holder = control.table.holder.as_str();
@@ -62,15 +64,12 @@
     if is_holder_live && control.members.contains_key(holder) {
         return false;
     }
-    let mut live = control
-        .live_peers(now)
-        .filter(|(_, record)| may_hold(&record.beat));
-    live.all(|(name, _)| name.as_str() > own)
+    control.comes_first(now, may_hold)
 }
 
 /// Returns whether a VM can hold the duty.
 fn may_hold(beat: &beat::FleetBeat) -> bool {
-    !beat.is_leaving && beat.has_store
+    !beat.is_leaving && beat.has_store && beat.is_head
 }
 
 pub(super) async fn find_cause(
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -12,10 +12,14 @@
 use bluebellferry_catalog::leadership;
 use bluebellferry_limits::bucket;
 use bluebellferry_membership::beat;
+use bluebellferry_membership::circle;
 use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::lending;
 use bluebellferry_types::name;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
 use tokio::sync::Notify;
 
 use crate::control::parts;
@@ -25,14 +29,17 @@
 /// How long ago another VM must have had an answer from a leader for callers to be
 /// sent there: a heartbeat's interval and the time between two statements.
 const SERVED_LATELY: Duration = Duration::from_millis(700);
-/// After how long without a heartbeat a VM counts as silent.
-pub const SILENT_AFTER: Duration = Duration::from_millis(1_300);
+/// How many arrivals of a VM's heartbeats are remembered: more than come while the
+/// store or a leader is asked.
+const REMEMBERED_ARRIVALS: usize = 8;
 
 /// A VM as the store lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Its address.
     pub address: IpAddr,
+    /// Its data centre.
+    pub data_centre: name::DataCentreName,
 }
 
 /// What was last heard of another VM.
@@ -46,6 +53,26 @@
     pub heard: Instant,
     /// What it said.
     pub beat: beat::FleetBeat,
+    /// What its callers ask for, as it last told.
+    pub demands: Vec<beat::WorkspaceDemand>,
+    /// What the callers of its data centre ask for, as it last told.
+    pub centre_demand: Option<beat::CentreDemand>,
+    /// When its last heartbeats came, with their numbers.
+    arrivals: SmallVec<[(u64, Instant); REMEMBERED_ARRIVALS]>,
+}
+
+impl PeerRecord {
+    /// Returns whether the VM was heard a moment ago.
+    pub fn is_live(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < circle::SILENT_AFTER
+    }
+
+    /// Returns the number of the latest heartbeat that came before an instant.
+    pub fn latest_before(&self, instant: Instant) -> Option<u64> {
+        let mut arrivals = self.arrivals.iter().rev();
+        let found = arrivals.find(|(_, arrived)| *arrived <= instant);
+        found.map(|(sequence, _)| *sequence)
+    }
 }
 
 /// The configuration in force with its text, for other VMs.
@@ -74,8 +101,14 @@
     pub members: BTreeMap<String, MemberRecord>,
     /// What was heard of other VMs.
     pub peers: BTreeMap<String, PeerRecord>,
-    /// The parts of fleet-wide limits.
+    /// The parts of the VMs of this VM's group: of all, or of its data centre.
     pub weights: beat::WeightTable,
+    /// The parts of the data centres, where each deals out its own.
+    pub centre_weights: beat::WeightTable,
+    /// Who exchanges heartbeats with whom.
+    pub circle: circle::BeatCircle,
+    /// The versions of what this VM has read from the store.
+    pub versions: beat::CopyVersions,
     /// How many replacements this VM is entering into the table or carrying out.
     pub claims: u32,
     /// What statements showed about leaders.
@@ -88,18 +121,31 @@
     pub has_store: bool,
     /// Whether this VM may use its part of fleet-wide limits.
     pub has_joined: bool,
+    /// From when on every list of VMs in use has this one.
+    pub acts_from: Option<Instant>,
     /// Notified when the VMs should be listed at once.
     pub list_members: Arc<Notify>,
-    /// Until when leaders may be relied on because they were asked.
+    /// When leaders were asked and found leading, at the latest.
     probed: BTreeMap<name::ServiceName, (name::DatabaseName, Instant)>,
+    /// Whether copies of another VM are on their way.
+    pub is_fetching: bool,
+    /// When this VM sent the latest heartbeat that another one answered.
+    echoed: Option<Instant>,
+    /// Since when this VM has been the head of its data centre.
+    head_since: Option<Instant>,
+    /// Whether this VM may not have heard that its part has shrunk.
+    is_orphaned: bool,
     published: shared::EdgeSnapshot,
 }
 
 impl ControlState {
     /// Creates a state that believes nothing.
     pub fn new(shared: Arc<shared::EdgeShared>) -> Self {
+        let settings = &shared.settings;
+        let circle = circle::BeatCircle::new(&settings.vm, settings.data_centre.clone());
         Self {
             shared,
+            circle,
             configuration: ConfigurationRecord::default(),
             databases: Arc::default(),
             table: leadership::LeadershipTable::default(),
@@ -107,14 +153,21 @@
             members: BTreeMap::new(),
             peers: BTreeMap::new(),
             weights: beat::WeightTable::default(),
+            centre_weights: beat::WeightTable::default(),
+            versions: beat::CopyVersions::default(),
             claims: 0,
             suspicions: suspicion::SuspicionBook::default(),
             lending: lending::TokenLending::default(),
             has_store: false,
             has_joined: false,
+            acts_from: None,
             list_members: Arc::new(Notify::new()),
             news: Arc::new(Notify::new()),
             probed: BTreeMap::new(),
+            is_fetching: false,
+            echoed: None,
+            head_since: None,
+            is_orphaned: false,
             published: shared::EdgeSnapshot::default(),
         }
     }
@@ -142,6 +195,7 @@
         );
         self.log_rates(&decoded);
         let decoded = Arc::new(decoded);
+        self.versions.configuration = decoded.version;
         self.configuration = ConfigurationRecord { decoded, text };
         self.apply_shares();
         self.publish();
@@ -163,12 +217,14 @@
         }
     }
 
-    /// Takes the registered databases.
-    pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>) {
-        if *self.databases != databases {
+    /// Takes the registered databases as the store had them at revision `as_of`.
+    pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>, as_of: u64) {
+        if *self.databases != databases || self.versions.databases == 0 {
             self.log_databases(&databases);
             self.databases = Arc::new(databases);
+            self.versions.databases = as_of;
             self.publish();
+            self.news.notify_one();
         }
     }
 
@@ -216,50 +272,128 @@
         self.news.notify_one();
     }
 
-    /// Takes the VMs that the store lists.
-    pub fn apply_members(&mut self, members: BTreeMap<String, MemberRecord>, asked: Instant) {
+    /// Takes the VMs that the store listed at revision `as_of`, when it was `asked`.
+    pub fn apply_members(
+        &mut self,
+        members: BTreeMap<String, MemberRecord>,
+        as_of: u64,
+        asked: Instant,
+    ) {
         let own = self.own_name().to_owned();
         let others = members.keys().filter(|name| **name != own).cloned();
         self.lease.record_members(asked, others.collect());
         if self.members != members {
             log::info!(members = members.len() as u64; "the list of VMs has changed");
+            let places = members.iter();
+            let places = places.map(|(name, record)| (name.as_str(), &record.data_centre));
+            self.circle.apply_members(places);
             self.members = members;
+            self.versions.members = as_of;
+            self.news.notify_one();
             self.apply_shares();
             self.publish();
         }
     }
 
-    /// Takes the parts of fleet-wide limits unless newer ones are known.
+    /// Takes the parts of this VM's group unless newer ones are known.
     pub fn apply_weights(&mut self, weights: &beat::WeightTable) {
         if weights.number > self.weights.number {
             self.weights = weights.clone();
             self.apply_shares();
+            self.log_part("the VMs' parts have changed", weights.number);
             self.publish();
         }
     }
 
-    /// Returns this VM's part of fleet-wide limits: as the holder of the duty
-    /// set it if that covers all VMs, else an equal one.
+    fn log_part(&self, message: &str, number: u64) {
+        let part = self.own_part().size();
+        log::info!(number = number, own_part = part; "{message}");
+    }
+
+    /// Takes the parts of the data centres unless newer ones are known.
+    pub fn apply_centre_weights(&mut self, weights: &beat::WeightTable) {
+        if weights.number > self.centre_weights.number {
+            self.centre_weights = weights.clone();
+            self.apply_shares();
+            self.log_part("the data centres' parts have changed", weights.number);
+            self.publish();
+        }
+    }
+
+    /// Notes that another VM has answered a heartbeat that was sent then.
+    pub fn record_echoed(&mut self, sent: Instant) {
+        self.echoed = self.echoed.max(Some(sent));
+    }
+
+    /// Notes who leads the data centre. A VM that nobody answers takes at most an
+    /// equal part, so that its head may deal out the rest.
+    pub fn note_circle(&mut self, now: Instant) {
+        let is_full = self.circle.is_full_exchange();
+        if is_full || !self.circle.is_head(now) {
+            self.head_since = None;
+        } else {
+            self.head_since.get_or_insert(now);
+        }
+        let is_answered = self
+            .echoed
+            .is_some_and(|sent| now.saturating_duration_since(sent) < circle::SILENT_AFTER);
+        let is_orphaned = !is_full && !is_answered;
+        if is_orphaned != self.is_orphaned {
+            log::info!(orphaned = is_orphaned; "answers of other VMs were lost or regained");
+            self.is_orphaned = is_orphaned;
+            self.apply_shares();
+        }
+    }
+
+    /// Returns for how long this VM, as the head, has not heard a VM of its data centre.
+    pub fn silence_of(&self, vm: &str, now: Instant) -> Duration {
+        let heard = self.peers.get(vm).map(|record| record.heard);
+        let since = heard.max(self.head_since);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Returns the VMs among which this VM's group deals limits out, in order.
+    pub fn group(&self) -> impl Iterator<Item = &String> {
+        let is_in_group = |record: &MemberRecord| self.circle.is_in_group(&record.data_centre);
+        self.members
+            .iter()
+            .filter(move |(_, record)| is_in_group(record))
+            .map(|(name, _)| name)
+    }
+
+    /// Returns whether a VM belongs to this VM's group.
+    pub fn is_in_group(&self, vm: &str) -> bool {
+        let member = self.members.get(vm);
+        member.is_some_and(|member| self.circle.is_in_group(&member.data_centre))
+    }
+
+    /// Returns the data centres with how many VMs each has; just one group that
+    /// holds everything where all VMs send to each other.
+    pub fn centres(&self) -> BTreeMap<&str, usize> {
+        let mut centres = BTreeMap::new();
+        for member in self.members.values() {
+            *centres.entry(member.data_centre.as_str()).or_default() += 1;
+        }
+        centres
+    }
+
+    /// Returns this VM's part of fleet-wide limits: as it was dealt out if that
+    /// covers all VMs of the group, else an equal one.
     pub fn own_part(&self) -> shared::FleetPart {
         if !self.has_joined {
             return shared::FleetPart::default();
         }
+        let centre = self.own_centre_part();
+        let names: Vec<&String> = self.group().collect();
+        let parts = parts::KnownParts::new(&self.weights, &names);
         let own = self.own_name();
-        let count = self.members.len().max(1) as f64;
-        let weight_of = |name: &str| {
-            let set = self.weights.weights.iter().find(|weight| weight.vm == name);
-            set.map(|weight| weight.part)
-        };
-        let is_covered = self.is_covered_by_weights();
         let mut from = 0.0;
-        for name in self.members.keys() {
-            let part = weight_of(name)
-                .filter(|_| is_covered)
-                .unwrap_or(1.0 / count);
-            if name == own {
+        for (index, name) in names.iter().enumerate() {
+            let part = parts.part(index);
+            if *name == own {
                 return shared::FleetPart {
-                    from,
-                    to: from + part,
+                    from: centre.from + centre.size() * from,
+                    to: centre.from + centre.size() * (from + part),
                 };
             }
             from += part;
@@ -267,29 +401,82 @@
         shared::FleetPart::default()
     }
 
-    /// Returns a VM's part of a workspace's rate.
-    pub fn rate_part(&self, vm: &str, workspace: &name::WorkspaceName) -> f64 {
-        let equal = 1.0 / self.members.len().max(1) as f64;
-        if !self.is_covered_by_weights() {
-            return equal;
+    /// Returns the part of fleet-wide limits that this VM's group deals out.
+    fn own_centre_part(&self) -> shared::FleetPart {
+        let mut from = 0.0;
+        if !self.circle.is_full_exchange() {
+            let own = self.shared.settings.data_centre.as_str();
+            for (name, part) in self.centre_parts(None) {
+                if name == own {
+                    return shared::FleetPart {
+                        from,
+                        to: from + part,
+                    };
+                }
+                from += part;
+            }
         }
-        let weights = &self.weights;
-        let Some(index) = weights.weights.iter().position(|one| one.vm == vm) else {
-            return equal;
-        };
-        let parts = weights
-            .workspaces
-            .iter()
-            .find(|one| one.workspace == *workspace);
-        let part = parts.and_then(|one| one.parts.get(index));
-        part.map_or(weights.weights[index].part, |part| f64::from(*part))
+        shared::FleetPart { from: 0.0, to: 1.0 }
+    }
+
+    /// Returns the parts of the data centres: of operations, or of a workspace's rate.
+    pub fn centre_parts(&self, workspace: Option<&name::WorkspaceName>) -> Vec<(&str, f64)> {
+        let centres = self.centres();
+        let names: Vec<&str> = centres.keys().copied().collect();
+        let parts = parts::KnownParts::new(&self.centre_weights, &names);
+        let all = self.members.len().max(1) as f64;
+        let mut dealt = Vec::new();
+        for (index, (name, count)) in centres.iter().enumerate() {
+            let part = match workspace {
+                _ if !parts.is_known() => *count as f64 / all,
+                Some(workspace) => parts.rate_part(index, workspace),
+                None => parts.part(index),
+            };
+            dealt.push((*name, part));
+        }
+        dealt
     }
 
-    /// Returns whether the parts that were dealt out are those of all VMs.
-    fn is_covered_by_weights(&self) -> bool {
-        let weights = &self.weights.weights;
-        weights.len() == self.members.len()
-            && weights.iter().all(|one| self.members.contains_key(&one.vm))
+    /// Returns the part of a workspace's rate that this VM's group deals out.
+    pub fn centre_rate_part(&self, workspace: &name::WorkspaceName) -> f64 {
+        if self.circle.is_full_exchange() {
+            return 1.0;
+        }
+        let own = self.shared.settings.data_centre.as_str();
+        let parts = self.centre_parts(Some(workspace));
+        let found = parts.iter().find(|(name, _)| *name == own);
+        found.map_or(0.0, |(_, part)| *part)
+    }
+
+    /// Returns a VM's part of what its group has of a workspace's rate.
+    pub fn rate_part(&self, vm: &str, workspace: &name::WorkspaceName) -> f64 {
+        let names: Vec<&String> = self.group().collect();
+        let parts = parts::KnownParts::new(&self.weights, &names);
+        let index = names.iter().position(|name| *name == vm);
+        index.map_or(0.0, |index| parts.rate_part(index, workspace))
+    }
+
+    /// Returns the other VMs of the group that own parts of a workspace's rate which
+    /// suffice for whole tokens.
+    pub fn owners_of(&self, workspace: &name::WorkspaceName) -> Vec<String> {
+        let names: Vec<&String> = self.group().collect();
+        let parts = parts::KnownParts::new(&self.weights, &names);
+        let equal = 1.0 / names.len().max(1) as f64;
+        let owns = |(index, _): &(usize, &String)| parts.rate_part(*index, workspace) >= equal;
+        let owners = names.iter().copied().enumerate().filter(owns);
+        let others = owners.filter(|(_, name)| *name != self.own_name());
+        others.map(|(_, name)| name.clone()).collect()
+    }
+
+    /// Returns this VM's part of a workspace's rate in the whole fleet.
+    fn own_rate_part(&self, workspace: &name::WorkspaceName) -> f64 {
+        let dealt = self.centre_rate_part(workspace) * self.rate_part(self.own_name(), workspace);
+        let equal = 1.0 / self.members.len().max(1) as f64;
+        if self.is_orphaned {
+            dealt.min(equal)
+        } else {
+            dealt
+        }
     }
 
     fn apply_shares(&self) {
@@ -300,7 +487,7 @@
         }
         let size =
             |(workspace, policy): (&name::WorkspaceName, &configuration::WorkspacePolicy)| {
-                let part = self.rate_part(self.own_name(), workspace);
+                let part = self.own_rate_part(workspace);
                 let size = bucket::ShareSize {
                     rate_per_second: policy.rate_per_second * part,
                     burst: policy.burst * part,
@@ -325,9 +512,8 @@
 
     /// Returns whether every other live VM counts this one as a member.
     pub fn is_known_to_all(&self, now: Instant) -> bool {
-        let own = self.own_name();
-        let knows = |record: &PeerRecord| record.beat.echoes.iter().any(|echo| echo.vm == own);
-        self.live_peers(now).all(|(_, record)| knows(record))
+        self.live_peers(now)
+            .all(|(_, record)| record.beat.echo.is_some())
     }
 
     /// Returns the leader of a service as this VM knows it.
@@ -352,12 +538,85 @@
         primaries.next().is_none().then_some(view)
     }
 
-    /// Returns whether a VM may lack something: one that was heard says so, or
-    /// one was not heard.
-    pub fn is_lacked(&self, now: Instant, lacks: impl Fn(&beat::FleetBeat) -> bool) -> bool {
-        let is_silent = self.live_peers(now).count() + 1 < self.members.len();
-        let mut live = self.live_peers(now);
-        is_silent || live.any(|(_, record)| lacks(&record.beat))
+    /// Takes a heartbeat of another VM.
+    pub fn record_peer(
+        &mut self,
+        (incarnation, sequence): (u64, u64),
+        beat: beat::FleetBeat,
+        now: Instant,
+    ) {
+        let known = self.peers.remove(&beat.vm);
+        let known = known.filter(|known| known.incarnation == incarnation);
+        let (demands, centre_demand, mut arrivals) = match known {
+            Some(known) => (known.demands, known.centre_demand, known.arrivals),
+            None => Default::default(),
+        };
+        if arrivals.len() == REMEMBERED_ARRIVALS {
+            arrivals.remove(0);
+        }
+        arrivals.push((sequence, now));
+        let record = PeerRecord {
+            incarnation,
+            sequence,
+            heard: now,
+            demands: beat.demands.clone().unwrap_or(demands),
+            centre_demand: beat.centre_demand.clone().or(centre_demand),
+            arrivals,
+            beat,
+        };
+        self.peers.insert(record.beat.vm.clone(), record);
+    }
+
+    /// Returns whether another VM has newer copies from the store that this VM is
+    /// not about to read itself.
+    pub fn lacks_copies(&self, beat: &beat::FleetBeat, now: Instant) -> bool {
+        let (own, other) = (self.versions, beat.versions);
+        let reads_itself = self.has_store && self.reads_for_centre(now);
+        other.configuration > own.configuration
+            || (!reads_itself && (other.databases > own.databases || other.members > own.members))
+    }
+
+    /// Returns whether this VM reads the lists in the store, and others of its data
+    /// centre take them from it.
+    pub fn reads_for_centre(&self, now: Instant) -> bool {
+        self.table.holder == self.own_name() || self.circle.is_first_of_centre(now)
+    }
+
+    /// Returns whether VMs of this data centre rely on this one to confirm the table.
+    pub fn confirms_for_others(&self, now: Instant) -> bool {
+        !self.circle.is_full_exchange() && self.circle.is_head(now)
+    }
+
+    /// Returns whether another VM, which is heard, confirms leaders for this one.
+    pub fn relies_on_head(&self, now: Instant) -> bool {
+        let head = self.circle.own_head(now);
+        let is_heard = head.is_some_and(|head| self.circle.is_heard(head, now));
+        !self.circle.is_head(now) && is_heard
+    }
+
+    /// Returns whether every other VM knows of this one: those that are heard say so,
+    /// or lists in which it is missing are no longer in use.
+    pub fn is_known_everywhere(&self, now: Instant) -> bool {
+        let is_listed = self.acts_from.is_some_and(|from| from <= now);
+        self.is_known_to_all(now) && (self.circle.is_full_exchange() || is_listed)
+    }
+
+    /// Returns the leaders that this VM cannot use, with those that VMs of its data
+    /// centre told it of where it is their head.
+    pub fn known_suspicions(&self, now: Instant) -> Vec<beat::LeaderSuspicion> {
+        let mut known = self.suspicions.own_suspicions(now);
+        if !self.circle.is_full_exchange() && self.circle.is_head(now) {
+            let near = self
+                .live_peers(now)
+                .filter(|(name, _)| self.is_in_group(name));
+            let told = near.flat_map(|(_, record)| record.beat.suspicions.iter());
+            for suspicion in told {
+                if !known.contains(suspicion) {
+                    known.push(suspicion.clone());
+                }
+            }
+        }
+        known
     }
 
     /// Returns the registered databases of a service.
@@ -368,11 +627,18 @@
 
     /// Returns the other VMs that were heard a moment ago.
     pub fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&String, &PeerRecord)> {
-        let is_live =
-            move |record: &PeerRecord| now.saturating_duration_since(record.heard) < SILENT_AFTER;
         self.peers
             .iter()
-            .filter(move |(name, record)| is_live(record) && self.members.contains_key(*name))
+            .filter(move |(name, record)| record.is_live(now) && self.members.contains_key(*name))
+    }
+
+    /// Returns whether this VM comes before all live ones of a kind.
+    pub fn comes_first(&self, now: Instant, is_of_kind: impl Fn(&beat::FleetBeat) -> bool) -> bool {
+        let own = circle::rank(self.own_name());
+        let mut rivals = self
+            .live_peers(now)
+            .filter(|(_, record)| is_of_kind(&record.beat));
+        rivals.all(|(name, _)| circle::rank(name) > own)
     }
 
     /// Returns a workspace under whose name databases are asked; they want one.
@@ -380,15 +646,39 @@
         self.configuration.decoded.workspaces.keys().min().cloned()
     }
 
-    /// Notes until when a leader may be relied on because it was asked.
+    /// Notes that a leader was asked not before `asked`, led, and had a replica that
+    /// was not held back.
     pub fn record_probed(
         &mut self,
         service: &name::ServiceName,
         leader: &name::DatabaseName,
-        until: Instant,
+        asked: Instant,
     ) {
-        self.probed.insert(service.clone(), (leader.clone(), until));
-        self.publish();
+        let known = self.probed.get(service);
+        let is_older = known.is_some_and(|(known, at)| known == leader && *at >= asked);
+        if !is_older {
+            self.probed.insert(service.clone(), (leader.clone(), asked));
+            self.publish();
+        }
+    }
+
+    /// Returns the leaders that were asked a moment ago, for another VM.
+    pub fn probed_for(&self, record: &PeerRecord, now: Instant) -> Vec<beat::ProbedLeader> {
+        let is_fresh = |asked: Instant| now.saturating_duration_since(asked) < lease::PROBED_TERM;
+        let tell = |(service, (database, asked)): (&name::ServiceName, &(_, Instant))| {
+            let sequence = record.latest_before(*asked).filter(|_| is_fresh(*asked))?;
+            Some(beat::ProbedLeader {
+                service: service.clone(),
+                database: Clone::clone(database),
+                sequence,
+            })
+        };
+        self.probed.iter().filter_map(tell).collect()
+    }
+
+    /// Returns until when a service's leader may be relied on.
+    pub fn service_leased_until(&self, service: &name::ServiceName) -> Option<Instant> {
+        self.leased_until(service, &self.leader_of(service)?)
     }
 
     fn leased_until(
@@ -400,7 +690,7 @@
         let probed = probed.filter(|(database, _)| *database == leader.database);
         self.lease
             .valid_until()
-            .max(probed.map(|(_, until)| *until))
+            .max(probed.map(|(_, asked)| *asked + lease::PROBED_TERM))
     }
 
     /// Returns the services whose callers do better at another VM when this one
--- a/crates/bluebellferry_edge/src/control/tokens.rs
+++ b/crates/bluebellferry_edge/src/control/tokens.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bluebellferry_membership::message;
 use bluebellferry_runtime::clock;
@@ -27,26 +28,40 @@
         {
             let mut control = control.borrow_mut();
             let now = clock::now();
-            let live: Vec<String> = control
-                .live_peers(now)
-                .map(|(name, _)| name.clone())
-                .collect();
-            let asks = control.lending.begin_asks(&shared.shares, live.len(), now);
-            for ask in asks {
-                let request = message::PeerMessage::TokenRequest {
-                    workspace: ask.workspace.into(),
-                    amount: ask.amount,
-                    number: ask.number,
-                };
-                for vm in &live {
-                    links.send(vm, &request);
-                }
-            }
+            send_asks(&mut control, &links, now);
         }
         tokio::time::sleep(ASK_INTERVAL).await;
     }
 }
 
+fn send_asks(control: &mut state::ControlState, links: &peers::PeerLinks, now: Instant) {
+    let shared = Arc::clone(&control.shared);
+    let live: Vec<String> = control
+        .live_peers(now)
+        .map(|(name, _)| name.clone())
+        .collect();
+    // Tokens are owned by a few VMs where there are many, or else by all.
+    let is_owned = !control.circle.is_full_exchange();
+    let lenders = if is_owned { 1 } else { live.len() };
+    for ask in control.lending.begin_asks(&shared.shares, lenders, now) {
+        let request = message::PeerMessage::TokenRequest {
+            workspace: ask.workspace.to_string(),
+            amount: ask.amount,
+            number: ask.number,
+        };
+        let asked = if is_owned {
+            let owners = control.owners_of(&ask.workspace);
+            let turn = ask.number as usize % owners.len().max(1);
+            owners.get(turn).map(|vm| vec![vm.clone()])
+        } else {
+            Some(live.clone())
+        };
+        for vm in asked.unwrap_or_default() {
+            links.send(&vm, &request);
+        }
+    }
+}
+
 /// Moves tokens to another VM that asks for them.
 pub fn lend(
     control: &state::ControlState,
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -201,7 +201,11 @@
     /// Returns how many were moved.
     pub fn lend(&mut self, asked: f64, keep: f64, now: Instant) -> f64 {
         self.refill(now);
-        let amount = (self.tokens - keep).min(asked);
+        let mut amount = (self.tokens - keep).min(asked);
+        // A part of a token is of no use to somebody who has asked one VM for a whole one.
+        if asked >= 1.0 && amount < asked {
+            amount = amount.floor();
+        }
         if !amount.is_finite() || amount < SMALLEST_LOAN {
             return 0.0;
         }
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -6,15 +6,29 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// The latest heartbeat that the sender has received from another VM.
+/// The latest heartbeat that the sender has received from the receiver.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BeatEcho {
-    /// The other VM.
-    pub vm: String,
-    /// Its incarnation.
+    /// The receiver's incarnation.
     pub incarnation: u64,
     /// The sequence number.
     pub sequence: u64,
+    /// How long ago it came, in milliseconds, rounded down.
+    pub held_ms: u32,
+    /// The latest of the receiver's heartbeats that the sender had before the table
+    /// of leaders was confirmed to it.
+    pub confirmed: Option<u64>,
+}
+
+/// A leader that the sender asked and found leading.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbedLeader {
+    /// The service.
+    pub service: name::ServiceName,
+    /// The leader.
+    pub database: name::DatabaseName,
+    /// The latest of the receiver's heartbeats that the sender had before it asked.
+    pub sequence: u64,
 }
 
 /// A position that a leader was seen to hold.
@@ -24,7 +38,7 @@
     pub service: name::ServiceName,
     /// The position.
     pub position: position::LogPosition,
-    /// How long before the heartbeat the leader was asked, in milliseconds.
+    /// How long before the heartbeat the leader was asked, in milliseconds, rounded up.
     pub age_ms: u32,
 }
 
@@ -40,7 +54,7 @@
 /// The part of a fleet-wide limit that a VM gets.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct VmWeight {
-    /// The VM.
+    /// The VM, or the data centre.
     pub vm: String,
     /// The part, from 0 to 1.
     pub part: f64,
@@ -64,19 +78,40 @@
     pub per_second: f32,
 }
 
-/// The parts of all VMs, as one of them has set them.
+/// The parts of a group of VMs, or of data centres, as one VM has set them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WeightTable {
     /// The number of this table; higher ones replace lower ones.
     pub number: u64,
-    /// The parts of connections.
+    /// The parts of connections; of data centres, of all operations.
     pub weights: Vec<VmWeight>,
     /// The parts of rates, for workspaces whose demand is known.
     pub workspaces: Vec<WorkspaceParts>,
 }
 
-/// What a VM tells every other.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+/// The versions of what the sender has read from the store. Other VMs fetch what is
+/// newer than their own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyVersions {
+    /// The version of the configuration in force.
+    pub configuration: u64,
+    /// The store's revision when the list of databases last changed.
+    pub databases: u64,
+    /// The store's revision when the list of VMs last changed.
+    pub members: u64,
+}
+
+/// What a data centre's callers ask for, as its head has heard.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct CentreDemand {
+    /// Operations that callers started, a second.
+    pub operations_per_second: f64,
+    /// The same for each workspace.
+    pub workspaces: Vec<WorkspaceDemand>,
+}
+
+/// What a VM tells another.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetBeat {
     /// The sender's name.
     pub vm: String,
@@ -84,25 +119,37 @@
     pub is_leaving: bool,
     /// Whether the store answers the sender.
     pub has_store: bool,
-    /// The version of the configuration in force at the sender.
-    pub configuration_version: u64,
+    /// Whether the sender is the head of its data centre, or all VMs send to each other.
+    pub is_head: bool,
+    /// Whether the sender asks for answers.
+    pub asks_answer: bool,
+    /// What the sender has read from the store.
+    pub versions: CopyVersions,
     /// The revision of the sender's leadership table.
     pub table_revision: u64,
     /// The table, if some other VM may not have it.
     pub table: Option<leadership::LeadershipTable>,
     /// Whether the sender is trying to enter a replacement into the table.
     pub is_claiming: bool,
-    /// What the sender has received.
-    pub echoes: Vec<BeatEcho>,
+    /// What the sender has received from the receiver, which it counts as a member.
+    pub echo: Option<BeatEcho>,
+    /// Leaders that the sender has asked a moment ago.
+    pub probed: Vec<ProbedLeader>,
     /// Operations that the sender's callers started, a second.
     pub operations_per_second: f64,
-    /// What the sender's callers ask for, by workspace; none where there are too
-    /// many workspaces to tell.
-    pub demands: Vec<WorkspaceDemand>,
+    /// What the sender's callers ask for, by workspace; none in most heartbeats
+    /// where there are many VMs.
+    pub demands: Option<Vec<WorkspaceDemand>>,
+    /// What the callers of the sender's data centre ask for, now and then.
+    pub centre_demand: Option<CentreDemand>,
     /// The number of the parts that the sender knows.
     pub parts_number: u64,
-    /// The parts that the sender has set, if some other VM may not have them.
+    /// The parts that the sender has set, if the receiver may not have them.
     pub weights: Option<WeightTable>,
+    /// The number of the data centres' parts that the sender knows.
+    pub centre_parts_number: u64,
+    /// The data centres' parts, if the receiver may not have them.
+    pub centre_weights: Option<WeightTable>,
     /// Leaders that the sender cannot use.
     pub suspicions: Vec<LeaderSuspicion>,
     /// What leaders were seen to hold.
--- a/crates/bluebellferry_membership/src/lib.rs
+++ b/crates/bluebellferry_membership/src/lib.rs
@@ -1,7 +1,7 @@
 //! How VMs know of each other: heartbeats, incarnations and the messages that
 //! carry news and rate tokens between them.
 //!
-//! [`roster`] decides who is live; [`envelope`] authenticates and codes the
+//! [`roster`] decides who is live, [`circle`] who sends heartbeats to whom; [`envelope`] authenticates and codes the
 //! messages of [`message`]. Nothing here opens a socket.
 //!
 //! ```
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod beat;
+pub mod circle;
 pub mod envelope;
 pub mod message;
 pub mod roster;
--- a/crates/bluebellferry_promotion/src/lease.rs
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -6,7 +6,9 @@
 //! returned the table then, or every other member has answered a heartbeat sent
 //! then without having begun one. Whoever replaces a leader first enters it
 //! into the table and then waits until every member has seen that, or until the
-//! term has passed.
+//! term has passed. A VM to which the store has confirmed the table passes that on:
+//! whoever's heartbeat it had before it asked has the same confirmation, dated by
+//! the instant at which that heartbeat was sent.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -82,6 +84,11 @@
         self.members = Some((asked, others));
     }
 
+    /// Returns when the other members were listed.
+    pub fn members_listed(&self) -> Option<Instant> {
+        self.members.as_ref().map(|(listed, _)| *listed)
+    }
+
     /// Takes a table revision that has come into force on this VM.
     pub fn record_revision(&mut self, revision: u64) {
         // Confirmations stay: whoever changed the table waits for this VM or for
@@ -96,24 +103,48 @@
         self.store_confirmed = self.store_confirmed.max(Some(asked));
     }
 
+    /// Returns when this VM sent a heartbeat, if it is remembered.
+    pub fn sent_at(&self, sequence: u64) -> Option<Instant> {
+        let sent = self.sent.iter().find(|beat| beat.sequence == sequence);
+        sent.map(|beat| beat.sent)
+    }
+
+    /// Takes another VM's word that the table was confirmed to it after it had this
+    /// VM's heartbeat `sequence`, in no later version than `revision`.
+    pub fn record_relayed(&mut self, sequence: u64, revision: u64) {
+        if revision > self.revision {
+            return;
+        }
+        if let Some(sent) = self.sent_at(sequence) {
+            self.store_confirmed = self.store_confirmed.max(Some(sent));
+        }
+    }
+
+    /// Returns the latest instant at which the store is known to have held this VM's
+    /// table or an earlier one, for others that are told.
+    pub const fn store_confirmed(&self) -> Option<Instant> {
+        self.store_confirmed
+    }
+
     /// Takes what another VM's heartbeat says.
     pub fn record_vouch(&mut self, member: &str, vouch: BeatVouch) {
         if vouch.is_claiming || vouch.revision > self.revision {
             self.vouches.remove(member);
             return;
         }
-        let sent = self.sent.iter().find(|beat| beat.sequence == vouch.echoed);
-        let Some(sent) = sent else { return };
+        let Some(sent) = self.sent_at(vouch.echoed) else {
+            return;
+        };
         let known = self.vouches.get(member);
         // Heartbeats may arrive out of order; an older one takes nothing back.
         let is_older = known.is_some_and(|known| {
             vouch.incarnation < known.incarnation
-                || (vouch.incarnation == known.incarnation && sent.sent < known.confirmed)
+                || (vouch.incarnation == known.incarnation && sent < known.confirmed)
         });
         if !is_older {
             let vouch = MemberVouch {
                 incarnation: vouch.incarnation,
-                confirmed: sent.sent,
+                confirmed: sent,
             };
             self.vouches.insert(member.to_owned(), vouch);
         }
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -22,6 +22,9 @@
 struct Beat {
     sequence: u64,
     echoes: Vec<u64>,
+    /// For each receiver: its latest heartbeat that the sender had before its own
+    /// confirmation.
+    confirmed: Vec<Option<u64>>,
     revision: u64,
     is_claiming: bool,
 }
@@ -30,6 +33,8 @@
     keeper: lease::LeaseKeeper,
     revision: u64,
     received: Vec<(u64, Option<Beat>)>,
+    /// When heartbeats came, by sender.
+    arrivals: Vec<Vec<(u64, Instant)>>,
     is_claiming: bool,
     has_store: bool,
     sequence: u64,
@@ -42,6 +47,16 @@
     store_revision: u64,
     loss: f64,
     cut: Option<usize>,
+    exchange: Exchange,
+}
+
+/// How leases are confirmed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Exchange {
+    /// All VMs vouch.
+    Full,
+    /// Some read the store and pass the confirmation on, also at second hand.
+    Relayed,
 }
 
 fn vm_name(index: usize) -> String {
@@ -49,20 +64,26 @@
 }
 
 impl Schedule {
-    fn new(seed: u64, now: Instant) -> Self {
+    fn new(seed: u64, exchange: Exchange, now: Instant) -> Self {
         let mut random = rand::rngs::StdRng::seed_from_u64(seed);
         let loss = random.random_range(0.0..0.5);
         let cut = random.random_bool(0.5).then(|| random.random_range(0..VMS));
         let vm = |own: usize| {
             let mut keeper = lease::LeaseKeeper::default();
             let others = (0..VMS).filter(|other| *other != own).map(vm_name);
-            keeper.record_members(now, others.collect());
+            if exchange == Exchange::Full {
+                keeper.record_members(now, others.collect());
+            }
             SimulatedVm {
                 keeper,
                 revision: 0,
                 received: vec![(0, None); VMS],
+                arrivals: vec![Vec::new(); VMS],
                 is_claiming: false,
-                has_store: random.random_bool(0.7),
+                has_store: match exchange {
+                    Exchange::Full => random.random_bool(0.7),
+                    Exchange::Relayed => own == 0,
+                },
                 sequence: 0,
             }
         };
@@ -72,6 +93,7 @@
             store_revision: 0,
             loss,
             cut,
+            exchange,
             random,
         }
     }
@@ -83,6 +105,11 @@
         let beat = Beat {
             sequence: vm.sequence,
             echoes: vm.received.iter().map(|(sequence, _)| *sequence).collect(),
+            confirmed: vm
+                .arrivals
+                .iter()
+                .map(|of_one| latest_confirmed(vm, of_one))
+                .collect(),
             revision: vm.revision,
             is_claiming: vm.is_claiming,
         };
@@ -113,6 +140,12 @@
                 is_claiming: beat.is_claiming,
             };
             vm.keeper.record_vouch(&vm_name(from), vouch);
+            if self.exchange == Exchange::Relayed
+                && let Some(sequence) = beat.confirmed[to]
+            {
+                vm.keeper.record_relayed(sequence, beat.revision);
+            }
+            vm.arrivals[from].push((beat.sequence, now));
             vm.received[from] = (beat.sequence, Some(beat));
         }
     }
@@ -148,11 +181,18 @@
     }
 }
 
+fn latest_confirmed(vm: &SimulatedVm, arrivals: &[(u64, Instant)]) -> Option<u64> {
+    let confirmed = vm.keeper.store_confirmed()?;
+    let mut arrivals = arrivals.iter().rev();
+    let found = arrivals.find(|(_, arrived)| *arrived <= confirmed);
+    found.map(|(sequence, _)| *sequence)
+}
+
 /// Plays one schedule; returns how often the old leader could be relied on
 /// before it was replaced.
-fn play(seed: u64) -> usize {
+fn play(seed: u64, exchange: Exchange) -> usize {
     let start = Instant::now();
-    let mut schedule = Schedule::new(seed, start);
+    let mut schedule = Schedule::new(seed, exchange, start);
     let claimer = schedule.random.random_range(0..VMS);
     schedule.vms[claimer].has_store = true;
     let claim_step = schedule.random.random_range(100..400);
@@ -191,11 +231,33 @@
 
 #[test]
 fn nobody_relies_on_a_leader_once_another_is_named() {
-    let relied: usize = (0..2_000).map(play).sum();
+    let relied: usize = (0..2_000).map(|seed| play(seed, Exchange::Full)).sum();
     // The schedules prove nothing if nobody ever holds a lease.
     assert!(relied > 100_000, "{relied}");
 }
 
+#[test]
+fn nobody_relies_on_a_leader_by_hearsay_once_another_is_named() {
+    let relied: usize = (0..2_000).map(|seed| play(seed, Exchange::Relayed)).sum();
+    assert!(relied > 100_000, "{relied}");
+}
+
+#[test]
+fn a_confirmation_at_second_hand_is_dated_by_the_heartbeat_it_answers() {
+    let start = Instant::now();
+    let mut keeper = lease::LeaseKeeper::default();
+    keeper.record_sent(1, start);
+    keeper.record_sent(2, start + Duration::from_millis(400));
+    keeper.record_relayed(1, 0);
+    assert_eq!(keeper.valid_until(), Some(start + lease::LEASE_TERM));
+    // Heartbeats that are forgotten or were never sent confirm nothing.
+    keeper.record_relayed(99, 0);
+    assert_eq!(keeper.valid_until(), Some(start + lease::LEASE_TERM));
+    // A later table than this VM's has not been confirmed for it.
+    keeper.record_relayed(2, 1);
+    assert_eq!(keeper.valid_until(), Some(start + lease::LEASE_TERM));
+}
+
 #[test]
 fn a_member_that_is_silent_ends_the_lease_of_all() {
     let start = Instant::now();
