Have one data centre own a small workspace's rate, and ask owners for what waits only

Change: workspaces below 8 operations a second for each data centre are owned by one; requests for tokens are passed on to it by the heads. Owners are asked for whole tokens of waiting requests, once a round trip, and not for those that an answer would not reach; requests wait up to 160 ms. Owners keep fixed room for loans. A data centre whose head has no answers falls back to its equal part. Heads follow the configuration for the others.

Ruled out: the databases, the store.

--- a/crates/bluebellferry_edge/src/control/beats.rs
+++ b/crates/bluebellferry_edge/src/control/beats.rs
@@ -87,7 +87,12 @@
                 operations_per_second: meter.measure(total, now),
                 demands: demands.measure(&control, now),
             };
-            if now.saturating_duration_since(times.weighed) >= parts::SETTING_INTERVAL {
+            let setting_interval = if control.circle.is_full_exchange() {
+                parts::SETTING_INTERVAL
+            } else {
+                parts::OWNER_SETTING_INTERVAL
+            };
+            if now.saturating_duration_since(times.weighed) >= setting_interval {
                 times.weighed = now;
                 parts::set(&mut control, &load, now);
             }
@@ -165,6 +170,7 @@
         is_leaving: *control.shared.drain.borrow() != shared::DrainPhase::Serving,
         has_store: control.has_store,
         is_head,
+        is_isolated: control.is_isolated,
         versions: control.versions,
         table_revision: control.table.revision,
         is_claiming: control.claims > 0,
--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -4,10 +4,13 @@
 
 use bluebellferry_platform::configuration;
 use bluebellferry_platform::objects;
+use bluebellferry_runtime::clock;
 use rand::Rng;
 
 use crate::control;
 
+/// How often a VM looks whether its head still reads for it.
+const READER_STEP: Duration = Duration::from_millis(300);
 /// How long one watch waits; the store holds a call for 30 s at most.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The rest after a failed call, at first and at most.
@@ -98,6 +101,9 @@
     }
     let mut after = listing.as_of;
     loop {
+        while control.borrow().is_read_for(clock::now()) {
+            tokio::time::sleep(READER_STEP).await;
+        }
         dependency.record_success();
         pause.reset();
         let (changes, next) = client.watch(configuration::KIND, after, WATCH_WAIT).await?;
--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -75,7 +75,7 @@
     let mut dependency = configuration::DependencyLog::new("list of VMs in the store");
     let mut listings = 0;
     loop {
-        if listings > FIRST_LISTINGS && !lists_members(&control.borrow(), clock::now()) {
+        if !lists_members(&control.borrow(), listings, clock::now()) {
             tokio::time::sleep(READER_STEP).await;
             continue;
         }
@@ -129,9 +129,13 @@
     }
 }
 
-/// Returns whether this VM lists the VMs itself: where heartbeats confirm leases, a
-/// list must not be older than its listing, so all do.
-fn lists_members(control: &state::ControlState, now: Instant) -> bool {
+/// Returns whether this VM lists the VMs itself. Where heartbeats of all confirm leases,
+/// a list must not be older than its listing, so all do, and so does who was just
+/// started, until a head is heard.
+fn lists_members(control: &state::ControlState, listings: u32, now: Instant) -> bool {
+    if listings <= FIRST_LISTINGS {
+        return listings < 2 || !control.is_read_for(now);
+    }
     control.circle.is_full_exchange() || control.reads_for_centre(now)
 }
 
--- a/crates/bluebellferry_edge/src/control/owners.rs
+++ b/crates/bluebellferry_edge/src/control/owners.rs
@@ -3,7 +3,7 @@
 //! Among many VMs, an equal part each would be less than a token, and parts of tokens
 //! that are lent around lapse before they make up a whole one. So one to a few VMs,
 //! chosen by rendezvous hashing, own what the data centre has, and the others borrow
-//! whole tokens of them.
+//! whole tokens of them. A small workspace is owned by one data centre alone.
 
 use std::time::Duration;
 
@@ -21,37 +21,55 @@
 /// of single tokens, for which one owner is best.
 const RATE_OF_OWNER: f64 = 4.0;
 
-/// What is known of a VM that may own a part.
+/// A workspace whose rate would give a data centre less than this, in operations a
+/// second, is owned by one data centre.
+pub const RATE_OF_CENTRE: f64 = 8.0;
+
+/// What is known of a VM, or a data centre, that may own a part.
 #[derive(Debug, Clone, Copy)]
 pub struct OwnerCandidate<'a> {
     /// Its name.
-    pub vm: &'a str,
+    pub name: &'a str,
     /// For how long it has been silent; `None` if it lives.
     pub silence: Option<Duration>,
     /// The part that it was dealt before.
     pub before: f64,
+    /// The most that it uses without news from others.
+    pub equal: f64,
 }
 
-/// Deals a workspace's rate out to its owners. A silent VM keeps what it may still
-/// use: all it had, or later at most `equal`.
+impl OwnerCandidate<'_> {
+    /// Returns the part that a silent candidate may still use.
+    pub fn kept(&self) -> f64 {
+        match self.silence {
+            None => 0.0,
+            Some(silence) if silence < FALLEN_BACK_AFTER => self.before,
+            Some(_) => self.before.min(self.equal),
+        }
+    }
+}
+
+/// Returns how many VMs own a rate.
+pub fn count(rate_per_second: f64) -> usize {
+    let count = (rate_per_second / RATE_OF_OWNER).floor().max(1.0) as usize;
+    count.min(MOST_OWNERS)
+}
+
+/// Deals a workspace's rate out to `count` owners that live. A silent one keeps what it
+/// may still use.
 pub fn deal(
     workspace: &name::WorkspaceName,
-    rate_per_second: f64,
-    equal: f64,
+    count: usize,
     candidates: &[OwnerCandidate<'_>],
 ) -> Vec<f32> {
-    let kept = |candidate: &OwnerCandidate<'_>| match candidate.silence {
-        None => 0.0,
-        Some(silence) if silence < FALLEN_BACK_AFTER => candidate.before,
-        Some(_) => candidate.before.min(equal),
-    };
-    let free = 1.0 - candidates.iter().map(kept).sum::<f64>();
-    let owners = choose(workspace, rate_per_second, candidates);
+    let kept: f64 = candidates.iter().map(OwnerCandidate::kept).sum();
+    let free = (1.0 - kept).max(0.0);
+    let owners = choose(workspace, count, candidates);
     let part = |candidate: &OwnerCandidate<'_>| {
-        if owners.contains(&candidate.vm) {
-            (free.max(0.0) / owners.len() as f64) as f32
+        if owners.contains(&candidate.name) {
+            (free / owners.len() as f64) as f32
         } else {
-            kept(candidate) as f32
+            candidate.kept() as f32
         }
     };
     candidates.iter().map(part).collect()
@@ -59,14 +77,13 @@
 
 fn choose<'a>(
     workspace: &name::WorkspaceName,
-    rate_per_second: f64,
+    count: usize,
     candidates: &[OwnerCandidate<'a>],
 ) -> SmallVec<[&'a str; MOST_OWNERS]> {
     let live = candidates.iter().filter(|one| one.silence.is_none());
-    let score = |vm: &str| xxh3::xxh3_64(format!("{workspace}\0{vm}").as_bytes());
-    let mut ranked: Vec<(u64, &str)> = live.map(|one| (score(one.vm), one.vm)).collect();
+    let score = |name: &str| xxh3::xxh3_64(format!("{workspace}\0{name}").as_bytes());
+    let mut ranked: Vec<(u64, &str)> = live.map(|one| (score(one.name), one.name)).collect();
     ranked.sort_unstable();
-    let count = (rate_per_second / RATE_OF_OWNER).floor().max(1.0) as usize;
-    let owners = ranked.iter().take(count.min(MOST_OWNERS));
-    owners.map(|(_, vm)| *vm).collect()
+    let owners = ranked.iter().take(count);
+    owners.map(|(_, name)| *name).collect()
 }
--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -18,16 +18,23 @@
 use crate::control::owners;
 use crate::control::state;
 
+/// How often the parts are worked out anew where owners have them.
+pub const OWNER_SETTING_INTERVAL: Duration = Duration::from_millis(500);
 /// How often the parts are worked out anew.
 pub const SETTING_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a larger part waits: several heartbeats, so that all have shrunk theirs.
 pub const GROWTH_DELAY: Duration = Duration::from_secs(2);
+/// The same where owners have parts: one that is silent has shrunk its own by itself
+/// before, others hear of it within two heartbeats and a lost one.
+pub const OWNER_GROWTH_DELAY: Duration = Duration::from_secs(1);
 /// The demand that is added evenly, as a part of the whole demand for connections
 /// and of the limit for rates: little demand says little about what comes next.
 const EVEN_DEMAND: f64 = 0.6;
 const EVEN_RATE: f64 = 0.3;
 /// By how much a part must change for new parts to be worth telling.
 const LEAST_CHANGE: f64 = 0.06;
+/// The same for data centres, whose demand is averaged for longer.
+const LEAST_CENTRE_CHANGE: f64 = 0.02;
 /// The most parts of rates that are dealt out by workspace: VMs, or data centres,
 /// times workspaces. At four bytes each they fit into a datagram with the rest of a
 /// heartbeat.
@@ -205,32 +212,38 @@
         return Vec::new();
     }
     let known = KnownParts::new(&control.weights, names);
-    let equal = 1.0 / control.members.len().max(1) as f64;
     let own = control.own_name();
-    let silence = |vm: &str| {
-        let silence = control.silence_of(vm, now);
-        (vm != own && silence >= circle::SILENT_AFTER).then_some(silence)
-    };
-    let silences: Vec<_> = names.iter().map(|vm| silence(vm)).collect();
+    let silences: Vec<_> = names
+        .iter()
+        .map(|vm| silence(vm == own, control.silence_of(vm, now)))
+        .collect();
     let mut all = Vec::new();
     for (workspace, policy) in workspaces {
         let centre_part = control.centre_rate_part(workspace);
+        // An equal part of all, as a part of what the data centre has.
+        let equal = 1.0 / control.members.len().max(1) as f64;
+        let equal = equal / centre_part.max(equal);
         let candidate = |(index, vm): (usize, &'a String)| owners::OwnerCandidate {
-            vm,
+            name: vm,
             silence: silences[index],
             before: known.rate_part(index, workspace),
+            equal,
         };
         let candidates: Vec<_> = names.iter().enumerate().map(candidate).collect();
-        let rate = policy.rate_per_second * centre_part;
-        let equal = equal / centre_part.max(equal);
+        let count = owners::count(policy.rate_per_second * centre_part);
         all.push(beat::WorkspaceParts {
             workspace: workspace.clone(),
-            parts: owners::deal(workspace, rate, equal, &candidates),
+            parts: owners::deal(workspace, count, &candidates),
         });
     }
     all
 }
 
+/// Returns for how long one has been silent, if that is long enough to count.
+fn silence(is_own: bool, silence: Duration) -> Option<Duration> {
+    (!is_own && silence >= circle::SILENT_AFTER).then_some(silence)
+}
+
 fn set_group(control: &mut state::ControlState, own: &OwnLoad, now: Instant) {
     let names: Vec<String> = control.group().cloned().collect();
     let mut live = BTreeMap::new();
@@ -257,11 +270,17 @@
         let rate = rate.map_or(0.0, |one| one.rate_per_second);
         rate * control.centre_rate_part(workspace)
     };
-    let mut next = next_table(&control.weights, number, &names, &live, rate_of);
+    let rules = DealRules {
+        number,
+        least_change: LEAST_CHANGE,
+        most_kept: |_: &str| f64::INFINITY,
+        rate_of,
+    };
+    let mut next = next_table(&control.weights, &names, &live, &rules);
     if !control.circle.is_full_exchange() {
         next.workspaces = owned_parts(control, &names, now);
     }
-    if number > control.weights.number || differs(&control.weights, &next) {
+    if number > control.weights.number || differs(&control.weights, &next, LEAST_CHANGE) {
         control.apply_weights(&next);
         control.news.notify_one();
     }
@@ -298,25 +317,98 @@
             .get(workspace)
             .map_or(0.0, |one| one.rate_per_second)
     };
-    let next = next_table(&control.centre_weights, number, &names, &live, rate_of);
-    if number > control.centre_weights.number || differs(&control.centre_weights, &next) {
+    let centres = control.centres();
+    let all = control.members.len().max(1) as f64;
+    let most_kept = |centre: &str| {
+        if control.silence_of_centre(centre, now) < owners::FALLEN_BACK_AFTER {
+            return f64::INFINITY;
+        }
+        centres.get(centre).copied().unwrap_or(1) as f64 / all
+    };
+    let rules = DealRules {
+        number,
+        least_change: LEAST_CENTRE_CHANGE,
+        most_kept,
+        rate_of,
+    };
+    let mut next = next_table(&control.centre_weights, &names, &live, &rules);
+    give_to_single_centres(control, &names, &mut next, now);
+    let known = &control.centre_weights;
+    if number > known.number || differs(known, &next, LEAST_CENTRE_CHANGE) {
         control.apply_centre_weights(&next);
         control.news.notify_one();
     }
 }
 
-/// Returns the next table of parts. `number` is the highest that is known, `rate_of`
-/// what is dealt out of a workspace's rate.
+/// Has one data centre own each workspace that is too small to be split.
+fn give_to_single_centres(
+    control: &state::ControlState,
+    names: &[String],
+    table: &mut beat::WeightTable,
+    now: Instant,
+) {
+    let workspaces = &control.configuration.decoded.workspaces;
+    if workspaces.len() * names.len() > MAX_PARTS {
+        return;
+    }
+    let own = control.shared.settings.data_centre.as_str();
+    let known = KnownParts::new(&control.centre_weights, names);
+    let centres = control.centres();
+    let all = control.members.len().max(1) as f64;
+    let small = workspaces
+        .iter()
+        .filter(|(_, policy)| policy.rate_per_second < owners::RATE_OF_CENTRE * names.len() as f64);
+    for (workspace, _) in small {
+        let candidate = |(index, name): (usize, &String)| {
+            let count = centres.get(name.as_str()).copied().unwrap_or(1);
+            owners::OwnerCandidate {
+                name: names[index].as_str(),
+                silence: silence(name == own, control.silence_of_centre(name, now)),
+                before: known.rate_part(index, workspace),
+                equal: count as f64 / all,
+            }
+        };
+        let candidates: Vec<_> = names.iter().enumerate().map(candidate).collect();
+        let parts = beat::WorkspaceParts {
+            workspace: workspace.clone(),
+            parts: owners::deal(workspace, 1, &candidates),
+        };
+        match table
+            .workspaces
+            .iter_mut()
+            .find(|one| one.workspace == *workspace)
+        {
+            Some(entry) => *entry = parts,
+            None => table.workspaces.push(parts),
+        }
+    }
+}
+
+/// How parts are dealt out.
+struct DealRules<K, R> {
+    /// The highest number of a table that is known.
+    number: u64,
+    /// By how much a part must change to be worth telling.
+    least_change: f64,
+    /// The most that a silent one may still use.
+    most_kept: K,
+    /// What is dealt out of a workspace's rate, in operations a second.
+    rate_of: R,
+}
+
+/// Returns the next table of parts.
 fn next_table(
     table: &beat::WeightTable,
-    number: u64,
     names: &[String],
     live: &BTreeMap<&str, KnownDemand<'_>>,
-    rate_of: impl Fn(&name::WorkspaceName) -> f64,
+    rules: &DealRules<impl Fn(&str) -> f64, impl Fn(&name::WorkspaceName) -> f64>,
 ) -> beat::WeightTable {
     let known = KnownParts::new(table, names);
     let index_of = |name: &str| names.iter().position(|one| one == name);
-    let before = |name: &str| index_of(name).map_or(0.0, |index| known.part(index));
+    let before = |name: &str| {
+        let part = index_of(name).map_or(0.0, |index| known.part(index));
+        part.min((rules.most_kept)(name))
+    };
     let demand = |name: &str| live.get(name).map(|one| one.operations_per_second);
     let total: f64 = live.values().map(|one| one.operations_per_second).sum();
     let shares = deal(names, total * EVEN_DEMAND, demand, before);
@@ -334,22 +426,29 @@
             let found = demands.iter().find(|one| one.workspace == *workspace);
             Some(found.map_or(0.0, |one| f64::from(one.per_second)))
         };
-        let before =
-            |name: &str| index_of(name).map_or(0.0, |index| known.rate_part(index, workspace));
-        let parts = deal(names, rate_of(workspace) * EVEN_RATE, demand, before);
+        let before = |name: &str| {
+            let part = index_of(name).map_or(0.0, |index| known.rate_part(index, workspace));
+            part.min((rules.most_kept)(name))
+        };
+        let parts = deal(
+            names,
+            (rules.rate_of)(workspace) * EVEN_RATE,
+            demand,
+            before,
+        );
         let next = beat::WorkspaceParts {
             workspace: workspace.clone(),
             parts: parts.iter().map(|part| *part as f32).collect(),
         };
         // Each change costs a part of the limit until the larger parts hold.
         let known = known_parts(table, names, workspace);
-        match known.filter(|known| !are_far(&known.parts, &next.parts)) {
+        match known.filter(|known| !are_far(&known.parts, &next.parts, rules.least_change)) {
             Some(known) => known.clone(),
             None => next,
         }
     };
     beat::WeightTable {
-        number: number + 1,
+        number: rules.number + 1,
         weights,
         workspaces: wanted.iter().map(parts_of).collect(),
     }
@@ -390,13 +489,13 @@
     known.filter(|_| have_same_vms)
 }
 
-fn are_far(before: &[f32], next: &[f32]) -> bool {
+fn are_far(before: &[f32], next: &[f32], least_change: f64) -> bool {
     let mut parts = before.iter().zip(next);
     before.len() != next.len()
-        || parts.any(|(old, new)| f64::from((old - new).abs()) >= LEAST_CHANGE)
+        || parts.any(|(old, new)| f64::from((old - new).abs()) >= least_change)
 }
 
-fn differs(before: &beat::WeightTable, next: &beat::WeightTable) -> bool {
+fn differs(before: &beat::WeightTable, next: &beat::WeightTable, least_change: f64) -> bool {
     let parts = |table: &beat::WeightTable| -> Vec<f32> {
         table.weights.iter().map(|one| one.part as f32).collect()
     };
@@ -405,5 +504,7 @@
         .iter()
         .map(|one| &one.vm)
         .eq(next.weights.iter().map(|one| &one.vm));
-    !have_same_vms || before.workspaces != next.workspaces || are_far(&parts(before), &parts(next))
+    !have_same_vms
+        || before.workspaces != next.workspaces
+        || are_far(&parts(before), &parts(next), least_change)
 }
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -14,6 +14,7 @@
 use bluebellferry_membership::message;
 use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
 use tokio::net::UdpSocket;
 
 use crate::control;
@@ -124,6 +125,25 @@
             let sender = find_sender(links, from);
             tokens::lend(&control.borrow(), links, sender, workspace, amount, number);
         }
+        message::PeerMessage::OwnerRequest {
+            borrower,
+            workspace,
+            amount,
+            number,
+            hops,
+        } => {
+            let Ok(workspace) = name::WorkspaceName::try_from(workspace.as_str()) else {
+                return log::debug!("a request for tokens of no workspace is ignored");
+            };
+            let request = tokens::OwnerRequest {
+                borrower,
+                workspace,
+                amount,
+                number,
+                hops,
+            };
+            tokens::serve_owner_request(&control.borrow(), links, &request, now);
+        }
         message::PeerMessage::TokenTransfer { amount, number, .. } => {
             if let Some(sender) = find_sender(links, from) {
                 let mut control = control.borrow_mut();
@@ -217,7 +237,7 @@
         }
     }
     let sent = control.lease.sent_at(echo.sequence)?;
-    control.record_echoed(sent);
+    control.record_echoed(&beat.vm, sent);
     Some(sent + Duration::from_millis(u64::from(echo.held_ms)))
 }
 
--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -84,10 +84,8 @@
                 pause.reset();
                 let entries = registry::decode_entries(&listing);
                 let entries = lapsed.record_listing(entries, clock::now());
-                let mut control = control.borrow_mut();
-                control.has_store = true;
-                control.apply_databases(entries, listing.as_of);
-                drop(control);
+                control.borrow_mut().has_store = true;
+                control.borrow_mut().apply_databases(entries, listing.as_of);
                 tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => {
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -15,6 +15,7 @@
 use bluebellferry_membership::circle;
 use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
+use bluebellferry_shares::ledger;
 use bluebellferry_shares::lending;
 use bluebellferry_types::name;
 use serde::Deserialize;
@@ -33,6 +34,10 @@
 /// store or a leader is asked.
 const REMEMBERED_ARRIVALS: usize = 8;
 
+/// The part of an equal one that a data centre must have of a workspace's rate to be
+/// asked for tokens: less is what a lost one left behind.
+const LEAST_OWNED: f64 = 0.5;
+
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -131,6 +136,10 @@
     pub is_fetching: bool,
     /// When this VM sent the latest heartbeat that another one answered.
     echoed: Option<Instant>,
+    /// The same where the other one is of another data centre.
+    far_echoed: Option<Instant>,
+    /// Whether the head of this data centre may not have heard that its part has shrunk.
+    pub is_isolated: bool,
     /// Since when this VM has been the head of its data centre.
     head_since: Option<Instant>,
     /// Whether this VM may not have heard that its part has shrunk.
@@ -166,6 +175,8 @@
             probed: BTreeMap::new(),
             is_fetching: false,
             echoed: None,
+            far_echoed: None,
+            is_isolated: false,
             head_since: None,
             is_orphaned: false,
             published: shared::EdgeSnapshot::default(),
@@ -321,8 +332,11 @@
     }
 
     /// Notes that another VM has answered a heartbeat that was sent then.
-    pub fn record_echoed(&mut self, sent: Instant) {
+    pub fn record_echoed(&mut self, vm: &str, sent: Instant) {
         self.echoed = self.echoed.max(Some(sent));
+        if !self.is_in_group(vm) {
+            self.far_echoed = self.far_echoed.max(Some(sent));
+        }
     }
 
     /// Notes who leads the data centre. A VM that nobody answers takes at most an
@@ -334,17 +348,33 @@
         } else {
             self.head_since.get_or_insert(now);
         }
-        let is_answered = self
-            .echoed
-            .is_some_and(|sent| now.saturating_duration_since(sent) < circle::SILENT_AFTER);
-        let is_orphaned = !is_full && !is_answered;
-        if is_orphaned != self.is_orphaned {
-            log::info!(orphaned = is_orphaned; "answers of other VMs were lost or regained");
+        let is_recent = |sent: Option<Instant>| {
+            sent.is_some_and(|sent| now.saturating_duration_since(sent) < circle::SILENT_AFTER)
+        };
+        let is_orphaned = !is_full && !is_recent(self.echoed);
+        let is_isolated = !is_full && self.is_centre_isolated(is_recent(self.far_echoed), now);
+        if (is_orphaned, is_isolated) != (self.is_orphaned, self.is_isolated) {
+            log::info!(
+                orphaned = is_orphaned, isolated = is_isolated;
+                "answers of other VMs or data centres were lost or regained"
+            );
             self.is_orphaned = is_orphaned;
+            self.is_isolated = is_isolated;
             self.apply_shares();
         }
     }
 
+    /// Returns whether this data centre's part may have shrunk without it: only its head
+    /// hears others.
+    fn is_centre_isolated(&self, is_far_answered: bool, now: Instant) -> bool {
+        if self.circle.is_head(now) {
+            return !is_far_answered && self.centres().len() > 1;
+        }
+        let head = self.circle.own_head(now);
+        let record = head.and_then(|head| self.peers.get(head));
+        record.is_some_and(|record| record.beat.is_isolated)
+    }
+
     /// Returns for how long this VM, as the head, has not heard a VM of its data centre.
     pub fn silence_of(&self, vm: &str, now: Instant) -> Duration {
         let heard = self.peers.get(vm).map(|record| record.heard);
@@ -445,7 +475,14 @@
         let own = self.shared.settings.data_centre.as_str();
         let parts = self.centre_parts(Some(workspace));
         let found = parts.iter().find(|(name, _)| *name == own);
-        found.map_or(0.0, |(_, part)| *part)
+        let dealt = found.map_or(0.0, |(_, part)| *part);
+        let count = self.centres().get(own).copied().unwrap_or(1);
+        let equal = count as f64 / self.members.len().max(1) as f64;
+        if self.is_isolated {
+            dealt.min(equal)
+        } else {
+            dealt
+        }
     }
 
     /// Returns a VM's part of what its group has of a workspace's rate.
@@ -456,16 +493,70 @@
         index.map_or(0.0, |index| parts.rate_part(index, workspace))
     }
 
+    /// Returns whether this VM's group owns enough of a workspace's rate to lend it.
+    pub fn is_owned_here(&self, workspace: &name::WorkspaceName) -> bool {
+        let equal = 1.0 / self.centres().len().max(1) as f64;
+        self.centre_rate_part(workspace) >= equal * LEAST_OWNED
+    }
+
+    /// Returns the data centre that owns most of a workspace's rate.
+    pub fn owning_centre(&self, workspace: &name::WorkspaceName) -> Option<String> {
+        let parts = self.centre_parts(Some(workspace));
+        let most = parts.iter().max_by(|one, other| one.1.total_cmp(&other.1));
+        most.map(|(centre, _)| (*centre).to_owned())
+    }
+
+    /// Returns the head of another data centre that was heard a moment ago.
+    pub fn head_of(&self, centre: &str, now: Instant) -> Option<String> {
+        let is_there = |name: &String| {
+            let member = self.members.get(name);
+            member.is_some_and(|member| member.data_centre.as_str() == centre)
+        };
+        let heads = self
+            .live_peers(now)
+            .filter(|(name, record)| record.beat.is_head && is_there(name));
+        let first = heads.min_by(|(one, _), (other, _)| {
+            let (one, other) = (circle::rank(one), circle::rank(other));
+            one.cmp(&other)
+        });
+        first.map(|(name, _)| name.clone())
+    }
+
     /// Returns the other VMs of the group that own parts of a workspace's rate which
     /// suffice for whole tokens.
     pub fn owners_of(&self, workspace: &name::WorkspaceName) -> Vec<String> {
+        let owners = self.all_owners_of(workspace).into_iter();
+        owners.filter(|name| name != self.own_name()).collect()
+    }
+
+    fn all_owners_of(&self, workspace: &name::WorkspaceName) -> Vec<String> {
         let names: Vec<&String> = self.group().collect();
         let parts = parts::KnownParts::new(&self.weights, &names);
         let equal = 1.0 / names.len().max(1) as f64;
         let owns = |(index, _): &(usize, &String)| parts.rate_part(*index, workspace) >= equal;
         let owners = names.iter().copied().enumerate().filter(owns);
-        let others = owners.filter(|(_, name)| *name != self.own_name());
-        others.map(|(_, name)| name.clone()).collect()
+        owners.map(|(_, name)| name.clone()).collect()
+    }
+
+    /// Returns whether this VM owns a part of a workspace's rate that it can lend.
+    pub fn owns(&self, workspace: &name::WorkspaceName) -> bool {
+        let owners = self.all_owners_of(workspace);
+        self.is_owned_here(workspace) && owners.iter().any(|name| name == self.own_name())
+    }
+
+    /// Returns for how long this VM, as a head, has not heard one of a data centre.
+    pub fn silence_of_centre(&self, centre: &str, now: Instant) -> Duration {
+        let is_there = |name: &String| {
+            let member = self.members.get(name);
+            member.is_some_and(|member| member.data_centre.as_str() == centre)
+        };
+        let heads = self.peers.iter().filter(|(name, _)| is_there(name));
+        let heard = heads
+            .filter(|(_, record)| record.beat.is_head)
+            .map(|(_, record)| record.heard)
+            .max();
+        let since = heard.max(self.head_since);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
     /// Returns this VM's part of a workspace's rate in the whole fleet.
@@ -496,7 +587,14 @@
             };
         let workspaces = &self.configuration.decoded.workspaces;
         let sizes = workspaces.iter().map(size).collect();
-        self.shared.shares.apply_sizes(&sizes, parts::GROWTH_DELAY);
+        let delay = if self.circle.is_full_exchange() {
+            parts::GROWTH_DELAY
+        } else {
+            parts::OWNER_GROWTH_DELAY
+        };
+        let shares = &self.shared.shares;
+        shares.apply_sizes(&sizes, delay);
+        shares.set_owners(!self.circle.is_full_exchange());
     }
 
     /// Lets this VM use its part of fleet-wide limits. The others must have
@@ -587,6 +685,15 @@
         !self.circle.is_full_exchange() && self.circle.is_head(now)
     }
 
+    /// Returns whether the head of this data centre, which is heard, reads from the
+    /// store for this VM.
+    pub fn is_read_for(&self, now: Instant) -> bool {
+        self.relies_on_head(now)
+            && self.versions.configuration > 0
+            && self.versions.databases > 0
+            && self.table.holder != self.own_name()
+    }
+
     /// Returns whether another VM, which is heard, confirms leaders for this one.
     pub fn relies_on_head(&self, now: Instant) -> bool {
         let head = self.circle.own_head(now);
@@ -742,6 +849,11 @@
             leases,
             served_elsewhere: Arc::new(self.served_elsewhere(clock::now())),
             part: self.own_part(),
+            loan_wait: if self.circle.is_full_exchange() {
+                ledger::LOAN_WAIT
+            } else {
+                ledger::OWNER_LOAN_WAIT
+            },
         };
         let now = clock::now();
         let before = &self.published;
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
@@ -51,6 +52,8 @@
     /// This VM's part of fleet-wide limits, and the sum of the parts of the VMs
     /// before it in the order of their names.
     pub part: FleetPart,
+    /// How long a request waits for a token that has been asked for.
+    pub loan_wait: Duration,
 }
 
 /// A VM's part of a fleet-wide limit.
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -162,7 +162,8 @@
         let Some(share) = shared.shares.find(workspace) else {
             return Ok(());
         };
-        let admitted = share.admit(false, &shared.tokens_wanted).await;
+        let limit = shared.snapshot().loan_wait;
+        let admitted = share.admit(limit, &shared.tokens_wanted).await;
         admitted.map_err(|refilled_in| {
             let reason = refusal::RefusalReason::RateExceeded;
             let text = format!("the workspace {workspace} has used up its rate");
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -10,6 +10,9 @@
 /// How long the giver keeps room for moved tokens, counted from after it sent
 /// them. Twice the validity covers clocks that run at different speeds.
 pub const LOAN_RESERVATION: Duration = Duration::from_millis(500);
+/// How long an owner's loans are taken to be out: the validity and a tenth for clocks
+/// that run at different speeds. In that time it lends no more than its rate adds.
+const OWNER_LOAN_TIME: Duration = Duration::from_millis(275);
 /// How long the process may go unobserved before it counts as having been
 /// paused, which may have lasted long enough for another VM to take its place.
 pub const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
@@ -84,6 +87,8 @@
     refilled_at: Instant,
     shut_until: Instant,
     observed_at: Instant,
+    /// Whether room for loans is always kept, rather than after each.
+    is_owner: bool,
     lent: SmallVec<[LentTokens; 4]>,
     borrowed: SmallVec<[BorrowedTokens; 4]>,
 }
@@ -109,6 +114,7 @@
             refilled_at: now + LOAN_RESERVATION,
             shut_until: now,
             observed_at: now,
+            is_owner: false,
             lent: SmallVec::new(),
             borrowed: SmallVec::new(),
         }
@@ -210,6 +216,9 @@
             return 0.0;
         }
         self.tokens -= amount;
+        if self.room_for_loans().is_some() {
+            return amount;
+        }
         self.lent.push(LentTokens {
             amount,
             reserved_until: now + LOAN_RESERVATION,
@@ -242,7 +251,23 @@
         taken
     }
 
+    /// Has the bucket always keep room for what it lends. Whatever is spent within a
+    /// time left the bucket at most [`OWNER_LOAN_TIME`] before that, so with room for
+    /// what the rate adds meanwhile no more is spent than if nothing were lent.
+    pub fn set_owner(&mut self, is_owner: bool) {
+        self.is_owner = is_owner;
+    }
+
+    /// Returns the room that is always kept, if that leaves most of the burst.
+    fn room_for_loans(&self) -> Option<f64> {
+        let added = self.size.rate_per_second * OWNER_LOAN_TIME.as_secs_f64();
+        (self.is_owner && added <= self.size.burst / 2.0).then_some(added)
+    }
+
     fn capacity(&self) -> f64 {
+        if let Some(room) = self.room_for_loans() {
+            return self.size.burst - room;
+        }
         let lent: f64 = self.lent.iter().map(|loan| loan.amount).sum();
         (self.size.burst - lent).max(0.0)
     }
--- a/crates/bluebellferry_limits/src/demand.rs
+++ b/crates/bluebellferry_limits/src/demand.rs
@@ -77,6 +77,16 @@
         (needed - available).max(0.0)
     }
 
+    /// Returns how many whole tokens to ask an owner for: those of requests that wait,
+    /// and of the next moments where they come steadily. A single request is not taken
+    /// for the first of many, since a token that is not used lapses.
+    pub fn missing_whole(&mut self, available: f64, waiting: usize, now: Instant) -> f64 {
+        self.roll(now);
+        let soon = self.lately * HORIZON.as_secs_f64();
+        let steady = if soon < SMALLEST_NEED { 0.0 } else { soon };
+        (steady.max(waiting as f64) - available).max(0.0).ceil()
+    }
+
     fn roll(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.window_start);
         if elapsed < WINDOW {
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -121,6 +121,8 @@
     pub has_store: bool,
     /// Whether the sender is the head of its data centre, or all VMs send to each other.
     pub is_head: bool,
+    /// Whether the sender, as a head, has no answers from other data centres.
+    pub is_isolated: bool,
     /// Whether the sender asks for answers.
     pub asks_answer: bool,
     /// What the sender has read from the store.
--- a/crates/bluebellferry_membership/src/message.rs
+++ b/crates/bluebellferry_membership/src/message.rs
@@ -24,6 +24,20 @@
         /// The sender's number for this request.
         number: u64,
     },
+    /// A VM needs tokens of a workspace, of which the receiver owns some or knows who
+    /// does. The owner answers the VM itself.
+    OwnerRequest {
+        /// The VM.
+        borrower: String,
+        /// The workspace.
+        workspace: String,
+        /// How many tokens.
+        amount: f64,
+        /// The VM's number for this request.
+        number: u64,
+        /// How often the request may still be passed on.
+        hops: u8,
+    },
     /// The sender has moved tokens to the receiver.
     TokenTransfer {
         /// The workspace.
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bluebellferry_shares::ledger;
 use bluebellferry_types::refusal;
 use bluebellferry_wire::frame;
 use bluebellferry_wire::message;
@@ -236,9 +237,13 @@
             let reason = refusal::RefusalReason::ServiceForbidden;
             return Err(refusal::RequestRefusal::not_run(reason, text));
         };
-        let in_transaction = self.transaction != message::TransactionState::Idle;
+        let limit = if self.transaction == message::TransactionState::Idle {
+            ledger::LOAN_WAIT
+        } else {
+            ledger::TRANSACTION_WAIT
+        };
         share
-            .admit(in_transaction, &self.shared.tokens_wanted)
+            .admit(limit, &self.shared.tokens_wanted)
             .await
             .map_err(|refilled_in| {
                 let text = format!("the workspace {workspace} has used up its rate");
--- a/crates/bluebellferry_shares/src/ledger.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -15,15 +15,22 @@
 use bluebellferry_types::name;
 use tokio::sync::Notify;
 
-/// How long a request waits for tokens that have been asked for.
-const LOAN_WAIT: Duration = Duration::from_millis(40);
+/// How long a request waits for tokens that have been asked for: a round trip between
+/// regions.
+pub const LOAN_WAIT: Duration = Duration::from_millis(40);
+/// How long a request waits for a token of an owner, which may be in another region:
+/// time for a second try after one that came too early.
+pub const OWNER_LOAN_WAIT: Duration = Duration::from_millis(160);
+/// The longest round trip to a lender: between regions, with a stop on the way. For a
+/// request that is given up sooner than that, no more tokens are asked.
+pub const ROUND_TRIP: Duration = Duration::from_millis(60);
 /// How often tokens of one workspace are asked for at the most.
 const ASK_INTERVAL: Duration = Duration::from_millis(5);
 /// How often a waiting request has tokens asked for again.
 const ASK_AGAIN: Duration = Duration::from_millis(6);
 /// How long a request within a transaction waits, since refusing it undoes all
 /// of the transaction.
-const TRANSACTION_WAIT: Duration = Duration::from_secs(2);
+pub const TRANSACTION_WAIT: Duration = Duration::from_secs(2);
 
 #[derive(Debug)]
 struct WorkspaceBucket {
@@ -32,6 +39,34 @@
     asked_at: Instant,
 }
 
+/// A waiting request for which tokens are asked of others.
+struct WaitingAsk<'a> {
+    waiting: &'a AtomicUsize,
+    is_counted: bool,
+}
+
+impl<'a> WaitingAsk<'a> {
+    fn new(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self {
+            waiting,
+            is_counted: true,
+        }
+    }
+
+    fn withdraw(&mut self) {
+        if std::mem::take(&mut self.is_counted) {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for WaitingAsk<'_> {
+    fn drop(&mut self) {
+        self.withdraw();
+    }
+}
+
 /// One workspace's tokens on this VM.
 #[derive(Debug)]
 pub struct WorkspaceShare {
@@ -61,34 +96,28 @@
         self.waiting.store(waiting, Ordering::Relaxed);
     }
 
-    /// Takes a token, waiting briefly for one that is about to come; `wanted`
+    /// Takes a token, waiting at most `limit` for one that is about to come; `wanted`
     /// is notified when others should be asked for some.
     ///
     /// # Errors
     /// Returns when the next own token is due, if none came in time.
-    pub async fn admit(&self, in_transaction: bool, wanted: &Notify) -> Result<(), Duration> {
+    pub async fn admit(&self, limit: Duration, wanted: &Notify) -> Result<(), Duration> {
         let started = self.clock.now();
         self.count(started);
         if self.try_take(started) {
             return Ok(());
         }
-        self.waiting.fetch_add(1, Ordering::Relaxed);
-        let waited = self.wait_for_token(started, in_transaction, wanted).await;
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
-        waited
+        let mut ask = WaitingAsk::new(&self.waiting);
+        self.wait_for_token(started, limit, wanted, &mut ask).await
     }
 
     async fn wait_for_token(
         &self,
         started: Instant,
-        in_transaction: bool,
+        limit: Duration,
         wanted: &Notify,
+        ask: &mut WaitingAsk<'_>,
     ) -> Result<(), Duration> {
-        let limit = if in_transaction {
-            TRANSACTION_WAIT
-        } else {
-            LOAN_WAIT
-        };
         loop {
             let arrival = self.arrived.notified();
             let now = self.clock.now();
@@ -100,6 +129,9 @@
             if left.is_zero() {
                 return Err(refilled_in);
             }
+            if limit > ROUND_TRIP && left < ROUND_TRIP {
+                ask.withdraw();
+            }
             wanted.notify_one();
             let wait = refilled_in.min(left).min(ASK_AGAIN);
             tokio::time::timeout(wait, arrival).await.ok();
@@ -126,13 +158,26 @@
 
     /// Returns how many tokens to ask of other VMs now, if any.
     pub fn begin_ask(&self, now: Instant) -> Option<f64> {
+        self.begin_ask_for(demand::DemandMeter::missing, now)
+    }
+
+    /// Returns how many whole tokens to ask an owner for now, if any.
+    pub fn begin_owner_ask(&self, now: Instant) -> Option<f64> {
+        self.begin_ask_for(demand::DemandMeter::missing_whole, now)
+    }
+
+    fn begin_ask_for(
+        &self,
+        missing: fn(&mut demand::DemandMeter, f64, usize, Instant) -> f64,
+        now: Instant,
+    ) -> Option<f64> {
         let mut state = self.lock();
         if now.saturating_duration_since(state.asked_at) < ASK_INTERVAL {
             return None;
         }
         let available = state.bucket.available(now);
         let waiting = self.waiting.load(Ordering::Relaxed);
-        let missing = state.demand.missing(available, waiting, now);
+        let missing = missing(&mut state.demand, available, waiting, now);
         if missing <= 0.0 {
             return None;
         }
@@ -210,6 +255,13 @@
             .collect()
     }
 
+    /// Tells whether tokens are lent by their owners only.
+    pub fn set_owners(&self, are_owners: bool) {
+        for share in self.read().values() {
+            share.lock().bucket.set_owner(are_owners);
+        }
+    }
+
     /// Notes that the process is running.
     pub fn observe(&self, now: Instant) {
         for share in self.read().values() {
--- a/crates/bluebellferry_shares/src/lending.rs
+++ b/crates/bluebellferry_shares/src/lending.rs
@@ -14,6 +14,9 @@
 /// The smallest part of a token that is asked of one VM; smaller loans are not
 /// given.
 const SMALLEST_ASK: f64 = 2.0 * bucket::SMALLEST_LOAN;
+/// How long an owner of tokens is not asked for more before it has answered: a round
+/// trip between regions, with a stop on the way.
+const OWNER_PATIENCE: Duration = Duration::from_millis(70);
 /// How long the number of a token request is kept.
 const ASK_KEPT: Duration = Duration::from_secs(1);
 
@@ -75,6 +78,32 @@
         asks
     }
 
+    /// Returns what to ask of the owners of tokens, one of them each time, where
+    /// callers need more than there are. Whole tokens are asked for, and no more
+    /// before the owner has had time to answer: what is asked for twice lapses.
+    pub fn begin_owner_asks(
+        &mut self,
+        ledger: &ledger::ShareLedger,
+        now: Instant,
+    ) -> Vec<TokenAsk> {
+        let age = |ask: &OpenAsk<A>| now.saturating_duration_since(ask.asked_at);
+        self.open_asks.retain(|_, ask| age(ask) < ASK_KEPT);
+        let mut asks = Vec::new();
+        for (workspace, share) in ledger.all() {
+            let is_open = |ask: &OpenAsk<A>| {
+                let is_unanswered = ask.answered_by.is_empty() && age(ask) < OWNER_PATIENCE;
+                is_unanswered && ask.workspace == workspace
+            };
+            if self.open_asks.values().any(is_open) {
+                continue;
+            }
+            if let Some(missing) = share.begin_owner_ask(now) {
+                asks.push(self.open_ask(workspace, missing, now));
+            }
+        }
+        asks
+    }
+
     fn open_ask(&mut self, workspace: name::WorkspaceName, amount: f64, now: Instant) -> TokenAsk {
         let number = self.next_number;
         self.next_number += 1;
