Give borrowed connections back, and read the store while the head cannot

Change: a connection that is not a VM's own is closed after 150 ms unused; VMs read for themselves unless their head says that it has the store.

--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -229,6 +229,7 @@
                 dependency.record_success();
                 pause.reset();
                 let mut control = control.borrow_mut();
+                control.has_store = true;
                 control.apply_table(&table);
                 control.lease.record_store(asked, table.revision);
                 control.publish();
@@ -237,6 +238,7 @@
                 }
             }
             Err(error) => {
+                control.borrow_mut().has_store = false;
                 dependency.record_failure(&error);
                 pause.wait().await;
             }
--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bluebellferry_catalog::configuration;
 use bluebellferry_membership::beat;
 use bluebellferry_membership::circle;
 use bluebellferry_types::name;
@@ -218,7 +219,8 @@
         .map(|vm| silence(vm == own, control.silence_of(vm, now)))
         .collect();
     let mut all = Vec::new();
-    for (workspace, policy) in workspaces {
+    let sorted: BTreeMap<_, _> = workspaces.iter().collect();
+    for (workspace, policy) in sorted {
         let centre_part = control.centre_rate_part(workspace);
         // An equal part of all, as a part of what the data centre has.
         let equal = 1.0 / control.members.len().max(1) as f64;
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -674,10 +674,19 @@
             || (!reads_itself && (other.databases > own.databases || other.members > own.members))
     }
 
-    /// Returns whether this VM reads the lists in the store, and others of its data
-    /// centre take them from it.
+    /// Returns whether this VM reads the lists in the store: for its data centre, or
+    /// since the head cannot.
     pub fn reads_for_centre(&self, now: Instant) -> bool {
-        self.table.holder == self.own_name() || self.circle.is_first_of_centre(now)
+        self.table.holder == self.own_name()
+            || self.circle.is_first_of_centre(now)
+            || !self.has_reading_head(now)
+    }
+
+    /// Returns whether the head of this data centre is heard and has the store.
+    fn has_reading_head(&self, now: Instant) -> bool {
+        let head = self.circle.own_head(now);
+        let record = head.and_then(|head| self.peers.get(head));
+        record.is_some_and(|record| record.is_live(now) && record.beat.has_store)
     }
 
     /// Returns whether VMs of this data centre rely on this one to confirm the table.
@@ -685,13 +694,13 @@
         !self.circle.is_full_exchange() && self.circle.is_head(now)
     }
 
-    /// Returns whether the head of this data centre, which is heard, reads from the
-    /// store for this VM.
+    /// Returns whether the head of this data centre reads from the store for this VM,
+    /// which has had everything once.
     pub fn is_read_for(&self, now: Instant) -> bool {
-        self.relies_on_head(now)
+        !self.circle.is_full_exchange()
+            && !self.reads_for_centre(now)
             && self.versions.configuration > 0
             && self.versions.databases > 0
-            && self.table.holder != self.own_name()
     }
 
     /// Returns whether another VM, which is heard, confirms leaders for this one.
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -42,6 +42,12 @@
 /// connections of a VM that lost power for seconds, in which the VM is back already,
 /// and whoever replaces a leader needs one too.
 const RESERVED_SHARE: u32 = 3;
+/// How many connections to a database a VM may hold at least. Where there are more VMs
+/// than connections, most own none and borrow one while they use it.
+const LEAST_ALLOWANCE: usize = 1;
+/// How long a borrowed connection is kept unused: the next statement of the same caller
+/// comes within that time.
+const KEEP_BORROWED: Duration = Duration::from_millis(150);
 /// How long an unused connection is kept; shorter than the platform's own limit.
 const KEEP_UNUSED: Duration = Duration::from_secs(45);
 /// How long a statement that only other VMs can serve waits here for that to
@@ -153,7 +159,8 @@
             let own = snapshot
                 .part
                 .count_of(limit.saturating_sub(limit / RESERVED_SHARE));
-            drop(state.budget.set_allowance(index, own.max(1)));
+            let borrowed = LEAST_ALLOWANCE.saturating_sub(own);
+            drop(state.budget.set_allowance(index, own, borrowed));
         }
         for (index, record) in state.records.iter().enumerate() {
             if !record.is_listed || record.entry.leaving {
@@ -433,6 +440,20 @@
         let (database, workspace) = (held.database, held.workspace.clone());
         let action = state.budget.release(database, workspace, held, now);
         self.act(state, action, now);
+        if state.budget.has_borrowed_idle(database) {
+            self.give_back_later(database);
+        }
+    }
+
+    /// Closes connections that other VMs may need, once they have been unused for a while.
+    fn give_back_later(self: &Rc<Self>, database: budget::DatabaseIndex) {
+        let dispatcher = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(KEEP_BORROWED).await;
+            let mut state = dispatcher.state.borrow_mut();
+            let now = clock::now();
+            drop(state.budget.drain_borrowed(database, KEEP_BORROWED, now));
+        });
     }
 
     /// Closes a connection that must not be used again.
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -0,0 +1,323 @@
+//! Decisions of VMs whose data centres have heads, without a socket.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_edge::control::owners;
+use bluebellferry_edge::control::parts;
+use bluebellferry_edge::control::state;
+use bluebellferry_edge::settings;
+use bluebellferry_edge::shared;
+use bluebellferry_membership::beat;
+use bluebellferry_membership::circle;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+
+const CENTRES: usize = 3;
+const VMS: usize = 24;
+
+fn centre(index: usize) -> name::DataCentreName {
+    name::DataCentreName::try_from(format!("dc-{}", index % CENTRES).as_str())
+        .expect("a valid name")
+}
+
+fn workspace(text: &str) -> name::WorkspaceName {
+    name::WorkspaceName::try_from(text).expect("a valid name")
+}
+
+fn vm(index: usize) -> String {
+    format!("vm-{index}")
+}
+
+fn members() -> BTreeMap<String, state::MemberRecord> {
+    let record = |index: usize| state::MemberRecord {
+        address: IpAddr::V4(Ipv4Addr::new(127, 0, 0, index as u8 + 1)),
+        data_centre: centre(index),
+    };
+    (0..VMS).map(|index| (vm(index), record(index))).collect()
+}
+
+fn control(index: usize, now: Instant) -> state::ControlState {
+    let any = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = settings::EdgeSettings {
+        vm: vm(index),
+        address: any.ip(),
+        data_centre: centre(index),
+        region: "here".to_owned(),
+        regions: BTreeMap::new(),
+        caller_address: any,
+        readiness_address: any,
+        copies_address: any,
+        peer_port: 2,
+        metrics_port: 3,
+        max_callers: 10,
+        store_address: any,
+        duty_address: any,
+        grace: Duration::from_secs(3),
+    };
+    let (shared, _) = shared::EdgeShared::new(settings, 1);
+    let mut control = state::ControlState::new(shared);
+    control.apply_members(members(), 5, now);
+    control.join("test");
+    control
+}
+
+/// Returns the VMs of the first data centre, its head first.
+fn ranked() -> Vec<usize> {
+    let mut of_centre: Vec<usize> = (0..VMS).filter(|index| index % CENTRES == 0).collect();
+    of_centre.sort_by_key(|index| circle::rank(&vm(*index)).0);
+    of_centre
+}
+
+fn hear(control: &mut state::ControlState, beat: beat::FleetBeat, number: u64, now: Instant) {
+    let asks = beat.asks_answer;
+    control
+        .circle
+        .record_heard(&beat.vm, asks, beat.is_leaving, now);
+    control.record_peer((1, number), beat, now);
+}
+
+fn head_beat(index: usize) -> beat::FleetBeat {
+    beat::FleetBeat {
+        vm: vm(index),
+        is_head: true,
+        has_store: true,
+        ..beat::FleetBeat::default()
+    }
+}
+
+#[test]
+fn a_vm_reads_the_store_itself_while_its_head_cannot() {
+    let now = clock::now();
+    let ranked = ranked();
+    let (head, own) = (ranked[0], ranked[3]);
+    let mut control = control(own, now);
+    control.versions = beat::CopyVersions {
+        configuration: 4,
+        databases: 4,
+        members: 5,
+    };
+    // Until a head is heard, everybody reads.
+    assert!(!control.is_read_for(now));
+    hear(&mut control, head_beat(head), 1, now);
+    assert!(control.is_read_for(now));
+    // The store turns the head away.
+    let without = beat::FleetBeat {
+        has_store: false,
+        ..head_beat(head)
+    };
+    hear(&mut control, without, 2, now);
+    assert!(!control.is_read_for(now));
+    // The head falls silent.
+    hear(&mut control, head_beat(head), 3, now);
+    assert!(control.is_read_for(now));
+    assert!(!control.is_read_for(now + circle::SILENT_AFTER));
+}
+
+#[test]
+fn a_new_head_acts_only_when_no_list_without_it_is_in_use() {
+    let now = clock::now();
+    let mut control = control(ranked()[0], now);
+    assert!(!control.is_known_everywhere(now));
+    control.acts_from = Some(now + Duration::from_secs(15));
+    assert!(!control.is_known_everywhere(now));
+    assert!(control.is_known_everywhere(now + Duration::from_secs(15)));
+}
+
+#[test]
+fn a_confirmation_is_passed_on_for_heartbeats_that_came_before_it() {
+    let now = clock::now();
+    let mut control = control(ranked()[0], now);
+    let own = ranked()[1];
+    let step = Duration::from_millis(200);
+    for number in 1..=10 {
+        let beat = beat::FleetBeat {
+            vm: vm(own),
+            ..beat::FleetBeat::default()
+        };
+        hear(&mut control, beat, number, now + step * number as u32);
+    }
+    let record = &control.peers[&vm(own)];
+    assert_eq!(record.latest_before(now + step * 7), Some(7));
+    assert_eq!(
+        record.latest_before(now + step * 7 - Duration::from_millis(1)),
+        Some(6)
+    );
+    // Arrivals that are forgotten confirm nothing.
+    assert_eq!(record.latest_before(now + step), None);
+}
+
+fn candidate(name: &str, silence: Option<Duration>, before: f64) -> owners::OwnerCandidate<'_> {
+    owners::OwnerCandidate {
+        name,
+        silence,
+        before,
+        equal: 0.02,
+    }
+}
+
+#[test]
+fn a_rate_is_never_dealt_out_twice() {
+    let just = Some(Duration::from_secs(2));
+    let long = Some(Duration::from_secs(9));
+    for silence in [None, just, long] {
+        for before in [0.0, 0.01, 0.5, 1.0] {
+            let candidates = [
+                candidate("a", silence, before),
+                candidate("b", None, 1.0 - before),
+                candidate("c", None, 0.0),
+            ];
+            let parts = owners::deal(&workspace("w"), 1, &candidates);
+            let sum: f32 = parts.iter().sum();
+            assert!(
+                (0.999..=1.001).contains(&sum),
+                "{silence:?} {before} {parts:?}"
+            );
+            // Until it has fallen back by itself, a silent one may use all it had.
+            let kept = candidates[0].kept();
+            assert!(silence.is_none() || f64::from(parts[0]) >= kept - 1e-6);
+            if silence == just {
+                assert!((kept - before).abs() < 1e-9);
+            }
+            if silence == long {
+                assert!(kept <= 0.02);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_owner_stays_while_others_come_and_go() {
+    let owner_of = |names: &[&str]| {
+        let candidates: Vec<_> = names
+            .iter()
+            .map(|name| candidate(name, None, 0.0))
+            .collect();
+        let parts = owners::deal(&workspace("w"), 1, &candidates);
+        let index = parts.iter().position(|part| *part > 0.5).expect("an owner");
+        names[index].to_owned()
+    };
+    let owner = owner_of(&["a", "b", "c", "d", "e"]);
+    let without: Vec<&str> = ["a", "b", "c", "d", "e"]
+        .into_iter()
+        .filter(|name| *name == owner || *name > "b")
+        .collect();
+    assert_eq!(owner_of(&without), owner);
+}
+
+#[test]
+fn parts_of_other_members_than_the_present_ones_are_not_used() {
+    let table = beat::WeightTable {
+        number: 3,
+        weights: ["a", "b"]
+            .map(|vm| beat::VmWeight {
+                vm: vm.to_owned(),
+                part: 0.5,
+            })
+            .to_vec(),
+        workspaces: vec![beat::WorkspaceParts {
+            workspace: workspace("w"),
+            parts: vec![0.9, 0.1],
+        }],
+    };
+    let known = parts::KnownParts::new(&table, &["a", "b"]);
+    assert!((known.rate_part(0, &workspace("w")) - 0.9).abs() < 1e-6);
+    assert!((known.rate_part(0, &workspace("other")) - 0.5).abs() < 1e-6);
+    let known = parts::KnownParts::new(&table, &["a", "b", "c"]);
+    assert!(!known.is_known());
+    assert!((known.rate_part(0, &workspace("w")) - 1.0 / 3.0).abs() < 1e-6);
+}
+
+fn load(per_second: f32) -> parts::OwnLoad {
+    let demands = ["small", "large"].map(|name| beat::WorkspaceDemand {
+        workspace: workspace(name),
+        per_second,
+    });
+    parts::OwnLoad {
+        operations_per_second: 2.0 * f64::from(per_second),
+        demands: demands.to_vec(),
+    }
+}
+
+fn configuration() -> configuration::Configuration {
+    let policy = |rate: f64| configuration::WorkspacePolicy {
+        rate_per_second: rate,
+        burst: rate,
+    };
+    configuration::Configuration {
+        version: 1,
+        workspaces: [
+            (workspace("small"), policy(8.0)),
+            (workspace("large"), policy(300.0)),
+        ]
+        .into(),
+        ..configuration::Configuration::default()
+    }
+}
+
+/// Returns the head of each data centre, the one that deals out for all first.
+fn heads() -> Vec<usize> {
+    let of_centre = |number: usize| (0..VMS).filter(move |index| index % CENTRES == number);
+    let first = |number| of_centre(number).min_by_key(|index| circle::rank(&vm(*index)).0);
+    let mut heads: Vec<usize> = (0..CENTRES).filter_map(first).collect();
+    heads.sort_by_key(|index| circle::rank(&vm(*index)).0);
+    heads
+}
+
+#[test]
+fn a_small_workspace_is_owned_by_one_data_centre_and_a_large_one_by_all() {
+    let start = clock::now();
+    let heads = heads();
+    let mut control = control(heads[0], start);
+    control.apply_configuration(configuration(), String::new(), "test");
+    let demand = |per_second: f32| beat::CentreDemand {
+        operations_per_second: f64::from(per_second),
+        workspaces: load(per_second).demands,
+    };
+    // Each data centre asks for twice as much as the one before.
+    for (number, head) in heads.iter().enumerate().skip(1) {
+        let beat = beat::FleetBeat {
+            centre_demand: Some(demand(10.0 * 2_f32.powi(number as i32))),
+            ..head_beat(*head)
+        };
+        hear(&mut control, beat, 1, start);
+    }
+    control.note_circle(start);
+    parts::set(&mut control, &load(10.0), start);
+    let part_of = |control: &state::ControlState, name: &str, head: usize| {
+        let parts = control.centre_parts(Some(&workspace(name)));
+        let own = parts
+            .iter()
+            .find(|(name, _)| *name == centre(head).as_str());
+        own.map_or(0.0, |(_, part)| *part)
+    };
+    let small: Vec<f64> = heads
+        .iter()
+        .map(|head| part_of(&control, "small", *head))
+        .collect();
+    let large: Vec<f64> = heads
+        .iter()
+        .map(|head| part_of(&control, "large", *head))
+        .collect();
+    assert_eq!(
+        small.iter().filter(|part| **part > 0.99).count(),
+        1,
+        "{small:?}"
+    );
+    assert!(large[0] < large[1] && large[1] < large[2], "{large:?}");
+    // The others are lost: what they may still use is not dealt out.
+    let moment = start + Duration::from_secs(2);
+    parts::set(&mut control, &load(10.0), moment);
+    let owner = small.iter().position(|part| *part > 0.99);
+    let owner = heads[owner.expect("an owner")];
+    assert!(part_of(&control, "small", owner) > 0.99);
+    let later = start + Duration::from_secs(9);
+    parts::set(&mut control, &load(10.0), later);
+    let own = part_of(&control, "small", heads[0]);
+    assert!(own > 0.6, "{own}");
+}
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -73,6 +73,9 @@
 
 #[derive(Debug)]
 struct DatabaseBudget<C> {
+    /// How many connections are this VM's own.
+    own: usize,
+    /// How many it may hold, those included that it gives back when they are unused.
     allowance: usize,
     in_use: usize,
     opening: Vec<name::WorkspaceName>,
@@ -83,6 +86,7 @@
 impl<C> Default for DatabaseBudget<C> {
     fn default() -> Self {
         Self {
+            own: 0,
             allowance: 0,
             in_use: 0,
             opening: Vec::new(),
@@ -129,11 +133,17 @@
 }
 
 impl<C> ConnectionBudget<C> {
-    /// Sets how many connections this VM may hold at a database. Returns the
-    /// idle ones that are too many.
-    pub fn set_allowance(&mut self, database: DatabaseIndex, allowance: usize) -> Vec<C> {
+    /// Sets how many connections to a database are this VM's own, and how many more it
+    /// may hold for a moment. Returns the idle ones that are too many.
+    pub fn set_allowance(
+        &mut self,
+        database: DatabaseIndex,
+        own: usize,
+        borrowed: usize,
+    ) -> Vec<C> {
         let budget = self.databases.entry(database).or_default();
-        budget.allowance = allowance;
+        let allowance = own + borrowed;
+        (budget.own, budget.allowance) = (own, allowance);
         let mut surplus = Vec::new();
         while budget.held() > allowance {
             let Some(connection) = remove_oldest(&mut budget.idle, |_| true) else {
@@ -336,6 +346,34 @@
             .collect()
     }
 
+    /// Returns whether this VM holds an idle connection to a database that is not its own.
+    pub fn has_borrowed_idle(&self, database: DatabaseIndex) -> bool {
+        let budget = self.databases.get(&database);
+        budget.is_some_and(|budget| budget.held() > budget.own && !budget.idle.is_empty())
+    }
+
+    /// Takes the idle connections to a database that are not this VM's own and have not
+    /// been used for `limit`, so that other VMs find room.
+    pub fn drain_borrowed(
+        &mut self,
+        database: DatabaseIndex,
+        limit: Duration,
+        now: Instant,
+    ) -> Vec<C> {
+        let mut surplus = Vec::new();
+        let Some(budget) = self.databases.get_mut(&database) else {
+            return surplus;
+        };
+        let expired = |idle: &IdleConnection<C>| now.saturating_duration_since(idle.since) >= limit;
+        while budget.held() > budget.own {
+            let Some(connection) = remove_oldest(&mut budget.idle, expired) else {
+                break;
+            };
+            surplus.push(connection);
+        }
+        surplus
+    }
+
     /// Takes the idle connections that have not been used for `limit`.
     pub fn drain_unused(&mut self, limit: Duration, now: Instant) -> Vec<C> {
         let mut unused = Vec::new();
--- a/crates/bluebellferry_pool/src/lib.rs
+++ b/crates/bluebellferry_pool/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! let now = Instant::now();
 //! let mut budget: ConnectionBudget<&str> = ConnectionBudget::default();
-//! budget.set_allowance(0, 1);
+//! budget.set_allowance(0, 1, 0);
 //! let workspace = WorkspaceName::try_from("families")?;
 //! assert!(budget.take_kept(&workspace, 0).is_none());
 //! let opening = budget.begin_open(&workspace, 0, now);
--- a/crates/bluebellferry_pool/tests/contention.rs
+++ b/crates/bluebellferry_pool/tests/contention.rs
@@ -48,7 +48,7 @@
 fn a_vm_never_holds_more_than_its_allowance() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 2);
+    budget.set_allowance(0, 2, 0);
     hold(&mut budget, "a", "c1", now);
     hold(&mut budget, "b", "c2", now);
     assert!(budget.begin_open(&workspace("c"), 0, now).is_none());
@@ -59,7 +59,7 @@
 fn the_longest_idle_connection_of_another_workspace_gives_way() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 2);
+    budget.set_allowance(0, 2, 0);
     hold(&mut budget, "a", "old", now);
     hold(&mut budget, "b", "new", now);
     budget.release(0, workspace("a"), "old", now);
@@ -75,7 +75,7 @@
 fn a_connection_stays_with_its_workspace_unless_another_is_due_much_earlier() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 1);
+    budget.set_allowance(0, 1, 0);
     hold(&mut budget, "a", "c1", now);
     let same = budget.wait(request("a", now + Duration::from_millis(100)), vec![0]);
     let other = budget.wait(request("b", now), vec![0]);
@@ -98,7 +98,7 @@
 fn a_statement_that_is_due_much_earlier_takes_the_place() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 1);
+    budget.set_allowance(0, 1, 0);
     hold(&mut budget, "a", "c1", now);
     let late = now + budget::SWITCH_ADVANTAGE + Duration::from_millis(1);
     budget.wait(request("a", late), vec![0]);
@@ -114,7 +114,7 @@
 fn the_statement_that_is_due_first_is_served_first() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 1);
+    budget.set_allowance(0, 1, 0);
     hold(&mut budget, "a", "c1", now);
     budget.wait(request("a", now + Duration::from_millis(200)), vec![0]);
     let first = budget.wait(request("a", now + Duration::from_millis(100)), vec![0]);
@@ -126,7 +126,7 @@
 fn handshakes_do_not_crowd_out_statements() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 8);
+    budget.set_allowance(0, 8, 0);
     let openings = (0..8).filter(|_| budget.begin_open(&workspace("a"), 0, now).is_some());
     assert_eq!(openings.count(), budget::MAX_OPENING);
 }
@@ -135,7 +135,7 @@
 fn a_database_at_its_limit_is_left_alone_for_a_while() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 4);
+    budget.set_allowance(0, 4, 0);
     let name = workspace("a");
     assert!(budget.begin_open(&name, 0, now).is_some());
     let waiter = budget
@@ -155,7 +155,7 @@
 fn the_queue_is_bounded() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 1);
+    budget.set_allowance(0, 1, 0);
     for _ in 0..budget::MAX_WAITING {
         assert!(budget.wait(request("a", now), vec![0]).is_some());
     }
@@ -166,11 +166,11 @@
 fn a_smaller_allowance_closes_idle_connections_only() {
     let now = Instant::now();
     let mut budget = Budget::default();
-    budget.set_allowance(0, 3);
+    budget.set_allowance(0, 3, 0);
     hold(&mut budget, "a", "c1", now);
     hold(&mut budget, "a", "c2", now);
     budget.release(0, workspace("a"), "c1", now);
-    assert_eq!(budget.set_allowance(0, 1), ["c1"]);
+    assert_eq!(budget.set_allowance(0, 1, 0), ["c1"]);
     assert_eq!(budget.in_use(0), 1);
 }
 
@@ -200,3 +200,21 @@
     }
     assert!(latency.patience(least, most) > Duration::from_millis(800));
 }
+
+#[test]
+fn a_borrowed_connection_is_given_back_when_it_is_unused() {
+    let start = Instant::now();
+    let keep = Duration::from_millis(150);
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 1, 1);
+    hold(&mut budget, "a", "c1", start);
+    hold(&mut budget, "b", "c2", start);
+    budget.release(0, workspace("a"), "c1", start);
+    assert!(budget.has_borrowed_idle(0));
+    assert!(budget.drain_borrowed(0, keep, start).is_empty());
+    assert_eq!(budget.drain_borrowed(0, keep, start + keep), ["c1"]);
+    // The one that is left is the VM's own.
+    budget.release(0, workspace("b"), "c2", start + keep);
+    assert!(!budget.has_borrowed_idle(0));
+    assert!(budget.drain_borrowed(0, keep, start + 3 * keep).is_empty());
+}
