Have a leader that came back under another identity step down

Change: successor::hold_order has whoever leads in no later term than the replaced one step down.

Ruled out: the store's outages (the table was entered at 24.9 s), a late registration. Test: a_leader_that_comes_back_under_another_identity_is_told_to_step_down; failed first, since the order did not exist.

--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bluebellferry_catalog::configuration;
 use bluebellferry_membership::beat;
 use bluebellferry_membership::circle;
 use bluebellferry_types::name;
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -60,10 +60,15 @@
             continue;
         }
         let term = replacement.term;
-        let order = match (is_leader, replacement.cause) {
-            (true, _) => database::DatabaseOrder::StepDown { term },
-            (false, cause::ReplacementCause::Leaving) => database::DatabaseOrder::Status,
-            (false, _) => database::DatabaseOrder::Pause { term },
+        let known = evidence_of(replacement, &entry);
+        let order = match successor::hold_order(&known, replacement.leader_term) {
+            successor::HoldOrder::StepDown => database::DatabaseOrder::StepDown { term },
+            successor::HoldOrder::Pause
+                if replacement.cause == cause::ReplacementCause::Leaving =>
+            {
+                database::DatabaseOrder::Status
+            }
+            successor::HoldOrder::Pause => database::DatabaseOrder::Pause { term },
         };
         let workspace = workspace.clone();
         tasks.spawn_local(async move {
@@ -189,13 +194,20 @@
     control: &control::ControlCell,
     replacement: &LeaderReplacement,
 ) -> Vec<successor::MemberEvidence> {
-    let member = |entry: &catalog::DatabaseEntry| successor::MemberEvidence {
+    let entries = control.borrow().databases_of(&replacement.service);
+    let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
+    evidence.collect()
+}
+
+fn evidence_of(
+    replacement: &LeaderReplacement,
+    entry: &catalog::DatabaseEntry,
+) -> successor::MemberEvidence {
+    successor::MemberEvidence {
         id: entry.id.clone(),
         is_leader: entry.id == replacement.leader,
         is_leaving: entry.leaving,
         held_at: replacement.held.get(&entry.id).copied(),
         leads: replacement.leading.get(&entry.id).copied(),
-    };
-    let entries = control.borrow().databases_of(&replacement.service);
-    entries.iter().map(member).collect()
+    }
 }
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -45,6 +45,27 @@
     Wait,
 }
 
+/// How a database is to be stopped before a successor is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HoldOrder {
+    /// It is to lead no more.
+    StepDown,
+    /// It is to receive nothing more.
+    Pause,
+}
+
+/// Returns how a database is to be stopped. The old leader may have come back under
+/// another identity: it then says that it leads, in no later term than the one that is
+/// replaced, and a pause would not stop it.
+pub fn hold_order(member: &MemberEvidence, leader_term: u64) -> HoldOrder {
+    let leads_in_vain = member.leads.is_some_and(|(term, _)| term <= leader_term);
+    if member.is_leader || leads_in_vain {
+        HoldOrder::StepDown
+    } else {
+        HoldOrder::Pause
+    }
+}
+
 /// Chooses the successor of a leader that leads in `leader_term`. A database
 /// that leads in an earlier term was itself replaced and is never chosen for it.
 pub fn choose_successor(members: &[MemberEvidence], leader_term: u64) -> SuccessorChoice {
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -361,6 +361,35 @@
     assert_eq!(promoted(&members).as_deref(), Some("x"));
 }
 
+#[test]
+fn a_leader_that_comes_back_under_another_identity_is_told_to_step_down() {
+    let mut reborn = member("x2", None);
+    reborn.leads = Some((1, position::LogPosition::new(1, 41)));
+    let members = [
+        member("x", None),
+        member("r1", Some(41)),
+        member("r2", Some(41)),
+        reborn.clone(),
+    ];
+    assert_eq!(promoted(&members), None);
+    let orders = members.each_ref().map(|one| successor::hold_order(one, 1));
+    let (step_down, pause) = (successor::HoldOrder::StepDown, successor::HoldOrder::Pause);
+    assert_eq!(orders, [step_down, pause, pause, step_down]);
+    // Once it has stopped, nothing can be missing.
+    reborn.held_at = Some(position::LogPosition::new(1, 41));
+    let members = [
+        members[0].clone(),
+        members[1].clone(),
+        members[2].clone(),
+        reborn,
+    ];
+    assert!(promoted(&members).is_some());
+    // One that was named since, in a later term, is left alone.
+    let mut named = member("r3", None);
+    named.leads = Some((2, position::LogPosition::new(1, 41)));
+    assert_eq!(successor::hold_order(&named, 1), pause);
+}
+
 #[test]
 fn a_leaving_replica_counts_and_is_chosen_last() {
     let mut leaving = member("r2", Some(41));
