Let heads tell what their data centre has seen of the table of leaders

Cause: on grown sites the holder of the duty hears few VMs itself, so each replacement waited the full term of the leases (1.65 s from claim to promotion). Change: a head tells the lowest revision that all VMs of its data centre have, with a digest of their names; the holder takes it for them.

--- a/crates/bluebellferry_edge/src/control/beats.rs
+++ b/crates/bluebellferry_edge/src/control/beats.rs
@@ -25,7 +25,7 @@
 const NEAR_INTERVAL: Duration = Duration::from_millis(200);
 /// The shortest time between two heartbeats, when there is news.
 const LEAST_INTERVAL: Duration = Duration::from_millis(20);
-/// Where there is a head, demand is told at this interval.
+/// How often demand is told: as often as parts are dealt out.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(2);
 /// Positions older than this are of no use to other VMs.
 const POSITION_KEPT: Duration = Duration::from_millis(2_500);
@@ -139,7 +139,7 @@
     }
     // Other data centres must hear it too.
     let since_demand = now.saturating_duration_since(times.demand);
-    let is_demand_due = is_full || (is_far_due && since_demand >= DEMAND_INTERVAL);
+    let is_demand_due = is_far_due && since_demand >= DEMAND_INTERVAL;
     if is_demand_due {
         times.demand = now;
     }
@@ -174,6 +174,7 @@
         versions: control.versions,
         table_revision: control.table.revision,
         is_claiming: control.claims > 0,
+        centre_seen: control.own_centre_seen(now),
         operations_per_second: load.operations_per_second,
         demands: is_demand_due.then(|| load.demands.clone()),
         centre_demand: (is_demand_due && is_head && !is_full)
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -174,18 +174,7 @@
     const STEP: Duration = Duration::from_millis(20);
     let until = lease::lapsed_from(claimed, decided);
     while clock::now() < until {
-        let has_seen_all = {
-            let control = control.borrow();
-            let own = control.own_name();
-            let revision = control.table.revision;
-            let has_seen = |name: &String| {
-                name == own
-                    || control.peers.get(name).is_some_and(|record| {
-                        record.beat.table_revision >= revision && !record.beat.is_claiming
-                    })
-            };
-            control.members.keys().all(has_seen)
-        };
+        let has_seen_all = control.borrow().have_all_seen_table(clock::now());
         if has_seen_all {
             return;
         }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -22,6 +22,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3;
 
 use crate::control::parts;
 use crate::control::suspicion;
@@ -132,6 +133,8 @@
     pub list_members: Arc<Notify>,
     /// When leaders were asked and found leading, at the latest.
     probed: BTreeMap<name::ServiceName, (name::DatabaseName, Instant)>,
+    /// What this VM last told of what its data centre has seen.
+    told_seen: Option<beat::CentreSeen>,
     /// Whether copies of another VM are on their way.
     pub is_fetching: bool,
     /// When this VM sent the latest heartbeat that another one answered.
@@ -173,6 +176,7 @@
             list_members: Arc::new(Notify::new()),
             news: Arc::new(Notify::new()),
             probed: BTreeMap::new(),
+            told_seen: None,
             is_fetching: false,
             echoed: None,
             far_echoed: None,
@@ -663,6 +667,19 @@
             beat,
         };
         self.peers.insert(record.beat.vm.clone(), record);
+        // Whoever replaces a leader waits for this.
+        let seen = self.own_centre_seen(now);
+        if seen != self.told_seen {
+            self.told_seen = seen;
+            self.news.notify_one();
+        }
+    }
+
+    /// Returns what the VMs of this data centre have seen, if this VM is their head.
+    pub fn own_centre_seen(&self, now: Instant) -> Option<beat::CentreSeen> {
+        let is_telling = !self.circle.is_full_exchange() && self.circle.is_head(now);
+        let centre = &self.shared.settings.data_centre;
+        is_telling.then(|| self.centre_seen(centre, now))
     }
 
     /// Returns whether another VM has newer copies from the store that this VM is
@@ -757,6 +774,56 @@
         rivals.all(|(name, _)| circle::rank(name) > own)
     }
 
+    /// Returns what the VMs of a data centre have seen of the table, as this VM hears
+    /// them all itself.
+    pub fn centre_seen(&self, centre: &name::DataCentreName, now: Instant) -> beat::CentreSeen {
+        let of_centre = |record: &MemberRecord| record.data_centre == *centre;
+        let members = self.members.iter().filter(|(_, record)| of_centre(record));
+        let names: Vec<&str> = members.map(|(name, _)| name.as_str()).collect();
+        let seen = |name: &&str| {
+            if *name == self.own_name() {
+                return if self.claims > 0 {
+                    0
+                } else {
+                    self.table.revision
+                };
+            }
+            let record = self.peers.get(*name).filter(|record| record.is_live(now));
+            let record = record.filter(|record| !record.beat.is_claiming);
+            record.map_or(0, |record| record.beat.table_revision)
+        };
+        beat::CentreSeen {
+            members: xxh3::xxh3_64(names.join("\0").as_bytes()),
+            revision: names.iter().map(seen).min().unwrap_or(0),
+        }
+    }
+
+    /// Returns whether every VM has seen the table as this one has it, by its own word
+    /// or by that of its head, which must list the same VMs.
+    pub fn have_all_seen_table(&self, now: Instant) -> bool {
+        let revision = self.table.revision;
+        let has_seen = |name: &String| {
+            let record = self.peers.get(name).filter(|record| record.is_live(now));
+            name == self.own_name()
+                || record.is_some_and(|record| {
+                    record.beat.table_revision >= revision && !record.beat.is_claiming
+                })
+        };
+        let by_centre = |member: &MemberRecord| {
+            let names = self.centre_seen(&member.data_centre, now).members;
+            let heads = self.live_peers(now);
+            let told = heads.filter_map(|(name, record)| {
+                let head = self.members.get(name)?;
+                (head.data_centre == member.data_centre).then_some(record.beat.centre_seen?)
+            });
+            let mut told = told;
+            told.any(|seen| seen.members == names && seen.revision >= revision)
+        };
+        self.members
+            .iter()
+            .all(|(name, member)| has_seen(name) || by_centre(member))
+    }
+
     /// Returns a workspace under whose name databases are asked; they want one.
     pub fn any_workspace(&self) -> Option<name::WorkspaceName> {
         self.configuration.decoded.workspaces.keys().min().cloned()
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -110,6 +110,16 @@
     pub workspaces: Vec<WorkspaceDemand>,
 }
 
+/// What all VMs of the sender's data centre have seen of the table of leaders.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CentreSeen {
+    /// A digest of their names, as the sender lists them.
+    pub members: u64,
+    /// The lowest revision that one of them has; 0 if one is silent, or is trying to
+    /// enter a replacement.
+    pub revision: u64,
+}
+
 /// What a VM tells another.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetBeat {
@@ -133,6 +143,8 @@
     pub table: Option<leadership::LeadershipTable>,
     /// Whether the sender is trying to enter a replacement into the table.
     pub is_claiming: bool,
+    /// What the VMs of the sender's data centre have seen, if the sender is their head.
+    pub centre_seen: Option<CentreSeen>,
     /// What the sender has received from the receiver, which it counts as a member.
     pub echo: Option<BeatEcho>,
     /// Leaders that the sender has asked a moment ago.
