Let only the majority deal out what silent VMs owned

Cause: two halves of a fleet, or of its data centres, that hear each other inside would both have dealt out the whole rate: a VM fell back to an equal part only when nobody answered it.

Change: a VM whose head does not hear most of the data centre, or a data centre whose head does not hear most others, uses at most an equal part and takes nothing over; parts are passed on by whoever a VM hears; parts of members that are gone are nobody's. Two owners from 8 operations a second on, three from 16, so that a lost one costs a part.

--- a/crates/bluebellferry_edge/src/control/beats.rs
+++ b/crates/bluebellferry_edge/src/control/beats.rs
@@ -25,7 +25,7 @@
 const NEAR_INTERVAL: Duration = Duration::from_millis(200);
 /// The shortest time between two heartbeats, when there is news.
 const LEAST_INTERVAL: Duration = Duration::from_millis(20);
-/// How often demand is told: as often as parts are dealt out.
+/// How often demand is told where there is a head.
 const DEMAND_INTERVAL: Duration = Duration::from_secs(2);
 /// Positions older than this are of no use to other VMs.
 const POSITION_KEPT: Duration = Duration::from_millis(2_500);
@@ -87,10 +87,10 @@
                 operations_per_second: meter.measure(total, now),
                 demands: demands.measure(&control, now),
             };
-            let setting_interval = if control.circle.is_full_exchange() {
-                parts::SETTING_INTERVAL
-            } else {
+            let setting_interval = if control.has_owners() {
                 parts::OWNER_SETTING_INTERVAL
+            } else {
+                parts::SETTING_INTERVAL
             };
             if now.saturating_duration_since(times.weighed) >= setting_interval {
                 times.weighed = now;
@@ -139,7 +139,7 @@
     }
     // Other data centres must hear it too.
     let since_demand = now.saturating_duration_since(times.demand);
-    let is_demand_due = is_far_due && since_demand >= DEMAND_INTERVAL;
+    let is_demand_due = is_full || (is_far_due && since_demand >= DEMAND_INTERVAL);
     if is_demand_due {
         times.demand = now;
     }
@@ -170,6 +170,7 @@
         is_leaving: *control.shared.drain.borrow() != shared::DrainPhase::Serving,
         has_store: control.has_store,
         is_head,
+        is_answered_by_most: control.is_answered_by_most(now),
         is_isolated: control.is_isolated,
         versions: control.versions,
         table_revision: control.table.revision,
@@ -205,7 +206,8 @@
     let lacks_table = lacks(|beat| beat.table_revision, control.table.revision);
     let lacks_weights = lacks(|beat| beat.parts_number, control.weights.number)
         && control.is_in_group(&target.vm)
-        && parts::is_group_setter(control, now);
+        && (parts::is_group_setter(control, now)
+            || (control.has_owners() && control.are_weights_settled(now)));
     let lacks_centres = lacks(
         |beat| beat.centre_parts_number,
         control.centre_weights.number,
--- a/crates/bluebellferry_edge/src/control/owners.rs
+++ b/crates/bluebellferry_edge/src/control/owners.rs
@@ -17,9 +17,10 @@
 pub const FALLEN_BACK_AFTER: Duration = Duration::from_millis(3_000);
 /// The most VMs that own one workspace's rate.
 const MOST_OWNERS: usize = 3;
-/// What an owner should have at least, in operations a second: less is spent in bursts
-/// of single tokens, for which one owner is best.
-const RATE_OF_OWNER: f64 = 4.0;
+/// From how many operations a second on there is a second owner, and a third one from
+/// twice as many: with less, a part of the burst is less than a few whole tokens, with
+/// more, the loss of an owner costs the workspace only a part of its rate.
+const RATE_OF_SECOND_OWNER: f64 = 8.0;
 
 /// A workspace whose rate would give a data centre less than this, in operations a
 /// second, is owned by one data centre.
@@ -51,8 +52,8 @@
 
 /// Returns how many VMs own a rate.
 pub fn count(rate_per_second: f64) -> usize {
-    let count = (rate_per_second / RATE_OF_OWNER).floor().max(1.0) as usize;
-    count.min(MOST_OWNERS)
+    let more = (rate_per_second / RATE_OF_SECOND_OWNER).max(0.0) as usize;
+    (1 + more).min(MOST_OWNERS)
 }
 
 /// Deals a workspace's rate out to `count` owners that live. A silent one keeps what it
--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -39,6 +39,8 @@
 /// times workspaces. At four bytes each they fit into a datagram with the rest of a
 /// heartbeat.
 const MAX_PARTS: usize = 2_048;
+/// The same where heartbeats of all go to all, also to other regions.
+const MAX_EXCHANGED_PARTS: usize = 256;
 /// Over which time a workspace's demand is averaged, in seconds: ten heartbeats, or,
 /// where parts are dealt out twice, long enough for a few operations of a small
 /// workspace in each data centre.
@@ -61,7 +63,12 @@
     ) -> Vec<beat::WorkspaceDemand> {
         let shares = control.shared.shares.all();
         let others = control.group().count().max(control.centres().len());
-        if shares.len() * others > MAX_PARTS {
+        let most = if control.circle.is_full_exchange() {
+            MAX_EXCHANGED_PARTS
+        } else {
+            MAX_PARTS
+        };
+        if shares.len() * others > most {
             return Vec::new();
         }
         let names = shares.iter().map(|(name, _)| name);
@@ -71,10 +78,10 @@
             now.saturating_duration_since(measured).as_secs_f64()
         });
         self.measured = Some(now);
-        let time = if control.circle.is_full_exchange() {
-            DEMAND_TIME
-        } else {
+        let time = if control.has_owners() {
             CENTRE_DEMAND_TIME
+        } else {
+            DEMAND_TIME
         };
         let weight = 1.0 - (-elapsed / time).exp();
         for (workspace, share) in &shares {
@@ -100,43 +107,53 @@
     pub demands: Vec<beat::WorkspaceDemand>,
 }
 
-/// Parts that were dealt out, if they are those of the present members.
+/// Parts that were dealt out, as the present members have them. Those of members that
+/// are gone are nobody's, and a new one has none until the next table; so what is used
+/// never adds up to more than was dealt out.
 #[derive(Debug)]
 pub struct KnownParts<'a> {
     table: Option<&'a beat::WeightTable>,
-    count: usize,
+    /// The places of the present members in the table.
+    places: Vec<Option<usize>>,
 }
 
 impl<'a> KnownParts<'a> {
-    /// Creates a view of a table for members that are named in order.
+    /// Creates a view of a table for the members that are named.
     pub fn new<S: AsRef<str>>(table: &'a beat::WeightTable, names: &[S]) -> Self {
-        let dealt = table.weights.iter().map(|one| one.vm.as_str());
-        let is_known = dealt.eq(names.iter().map(AsRef::as_ref));
+        let place = |name: &S| {
+            let mut weights = table.weights.iter();
+            weights.position(|one| one.vm == name.as_ref())
+        };
         Self {
-            table: is_known.then_some(table),
-            count: names.len(),
+            table: (table.number > 0).then_some(table),
+            places: names.iter().map(place).collect(),
         }
     }
 
-    /// Returns whether the table is that of the present members.
+    /// Returns whether any parts were dealt out.
     pub const fn is_known(&self) -> bool {
         self.table.is_some()
     }
 
-    /// Returns a member's part, an equal one if none was dealt out.
+    /// Returns a member's part: an equal one before any was dealt out.
     pub fn part(&self, index: usize) -> f64 {
-        let equal = 1.0 / self.count.max(1) as f64;
-        let dealt = self.table.and_then(|table| table.weights.get(index));
-        dealt.map_or(equal, |weight| weight.part)
+        let Some(table) = self.table else {
+            return 1.0 / self.places.len().max(1) as f64;
+        };
+        let place = self.places.get(index).copied().flatten();
+        place.map_or(0.0, |place| table.weights[place].part)
     }
 
     /// Returns a member's part of a workspace's rate.
     pub fn rate_part(&self, index: usize, workspace: &name::WorkspaceName) -> f64 {
         let workspaces = self.table.map(|table| &table.workspaces);
-        let dealt = workspaces
-            .and_then(|all| all.iter().find(|one| one.workspace == *workspace))
-            .and_then(|one| one.parts.get(index));
-        dealt.map_or_else(|| self.part(index), |part| f64::from(*part))
+        let dealt = workspaces.and_then(|all| all.iter().find(|one| one.workspace == *workspace));
+        let Some(dealt) = dealt else {
+            return self.part(index);
+        };
+        let place = self.places.get(index).copied().flatten();
+        let part = place.and_then(|place| dealt.parts.get(place));
+        part.map_or(0.0, |part| f64::from(*part))
     }
 }
 
@@ -213,10 +230,11 @@
     }
     let known = KnownParts::new(&control.weights, names);
     let own = control.own_name();
-    let silences: Vec<_> = names
-        .iter()
-        .map(|vm| silence(vm == own, control.silence_of(vm, now)))
-        .collect();
+    let silence_of = |vm: &String| {
+        let silence = (vm != own).then(|| control.silence_of(vm, now));
+        counted_silence(silence, control.is_orphaned)
+    };
+    let silences: Vec<_> = names.iter().map(silence_of).collect();
     let mut all = Vec::new();
     let sorted: BTreeMap<_, _> = workspaces.iter().collect();
     for (workspace, policy) in sorted {
@@ -240,9 +258,16 @@
     all
 }
 
-/// Returns for how long one has been silent, if that is long enough to count.
-fn silence(is_own: bool, silence: Duration) -> Option<Duration> {
-    (!is_own && silence >= circle::SILENT_AFTER).then_some(silence)
+/// Returns for how long another one has been silent, if that is long enough to count.
+/// Who is itself among the few that hear each other must not count on others having
+/// fallen back.
+fn counted_silence(silence: Option<Duration>, is_among_few: bool) -> Option<Duration> {
+    let silence = silence.filter(|silence| *silence >= circle::SILENT_AFTER)?;
+    Some(if is_among_few {
+        circle::SILENT_AFTER
+    } else {
+        silence
+    })
 }
 
 fn set_group(control: &mut state::ControlState, own: &OwnLoad, now: Instant) {
@@ -278,7 +303,7 @@
         rate_of,
     };
     let mut next = next_table(&control.weights, &names, &live, &rules);
-    if !control.circle.is_full_exchange() {
+    if control.has_owners() {
         next.workspaces = owned_parts(control, &names, now);
     }
     if number > control.weights.number || differs(&control.weights, &next, LEAST_CHANGE) {
@@ -321,7 +346,8 @@
     let centres = control.centres();
     let all = control.members.len().max(1) as f64;
     let most_kept = |centre: &str| {
-        if control.silence_of_centre(centre, now) < owners::FALLEN_BACK_AFTER {
+        let silence = control.silence_of_centre(centre, now);
+        if control.is_isolated || silence < owners::FALLEN_BACK_AFTER {
             return f64::INFINITY;
         }
         centres.get(centre).copied().unwrap_or(1) as f64 / all
@@ -359,12 +385,16 @@
     let small = workspaces
         .iter()
         .filter(|(_, policy)| policy.rate_per_second < owners::RATE_OF_CENTRE * names.len() as f64);
-    for (workspace, _) in small {
+    let silence_of = |name: &String| {
+        let silence = (name != own).then(|| control.silence_of_centre(name, now));
+        counted_silence(silence, control.is_isolated)
+    };
+    for (workspace, policy) in small {
         let candidate = |(index, name): (usize, &String)| {
             let count = centres.get(name.as_str()).copied().unwrap_or(1);
             owners::OwnerCandidate {
                 name: names[index].as_str(),
-                silence: silence(name == own, control.silence_of_centre(name, now)),
+                silence: silence_of(name),
                 before: known.rate_part(index, workspace),
                 equal: count as f64 / all,
             }
@@ -372,7 +402,11 @@
         let candidates: Vec<_> = names.iter().enumerate().map(candidate).collect();
         let parts = beat::WorkspaceParts {
             workspace: workspace.clone(),
-            parts: owners::deal(workspace, 1, &candidates),
+            parts: owners::deal(
+                workspace,
+                owners::count(policy.rate_per_second),
+                &candidates,
+            ),
         };
         match table
             .workspaces
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -191,12 +191,13 @@
         control.apply_table(table);
     }
     take_parts(&mut control, &beat);
-    let sent = take_echo(&mut control, incarnation, &beat);
-    take_positions(&control, &beat, sent, now);
+    let answered = take_echo(&mut control, incarnation, &beat);
+    let composed = answered.map(|sent| sent + held_for(&beat));
+    take_positions(&control, &beat, composed, now);
     if control.lacks_copies(&beat, now) {
         copies::fetch(&mut control, cell, from.ip());
     }
-    control.record_peer((incarnation, sequence), beat, now);
+    control.record_peer((incarnation, sequence), beat, answered, now);
     control.publish();
 }
 
@@ -211,8 +212,13 @@
     }
 }
 
-/// Takes what the sender has heard of this VM. Returns the latest instant before
-/// which the sender certainly had not composed its heartbeat.
+fn held_for(beat: &beat::FleetBeat) -> Duration {
+    let held = beat.echo.as_ref().map_or(0, |echo| echo.held_ms);
+    Duration::from_millis(u64::from(held))
+}
+
+/// Takes what the sender has heard of this VM. Returns when the heartbeat that it
+/// answers was sent.
 fn take_echo(
     control: &mut state::ControlState,
     incarnation: u64,
@@ -236,9 +242,7 @@
             control.record_probed(&probed.service, &probed.database, asked);
         }
     }
-    let sent = control.lease.sent_at(echo.sequence)?;
-    control.record_echoed(&beat.vm, sent);
-    Some(sent + Duration::from_millis(u64::from(echo.held_ms)))
+    control.lease.sent_at(echo.sequence)
 }
 
 /// Takes positions that another VM has seen. Their ages are counted from when the
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -39,6 +39,10 @@
 /// asked for tokens: less is what a lost one left behind.
 const LEAST_OWNED: f64 = 0.5;
 
+/// After how long a VM that still lacks the parts of its group is told by others than
+/// the one that set them: two heartbeats and a lost one.
+const WEIGHTS_SPREAD: Duration = Duration::from_millis(1_000);
+
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -63,6 +67,8 @@
     pub demands: Vec<beat::WorkspaceDemand>,
     /// What the callers of its data centre ask for, as it last told.
     pub centre_demand: Option<beat::CentreDemand>,
+    /// When this VM sent the latest heartbeat that the VM has answered.
+    pub answered: Option<Instant>,
     /// When its last heartbeats came, with their numbers.
     arrivals: SmallVec<[(u64, Instant); REMEMBERED_ARRIVALS]>,
 }
@@ -73,6 +79,12 @@
         now.saturating_duration_since(self.heard) < circle::SILENT_AFTER
     }
 
+    /// Returns whether the VM has answered a heartbeat of a moment ago.
+    pub fn is_answering(&self, now: Instant) -> bool {
+        let is_recent = |sent: Instant| now.saturating_duration_since(sent) < circle::SILENT_AFTER;
+        self.answered.is_some_and(is_recent)
+    }
+
     /// Returns the number of the latest heartbeat that came before an instant.
     pub fn latest_before(&self, instant: Instant) -> Option<u64> {
         let mut arrivals = self.arrivals.iter().rev();
@@ -137,16 +149,14 @@
     told_seen: Option<beat::CentreSeen>,
     /// Whether copies of another VM are on their way.
     pub is_fetching: bool,
-    /// When this VM sent the latest heartbeat that another one answered.
-    echoed: Option<Instant>,
-    /// The same where the other one is of another data centre.
-    far_echoed: Option<Instant>,
+    /// Since when this VM knows the parts of its group.
+    weights_since: Instant,
     /// Whether the head of this data centre may not have heard that its part has shrunk.
     pub is_isolated: bool,
-    /// Since when this VM has been the head of its data centre.
-    head_since: Option<Instant>,
+    /// Since when this VM has dealt out the parts of its group.
+    setter_since: Option<Instant>,
     /// Whether this VM may not have heard that its part has shrunk.
-    is_orphaned: bool,
+    pub is_orphaned: bool,
     published: shared::EdgeSnapshot,
 }
 
@@ -178,10 +188,9 @@
             probed: BTreeMap::new(),
             told_seen: None,
             is_fetching: false,
-            echoed: None,
-            far_echoed: None,
+            weights_since: clock::now(),
             is_isolated: false,
-            head_since: None,
+            setter_since: None,
             is_orphaned: false,
             published: shared::EdgeSnapshot::default(),
         }
@@ -314,6 +323,7 @@
     pub fn apply_weights(&mut self, weights: &beat::WeightTable) {
         if weights.number > self.weights.number {
             self.weights = weights.clone();
+            self.weights_since = clock::now();
             self.apply_shares();
             self.log_part("the VMs' parts have changed", weights.number);
             self.publish();
@@ -335,32 +345,26 @@
         }
     }
 
-    /// Notes that another VM has answered a heartbeat that was sent then.
-    pub fn record_echoed(&mut self, vm: &str, sent: Instant) {
-        self.echoed = self.echoed.max(Some(sent));
-        if !self.is_in_group(vm) {
-            self.far_echoed = self.far_echoed.max(Some(sent));
-        }
+    /// Returns whether the others of the group have had time to hear of its parts, so
+    /// that one that has not must be told by whoever it hears.
+    pub fn are_weights_settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.weights_since) >= WEIGHTS_SPREAD
     }
 
-    /// Notes who leads the data centre. A VM that nobody answers takes at most an
-    /// equal part, so that its head may deal out the rest.
+    /// Notes who deals out the parts. A VM that does not hear most others, or nobody who
+    /// does, takes at most an equal part, so that those who do may deal out the rest.
     pub fn note_circle(&mut self, now: Instant) {
-        let is_full = self.circle.is_full_exchange();
-        if is_full || !self.circle.is_head(now) {
-            self.head_since = None;
+        if parts::is_group_setter(self, now) {
+            self.setter_since.get_or_insert(now);
         } else {
-            self.head_since.get_or_insert(now);
+            self.setter_since = None;
         }
-        let is_recent = |sent: Option<Instant>| {
-            sent.is_some_and(|sent| now.saturating_duration_since(sent) < circle::SILENT_AFTER)
-        };
-        let is_orphaned = !is_full && !is_recent(self.echoed);
-        let is_isolated = !is_full && self.is_centre_isolated(is_recent(self.far_echoed), now);
+        let is_orphaned = self.has_owners() && !self.is_among_most(now);
+        let is_isolated = !self.circle.is_full_exchange() && self.is_centre_isolated(now);
         if (is_orphaned, is_isolated) != (self.is_orphaned, self.is_isolated) {
             log::info!(
                 orphaned = is_orphaned, isolated = is_isolated;
-                "answers of other VMs or data centres were lost or regained"
+                "answers of most VMs or data centres were lost or regained"
             );
             self.is_orphaned = is_orphaned;
             self.is_isolated = is_isolated;
@@ -368,21 +372,57 @@
         }
     }
 
-    /// Returns whether this data centre's part may have shrunk without it: only its head
-    /// hears others.
-    fn is_centre_isolated(&self, is_far_answered: bool, now: Instant) -> bool {
+    /// Returns whether rates are owned by a few VMs, rather than by all.
+    pub fn has_owners(&self) -> bool {
+        !self.circle.is_full_exchange()
+    }
+
+    /// Returns whether most VMs of the group answer this one.
+    pub fn is_answered_by_most(&self, now: Instant) -> bool {
+        let answering = self
+            .peers
+            .iter()
+            .filter(|(name, record)| record.is_answering(now) && self.is_in_group(name));
+        (answering.count() + 1) * 2 > self.group().count()
+    }
+
+    /// Returns whether this VM belongs to those that hear most of the group.
+    fn is_among_most(&self, now: Instant) -> bool {
         if self.circle.is_head(now) {
-            return !is_far_answered && self.centres().len() > 1;
+            return self.is_answered_by_most(now);
         }
-        let head = self.circle.own_head(now);
-        let record = head.and_then(|head| self.peers.get(head));
-        record.is_some_and(|record| record.beat.is_isolated)
+        let leads = |record: &PeerRecord| record.beat.is_head && record.beat.is_answered_by_most;
+        let mut peers = self.peers.iter();
+        peers.any(|(name, record)| {
+            leads(record) && record.is_answering(now) && self.is_in_group(name)
+        })
     }
 
-    /// Returns for how long this VM, as the head, has not heard a VM of its data centre.
+    /// Returns whether this data centre's part may have shrunk without it: only its head
+    /// hears others.
+    fn is_centre_isolated(&self, now: Instant) -> bool {
+        if !self.circle.is_head(now) {
+            let head = self.circle.own_head(now);
+            let record = head.and_then(|head| self.peers.get(head));
+            return record.is_some_and(|record| record.beat.is_isolated);
+        }
+        let answering = self
+            .peers
+            .iter()
+            .filter(|(_, record)| record.beat.is_head && record.is_answering(now));
+        let centre = |(name, _): (&String, &PeerRecord)| {
+            let member = self.members.get(name)?;
+            Some(member.data_centre.clone())
+        };
+        let mut heard: BTreeSet<name::DataCentreName> = answering.filter_map(centre).collect();
+        heard.insert(self.shared.settings.data_centre.clone());
+        heard.len() * 2 <= self.centres().len()
+    }
+
+    /// Returns for how long this VM, as the one that deals parts out, has not heard another.
     pub fn silence_of(&self, vm: &str, now: Instant) -> Duration {
         let heard = self.peers.get(vm).map(|record| record.heard);
-        let since = heard.max(self.head_since);
+        let since = heard.max(self.setter_since);
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
@@ -503,11 +543,12 @@
         self.centre_rate_part(workspace) >= equal * LEAST_OWNED
     }
 
-    /// Returns the data centre that owns most of a workspace's rate.
-    pub fn owning_centre(&self, workspace: &name::WorkspaceName) -> Option<String> {
-        let parts = self.centre_parts(Some(workspace));
-        let most = parts.iter().max_by(|one, other| one.1.total_cmp(&other.1));
-        most.map(|(centre, _)| (*centre).to_owned())
+    /// Returns the data centres that own enough of a workspace's rate to lend it.
+    pub fn owning_centres(&self, workspace: &name::WorkspaceName) -> Vec<String> {
+        let equal = 1.0 / self.centres().len().max(1) as f64;
+        let parts = self.centre_parts(Some(workspace)).into_iter();
+        let owning = parts.filter(|(_, part)| *part >= equal * LEAST_OWNED);
+        owning.map(|(centre, _)| centre.to_owned()).collect()
     }
 
     /// Returns the head of another data centre that was heard a moment ago.
@@ -559,7 +600,7 @@
             .filter(|(_, record)| record.beat.is_head)
             .map(|(_, record)| record.heard)
             .max();
-        let since = heard.max(self.head_since);
+        let since = heard.max(self.setter_since);
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
@@ -591,14 +632,14 @@
             };
         let workspaces = &self.configuration.decoded.workspaces;
         let sizes = workspaces.iter().map(size).collect();
-        let delay = if self.circle.is_full_exchange() {
-            parts::GROWTH_DELAY
-        } else {
+        let delay = if self.has_owners() {
             parts::OWNER_GROWTH_DELAY
+        } else {
+            parts::GROWTH_DELAY
         };
         let shares = &self.shared.shares;
         shares.apply_sizes(&sizes, delay);
-        shares.set_owners(!self.circle.is_full_exchange());
+        shares.set_owners(self.has_owners());
     }
 
     /// Lets this VM use its part of fleet-wide limits. The others must have
@@ -645,10 +686,12 @@
         &mut self,
         (incarnation, sequence): (u64, u64),
         beat: beat::FleetBeat,
+        answered: Option<Instant>,
         now: Instant,
     ) {
         let known = self.peers.remove(&beat.vm);
         let known = known.filter(|known| known.incarnation == incarnation);
+        let before = known.as_ref().and_then(|known| known.answered);
         let (demands, centre_demand, mut arrivals) = match known {
             Some(known) => (known.demands, known.centre_demand, known.arrivals),
             None => Default::default(),
@@ -663,6 +706,7 @@
             heard: now,
             demands: beat.demands.clone().unwrap_or(demands),
             centre_demand: beat.centre_demand.clone().or(centre_demand),
+            answered: before.max(answered),
             arrivals,
             beat,
         };
@@ -925,10 +969,10 @@
             leases,
             served_elsewhere: Arc::new(self.served_elsewhere(clock::now())),
             part: self.own_part(),
-            loan_wait: if self.circle.is_full_exchange() {
-                ledger::LOAN_WAIT
-            } else {
+            loan_wait: if self.has_owners() {
                 ledger::OWNER_LOAN_WAIT
+            } else {
+                ledger::LOAN_WAIT
             },
         };
         let now = clock::now();
--- a/crates/bluebellferry_edge/src/control/tokens.rs
+++ b/crates/bluebellferry_edge/src/control/tokens.rs
@@ -40,7 +40,7 @@
 
 fn send_asks(control: &mut state::ControlState, links: &peers::PeerLinks, now: Instant) {
     let shared = Arc::clone(&control.shared);
-    if !control.circle.is_full_exchange() {
+    if control.has_owners() {
         // Tokens are owned by a few VMs where there are many.
         for ask in control.lending.begin_owner_asks(&shared.shares, now) {
             let request = OwnerRequest {
@@ -137,8 +137,9 @@
         return owners.get(turn).cloned();
     }
     if control.circle.is_head(now) {
-        let centre = control.owning_centre(&request.workspace)?;
-        return control.head_of(&centre, now);
+        let centres = control.owning_centres(&request.workspace);
+        let turn = request.number as usize % centres.len().max(1);
+        return control.head_of(centres.get(turn)?, now);
     }
     control.circle.own_head(now).map(str::to_owned)
 }
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -208,8 +208,8 @@
     pub fn lend(&mut self, asked: f64, keep: f64, now: Instant) -> f64 {
         self.refill(now);
         let mut amount = (self.tokens - keep).min(asked);
-        // A part of a token is of no use to somebody who has asked one VM for a whole one.
-        if asked >= 1.0 && amount < asked {
+        // A part of a token is of no use to somebody who has asked one owner for a whole one.
+        if self.is_owner && amount < asked {
             amount = amount.floor();
         }
         if !amount.is_finite() || amount < SMALLEST_LOAN {
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -131,7 +131,9 @@
     pub has_store: bool,
     /// Whether the sender is the head of its data centre, or all VMs send to each other.
     pub is_head: bool,
-    /// Whether the sender, as a head, has no answers from other data centres.
+    /// Whether most VMs among which the sender deals out parts answer it.
+    pub is_answered_by_most: bool,
+    /// Whether the sender, as a head, has no answers from most other data centres.
     pub is_isolated: bool,
     /// Whether the sender asks for answers.
     pub asks_answer: bool,
--- a/crates/bluebellferry_membership/src/circle.rs
+++ b/crates/bluebellferry_membership/src/circle.rs
@@ -15,7 +15,7 @@
 
 /// The most VMs that all send to each other: at 780 bytes a second for each pair
 /// (docs/CAPACITY.md), 16 stay within the 12 KB a second that a VM may use.
-pub const MOST_IN_FULL_EXCHANGE: usize = 4;
+pub const MOST_IN_FULL_EXCHANGE: usize = 16;
 /// How many VMs of its own data centre a VM sends to: the head and one that takes
 /// over from it.
 pub const NEAR_CHOICES: usize = 2;
