Let a fleet that was started anew use the first parts at once

Cause: after all VMs of a grown site lost power, requests were refused for rates for 2 s after they served again: owners had tokens of equal parts only and grew 1 s later. Change: the first parts that a process hears of hold at once; where no VM knows earlier ones, each bucket begins with what came back while all were down (half a second's). Ruled out: connections and leaders (no such refusal between 36 and 38 s).

--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -39,6 +39,9 @@
 /// asked for tokens: less is what a lost one left behind.
 const LEAST_OWNED: f64 = 0.5;
 
+/// The number of the first table of parts that a fleet deals out when none of its VMs
+/// knows an earlier one.
+const FIRST_NUMBER: u64 = 1;
 /// After how long a VM that still lacks the parts of its group is told by others than
 /// the one that set them: two heartbeats and a lost one.
 const WEIGHTS_SPREAD: Duration = Duration::from_millis(1_000);
@@ -322,9 +325,10 @@
     /// Takes the parts of this VM's group unless newer ones are known.
     pub fn apply_weights(&mut self, weights: &beat::WeightTable) {
         if weights.number > self.weights.number {
+            let is_first = self.weights.number == 0;
             self.weights = weights.clone();
             self.weights_since = clock::now();
-            self.apply_shares();
+            self.apply_dealt(is_first, weights.number);
             self.log_part("the VMs' parts have changed", weights.number);
             self.publish();
         }
@@ -338,8 +342,9 @@
     /// Takes the parts of the data centres unless newer ones are known.
     pub fn apply_centre_weights(&mut self, weights: &beat::WeightTable) {
         if weights.number > self.centre_weights.number {
+            let is_first = self.centre_weights.number == 0;
             self.centre_weights = weights.clone();
-            self.apply_shares();
+            self.apply_dealt(is_first, weights.number);
             self.log_part("the data centres' parts have changed", weights.number);
             self.publish();
         }
@@ -615,12 +620,41 @@
         }
     }
 
+    /// Applies parts that were dealt out. The first ones that a process hears of may be
+    /// used at once: they were its own before, or whoever had them was started anew too
+    /// or is among the few that have fallen back to equal parts.
+    fn apply_dealt(&self, is_first: bool, number: u64) {
+        if !is_first || !self.has_owners() {
+            return self.apply_shares();
+        }
+        if number == FIRST_NUMBER && self.has_joined {
+            self.shared.shares.restart(&self.own_sizes());
+        }
+        self.apply_shares_after(Duration::ZERO);
+    }
+
     fn apply_shares(&self) {
+        let delay = if self.has_owners() {
+            parts::OWNER_GROWTH_DELAY
+        } else {
+            parts::GROWTH_DELAY
+        };
+        self.apply_shares_after(delay);
+    }
+
+    fn apply_shares_after(&self, delay: Duration) {
         // Until all VMs are known, nothing may be spent; a bucket of no size
         // would also be slow to grow.
         if !self.has_joined {
             return;
         }
+        let sizes = self.own_sizes();
+        let shares = &self.shared.shares;
+        shares.apply_sizes(&sizes, delay);
+        shares.set_owners(self.has_owners());
+    }
+
+    fn own_sizes(&self) -> BTreeMap<name::WorkspaceName, bucket::ShareSize> {
         let size =
             |(workspace, policy): (&name::WorkspaceName, &configuration::WorkspacePolicy)| {
                 let part = self.own_rate_part(workspace);
@@ -631,15 +665,7 @@
                 (workspace.clone(), size)
             };
         let workspaces = &self.configuration.decoded.workspaces;
-        let sizes = workspaces.iter().map(size).collect();
-        let delay = if self.has_owners() {
-            parts::OWNER_GROWTH_DELAY
-        } else {
-            parts::GROWTH_DELAY
-        };
-        let shares = &self.shared.shares;
-        shares.apply_sizes(&sizes, delay);
-        shares.set_owners(self.has_owners());
+        workspaces.iter().map(size).collect()
     }
 
     /// Lets this VM use its part of fleet-wide limits. The others must have
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -385,3 +385,51 @@
         hear(&mut control, beat, 1, now);
     }
 }
+
+/// Returns the tokens that a VM which owns all of its data centre's rate can spend, 100 ms
+/// after it heard of that in the table with this number.
+fn available_after_table(number: u64) -> f64 {
+    let mut control = control(ranked()[0], clock::now());
+    let large = configuration::WorkspacePolicy {
+        rate_per_second: 3_000.0,
+        burst: 3_000.0,
+    };
+    let configuration = configuration::Configuration {
+        version: 1,
+        workspaces: [(workspace("large"), large)].into(),
+        ..configuration::Configuration::default()
+    };
+    control.apply_configuration(configuration, String::new(), "test");
+    let own = vm(ranked()[0]);
+    let weight = |name: &String| beat::VmWeight {
+        vm: name.clone(),
+        part: f64::from(u8::from(*name == own)),
+    };
+    let table = beat::WeightTable {
+        number,
+        weights: control.group().map(weight).collect(),
+        workspaces: Vec::new(),
+    };
+    control.apply_weights(&table);
+    std::thread::sleep(Duration::from_millis(100));
+    let share = control.shared.shares.find(&workspace("large"));
+    share.expect("a known workspace").available(clock::now())
+}
+
+/// What an equal part begins with, and what the owner's rate adds in 90 ms.
+const OF_EQUAL_PART: f64 = 62.0;
+const ADDED: f64 = 90.0;
+
+#[test]
+fn parts_that_a_process_hears_of_first_are_used_at_once() {
+    let available = available_after_table(7);
+    assert!(available >= OF_EQUAL_PART + ADDED, "{available}");
+}
+
+#[test]
+fn a_fleet_that_was_started_anew_begins_with_what_came_back_meanwhile() {
+    // Half a second of a third of the rate.
+    let available = available_after_table(1);
+    assert!(available >= 500.0 + ADDED, "{available}");
+    assert!(available <= 1_000.0, "{available}");
+}
--- a/crates/bluebellferry_shares/src/ledger.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -291,6 +291,17 @@
         }
     }
 
+    /// Applies the sizes of the first parts that a fleet deals out after all of it was
+    /// started anew: each bucket begins again, at its new size.
+    pub fn restart(&self, sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>) {
+        let now = self.clock.now();
+        for (workspace, share) in self.read().iter() {
+            if let Some(size) = sizes.get(workspace) {
+                share.lock().bucket = (self.new_bucket)(*size, now);
+            }
+        }
+    }
+
     /// Empties every bucket for good, after another process took this place.
     pub fn shut(&self, now: Instant) {
         let nothing = bucket::ShareSize {
