--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -1,177 +1,31 @@
 //! The whole path with real processes against the platform's stand-in.
 
-use std::net::SocketAddr;
 use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_standin_platform::caller;
-use bluebellferry_standin_platform::contents;
-use bluebellferry_standin_platform::database;
-use bluebellferry_standin_platform::store;
+use bluebellferry_standin_platform::deployment;
+use bluebellferry_standin_platform::deployment::KEY;
+use bluebellferry_standin_platform::deployment::configuration;
+use bluebellferry_standin_platform::deployment::deploy_configuration;
+use bluebellferry_standin_platform::deployment::run;
+use bluebellferry_standin_platform::deployment::succeeds;
 use serde_json::json;
-use tokio::io::AsyncBufReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::io::BufReader;
-use tokio::net::TcpStream;
 
-const IDS: [&str; 3] = ["i-a", "i-b", "i-c"];
-const KEY: &str = "secret-key-of-families";
-const LAG: Duration = Duration::from_millis(20);
+type Deployment = deployment::StandinDeployment;
 
-/// Ports for one deployment; tests run side by side.
-static NEXT_DEPLOYMENT: AtomicU16 = AtomicU16::new(0);
-
-struct Deployment {
-    store: Arc<store::StandinStore>,
-    group: Arc<database::StandinGroup>,
-    vms: Vec<Child>,
-    base_port: u16,
-    subnet: u8,
-}
-
-impl Drop for Deployment {
-    fn drop(&mut self) {
-        for vm in &mut self.vms {
-            vm.kill().ok();
-            vm.wait().ok();
-        }
-    }
+fn program() -> &'static std::path::Path {
+    std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"))
 }
 
-fn configuration(version: u64, keys: &[&str], rate: f64) -> serde_json::Value {
-    contents::configuration(version, "rental", keys, rate)
-}
-
-impl Deployment {
-    async fn start(vms: u8) -> Self {
-        let mut deployment = Self::prepare().await;
-        deployment.start_vms(vms).await;
-        deployment
-    }
-
-    /// Starts all but the VMs.
-    async fn prepare() -> Self {
-        let number = NEXT_DEPLOYMENT.fetch_add(1, Ordering::SeqCst);
-        // Below the ports that the system hands out for outgoing connections.
-        let base_port = 21_000 + (std::process::id() % 250) as u16 * 40 + number * 8 % 40;
-        let subnet = 10 + number as u8;
-        let host = |last: u8, port: u16| SocketAddr::from(([127, subnet, 0, last], port));
-        let store = Arc::new(store::StandinStore::default());
-        let serving = Arc::clone(&store).serve(host(1, base_port)).await;
-        serving.expect("the store listens");
-        let group = database::StandinGroup::new("rental", &IDS, LAG, 20);
-        let duty = Arc::clone(&group).serve_duty(host(1, base_port + 1)).await;
-        duty.expect("the duty call listens");
-        for (index, id) in IDS.iter().enumerate() {
-            let address = host(100 + index as u8, base_port);
-            let serving = Arc::clone(&group).serve(index, address).await;
-            serving.expect("a database listens");
-            let entry = contents::registration("rental", address, index == 0);
-            store.put(contents::REGISTRATIONS, id, entry);
-        }
-        deploy_configuration(&store, configuration(1, &[KEY], 200.0));
-        Self {
-            store,
-            group,
-            vms: Vec::new(),
-            base_port,
-            subnet,
-        }
-    }
-
-    async fn start_vms(&mut self, vms: u8) {
-        for index in 0..vms {
-            self.start_vm(index);
-        }
-        for index in 0..vms {
-            self.wait_ready(index).await;
-        }
-    }
-
-    fn host(&self, vm: u8, port: u16) -> SocketAddr {
-        SocketAddr::from(([127, self.subnet, 0, 10 + vm], self.base_port + port))
-    }
-
-    fn start_vm(&mut self, index: u8) {
-        let platform = SocketAddr::from(([127, self.subnet, 0, 1], self.base_port));
-        let duty = SocketAddr::from(([127, self.subnet, 0, 1], self.base_port + 1));
-        let settings = json!({"vm": format!("vm-{index}"), "address": self.host(index, 0).ip(),
-            "data_centre": "amman-a", "region": "amman", "data_centres": {"amman-a": "amman"},
-            "caller_address": self.host(index, 2), "readiness_address": self.host(index, 3),
-            "control_address": self.host(index, 4),
-            "peer_ports": [self.base_port + 5, self.base_port + 6],
-            "max_descriptors": 4000, "store_address": platform, "duty_address": duty,
-            "grace_s": 3.0});
-        let name = format!("edge-{}-{}-{index}.json", self.base_port, self.subnet);
-        let file = std::env::temp_dir().join(name);
-        std::fs::write(&file, settings.to_string()).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_bluebellferry-edge"))
-            .env("BLUEBELLFERRY_BOOT", &file)
-            .stdout(log_target(&file))
-            .spawn();
-        self.vms.push(child.expect("the process starts"));
-    }
-
-    async fn wait_ready(&self, index: u8) {
-        let deadline = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < deadline {
-            if self.readiness(index).await == Some(200) {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        panic!("vm-{index} is not ready");
-    }
-
-    async fn readiness(&self, index: u8) -> Option<u16> {
-        let mut stream = TcpStream::connect(self.host(index, 3)).await.ok()?;
-        let request = "GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        stream.write_all(request.as_bytes()).await.ok()?;
-        let mut line = String::new();
-        BufReader::new(stream).read_line(&mut line).await.ok()?;
-        line.split(' ').nth(1)?.parse().ok()
-    }
-
-    async fn caller(
-        &self,
-        vm: u8,
-        route: &str,
-        key: &str,
-    ) -> Result<caller::StandinCaller, caller::CallerRefusal> {
-        caller::StandinCaller::connect(self.host(vm, 2), route, key).await
-    }
-}
-
-fn deploy_configuration(store: &store::StandinStore, value: serde_json::Value) {
-    let (kind, name) = contents::CONFIGURATION;
-    store.put(kind, name, value);
-}
-
-async fn run(caller: &mut caller::StandinCaller, text: &str) -> caller::CallerAnswer {
-    caller.run(text).await.expect("an answer comes")
-}
-
-/// Runs a statement that must succeed; returns its rows.
-async fn succeeds(caller: &mut caller::StandinCaller, text: &str) -> Vec<String> {
-    let answer = run(caller, text).await;
-    assert_eq!(answer.refusal, None, "{text}");
-    answer.rows
-}
-
-/// Logs go to a file beside the settings, to look at when a test has failed.
-fn log_target(settings: &std::path::Path) -> Stdio {
-    std::fs::File::create(settings.with_extension("log")).map_or(Stdio::null(), Stdio::from)
+async fn start(vms: u8) -> Deployment {
+    Deployment::start(program(), vms).await
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_read_their_own_writes_and_keys_stay_here() {
-    let deployment = Deployment::start(2).await;
+    let deployment = start(2).await;
     let mut caller = deployment
         .caller(0, "booking", KEY)
         .await
@@ -233,7 +87,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replicas_serve_reads_that_may_be_old() {
-    let deployment = Deployment::start(1).await;
+    let deployment = start(1).await;
     let mut writer = deployment
         .caller(0, "counter", KEY)
         .await
@@ -254,7 +108,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_leader_is_replaced_and_no_acknowledged_write_is_missing() {
-    let deployment = Deployment::start(3).await;
+    let deployment = start(3).await;
     let mut acknowledged = Vec::new();
     let started = Instant::now();
     let mut recovered = None;
@@ -305,7 +159,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replacement_whose_vm_died_after_it_named_a_leader_is_finished() {
-    let mut deployment = Deployment::prepare().await;
+    let mut deployment = Deployment::prepare(program()).await;
     let table = json!({"revision": 0, "holder": "vm-gone", "token": 1, "nonce": 7, "leaders":
         {"rental": {"database": "i-a", "phase": "replacing", "floor": null}}});
     deployment
@@ -331,7 +185,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_withdrawn_key_stops_working_for_callers_that_are_connected() {
-    let deployment = Deployment::start(1).await;
+    let deployment = start(1).await;
     let mut caller = deployment
         .caller(0, "booking", KEY)
         .await
@@ -355,7 +209,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_outage_of_the_store_stops_nobody() {
-    let deployment = Deployment::start(3).await;
+    let deployment = start(3).await;
     deployment.store.set_down(true);
     let mut caller = deployment
         .caller(0, "counter", KEY)
@@ -376,7 +230,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_answer_leaves_a_write_in_doubt_and_a_read_runs_elsewhere() {
-    let deployment = Deployment::start(1).await;
+    let deployment = start(1).await;
     let mut caller = deployment
         .caller(0, "booking", KEY)
         .await
@@ -394,7 +248,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_process_that_is_asked_to_stop_finishes_what_runs() {
-    let mut deployment = Deployment::start(1).await;
+    let mut deployment = start(1).await;
     let mut caller = deployment
         .caller(0, "counter", KEY)
         .await
@@ -423,7 +277,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_workspace_gets_no_more_than_its_rate_over_all_vms() {
-    let deployment = Deployment::start(3).await;
+    let deployment = start(3).await;
     deploy_configuration(&deployment.store, configuration(2, &[KEY], 20.0));
     tokio::time::sleep(Duration::from_millis(500)).await;
     let started = Instant::now();
@@ -456,3 +310,73 @@
         "{admitted} of {limit}"
     );
 }
+
+fn signal(vm: &Child, signal: rustix::process::Signal) {
+    let process = rustix::process::Pid::from_child(vm);
+    rustix::process::kill_process(process, signal).expect("it runs");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_starts_while_the_store_is_away_learns_from_others() {
+    let mut deployment = start(2).await;
+    deployment.store.set_down(true);
+    let mut lost = deployment.vms.remove(1);
+    lost.kill().expect("it runs");
+    lost.wait().expect("it ends");
+    deployment.start_vm(1);
+    deployment.wait_ready(1).await;
+    let mut caller = deployment
+        .caller(1, "counter", KEY)
+        .await
+        .expect("it connects");
+    let started = Instant::now();
+    loop {
+        let answer = run(&mut caller, "WRITE boots alone").await;
+        if answer.refusal.is_none() {
+            break;
+        }
+        assert!(started.elapsed() < Duration::from_secs(8), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(succeeds(&mut caller, "READ boots").await[0], "alone");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_signal_to_read_the_settings_again_ends_no_session() {
+    let deployment = start(1).await;
+    let mut caller = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    succeeds(&mut caller, "BEGIN").await;
+    succeeds(&mut caller, "WRITE boots kept").await;
+    for _ in 0..3 {
+        signal(&deployment.vms[0], rustix::process::Signal::HUP);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    succeeds(&mut caller, "COMMIT").await;
+    assert_eq!(succeeds(&mut caller, "READ boots").await[0], "kept");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_at_another_address_takes_the_place_of_a_lost_one() {
+    let mut deployment = start(2).await;
+    let mut lost = deployment.vms.remove(1);
+    lost.kill().expect("it runs");
+    lost.wait().expect("it ends");
+    deployment.start_vm(2);
+    deployment.wait_ready(2).await;
+    let mut caller = deployment
+        .caller(2, "counter", KEY)
+        .await
+        .expect("it connects");
+    let started = Instant::now();
+    loop {
+        let answer = run(&mut caller, "WRITE boots new").await;
+        if answer.refusal.is_none() {
+            break;
+        }
+        assert!(started.elapsed() < Duration::from_secs(8), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
