--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -13,6 +13,7 @@
 use bluebellferry_runtime::clock;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
+use bluebellferry_shares::ledger;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -162,12 +163,15 @@
         let Some(share) = shared.shares.find(workspace) else {
             return Ok(());
         };
-        let limit = shared.snapshot().loan_wait;
-        let admitted = share.admit(limit, &shared.tokens_wanted).await;
+        let snapshot = shared.snapshot();
+        let admitted = share.admit(snapshot.loan_wait, &shared.tokens_wanted).await;
         admitted.map_err(|refilled_in| {
             let reason = refusal::RefusalReason::RateExceeded;
             let text = format!("the workspace {workspace} has used up its rate");
-            refusal::RequestRefusal::not_run(reason, text).retry_after(refilled_in)
+            let policy = snapshot.configuration.workspaces.get(workspace);
+            let rate = policy.map_or(0.0, |policy| policy.rate_per_second);
+            let come_back = ledger::come_back_in(refilled_in, rate);
+            refusal::RequestRefusal::not_run(reason, text).retry_after(come_back)
         })
     }
 
--- a/crates/bluebellferry_shares/src/ledger.rs
+++ b/crates/bluebellferry_shares/src/ledger.rs
@@ -32,6 +32,18 @@
 /// of the transaction.
 pub const TRANSACTION_WAIT: Duration = Duration::from_secs(2);
 
+/// How many tokens of the fleet come back before a refused caller does: others wait for
+/// the first ones.
+const COME_BACK_TOKENS: f64 = 4.0;
+
+/// Returns when a refused caller should come back. `refilled_in` is the time until the
+/// next token of this VM's part, which may be small or nothing, `fleet_rate` what comes
+/// back for the workspace a second, wherever it is lent from.
+pub fn come_back_in(refilled_in: Duration, fleet_rate: f64) -> Duration {
+    let of_fleet = Duration::try_from_secs_f64(COME_BACK_TOKENS / fleet_rate);
+    refilled_in.min(of_fleet.unwrap_or(bucket::LONGEST_REFILL))
+}
+
 #[derive(Debug)]
 struct WorkspaceBucket {
     bucket: bucket::ShareBucket,
--- a/crates/bluebellferry_shares/tests/owned_limit.rs
+++ b/crates/bluebellferry_shares/tests/owned_limit.rs
@@ -251,3 +251,15 @@
         );
     }
 }
+
+#[test]
+fn a_refused_caller_is_told_when_tokens_of_the_fleet_come_back() {
+    let long = Duration::from_secs(5);
+    // This VM owns nothing, but the workspace has eight tokens a second.
+    assert_eq!(ledger::come_back_in(long, 8.0), Duration::from_millis(500));
+    // Its own part is sooner.
+    let soon = Duration::from_millis(40);
+    assert_eq!(ledger::come_back_in(soon, 8.0), soon);
+    // No rate at all.
+    assert_eq!(ledger::come_back_in(long, 0.0), long);
+}
