Read large configurations from the store, and copy only what is newer

Ruled out: the rates (refusals began when heartbeats were lost), the store (acknowledged and read by heads at 25.7 s).

--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -1,5 +1,6 @@
 //! Following the configuration in the store.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bluebellferry_platform::configuration;
@@ -101,9 +102,7 @@
     }
     let mut after = listing.as_of;
     loop {
-        while control.borrow().is_read_for(clock::now()) {
-            tokio::time::sleep(READER_STEP).await;
-        }
+        wait_while_read_for(control).await;
         dependency.record_success();
         pause.reset();
         let (changes, next) = client.watch(configuration::KIND, after, WATCH_WAIT).await?;
@@ -114,6 +113,18 @@
     }
 }
 
+/// Waits while the head follows the configuration for this VM, until it names one that
+/// is too large to be copied from it.
+async fn wait_while_read_for(control: &control::ControlCell) {
+    let wanted = Arc::clone(&control.borrow().read_configuration);
+    while control.borrow().is_read_for(clock::now()) {
+        let notified = tokio::time::timeout(READER_STEP, wanted.notified()).await;
+        if notified.is_ok() {
+            return;
+        }
+    }
+}
+
 fn apply(control: &control::ControlCell, object: &objects::StoredObject) {
     if object.name == configuration::NAME {
         let text = object.value.to_string();
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -194,8 +194,12 @@
     let answered = take_echo(&mut control, incarnation, &beat);
     let composed = answered.map(|sent| sent + held_for(&beat));
     take_positions(&control, &beat, composed, now);
+    let has_newer = beat.versions.configuration > control.versions.configuration;
+    if has_newer && control.reads_configuration(beat.versions) {
+        control.read_configuration.notify_one();
+    }
     if control.lacks_copies(&beat, now) {
-        copies::fetch(&mut control, cell, from.ip());
+        copies::fetch(&mut control, cell, from.ip(), beat.versions);
     }
     control.record_peer((incarnation, sequence), beat, answered, now);
     control.publish();
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -42,6 +42,9 @@
 /// The number of the first table of parts that a fleet deals out when none of its VMs
 /// knows an earlier one.
 const FIRST_NUMBER: u64 = 1;
+/// The largest configuration that VMs copy from each other while they have the store: a
+/// head sends it to a dozen VMs within a second over a link of 10 Mbit/s.
+const LARGEST_COPY_BYTES: u32 = 64 << 10;
 /// After how long a VM that still lacks the parts of its group is told by others than
 /// the one that set them: two heartbeats and a lost one.
 const WEIGHTS_SPREAD: Duration = Duration::from_millis(1_000);
@@ -146,6 +149,8 @@
     pub acts_from: Option<Instant>,
     /// Notified when the VMs should be listed at once.
     pub list_members: Arc<Notify>,
+    /// Notified when the configuration should be read from the store.
+    pub read_configuration: Arc<Notify>,
     /// When leaders were asked and found leading, at the latest.
     probed: BTreeMap<name::ServiceName, (name::DatabaseName, Instant)>,
     /// What this VM last told of what its data centre has seen.
@@ -187,6 +192,7 @@
             has_joined: false,
             acts_from: None,
             list_members: Arc::new(Notify::new()),
+            read_configuration: Arc::new(Notify::new()),
             news: Arc::new(Notify::new()),
             probed: BTreeMap::new(),
             told_seen: None,
@@ -223,6 +229,7 @@
         self.log_rates(&decoded);
         let decoded = Arc::new(decoded);
         self.versions.configuration = decoded.version;
+        self.versions.configuration_bytes = text.len() as u32;
         self.configuration = ConfigurationRecord { decoded, text };
         self.apply_shares();
         self.publish();
@@ -757,10 +764,17 @@
     pub fn lacks_copies(&self, beat: &beat::FleetBeat, now: Instant) -> bool {
         let (own, other) = (self.versions, beat.versions);
         let reads_itself = self.has_store && self.reads_for_centre(now);
-        other.configuration > own.configuration
+        let lacks_configuration = other.configuration > own.configuration;
+        (lacks_configuration && !self.reads_configuration(other))
             || (!reads_itself && (other.databases > own.databases || other.members > own.members))
     }
 
+    /// Returns whether this VM reads a newer configuration from the store rather than
+    /// from another VM, whose link a large one would fill.
+    pub fn reads_configuration(&self, other: beat::CopyVersions) -> bool {
+        self.has_store && other.configuration_bytes > LARGEST_COPY_BYTES
+    }
+
     /// Returns whether this VM reads the lists in the store: for its data centre, or
     /// since the head cannot.
     pub fn reads_for_centre(&self, now: Instant) -> bool {
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -433,3 +433,25 @@
     assert!(available >= 500.0 + ADDED, "{available}");
     assert!(available <= 1_000.0, "{available}");
 }
+
+#[test]
+fn a_large_configuration_is_read_from_the_store_and_copied_only_without_it() {
+    let now = clock::now();
+    let mut control = control(ranked()[3], now);
+    control.has_store = true;
+    let offer = |bytes: u32| beat::FleetBeat {
+        versions: beat::CopyVersions {
+            configuration: 9,
+            configuration_bytes: bytes,
+            ..beat::CopyVersions::default()
+        },
+        ..head_beat(ranked()[0])
+    };
+    let (small, large) = (offer(10_000), offer(1_500_000));
+    assert!(control.lacks_copies(&small, now));
+    assert!(!control.lacks_copies(&large, now));
+    assert!(control.reads_configuration(large.versions));
+    control.has_store = false;
+    assert!(control.lacks_copies(&large, now));
+    assert!(!control.reads_configuration(large.versions));
+}
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -95,6 +95,8 @@
 pub struct CopyVersions {
     /// The version of the configuration in force.
     pub configuration: u64,
+    /// Its size as text, in bytes.
+    pub configuration_bytes: u32,
     /// The store's revision when the list of databases last changed.
     pub databases: u64,
     /// The store's revision when the list of VMs last changed.
