--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -7,6 +7,8 @@
 //! (`owners`). A part that shrinks does so at once, one that
 //! grows waits; a VM that is silent keeps what it has, since it cannot be told.
 
+pub mod table;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -27,10 +29,6 @@
 /// The same where owners have parts: one that is silent has shrunk its own by itself
 /// before, others hear of it within two heartbeats and a lost one.
 pub const OWNER_GROWTH_DELAY: Duration = Duration::from_secs(1);
-/// The demand that is added evenly, as a part of the whole demand for connections
-/// and of the limit for rates: little demand says little about what comes next.
-const EVEN_DEMAND: f64 = 0.6;
-const EVEN_RATE: f64 = 0.3;
 /// By how much a part must change for new parts to be worth telling.
 const LEAST_CHANGE: f64 = 0.06;
 /// The same for data centres, whose demand is averaged for longer.
@@ -107,56 +105,6 @@
     pub demands: Vec<beat::WorkspaceDemand>,
 }
 
-/// Parts that were dealt out, as the present members have them. Those of members that
-/// are gone are nobody's, and a new one has none until the next table; so what is used
-/// never adds up to more than was dealt out.
-#[derive(Debug)]
-pub struct KnownParts<'a> {
-    table: Option<&'a beat::WeightTable>,
-    /// The places of the present members in the table.
-    places: Vec<Option<usize>>,
-}
-
-impl<'a> KnownParts<'a> {
-    /// Creates a view of a table for the members that are named.
-    pub fn new<S: AsRef<str>>(table: &'a beat::WeightTable, names: &[S]) -> Self {
-        let place = |name: &S| {
-            let mut weights = table.weights.iter();
-            weights.position(|one| one.vm == name.as_ref())
-        };
-        Self {
-            table: (table.number > 0).then_some(table),
-            places: names.iter().map(place).collect(),
-        }
-    }
-
-    /// Returns whether any parts were dealt out.
-    pub const fn is_known(&self) -> bool {
-        self.table.is_some()
-    }
-
-    /// Returns a member's part: an equal one before any was dealt out.
-    pub fn part(&self, index: usize) -> f64 {
-        let Some(table) = self.table else {
-            return 1.0 / self.places.len().max(1) as f64;
-        };
-        let place = self.places.get(index).copied().flatten();
-        place.map_or(0.0, |place| table.weights[place].part)
-    }
-
-    /// Returns a member's part of a workspace's rate.
-    pub fn rate_part(&self, index: usize, workspace: &name::WorkspaceName) -> f64 {
-        let workspaces = self.table.map(|table| &table.workspaces);
-        let dealt = workspaces.and_then(|all| all.iter().find(|one| one.workspace == *workspace));
-        let Some(dealt) = dealt else {
-            return self.part(index);
-        };
-        let place = self.places.get(index).copied().flatten();
-        let part = place.and_then(|place| dealt.parts.get(place));
-        part.map_or(0.0, |part| f64::from(*part))
-    }
-}
-
 /// Returns whether this VM deals out the parts of its group.
 pub fn is_group_setter(control: &state::ControlState, now: Instant) -> bool {
     if !control.circle.is_full_exchange() {
@@ -212,12 +160,6 @@
     }
 }
 
-/// The demand of one of those among which a limit is dealt out.
-struct KnownDemand<'a> {
-    operations_per_second: f64,
-    workspaces: &'a [beat::WorkspaceDemand],
-}
-
 /// Returns the parts of rates that the VMs of this VM's data centre own.
 fn owned_parts<'a>(
     control: &state::ControlState,
@@ -228,7 +170,7 @@
     if workspaces.len() * names.len() > MAX_PARTS {
         return Vec::new();
     }
-    let known = KnownParts::new(&control.weights, names);
+    let known = table::KnownParts::new(&control.weights, names);
     let own = control.own_name();
     let silence_of = |vm: &String| {
         let silence = (vm != own).then(|| control.silence_of(vm, now));
@@ -276,7 +218,7 @@
     let mut number = control.weights.number;
     for (name, record) in control.live_peers(now) {
         if control.is_in_group(name) {
-            let demand = KnownDemand {
+            let demand = table::KnownDemand {
                 operations_per_second: record.beat.operations_per_second,
                 workspaces: &record.demands,
             };
@@ -285,7 +227,7 @@
             number = number.max(record.beat.parts_number);
         }
     }
-    let demand = KnownDemand {
+    let demand = table::KnownDemand {
         operations_per_second: own.operations_per_second,
         workspaces: &own.demands,
     };
@@ -296,17 +238,17 @@
         let rate = rate.map_or(0.0, |one| one.rate_per_second);
         rate * control.centre_rate_part(workspace)
     };
-    let rules = DealRules {
+    let rules = table::DealRules {
         number,
         least_change: LEAST_CHANGE,
         most_kept: |_: &str| f64::INFINITY,
         rate_of,
     };
-    let mut next = next_table(&control.weights, &names, &live, &rules);
+    let mut next = table::next_table(&control.weights, &names, &live, &rules);
     if control.has_owners() {
         next.workspaces = owned_parts(control, &names, now);
     }
-    if number > control.weights.number || differs(&control.weights, &next, LEAST_CHANGE) {
+    if number > control.weights.number || table::differs(&control.weights, &next, LEAST_CHANGE) {
         control.apply_weights(&next);
         control.news.notify_one();
     }
@@ -325,14 +267,14 @@
         number = number.max(record.beat.centre_parts_number);
         let member = control.members.get(name).filter(|_| record.beat.is_head);
         if let (Some(member), Some(told)) = (member, &record.centre_demand) {
-            let demand = KnownDemand {
+            let demand = table::KnownDemand {
                 operations_per_second: told.operations_per_second,
                 workspaces: &told.workspaces,
             };
             live.insert(member.data_centre.as_str(), demand);
         }
     }
-    let demand = KnownDemand {
+    let demand = table::KnownDemand {
         operations_per_second: own_demand.operations_per_second,
         workspaces: &own_demand.workspaces,
     };
@@ -352,16 +294,16 @@
         }
         centres.get(centre).copied().unwrap_or(1) as f64 / all
     };
-    let rules = DealRules {
+    let rules = table::DealRules {
         number,
         least_change: LEAST_CENTRE_CHANGE,
         most_kept,
         rate_of,
     };
-    let mut next = next_table(&control.centre_weights, &names, &live, &rules);
+    let mut next = table::next_table(&control.centre_weights, &names, &live, &rules);
     give_to_single_centres(control, &names, &mut next, now);
     let known = &control.centre_weights;
-    if number > known.number || differs(known, &next, LEAST_CENTRE_CHANGE) {
+    if number > known.number || table::differs(known, &next, LEAST_CENTRE_CHANGE) {
         control.apply_centre_weights(&next);
         control.news.notify_one();
     }
@@ -379,7 +321,7 @@
         return;
     }
     let own = control.shared.settings.data_centre.as_str();
-    let known = KnownParts::new(&control.centre_weights, names);
+    let known = table::KnownParts::new(&control.centre_weights, names);
     let centres = control.centres();
     let all = control.members.len().max(1) as f64;
     let small = workspaces
@@ -418,128 +360,3 @@
         }
     }
 }
-
-/// How parts are dealt out.
-struct DealRules<K, R> {
-    /// The highest number of a table that is known.
-    number: u64,
-    /// By how much a part must change to be worth telling.
-    least_change: f64,
-    /// The most that a silent one may still use.
-    most_kept: K,
-    /// What is dealt out of a workspace's rate, in operations a second.
-    rate_of: R,
-}
-
-/// Returns the next table of parts.
-fn next_table(
-    table: &beat::WeightTable,
-    names: &[String],
-    live: &BTreeMap<&str, KnownDemand<'_>>,
-    rules: &DealRules<impl Fn(&str) -> f64, impl Fn(&name::WorkspaceName) -> f64>,
-) -> beat::WeightTable {
-    let known = KnownParts::new(table, names);
-    let index_of = |name: &str| names.iter().position(|one| one == name);
-    let before = |name: &str| {
-        let part = index_of(name).map_or(0.0, |index| known.part(index));
-        part.min((rules.most_kept)(name))
-    };
-    let demand = |name: &str| live.get(name).map(|one| one.operations_per_second);
-    let total: f64 = live.values().map(|one| one.operations_per_second).sum();
-    let shares = deal(names, total * EVEN_DEMAND, demand, before);
-    let weight = |(vm, part): (&String, &f64)| beat::VmWeight {
-        vm: vm.clone(),
-        part: *part,
-    };
-    let weights = names.iter().zip(&shares).map(weight).collect();
-    let wanted = live.values().flat_map(|one| one.workspaces.iter());
-    let wanted: std::collections::BTreeSet<_> = wanted.map(|one| &one.workspace).collect();
-    let parts_of = |workspace: &&name::WorkspaceName| {
-        let workspace = *workspace;
-        let demand = |name: &str| {
-            let demands = live.get(name)?.workspaces;
-            let found = demands.iter().find(|one| one.workspace == *workspace);
-            Some(found.map_or(0.0, |one| f64::from(one.per_second)))
-        };
-        let before = |name: &str| {
-            let part = index_of(name).map_or(0.0, |index| known.rate_part(index, workspace));
-            part.min((rules.most_kept)(name))
-        };
-        let parts = deal(
-            names,
-            (rules.rate_of)(workspace) * EVEN_RATE,
-            demand,
-            before,
-        );
-        let next = beat::WorkspaceParts {
-            workspace: workspace.clone(),
-            parts: parts.iter().map(|part| *part as f32).collect(),
-        };
-        // Each change costs a part of the limit until the larger parts hold.
-        let known = known_parts(table, names, workspace);
-        match known.filter(|known| !are_far(&known.parts, &next.parts, rules.least_change)) {
-            Some(known) => known.clone(),
-            None => next,
-        }
-    };
-    beat::WeightTable {
-        number: rules.number + 1,
-        weights,
-        workspaces: wanted.iter().map(parts_of).collect(),
-    }
-}
-
-/// Deals a limit out. `demand` is `None` for a VM that is silent; it keeps what
-/// it had `before`. `even` is a demand that all others are taken to share.
-pub fn deal(
-    names: &[String],
-    even: f64,
-    demand: impl Fn(&str) -> Option<f64>,
-    before: impl Fn(&str) -> f64,
-) -> Vec<f64> {
-    let live = names.iter().filter_map(|name| demand(name));
-    let (count, total) = live.fold((0.0, 0.0), |(count, total), one| (count + 1.0, total + one));
-    let silent = names.iter().filter(|name| demand(name).is_none());
-    let kept: f64 = silent.map(|name| before(name)).sum();
-    let free = (1.0 - kept).max(0.0);
-    let part = |name: &String| match demand(name) {
-        None => before(name),
-        Some(_) if total + even <= 0.0 => free / count,
-        Some(one) => free * (one + even / count) / (total + even),
-    };
-    names.iter().map(part).collect()
-}
-
-/// Returns a workspace's parts if they were dealt out among the same VMs.
-fn known_parts<'a>(
-    table: &'a beat::WeightTable,
-    names: &[String],
-    workspace: &name::WorkspaceName,
-) -> Option<&'a beat::WorkspaceParts> {
-    let have_same_vms = table.weights.iter().map(|one| &one.vm).eq(names);
-    let known = table
-        .workspaces
-        .iter()
-        .find(|one| one.workspace == *workspace);
-    known.filter(|_| have_same_vms)
-}
-
-fn are_far(before: &[f32], next: &[f32], least_change: f64) -> bool {
-    let mut parts = before.iter().zip(next);
-    before.len() != next.len()
-        || parts.any(|(old, new)| f64::from((old - new).abs()) >= least_change)
-}
-
-fn differs(before: &beat::WeightTable, next: &beat::WeightTable, least_change: f64) -> bool {
-    let parts = |table: &beat::WeightTable| -> Vec<f32> {
-        table.weights.iter().map(|one| one.part as f32).collect()
-    };
-    let have_same_vms = before
-        .weights
-        .iter()
-        .map(|one| &one.vm)
-        .eq(next.weights.iter().map(|one| &one.vm));
-    !have_same_vms
-        || before.workspaces != next.workspaces
-        || are_far(&parts(before), &parts(next), least_change)
-}
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/state/leases.rs
@@ -0,0 +1,117 @@
+//! What VMs tell each other of the table of leaders and of leaders that were asked.
+
+use std::time::Instant;
+
+use bluebellferry_membership::beat;
+use bluebellferry_promotion::lease;
+use bluebellferry_types::name;
+use xxhash_rust::xxh3;
+
+use crate::control::state;
+use crate::shared;
+
+impl state::ControlState {
+    /// Returns what the VMs of this data centre have seen, if this VM is their head.
+    pub fn own_centre_seen(&self, now: Instant) -> Option<beat::CentreSeen> {
+        let is_telling = !self.circle.is_full_exchange() && self.circle.is_head(now);
+        let centre = &self.shared.settings.data_centre;
+        is_telling.then(|| self.centre_seen(centre, now))
+    }
+
+    /// Returns what the VMs of a data centre have seen of the table, as this VM hears
+    /// them all itself.
+    pub fn centre_seen(&self, centre: &name::DataCentreName, now: Instant) -> beat::CentreSeen {
+        let of_centre = |record: &state::MemberRecord| record.data_centre == *centre;
+        let members = self.members.iter().filter(|(_, record)| of_centre(record));
+        let names: Vec<&str> = members.map(|(name, _)| name.as_str()).collect();
+        let seen = |name: &&str| {
+            if *name == self.own_name() {
+                return if self.claims > 0 {
+                    0
+                } else {
+                    self.table.revision
+                };
+            }
+            let record = self.peers.get(*name).filter(|record| record.is_live(now));
+            let record = record.filter(|record| !record.beat.is_claiming);
+            record.map_or(0, |record| record.beat.table_revision)
+        };
+        beat::CentreSeen {
+            members: xxh3::xxh3_64(names.join("\0").as_bytes()),
+            revision: names.iter().map(seen).min().unwrap_or(0),
+        }
+    }
+
+    /// Returns whether every VM has seen the table as this one has it, by its own word
+    /// or by that of its head, which must list the same VMs.
+    pub fn have_all_seen_table(&self, now: Instant) -> bool {
+        let revision = self.table.revision;
+        let has_seen = |name: &String| {
+            let record = self.peers.get(name).filter(|record| record.is_live(now));
+            name == self.own_name()
+                || record.is_some_and(|record| {
+                    record.beat.table_revision >= revision && !record.beat.is_claiming
+                })
+        };
+        let by_centre = |member: &state::MemberRecord| {
+            let names = self.centre_seen(&member.data_centre, now).members;
+            let heads = self.live_peers(now);
+            let told = heads.filter_map(|(name, record)| {
+                let head = self.members.get(name)?;
+                (head.data_centre == member.data_centre).then_some(record.beat.centre_seen?)
+            });
+            let mut told = told;
+            told.any(|seen| seen.members == names && seen.revision >= revision)
+        };
+        self.members
+            .iter()
+            .all(|(name, member)| has_seen(name) || by_centre(member))
+    }
+
+    /// Notes that a leader was asked not before `asked`, led, and had a replica that
+    /// was not held back.
+    pub fn record_probed(
+        &mut self,
+        service: &name::ServiceName,
+        leader: &name::DatabaseName,
+        asked: Instant,
+    ) {
+        let known = self.probed.get(service);
+        let is_older = known.is_some_and(|(known, at)| known == leader && *at >= asked);
+        if !is_older {
+            self.probed.insert(service.clone(), (leader.clone(), asked));
+            self.publish();
+        }
+    }
+
+    /// Returns the leaders that were asked a moment ago, for another VM.
+    pub fn probed_for(&self, record: &state::PeerRecord, now: Instant) -> Vec<beat::ProbedLeader> {
+        let is_fresh = |asked: Instant| now.saturating_duration_since(asked) < lease::PROBED_TERM;
+        let tell = |(service, (database, asked)): (&name::ServiceName, &(_, Instant))| {
+            let sequence = record.latest_before(*asked).filter(|_| is_fresh(*asked))?;
+            Some(beat::ProbedLeader {
+                service: service.clone(),
+                database: Clone::clone(database),
+                sequence,
+            })
+        };
+        self.probed.iter().filter_map(tell).collect()
+    }
+
+    /// Returns until when a service's leader may be relied on.
+    pub fn service_leased_until(&self, service: &name::ServiceName) -> Option<Instant> {
+        self.leased_until(service, &self.leader_of(service)?)
+    }
+
+    pub(super) fn leased_until(
+        &self,
+        service: &name::ServiceName,
+        leader: &shared::LeaderView,
+    ) -> Option<Instant> {
+        let probed = self.probed.get(service);
+        let probed = probed.filter(|(database, _)| *database == leader.database);
+        self.lease
+            .valid_until()
+            .max(probed.map(|(_, asked)| *asked + lease::PROBED_TERM))
+    }
+}
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -1,5 +1,7 @@
 //! Finding a connection for a statement.
 
+mod ranking;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -33,9 +35,6 @@
 /// How long a replica that lagged behind a read is avoided, at first and at most.
 const LAG_AVOID_AT_FIRST: Duration = Duration::from_millis(50);
 const LAG_AVOID_AT_MOST: Duration = Duration::from_millis(800);
-/// What reading from the leader costs beyond its answer time, since only it
-/// can serve writes.
-const LEADER_READ_COST: Duration = Duration::from_millis(15);
 /// After how long a waiting statement looks anew which databases can serve it.
 const RECONSIDER: Duration = Duration::from_millis(150);
 /// One connection in this many is left free at each database. A database holds the
@@ -79,40 +78,9 @@
     pub hopeless_after: Instant,
 }
 
-/// An avoided database.
-#[derive(Debug, Clone, Copy, Default)]
-struct AvoidedUntil {
-    until: Option<Instant>,
-    pause: Duration,
-}
-
-impl AvoidedUntil {
-    fn extend(&mut self, first: Duration, most: Duration, now: Instant) {
-        self.pause = (self.pause * 2).clamp(first, most);
-        self.until = Some(now + self.pause);
-    }
-
-    fn clear(&mut self) {
-        *self = Self::default();
-    }
-
-    fn holds(&self, now: Instant) -> bool {
-        self.until.is_some_and(|until| until > now)
-    }
-}
-
-#[derive(Debug)]
-struct DatabaseRecord {
-    entry: Arc<database::DatabaseEntry>,
-    is_listed: bool,
-    latency: estimate::LatencyEstimate,
-    unreachable: AvoidedUntil,
-    lagging: AvoidedUntil,
-}
-
 #[derive(Debug, Default)]
 struct DispatchState {
-    records: Vec<DatabaseRecord>,
+    records: Vec<ranking::DatabaseRecord>,
     indexes: HashMap<name::DatabaseName, budget::DatabaseIndex>,
     budget: budget::ConnectionBudget<HeldConnection>,
     waiters: BTreeMap<budget::WaiterId, oneshot::Sender<HeldConnection>>,
@@ -182,12 +150,12 @@
         let known = state.indexes.get(&entry.id).copied();
         let index = known.unwrap_or_else(|| {
             let guess = self.first_guess(entry);
-            state.records.push(DatabaseRecord {
+            state.records.push(ranking::DatabaseRecord {
                 entry: Arc::new(entry.clone()),
                 is_listed: true,
                 latency: estimate::LatencyEstimate::new(guess),
-                unreachable: AvoidedUntil::default(),
-                lagging: AvoidedUntil::default(),
+                unreachable: ranking::AvoidedUntil::default(),
+                lagging: ranking::AvoidedUntil::default(),
             });
             let index = state.records.len() - 1;
             state.indexes.insert(entry.id.clone(), index);
@@ -295,7 +263,7 @@
         let snapshot = self.shared.snapshot();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let ranked = rank_databases(state, &snapshot, demand, now);
+        let ranked = ranking::rank_databases(&state.records, &state.budget, &snapshot, demand, now);
         let Some((best, _)) = ranked.first().copied() else {
             return ObtainStep::NoDatabase;
         };
@@ -532,62 +500,6 @@
     }
 }
 
-/// Orders the databases that may serve a statement by expected finish.
-fn rank_databases(
-    state: &DispatchState,
-    snapshot: &shared::EdgeSnapshot,
-    demand: &ConnectionDemand,
-    now: Instant,
-) -> Vec<(budget::DatabaseIndex, Duration)> {
-    let leader = snapshot.leaders.get(&demand.service);
-    let is_trusted = if demand.needs_lease {
-        snapshot.trusted_leader(&demand.service, now).is_some()
-    } else {
-        leader.is_some_and(|leader| !leader.is_replacing)
-    };
-    let cost = |(index, record): (budget::DatabaseIndex, &DatabaseRecord)| {
-        let entry = &record.entry;
-        let is_leader = leader.is_some_and(|leader| leader.database == entry.id);
-        let is_usable = if is_leader {
-            is_trusted
-        } else {
-            demand.allows_replica && !entry.leaving && !record.lagging.holds(now)
-        };
-        let is_wanted = entry.service == demand.service
-            && record.is_listed
-            && !demand.excluded.contains(&index)
-            && !record.unreachable.holds(now);
-        if !is_usable || !is_wanted {
-            return None;
-        }
-        let answer = record.latency.expected(now);
-        let connection = state
-            .budget
-            .opening_cost(&demand.request.workspace, index, now)
-            .unwrap_or_else(|| expected_wait(state, index, answer));
-        let scarcity = if is_leader && demand.allows_replica {
-            LEADER_READ_COST
-        } else {
-            Duration::ZERO
-        };
-        Some((index, answer + connection + scarcity))
-    };
-    let mut ranked: Vec<_> = state.records.iter().enumerate().filter_map(cost).collect();
-    ranked.sort_by_key(|(_, cost)| *cost);
-    ranked
-}
-
-/// Estimates how long a statement waits for one of a database's connections.
-fn expected_wait(
-    state: &DispatchState,
-    index: budget::DatabaseIndex,
-    answer: Duration,
-) -> Duration {
-    let in_use = state.budget.in_use(index).max(1) as f64;
-    let ahead = state.budget.waiting_for(index) as f64 + 1.0;
-    answer.mul_f64(ahead / in_use) + budget::OPENING_COST
-}
-
 fn refuse(reason: refusal::RefusalReason, message: &str) -> refusal::RequestRefusal {
     refusal::RequestRefusal::not_run(reason, message)
 }
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -10,6 +10,7 @@
 use bluebellferry_catalog::configuration;
 use bluebellferry_edge::control::owners;
 use bluebellferry_edge::control::parts;
+use bluebellferry_edge::control::parts::table;
 use bluebellferry_edge::control::state;
 use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
@@ -99,6 +100,7 @@
     let mut control = control(own, now);
     control.versions = beat::CopyVersions {
         configuration: 4,
+        configuration_bytes: 900,
         databases: 4,
         members: 5,
     };
@@ -225,16 +227,16 @@
             parts: vec![0.9, 0.1],
         }],
     };
-    let known = parts::KnownParts::new(&table, &["a", "b"]);
+    let known = table::KnownParts::new(&table, &["a", "b"]);
     assert!((known.rate_part(0, &workspace("w")) - 0.9).abs() < 1e-6);
     assert!((known.rate_part(0, &workspace("other")) - 0.5).abs() < 1e-6);
     // One has come, and one has gone.
-    let known = parts::KnownParts::new(&table, &["b", "c"]);
+    let known = table::KnownParts::new(&table, &["b", "c"]);
     assert!((known.rate_part(0, &workspace("w")) - 0.1).abs() < 1e-6);
     assert!(known.rate_part(1, &workspace("w")) < 1e-6);
     // Before anything is dealt out, all have equal parts.
     let nothing = beat::WeightTable::default();
-    let known = parts::KnownParts::new(&nothing, &["a", "b", "c"]);
+    let known = table::KnownParts::new(&nothing, &["a", "b", "c"]);
     assert!((known.rate_part(0, &workspace("w")) - 1.0 / 3.0).abs() < 1e-6);
 }
 
