Name a database that is about to stop only if no other stays

The whole workspace also did not compile since the requests to owners were added: the PostgreSQL proxy did not cover them. Change: such a choice waits up to 1.5 s for a database that stays; the proxy refuses the message.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -37,6 +37,9 @@
 /// How long a call to the platform may take. With [`DUTY_CONFIRMED`] it ends
 /// before the wait of whoever takes the duty over.
 const DUTY_CALL_LIMIT: Duration = Duration::from_millis(700);
+/// How long a database that is about to stop is not chosen while another one, which
+/// stays, may still answer: as long as a lease, which is waited for anyway.
+const STAYING_PATIENCE: Duration = Duration::from_millis(1_500);
 /// How long after a planned replacement the same service is left alone.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
@@ -136,7 +139,13 @@
             log::warn!(service = replacement.service.as_str(); "another VM has taken the duty over");
             return;
         }
-        match hold::choose(control, &replacement) {
+        let choice = hold::choose(control, &replacement);
+        let since_claim = clock::now().saturating_duration_since(replacement.claimed);
+        if since_claim < STAYING_PATIENCE && hold::is_last_resort(control, &replacement, &choice) {
+            tokio::time::sleep(ROUND_PAUSE).await;
+            continue;
+        }
+        match choice {
             successor::SuccessorChoice::Promote { id, position } => {
                 let decided = replacement.decided.unwrap_or_else(clock::now);
                 wait_for_leases(control, replacement.claimed, decided).await;
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -89,7 +89,8 @@
         // Orders that are still on their way to a database that does not answer
         // need not be waited for, unless they have to be taken back.
         let choice = choose(control, replacement);
-        if matches!(choice, successor::SuccessorChoice::Promote { .. }) {
+        let is_chosen = matches!(choice, successor::SuccessorChoice::Promote { .. });
+        if is_chosen && !is_last_resort(control, replacement, &choice) {
             tasks.detach_all();
             replacement.decided.get_or_insert_with(clock::now);
             return;
@@ -190,6 +191,15 @@
     successor::choose_successor(&evidence(control, replacement), replacement.leader_term)
 }
 
+/// Returns whether a choice is one to wait with for another database.
+pub(super) fn is_last_resort(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+    choice: &successor::SuccessorChoice,
+) -> bool {
+    successor::is_last_resort(choice, &evidence(control, replacement))
+}
+
 fn evidence(
     control: &control::ControlCell,
     replacement: &LeaderReplacement,
--- a/crates/bluebellferry_edge/src/control/state/shares.rs
+++ b/crates/bluebellferry_edge/src/control/state/shares.rs
@@ -81,8 +81,7 @@
         member.is_some_and(|member| self.circle.is_in_group(&member.data_centre))
     }
 
-    /// Returns the data centres with how many VMs each has; just one group that
-    /// holds everything where all VMs send to each other.
+    /// Returns the data centres with how many VMs each has.
     pub fn centres(&self) -> BTreeMap<&str, usize> {
         let mut centres = BTreeMap::new();
         for member in self.members.values() {
@@ -91,8 +90,8 @@
         centres
     }
 
-    /// Returns this VM's part of fleet-wide limits: as it was dealt out if that
-    /// covers all VMs of the group, else an equal one.
+    /// Returns this VM's part of fleet-wide limits: as it was dealt out, or an equal one
+    /// before that.
     pub fn own_part(&self) -> shared::FleetPart {
         if !self.has_joined {
             return shared::FleetPart::default();
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -92,6 +92,17 @@
     }
 }
 
+/// Returns whether a choice is one to wait with: it names a database that is about to
+/// stop, while another one that stays may only have been slower to answer.
+pub fn is_last_resort(choice: &SuccessorChoice, members: &[MemberEvidence]) -> bool {
+    let SuccessorChoice::Promote { id, .. } = choice else {
+        return false;
+    };
+    let is_leaving = |member: &MemberEvidence| member.id == *id && member.is_leaving;
+    let may_serve = |member: &MemberEvidence| !member.is_leader && !member.is_leaving;
+    members.iter().any(is_leaving) && members.iter().any(may_serve)
+}
+
 fn find_adopted(members: &[MemberEvidence], leader_term: u64) -> Option<SuccessorChoice> {
     let others = members.iter().filter(|member| !member.is_leader);
     let leading = others.filter_map(|member| Some((member.leads?, member)));
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -400,6 +400,29 @@
     assert_eq!(promoted(&members).as_deref(), Some("r2"));
 }
 
+#[test]
+fn a_leaving_replica_that_answers_first_is_chosen_only_if_none_stays() {
+    let mut leader = member("x", Some(41));
+    leader.is_leaving = true;
+    let mut leaving = member("r1", Some(41));
+    leaving.is_leaving = true;
+    let silent = member("r2", None);
+    let members = [leader.clone(), leaving.clone(), silent];
+    let choice = successor::choose_successor(&members, 1);
+    assert!(
+        matches!(&choice, successor::SuccessorChoice::Promote { id, .. } if id.as_str() == "r1")
+    );
+    assert!(successor::is_last_resort(&choice, &members));
+    // It has answered and lacks nothing.
+    let members = [leader.clone(), leaving.clone(), member("r2", Some(41))];
+    let choice = successor::choose_successor(&members, 1);
+    assert!(!successor::is_last_resort(&choice, &members));
+    // There is no other.
+    let members = [leader, leaving];
+    let choice = successor::choose_successor(&members, 1);
+    assert!(!successor::is_last_resort(&choice, &members));
+}
+
 #[test]
 fn no_acknowledged_commit_is_lost_whatever_is_known() {
     // A commit is acknowledged once the leader and one replica hold it.
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -265,7 +265,9 @@
                     }
                 }
             }
-            message::PeerMessage::ObjectRequest { .. } | message::PeerMessage::ObjectCopies(_) => {
+            message::PeerMessage::ObjectRequest { .. }
+            | message::PeerMessage::ObjectCopies(_)
+            | message::PeerMessage::OwnerRequest { .. } => {
                 self.shared.metrics.count_peer_message("refused");
             }
         }
