--- a/crates/bluebellferry_pool/tests/more_vms_than_connections.rs
+++ b/crates/bluebellferry_pool/tests/more_vms_than_connections.rs
@@ -48,8 +48,7 @@
     let (mut arrived, mut given_up) = (0_u32, 0_u32);
     for step in 0..6_000_u32 {
         let now = start + STEP * step;
-        for index in 0..VMS {
-            let vm = &mut vms[index];
+        for vm in &mut vms {
             while vm.running.first().is_some_and(|until| *until <= now) {
                 vm.running.remove(0);
                 vm.budget.release(0, workspace.clone(), 0, now);
@@ -63,9 +62,8 @@
             vm.waiting.retain(|since| now - *since < PATIENCE);
             given_up += (before - vm.waiting.len()) as u32;
         }
-        for index in 0..VMS {
-            let held: usize = vms.iter().map(|vm| vm.budget.held(0)).sum();
-            let vm = &mut vms[index];
+        let mut held: usize = vms.iter().map(|vm| vm.budget.held(0)).sum();
+        for vm in &mut vms {
             if vm.waiting.is_empty() {
                 continue;
             }
@@ -78,6 +76,7 @@
                     vm.budget.record_limit(0, now);
                     continue;
                 }
+                held += 1;
                 vm.budget.finish_open(0, workspace.clone(), 0, now);
                 vm.budget.take_kept(&workspace, 0);
             }
