Count a replica that vanished until another one takes its place

Change: a replica that vanished without leaving counts as not held back for 30 s or until a database registers in its data centre; a database that led the replaced term under another identity counts as the old leader. Tests in heads and leases.

--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -204,7 +204,11 @@
     control: &control::ControlCell,
     replacement: &LeaderReplacement,
 ) -> Vec<successor::MemberEvidence> {
-    let entries = control.borrow().databases_of(&replacement.service);
+    let control = control.borrow();
+    let mut entries = control.databases_of(&replacement.service);
+    let mut vanished = control.vanished_of(&replacement.service, clock::now());
+    vanished.retain(|entry| entry.id != replacement.leader);
+    entries.append(&mut vanished);
     let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
     evidence.collect()
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -36,6 +36,10 @@
 /// store or a leader is asked.
 const REMEMBERED_ARRIVALS: usize = 8;
 
+/// How long a database that vanished is taken to hold commits that no other replica has:
+/// one that follows has received them by then.
+const VANISHED_KEPT: Duration = Duration::from_secs(30);
+
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -142,6 +146,8 @@
     probed: BTreeMap<name::ServiceName, (name::DatabaseName, Instant)>,
     /// What this VM last told of what its data centre has seen.
     told_seen: Option<beat::CentreSeen>,
+    /// Databases that vanished, and when.
+    vanished: Vec<(database::DatabaseEntry, Instant)>,
     /// Whether copies of another VM are on their way.
     pub is_fetching: bool,
     /// Since when this VM knows the parts of its group.
@@ -183,6 +189,7 @@
             news: Arc::new(Notify::new()),
             probed: BTreeMap::new(),
             told_seen: None,
+            vanished: Vec::new(),
             is_fetching: false,
             weights_since: clock::now(),
             is_isolated: false,
@@ -242,6 +249,7 @@
     pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>, as_of: u64) {
         if *self.databases != databases || self.versions.databases == 0 {
             self.log_databases(&databases);
+            self.note_vanished(&databases, clock::now());
             self.databases = Arc::new(databases);
             self.versions.databases = as_of;
             self.publish();
@@ -249,6 +257,44 @@
         }
     }
 
+    /// Remembers databases that vanished without having said that they leave, until one
+    /// registers in their place.
+    fn note_vanished(&mut self, next: &[database::DatabaseEntry], now: Instant) {
+        let has = |entries: &[database::DatabaseEntry], id: &name::DatabaseName| {
+            entries.iter().any(|entry| entry.id == *id)
+        };
+        let is_lost = |entry: &&database::DatabaseEntry| !has(next, &entry.id) && !entry.leaving;
+        let lost = self.databases.iter().filter(is_lost);
+        self.vanished.extend(lost.map(|entry| (entry.clone(), now)));
+        self.vanished.retain(|(entry, since)| {
+            let is_recent = now.saturating_duration_since(*since) < VANISHED_KEPT;
+            is_recent && !has(next, &entry.id)
+        });
+        let arrived = next.iter().filter(|entry| !has(&self.databases, &entry.id));
+        for entry in arrived {
+            let takes_place = |(lost, _): &(database::DatabaseEntry, Instant)| {
+                (&lost.service, &lost.data_centre) == (&entry.service, &entry.data_centre)
+            };
+            if let Some(index) = self.vanished.iter().position(takes_place) {
+                self.vanished.remove(index);
+            }
+        }
+    }
+
+    /// Returns the databases of a service that vanished a short while ago: a commit may
+    /// stand in the log of one of them and of the leader only.
+    pub fn vanished_of(
+        &self,
+        service: &name::ServiceName,
+        now: Instant,
+    ) -> Vec<database::DatabaseEntry> {
+        let counts = |(entry, since): &&(database::DatabaseEntry, Instant)| {
+            entry.service == *service && now.saturating_duration_since(*since) < VANISHED_KEPT
+        };
+        let vanished = self.vanished.iter().filter(counts);
+        vanished.map(|(entry, _)| entry.clone()).collect()
+    }
+
     fn log_databases(&self, databases: &[database::DatabaseEntry]) {
         for entry in databases {
             if !self.databases.contains(entry) {
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::database;
 use bluebellferry_edge::control::owners;
 use bluebellferry_edge::control::parts;
 use bluebellferry_edge::control::parts::table;
@@ -457,3 +458,48 @@
     assert!(control.lacks_copies(&large, now));
     assert!(!control.reads_configuration(large.versions));
 }
+
+fn database(id: &str, centre_index: usize, leaving: bool) -> database::DatabaseEntry {
+    database::DatabaseEntry {
+        id: name::DatabaseName::try_from(id).expect("a valid name"),
+        born: 1,
+        service: name::ServiceName::try_from("rental").expect("a valid name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: centre(centre_index),
+        slots: 3,
+        leaving,
+        role: database::DatabaseRole::Replica,
+    }
+}
+
+#[test]
+fn a_replica_that_vanished_counts_until_one_takes_its_place() {
+    let now = clock::now();
+    let mut control = control(0, now);
+    let service = name::ServiceName::try_from("rental").expect("a valid name");
+    let vanished = |control: &state::ControlState, at: Instant| -> Vec<String> {
+        let vanished = control.vanished_of(&service, at);
+        vanished.iter().map(|entry| entry.id.to_string()).collect()
+    };
+    let (x, r1, r2) = (
+        database("x", 0, false),
+        database("r1", 1, false),
+        database("r2", 2, false),
+    );
+    control.apply_databases(vec![x.clone(), r1.clone(), r2.clone()], 1);
+    // Its registration lapses with the crash that also took the leader.
+    control.apply_databases(vec![x.clone(), r1.clone()], 2);
+    assert_eq!(vanished(&control, now), ["r2"]);
+    // Another one comes elsewhere.
+    control.apply_databases(vec![x.clone(), r1.clone(), database("n", 1, false)], 3);
+    assert_eq!(vanished(&control, now), ["r2"]);
+    // It is back under another identity.
+    control.apply_databases(vec![x.clone(), r1.clone(), database("r3", 2, false)], 4);
+    assert!(!vanished(&control, now).contains(&"r2".to_owned()));
+    // One that leaves in an orderly way has handed over.
+    control.apply_databases(vec![x.clone(), r1, database("r3", 2, true)], 5);
+    control.apply_databases(vec![x], 6);
+    assert!(!vanished(&control, now).contains(&"r3".to_owned()));
+    // In the end it is taken as gone.
+    assert!(vanished(&control, now + Duration::from_secs(40)).is_empty());
+}
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -73,7 +73,12 @@
         return choice;
     }
     let leader = members.iter().find(|member| member.is_leader);
-    let leader_end = leader.and_then(|leader| leader.held_at);
+    // A term has one leader, whatever its identity is by now.
+    let led = |member: &&MemberEvidence| {
+        let leads = member.leads.is_some_and(|(term, _)| term == leader_term);
+        member.is_leader || leads
+    };
+    let leader_end = members.iter().filter(led).find_map(|member| member.held_at);
     let replicas = || members.iter().filter(|member| !member.is_leader);
     let best = replicas()
         .filter_map(|member| Some((member.held_at?, !member.is_leaving, member)))
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -384,6 +384,15 @@
         reborn,
     ];
     assert!(promoted(&members).is_some());
+    // It is the old leader itself, so a replica that is down is not waited for.
+    let silent = member("r2", None);
+    let members = [
+        members[0].clone(),
+        members[1].clone(),
+        silent,
+        members[3].clone(),
+    ];
+    assert!(promoted(&members).is_some());
     // One that was named since, in a later term, is left alone.
     let mut named = member("r3", None);
     named.leads = Some((2, position::LogPosition::new(1, 41)));
