--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -486,7 +486,7 @@
         database("r1", 1, false),
         database("r2", 2, false),
     );
-    control.apply_databases(vec![x.clone(), r1.clone(), r2.clone()], 1);
+    control.apply_databases(vec![x.clone(), r1.clone(), r2], 1);
     // Its registration lapses with the crash that also took the leader.
     control.apply_databases(vec![x.clone(), r1.clone()], 2);
     assert_eq!(vanished(&control, now), ["r2"]);
