--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -129,9 +129,9 @@
     }
 }
 
-/// Returns whether this VM lists the VMs itself. Where heartbeats of all confirm leases,
-/// a list must not be older than its listing, so all do, and so does who was just
-/// started, until a head is heard.
+/// Returns whether this VM lists the VMs itself. In a full exchange a lease is no longer
+/// valid than the list of members, so every VM lists them; a VM that has just started
+/// does so until it hears a head.
 fn lists_members(control: &state::ControlState, listings: u32, now: Instant) -> bool {
     if listings <= FIRST_LISTINGS {
         return listings < 2 || !control.is_read_for(now);
--- a/crates/bluebellferry_edge/src/control/owners.rs
+++ b/crates/bluebellferry_edge/src/control/owners.rs
@@ -3,7 +3,7 @@
 //! Among many VMs, an equal part each would be less than a token, and parts of tokens
 //! that are lent around lapse before they make up a whole one. So one to a few VMs,
 //! chosen by rendezvous hashing, own what the data centre has, and the others borrow
-//! whole tokens of them. A small workspace is owned by one data centre alone.
+//! whole tokens of them. A small workspace is owned by one to three data centres.
 
 use std::time::Duration;
 
@@ -22,8 +22,8 @@
 /// more, the loss of an owner costs the workspace only a part of its rate.
 const RATE_OF_SECOND_OWNER: f64 = 8.0;
 
-/// A workspace whose rate would give a data centre less than this, in operations a
-/// second, is owned by one data centre.
+/// A workspace whose rate would give each data centre less than this, in operations a
+/// second, is owned by as many of them as [`count`] says.
 pub const RATE_OF_CENTRE: f64 = 8.0;
 
 /// What is known of a VM, or a data centre, that may own a part.
--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -201,8 +201,7 @@
 }
 
 /// Returns for how long another one has been silent, if that is long enough to count.
-/// Who is itself among the few that hear each other must not count on others having
-/// fallen back.
+/// A VM in a minority must not assume that the others have fallen back.
 fn counted_silence(silence: Option<Duration>, is_among_few: bool) -> Option<Duration> {
     let silence = silence.filter(|silence| *silence >= circle::SILENT_AFTER)?;
     Some(if is_among_few {
@@ -309,7 +308,7 @@
     }
 }
 
-/// Has one data centre own each workspace that is too small to be split.
+/// Has a few data centres own each workspace that is too small for all of them.
 fn give_to_single_centres(
     control: &state::ControlState,
     names: &[String],
