--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -11,7 +11,7 @@
 use crate::control;
 
 /// How often a VM looks whether its head still reads for it.
-const READER_STEP: Duration = Duration::from_millis(300);
+pub const READER_STEP: Duration = Duration::from_millis(300);
 /// How long one watch waits; the store holds a call for 30 s at most.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The rest after a failed call, at first and at most.
--- a/crates/bluebellferry_edge/src/control/parts.rs
+++ b/crates/bluebellferry_edge/src/control/parts.rs
@@ -213,13 +213,16 @@
 
 fn set_group(control: &mut state::ControlState, own: &OwnLoad, now: Instant) {
     let names: Vec<String> = control.group().cloned().collect();
+    // Where rates have owners, they are not dealt out by demand.
+    let has_owners = control.has_owners();
+    let workspaces = |demands| if has_owners { &[][..] } else { demands };
     let mut live = BTreeMap::new();
     let mut number = control.weights.number;
     for (name, record) in control.live_peers(now) {
         if control.is_in_group(name) {
             let demand = table::KnownDemand {
                 operations_per_second: record.beat.operations_per_second,
-                workspaces: &record.demands,
+                workspaces: workspaces(&record.demands),
             };
             live.insert(name.as_str(), demand);
             // A VM that was started anew has forgotten the number that others know.
@@ -228,7 +231,7 @@
     }
     let demand = table::KnownDemand {
         operations_per_second: own.operations_per_second,
-        workspaces: &own.demands,
+        workspaces: workspaces(&own.demands),
     };
     live.insert(control.own_name(), demand);
     let rate_of = |workspace: &name::WorkspaceName| {
@@ -244,7 +247,7 @@
         rate_of,
     };
     let mut next = table::next_table(&control.weights, &names, &live, &rules);
-    if control.has_owners() {
+    if has_owners {
         next.workspaces = owned_parts(control, &names, now);
     }
     if number > control.weights.number || table::differs(&control.weights, &next, LEAST_CHANGE) {
--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -17,8 +17,6 @@
 /// How often the registrations are listed. Every database writes its entry more
 /// often than that, so a watch would cost a call for each.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
-/// How often it is looked whether this VM is to list them for others.
-const READER_STEP: Duration = Duration::from_millis(300);
 /// For how long after the store's return entries that lapsed meanwhile are
 /// kept; databases that live are back within about two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2_500);
@@ -75,7 +73,7 @@
         if !is_reader(&control.borrow(), clock::now()) {
             // Entries that lapsed unseen are no longer known here.
             lapsed = LapsedEntries::default();
-            tokio::time::sleep(READER_STEP).await;
+            tokio::time::sleep(configuration::READER_STEP).await;
             continue;
         }
         match client.list(registry::KIND).await {
--- a/crates/bluebellferry_edge/src/control/state/heads.rs
+++ b/crates/bluebellferry_edge/src/control/state/heads.rs
@@ -83,19 +83,14 @@
     /// Returns for how long this VM, as the one that deals parts out, has not heard another.
     pub fn silence_of(&self, vm: &str, now: Instant) -> Duration {
         let heard = self.peers.get(vm).map(|record| record.heard);
-        let since = heard.max(self.setter_since);
-        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        self.silence_since(heard, now)
     }
 
     /// Returns the head of another data centre that was heard a moment ago.
     pub fn head_of(&self, centre: &str, now: Instant) -> Option<String> {
-        let is_there = |name: &String| {
-            let member = self.members.get(name);
-            member.is_some_and(|member| member.data_centre.as_str() == centre)
-        };
         let heads = self
             .live_peers(now)
-            .filter(|(name, record)| record.beat.is_head && is_there(name));
+            .filter(|(name, record)| record.beat.is_head && self.is_in_centre(name, centre));
         let first = heads.min_by(|(one, _), (other, _)| {
             let (one, other) = (circle::rank(one), circle::rank(other));
             one.cmp(&other)
@@ -105,15 +100,22 @@
 
     /// Returns for how long this VM, as a head, has not heard one of a data centre.
     pub fn silence_of_centre(&self, centre: &str, now: Instant) -> Duration {
-        let is_there = |name: &String| {
-            let member = self.members.get(name);
-            member.is_some_and(|member| member.data_centre.as_str() == centre)
-        };
-        let heads = self.peers.iter().filter(|(name, _)| is_there(name));
-        let heard = heads
-            .filter(|(_, record)| record.beat.is_head)
-            .map(|(_, record)| record.heard)
-            .max();
+        let heads = self
+            .peers
+            .iter()
+            .filter(|(name, record)| record.beat.is_head && self.is_in_centre(name, centre));
+        let heard = heads.map(|(_, record)| record.heard).max();
+        self.silence_since(heard, now)
+    }
+
+    fn is_in_centre(&self, vm: &str, centre: &str) -> bool {
+        let member = self.members.get(vm);
+        member.is_some_and(|member| member.data_centre.as_str() == centre)
+    }
+
+    /// Returns the time since something was heard, but not from before this VM dealt out
+    /// parts, when it need not have been sent it.
+    fn silence_since(&self, heard: Option<Instant>, now: Instant) -> Duration {
         let since = heard.max(self.setter_since);
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
--- a/crates/bluebellferry_edge/src/control/state/shares.rs
+++ b/crates/bluebellferry_edge/src/control/state/shares.rs
@@ -75,6 +75,13 @@
             .map(|(name, _)| name)
     }
 
+    /// Returns the VMs of the group with the parts that they have of it.
+    pub(super) fn group_parts(&self) -> (Vec<&String>, table::KnownParts<'_>) {
+        let names: Vec<&String> = self.group().collect();
+        let parts = table::KnownParts::new(&self.weights, &names);
+        (names, parts)
+    }
+
     /// Returns whether a VM belongs to this VM's group.
     pub fn is_in_group(&self, vm: &str) -> bool {
         let member = self.members.get(vm);
@@ -97,8 +104,7 @@
             return shared::FleetPart::default();
         }
         let centre = self.own_centre_part();
-        let names: Vec<&String> = self.group().collect();
-        let parts = table::KnownParts::new(&self.weights, &names);
+        let (names, parts) = self.group_parts();
         let own = self.own_name();
         let mut from = 0.0;
         for (index, name) in names.iter().enumerate() {
@@ -170,8 +176,7 @@
 
     /// Returns a VM's part of what its group has of a workspace's rate.
     pub fn rate_part(&self, vm: &str, workspace: &name::WorkspaceName) -> f64 {
-        let names: Vec<&String> = self.group().collect();
-        let parts = table::KnownParts::new(&self.weights, &names);
+        let (names, parts) = self.group_parts();
         let index = names.iter().position(|name| *name == vm);
         index.map_or(0.0, |index| parts.rate_part(index, workspace))
     }
@@ -198,8 +203,7 @@
     }
 
     pub(super) fn all_owners_of(&self, workspace: &name::WorkspaceName) -> Vec<String> {
-        let names: Vec<&String> = self.group().collect();
-        let parts = table::KnownParts::new(&self.weights, &names);
+        let (names, parts) = self.group_parts();
         let equal = 1.0 / names.len().max(1) as f64;
         let owns = |(index, _): &(usize, &String)| parts.rate_part(*index, workspace) >= equal;
         let owners = names.iter().copied().enumerate().filter(owns);
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -303,17 +303,22 @@
     own.map_or(0.0, |(_, part)| *part)
 }
 
-#[test]
-fn a_small_workspace_is_owned_by_one_data_centre_and_a_large_one_by_all() {
-    let start = clock::now();
-    let heads = heads();
+/// Returns the first head after it has dealt out the parts of all. Each data centre asks
+/// for twice as much as the one before.
+fn dealing_head(heads: &[usize], start: Instant) -> state::ControlState {
     let mut control = control(heads[0], start);
     control.apply_configuration(configuration(), String::new(), "test");
-    // Each data centre asks for twice as much as the one before.
     hear_head(&mut control, heads[1], 20.0, start);
     hear_head(&mut control, heads[2], 40.0, start);
     control.note_circle(start);
     parts::set(&mut control, &load(10.0), start);
+    control
+}
+
+#[test]
+fn a_small_workspace_is_owned_by_one_data_centre_and_a_large_one_by_all() {
+    let heads = heads();
+    let control = dealing_head(&heads, clock::now());
     for name in SMALL {
         let parts = heads.iter().map(|head| part_of(&control, name, *head));
         assert_eq!(parts.filter(|part| *part > 0.99).count(), 1, "{name}");
@@ -330,12 +335,7 @@
     let start = clock::now();
     let heads = heads();
     for is_among_most in [true, false] {
-        let mut control = control(heads[0], start);
-        control.apply_configuration(configuration(), String::new(), "test");
-        hear_head(&mut control, heads[1], 20.0, start);
-        hear_head(&mut control, heads[2], 40.0, start);
-        control.note_circle(start);
-        parts::set(&mut control, &load(10.0), start);
+        let mut control = dealing_head(&heads, start);
         let lost = |name: &&&str| part_of(&control, name, heads[2]) > 0.99;
         let owned: Vec<&str> = SMALL.iter().filter(lost).copied().collect();
         assert!(!owned.is_empty(), "some are owned by the one that is lost");
--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -316,28 +316,38 @@
     rustix::process::kill_process(process, signal).expect("it runs");
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_vm_that_starts_while_the_store_is_away_learns_from_others() {
-    let mut deployment = start(2).await;
-    deployment.store.set_down(true);
+/// Ends the second VM at once.
+fn kill_second(deployment: &mut Deployment) {
     let mut lost = deployment.vms.remove(1);
     lost.kill().expect("it runs");
     lost.wait().expect("it ends");
-    deployment.start_vm(1);
-    deployment.wait_ready(1).await;
-    let mut caller = deployment
-        .caller(1, "counter", KEY)
-        .await
-        .expect("it connects");
+}
+
+/// Has a statement run again until it is not refused.
+async fn is_served_soon(caller: &mut caller::StandinCaller, text: &str) {
     let started = Instant::now();
     loop {
-        let answer = run(&mut caller, "WRITE boots alone").await;
+        let answer = run(caller, text).await;
         if answer.refusal.is_none() {
-            break;
+            return;
         }
         assert!(started.elapsed() < Duration::from_secs(8), "{answer:?}");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_starts_while_the_store_is_away_learns_from_others() {
+    let mut deployment = start(2).await;
+    deployment.store.set_down(true);
+    kill_second(&mut deployment);
+    deployment.start_vm(1);
+    deployment.wait_ready(1).await;
+    let mut caller = deployment
+        .caller(1, "counter", KEY)
+        .await
+        .expect("it connects");
+    is_served_soon(&mut caller, "WRITE boots alone").await;
     assert_eq!(succeeds(&mut caller, "READ boots").await[0], "alone");
 }
 
@@ -361,22 +371,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_vm_at_another_address_takes_the_place_of_a_lost_one() {
     let mut deployment = start(2).await;
-    let mut lost = deployment.vms.remove(1);
-    lost.kill().expect("it runs");
-    lost.wait().expect("it ends");
+    kill_second(&mut deployment);
     deployment.start_vm(2);
     deployment.wait_ready(2).await;
     let mut caller = deployment
         .caller(2, "counter", KEY)
         .await
         .expect("it connects");
-    let started = Instant::now();
-    loop {
-        let answer = run(&mut caller, "WRITE boots new").await;
-        if answer.refusal.is_none() {
-            break;
-        }
-        assert!(started.elapsed() < Duration::from_secs(8), "{answer:?}");
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
+    is_served_soon(&mut caller, "WRITE boots new").await;
 }
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -71,6 +71,12 @@
     since: Instant,
 }
 
+impl<C> IdleConnection<C> {
+    fn is_unused(&self, limit: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) >= limit
+    }
+}
+
 #[derive(Debug)]
 struct DatabaseBudget<C> {
     /// How many connections are this VM's own.
@@ -101,6 +107,19 @@
         self.in_use + self.opening.len() + self.idle.len()
     }
 
+    /// Takes idle connections that `accept` names, the oldest first, until no more than
+    /// `most` are held.
+    fn shed(&mut self, most: usize, accept: impl Fn(&IdleConnection<C>) -> bool) -> Vec<C> {
+        let mut shed = Vec::new();
+        while self.held() > most {
+            let Some(connection) = remove_oldest(&mut self.idle, &accept) else {
+                break;
+            };
+            shed.push(connection);
+        }
+        shed
+    }
+
     fn may_open(&self, now: Instant) -> bool {
         let is_refused = self.refused_until.is_some_and(|until| until > now);
         let has_place = !self.idle.is_empty() || self.held() < self.allowance;
@@ -144,14 +163,7 @@
         let budget = self.databases.entry(database).or_default();
         let allowance = own + borrowed;
         (budget.own, budget.allowance) = (own, allowance);
-        let mut surplus = Vec::new();
-        while budget.held() > allowance {
-            let Some(connection) = remove_oldest(&mut budget.idle, |_| true) else {
-                break;
-            };
-            surplus.push(connection);
-        }
-        surplus
+        budget.shed(allowance, |_| true)
     }
 
     /// Takes a kept connection of a workspace.
@@ -360,31 +372,16 @@
         limit: Duration,
         now: Instant,
     ) -> Vec<C> {
-        let mut surplus = Vec::new();
-        let Some(budget) = self.databases.get_mut(&database) else {
-            return surplus;
-        };
-        let expired = |idle: &IdleConnection<C>| now.saturating_duration_since(idle.since) >= limit;
-        while budget.held() > budget.own {
-            let Some(connection) = remove_oldest(&mut budget.idle, expired) else {
-                break;
-            };
-            surplus.push(connection);
-        }
-        surplus
+        let budget = self.databases.entry(database).or_default();
+        budget.shed(budget.own, |idle| idle.is_unused(limit, now))
     }
 
     /// Takes the idle connections that have not been used for `limit`.
     pub fn drain_unused(&mut self, limit: Duration, now: Instant) -> Vec<C> {
-        let mut unused = Vec::new();
-        for budget in self.databases.values_mut() {
-            let expired =
-                |idle: &IdleConnection<C>| now.saturating_duration_since(idle.since) >= limit;
-            while let Some(connection) = remove_oldest(&mut budget.idle, expired) {
-                unused.push(connection);
-            }
-        }
-        unused
+        let budgets = self.databases.values_mut();
+        budgets
+            .flat_map(|budget| budget.shed(0, |idle| idle.is_unused(limit, now)))
+            .collect()
     }
 
     /// Returns what to do for the statements that wait for a database.
