--- a/crates/bluebellferry_edge/src/control/beats.rs
+++ b/crates/bluebellferry_edge/src/control/beats.rs
@@ -25,8 +25,6 @@
 const NEAR_INTERVAL: Duration = Duration::from_millis(200);
 /// The shortest time between two heartbeats, when there is news.
 const LEAST_INTERVAL: Duration = Duration::from_millis(20);
-/// How often demand is told where there is a head.
-const DEMAND_INTERVAL: Duration = Duration::from_secs(2);
 /// Positions older than this are of no use to other VMs.
 const POSITION_KEPT: Duration = Duration::from_millis(2_500);
 /// How much of a new measurement enters the rate of operations.
@@ -57,7 +55,6 @@
 #[derive(Debug)]
 struct BeatTimes {
     far: Instant,
-    demand: Instant,
     weighed: Instant,
 }
 
@@ -73,7 +70,6 @@
     let mut demands = parts::DemandBook::default();
     let mut times = BeatTimes {
         far: start,
-        demand: start,
         weighed: start,
     };
     let mut has_news = true;
@@ -122,10 +118,6 @@
     now: Instant,
 ) {
     let is_full = control.circle.is_full_exchange();
-    let is_demand_due = is_full || now.saturating_duration_since(times.demand) >= DEMAND_INTERVAL;
-    if is_demand_due {
-        times.demand = now;
-    }
     // News of this VM's own data centre must not multiply the bytes between regions.
     let far_interval = if has_news {
         NEAR_INTERVAL
@@ -137,13 +129,7 @@
     if is_far_due {
         times.far = now;
     }
-    // Other data centres must hear it too.
-    let since_demand = now.saturating_duration_since(times.demand);
-    let is_demand_due = is_full || (is_far_due && since_demand >= DEMAND_INTERVAL);
-    if is_demand_due {
-        times.demand = now;
-    }
-    let common = common_part(control, &load, is_demand_due, now);
+    let common = common_part(control, load, now);
     let sequence = links.next_sequence();
     control.lease.record_sent(sequence, clock::now());
     let targets = control.circle.targets(now);
@@ -159,8 +145,7 @@
 /// Returns what all VMs are told alike.
 fn common_part(
     control: &state::ControlState,
-    load: &parts::OwnLoad,
-    is_demand_due: bool,
+    load: parts::OwnLoad,
     now: Instant,
 ) -> beat::FleetBeat {
     let is_head = control.circle.is_head(now);
@@ -177,9 +162,9 @@
         is_claiming: control.claims > 0,
         centre_seen: control.own_centre_seen(now),
         operations_per_second: load.operations_per_second,
-        demands: is_demand_due.then(|| load.demands.clone()),
-        centre_demand: (is_demand_due && is_head && !is_full)
-            .then(|| parts::centre_demand(control, load, now)),
+        // Where there are heads, rates have owners and data centres equal parts, so
+        // demand by workspace is not told.
+        demands: is_full.then_some(load.demands),
         parts_number: control.weights.number,
         centre_parts_number: control.centre_weights.number,
         suspicions: control.known_suspicions(now),
