Log what reads ask for, late heartbeats and VMs that stood still

Cause: of the hypotheses about the stale reads, logs could not tell an old position that was dated too late from a commit of the session that was forgotten.

Change: a sample of served reads (4 a second a VM) tells the position asked for, the session's own and the latest one known with its age; a line is written when a VM's heartbeats begin to come late, cannot be dated, or come in time again; and one when a round of heartbeats is over 0.5 s late. No decision changes. Heartbeats can be handed over without a socket (take_beat), for tests.

--- a/crates/bluebellferry_edge/src/control/beats.rs
+++ b/crates/bluebellferry_edge/src/control/beats.rs
@@ -23,6 +23,9 @@
 /// How often VMs of one data centre send them where there is a head: its
 /// confirmations reach leases half as old.
 const NEAR_INTERVAL: Duration = Duration::from_millis(200);
+/// How late a round of heartbeats is when the VM counts as having stood still:
+/// longer than a busy processor or a full link delays one.
+const STILL_AFTER: Duration = Duration::from_millis(500);
 /// The shortest time between two heartbeats, when there is news.
 const LEAST_INTERVAL: Duration = Duration::from_millis(20);
 /// Positions older than this are of no use to other VMs.
@@ -73,8 +76,11 @@
         weighed: start,
     };
     let mut has_news = true;
+    let mut last_round = start;
     loop {
         let now = clock::now();
+        log_standstill(last_round, now);
+        last_round = now;
         let interval = {
             let mut control = control.borrow_mut();
             control.shared.shares.observe(now);
@@ -108,6 +114,14 @@
     }
 }
 
+/// Logs that this VM stood still: what it received meanwhile is older than it seems.
+fn log_standstill(last_round: Instant, now: Instant) {
+    let elapsed = now.saturating_duration_since(last_round);
+    if elapsed >= BEAT_INTERVAL + STILL_AFTER {
+        log::warn!(elapsed_ms = elapsed.as_millis() as u64; "this VM stood still");
+    }
+}
+
 /// Sends one heartbeat to each VM that is due one.
 fn send_round(
     control: &mut state::ControlState,
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -163,7 +163,8 @@
     found.map(|(name, _)| name.clone())
 }
 
-fn take_beat(
+/// Takes a heartbeat that was read from the socket at `now`.
+pub fn take_beat(
     cell: &control::ControlCell,
     from: SocketAddr,
     (incarnation, sequence): (u64, u64),
@@ -192,7 +193,7 @@
     }
     take_parts(&mut control, &beat);
     let answered = take_echo(&mut control, incarnation, &beat);
-    let composed = answered.map(|sent| sent + held_for(&beat));
+    let composed = answered.map(|sent| sent + beat.held());
     take_positions(&control, &beat, composed, now);
     let has_newer = beat.versions.configuration > control.versions.configuration;
     if has_newer && control.reads_configuration(beat.versions) {
@@ -216,11 +217,6 @@
     }
 }
 
-fn held_for(beat: &beat::FleetBeat) -> Duration {
-    let held = beat.echo.as_ref().map_or(0, |echo| echo.held_ms);
-    Duration::from_millis(u64::from(held))
-}
-
 /// Takes what the sender has heard of this VM. Returns when the heartbeat that it
 /// answers was sent.
 fn take_echo(
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -32,6 +32,8 @@
 /// How long ago another VM must have had an answer from a leader for callers to be
 /// sent there: a heartbeat's interval and the time between two statements.
 const SERVED_LATELY: Duration = Duration::from_millis(700);
+/// How long a heartbeat is on its way when it counts as late: longer than links take.
+const LATE_AFTER: Duration = Duration::from_millis(500);
 /// How many arrivals of a VM's heartbeats are remembered: more than come while the
 /// store or a leader is asked.
 const REMEMBERED_ARRIVALS: usize = 8;
@@ -66,10 +68,34 @@
     pub centre_demand: Option<beat::CentreDemand>,
     /// When this VM sent the latest heartbeat that the VM has answered.
     pub answered: Option<Instant>,
+    /// How long its last heartbeat was on its way.
+    pub transit: BeatTransit,
     /// When its last heartbeats came, with their numbers.
     arrivals: SmallVec<[(u64, Instant); REMEMBERED_ARRIVALS]>,
 }
 
+/// How long a heartbeat was on its way, and in the receiver's socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeatTransit {
+    /// Not known: it answers none of the receiver's heartbeats.
+    Unknown,
+    /// A moment.
+    Prompt,
+    /// Longer than links take.
+    Late,
+}
+
+impl BeatTransit {
+    /// Returns the transit of a heartbeat that was composed not before `composed`.
+    pub fn of(composed: Option<Instant>, now: Instant) -> Self {
+        match composed {
+            None => Self::Unknown,
+            Some(composed) if now.saturating_duration_since(composed) < LATE_AFTER => Self::Prompt,
+            Some(_) => Self::Late,
+        }
+    }
+}
+
 impl PeerRecord {
     /// Returns whether the VM was heard a moment ago.
     pub fn is_live(&self, now: Instant) -> bool {
@@ -392,6 +418,9 @@
         answered: Option<Instant>,
         now: Instant,
     ) {
+        let composed = answered.map(|sent| sent + beat.held());
+        let transit = BeatTransit::of(composed, now);
+        self.log_transit(&beat, composed, transit, now);
         let known = self.peers.remove(&beat.vm);
         let known = known.filter(|known| known.incarnation == incarnation);
         let before = known.as_ref().and_then(|known| known.answered);
@@ -410,6 +439,7 @@
             demands: beat.demands.clone().unwrap_or(demands),
             centre_demand: beat.centre_demand.clone().or(centre_demand),
             answered: before.max(answered),
+            transit,
             arrivals,
             beat,
         };
@@ -422,6 +452,29 @@
         }
     }
 
+    /// Logs when a VM's heartbeats begin to come late, or to come in time again.
+    fn log_transit(
+        &self,
+        beat: &beat::FleetBeat,
+        composed: Option<Instant>,
+        transit: BeatTransit,
+        now: Instant,
+    ) {
+        let before = self.peers.get(&beat.vm).map(|record| record.transit);
+        if before == Some(transit) || (before.is_none() && transit == BeatTransit::Prompt) {
+            return;
+        }
+        let transit = format!("{transit:?}");
+        let at_most = composed.map_or(0, |composed| {
+            now.saturating_duration_since(composed).as_millis() as u64
+        });
+        log::info!(
+            vm = beat.vm.as_str(), transit = transit.as_str(), at_most_ms = at_most,
+            positions = beat.positions.len() as u64;
+            "the transit of a VM's heartbeats has changed"
+        );
+    }
+
     /// Returns the registered databases of a service.
     pub fn databases_of(&self, service: &name::ServiceName) -> Vec<database::DatabaseEntry> {
         let of_service = |entry: &&database::DatabaseEntry| entry.service == *service;
--- a/crates/bluebellferry_edge/src/traffic.rs
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -36,6 +36,8 @@
     pub callers: Cell<usize>,
     /// The bound on lines about single statements.
     pub lines: budget_log::LineBudget,
+    /// The bound on lines about reads that were served.
+    pub read_lines: budget_log::LineBudget,
 }
 
 impl TrafficContext {
@@ -48,6 +50,7 @@
             metrics,
             callers: Cell::new(0),
             lines: budget_log::LineBudget::new(clock::now()),
+            read_lines: budget_log::LineBudget::for_reads(clock::now()),
         }
     }
 }
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -353,6 +353,7 @@
             if since.is_some() {
                 self.context.dispatch.record_caught_up(held.database);
             }
+            self.note_read(&statement.id, scope.arrived, &held, since);
             self.context.dispatch.release(held);
             return TryEnd::Answered(answer);
         };
--- a/crates/bluebellferry_edge/src/traffic/statement/notes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/notes.rs
@@ -4,9 +4,11 @@
 use std::time::Instant;
 
 use bluebellferry_platform::database;
+use bluebellferry_routing::history;
 use bluebellferry_runtime::clock;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
+use bluebellferry_types::position;
 use bluebellferry_types::refusal;
 
 use crate::shared;
@@ -75,6 +77,38 @@
         }
     }
 
+    /// Logs a sample of the reads that were served, with what the database had to hold.
+    pub(super) fn note_read(
+        &self,
+        id: &str,
+        arrived: Instant,
+        held: &dispatch::HeldConnection,
+        since: Option<position::LogPosition>,
+    ) {
+        if !self.context.read_lines.allows(clock::now()) {
+            return;
+        }
+        let entry = self.context.dispatch.entry(held.database);
+        let latest = {
+            let positions = self.context.shared.positions();
+            let history = positions.get(&entry.service);
+            history.and_then(history::PositionHistory::latest_sample)
+        };
+        let text = |position: Option<position::LogPosition>| {
+            position.map_or_else(|| "-".to_owned(), |position| position.to_string())
+        };
+        let latest_age = latest.map_or(0, |(asked, _)| {
+            arrived.saturating_duration_since(asked).as_millis() as u64
+        });
+        log::info!(
+            id = id, route = self.identity.route.as_str(), database = entry.id.as_str(),
+            since = text(since).as_str(), session_floor = text(self.state.floor()).as_str(),
+            latest_known = text(latest.map(|(_, position)| position)).as_str(),
+            latest_known_age_ms = latest_age;
+            "a read was served"
+        );
+    }
+
     /// Draws conclusions from an error that means the statement has not run.
     pub(super) async fn note_rejection(
         &self,
--- a/crates/bluebellferry_membership/src/beat.rs
+++ b/crates/bluebellferry_membership/src/beat.rs
@@ -1,5 +1,7 @@
 //! The heartbeat of VMs whose members and leaders stand in the store.
 
+use std::time::Duration;
+
 use bluebellferry_catalog::leadership;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
@@ -173,3 +175,11 @@
     /// What leaders were seen to hold.
     pub positions: Vec<PositionSample>,
 }
+
+impl FleetBeat {
+    /// Returns how long the sender had held the heartbeat that it answers.
+    pub fn held(&self) -> Duration {
+        let held = self.echo.as_ref().map_or(0, |echo| echo.held_ms);
+        Duration::from_millis(u64::from(held))
+    }
+}
