--- a/crates/bluebellferry_edge/src/control/beats.rs
+++ b/crates/bluebellferry_edge/src/control/beats.rs
@@ -157,7 +157,7 @@
 }
 
 /// Returns what all VMs are told alike.
-fn common_part(
+pub fn common_part(
     control: &state::ControlState,
     load: parts::OwnLoad,
     now: Instant,
@@ -188,7 +188,7 @@
 }
 
 /// Adds what only this receiver is told.
-fn beat_for(
+pub fn beat_for(
     control: &state::ControlState,
     common: &beat::FleetBeat,
     target: &circle::BeatTarget,
