Take no position from a heartbeat whose age cannot be bounded

Cause: a VM dates a position that another one has seen by when that one composed its heartbeat. Where the heartbeat answered none of its own, it counted from the arrival, less 0.5 s. A heartbeat that waited in the socket of a VM that stood still was therefore taken for 0.5 s old. Class: a bound on message delay that nothing enforces.

Change: such positions are not taken. A VM that starts has positions of others once they answer it, one exchange of heartbeats later, and its own from the first answer of a leader.

Ruled out: the replica taken for the leader (the read carried a position), a forgotten commit of the session (the sessions had written nothing).

--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -194,7 +194,7 @@
     take_parts(&mut control, &beat);
     let answered = take_echo(&mut control, incarnation, &beat);
     let composed = answered.map(|sent| sent + beat.held());
-    take_positions(&control, &beat, composed, now);
+    take_positions(&control, &beat, composed);
     let has_newer = beat.versions.configuration > control.versions.configuration;
     if has_newer && control.reads_configuration(beat.versions) {
         control.read_configuration.notify_one();
@@ -245,18 +245,15 @@
     control.lease.sent_at(echo.sequence)
 }
 
-/// Takes positions that another VM has seen. Their ages are counted from when the
-/// heartbeat was composed: not before `composed`, or, where that is not known, not
-/// longer ago than a margin.
+/// Takes positions that another VM has seen, in a heartbeat that was composed not before
+/// `composed`. Where that is not known they have no bound on their age: a heartbeat may
+/// have waited for as long as either VM stood still, so the time of its arrival is none.
 fn take_positions(
     control: &state::ControlState,
     beat: &beat::FleetBeat,
     composed: Option<Instant>,
-    now: Instant,
 ) {
-    /// The longest time that a heartbeat is taken to be on its way.
-    const TRAVEL_MARGIN: Duration = Duration::from_millis(500);
-    let Some(composed) = composed.or_else(|| now.checked_sub(TRAVEL_MARGIN)) else {
+    let Some(composed) = composed else {
         return;
     };
     for sample in &beat.positions {
