Believe a stopped leader's end only if it covers what it was seen to hold

Cause: a leader that is started anew under its identity holds nothing of before. When it was told to step down, the end of its empty log was taken for all that was ever acknowledged: the first replica that answered was named although the other one may hold more, or the empty leader itself if no replica answered.

A position that was seen of a former leader says nothing of its successor, which may have been chosen without it: only positions of a later term than the successor's floor count.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -100,13 +100,12 @@
         "a leader is to be replaced"
     );
     control.borrow_mut().claims += 1;
+    let known = control.borrow().leader_of(service);
+    let seen = table::seen_position(control, service);
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
         phase: leadership::LeaderPhase::Replacing,
-        floor: control
-            .borrow()
-            .leader_of(service)
-            .and_then(|known| known.floor),
+        floor: known.as_ref().and_then(|known| known.floor),
     };
     if table::write_entry(control, client, service, entry).await {
         control.borrow().news.notify_one();
@@ -121,6 +120,7 @@
             leader_term,
             decided: None,
             leading: BTreeMap::new(),
+            leader_seen: known.and_then(|known| known.known_end(seen)),
         };
         carry_out(control, client, replacement).await;
     }
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -35,6 +35,8 @@
     pub(super) decided: Option<Instant>,
     /// The databases that said they lead, with their terms and the ends of their logs.
     pub(super) leading: BTreeMap<name::DatabaseName, (u64, position::LogPosition)>,
+    /// What the leader to be replaced was seen to hold while it led.
+    pub(super) leader_seen: Option<position::LogPosition>,
 }
 
 /// Has every database of the service that can be reached stop.
@@ -217,11 +219,15 @@
     replacement: &LeaderReplacement,
     entry: &catalog::DatabaseEntry,
 ) -> successor::MemberEvidence {
+    let leads = replacement.leading.get(&entry.id).copied();
+    let is_leader = entry.id == replacement.leader;
+    let has_led = is_leader || leads.is_some_and(|(term, _)| term == replacement.leader_term);
     successor::MemberEvidence {
         id: entry.id.clone(),
-        is_leader: entry.id == replacement.leader,
+        is_leader,
         is_leaving: entry.leaving,
         held_at: replacement.held.get(&entry.id).copied(),
-        leads: replacement.leading.get(&entry.id).copied(),
+        leads,
+        was_at: replacement.leader_seen.filter(|_| has_led),
     }
 }
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -35,6 +35,19 @@
     pub is_replacing: bool,
 }
 
+impl LeaderView {
+    /// Returns a position that the leader's log holds as long as it leads. `seen` is the
+    /// last one that any leader of the service was seen to hold.
+    ///
+    /// A former leader may have held more than its successor was chosen with, so a
+    /// position counts only if its term began after that.
+    pub fn known_end(&self, seen: Option<position::LogPosition>) -> Option<position::LogPosition> {
+        let is_own =
+            |seen: &position::LogPosition| self.floor.is_none_or(|floor| seen.term > floor.term);
+        seen.filter(is_own).or(self.floor)
+    }
+}
+
 /// What control tells traffic; replaced as a whole.
 #[derive(Debug, Clone, Default)]
 pub struct EdgeSnapshot {
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -22,6 +22,9 @@
     pub held_at: Option<position::LogPosition>,
     /// The term in which it said that it leads, with the end of its log.
     pub leads: Option<(u64, position::LogPosition)>,
+    /// An end that its log was seen to have before. A database that is started anew
+    /// under its identity may hold nothing of that.
+    pub was_at: Option<position::LogPosition>,
 }
 
 /// What may be done.
@@ -78,7 +81,8 @@
         let leads = member.leads.is_some_and(|(term, _)| term == leader_term);
         member.is_leader || leads
     };
-    let leader_end = members.iter().filter(led).find_map(|member| member.held_at);
+    let mut stopped = members.iter().filter(led).filter(has_whole_log);
+    let leader_end = stopped.find_map(|member| member.held_at);
     let replicas = || members.iter().filter(|member| !member.is_leader);
     let best = replicas()
         .filter_map(|member| Some((member.held_at?, !member.is_leaving, member)))
@@ -108,6 +112,13 @@
     members.iter().any(is_leaving) && members.iter().any(may_serve)
 }
 
+/// Returns whether a log that has an end still has what it was seen to have before.
+fn has_whole_log(member: &&MemberEvidence) -> bool {
+    member
+        .was_at
+        .is_none_or(|before| member.held_at >= Some(before))
+}
+
 fn find_adopted(members: &[MemberEvidence], leader_term: u64) -> Option<SuccessorChoice> {
     let others = members.iter().filter(|member| !member.is_leader);
     let leading = others.filter_map(|member| Some((member.leads?, member)));
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -317,6 +317,7 @@
         is_leaving: false,
         held_at: held_at.map(|offset| position::LogPosition::new(1, offset)),
         leads: None,
+        was_at: None,
     }
 }
 
