Ask replicas again before one is named, and remember what an emptied one held

Cause: a replica that was held back and started anew receives again and may hold nothing of before. It was held back once more and then counted like any other, although it may have been the only one with the last commits. Where the leader leaves in an orderly way, replicas were not asked again: one that had restarted since was named by the end that it had reported before.

Now every replica that counts is asked again right before one is named. One that reports less than before bars those that hold less than it had, for as long as a vanished database is remembered (30 s). One that reports more has received again.

Not ruled out: a replica that was emptied before it was ever held back.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -121,6 +121,7 @@
             decided: None,
             leading: BTreeMap::new(),
             leader_seen: known.and_then(|known| known.known_end(seen)),
+            emptied: BTreeMap::new(),
         };
         carry_out(control, client, replacement).await;
     }
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -14,6 +14,7 @@
 use crate::control;
 use crate::control::orders;
 use crate::control::replacement::cause;
+use crate::control::state;
 
 /// A replacement under way.
 pub(super) struct LeaderReplacement {
@@ -37,6 +38,9 @@
     pub(super) leading: BTreeMap<name::DatabaseName, (u64, position::LogPosition)>,
     /// What the leader to be replaced was seen to hold while it led.
     pub(super) leader_seen: Option<position::LogPosition>,
+    /// The ends that logs had before their databases were started anew, and when that
+    /// was noticed.
+    pub(super) emptied: BTreeMap<name::DatabaseName, (position::LogPosition, Instant)>,
 }
 
 /// Has every database of the service that can be reached stop.
@@ -152,14 +156,11 @@
 }
 
 /// Asks the replicas again: one that was started anew receives again, although
-/// it was held back.
+/// it was held back, and may hold nothing of before.
 pub(super) async fn forget_released(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
 ) {
-    if replacement.cause == cause::ReplacementCause::Leaving {
-        return;
-    }
     let Some(workspace) = control.borrow().any_workspace() else {
         return;
     };
@@ -174,14 +175,32 @@
             (orders::give_order(&entry, &workspace, order).await, entry)
         });
     }
+    let is_paused = replacement.cause != cause::ReplacementCause::Leaving;
     while let Some(answered) = questions.join_next().await {
-        if let Ok((Ok(status), entry)) = answered
-            && status.held_term == 0
-            && !status.is_primary
-        {
-            log::warn!(database = entry.id.as_str(); "a replica is no longer held back");
-            replacement.held.remove(&entry.id);
-            replacement.decided = None;
+        let Ok((Ok(status), entry)) = answered else {
+            continue;
+        };
+        let Some(held_at) = replacement.held.get(&entry.id).copied() else {
+            continue;
+        };
+        let report = successor::HeldReport {
+            received: status.received,
+            held_term: status.held_term,
+            is_primary: status.is_primary,
+        };
+        if successor::is_still_held(held_at, is_paused, &report) {
+            continue;
+        }
+        log::warn!(
+            database = entry.id.as_str(), held_term = status.held_term, received = status.received.offset,
+            held_at = held_at.offset;
+            "a replica is no longer held back"
+        );
+        replacement.held.remove(&entry.id);
+        replacement.decided = None;
+        if status.received < held_at {
+            let emptied = (held_at, clock::now());
+            replacement.emptied.insert(entry.id.clone(), emptied);
         }
     }
 }
@@ -222,12 +241,17 @@
     let leads = replacement.leading.get(&entry.id).copied();
     let is_leader = entry.id == replacement.leader;
     let has_led = is_leader || leads.is_some_and(|(term, _)| term == replacement.leader_term);
+    let emptied = replacement.emptied.get(&entry.id);
+    let is_recent = |(_, noticed): &&(_, Instant)| {
+        clock::now().saturating_duration_since(*noticed) < state::VANISHED_KEPT
+    };
+    let emptied = emptied.filter(is_recent).map(|(end, _)| *end);
     successor::MemberEvidence {
         id: entry.id.clone(),
         is_leader,
         is_leaving: entry.leaving,
         held_at: replacement.held.get(&entry.id).copied(),
         leads,
-        was_at: replacement.leader_seen.filter(|_| has_led),
+        was_at: replacement.leader_seen.filter(|_| has_led).max(emptied),
     }
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -36,9 +36,9 @@
 /// store or a leader is asked.
 const REMEMBERED_ARRIVALS: usize = 8;
 
-/// How long a database that vanished is taken to hold commits that no other replica has:
+/// How long a database that vanished, or came back empty, is taken to hold commits that no other replica has:
 /// one that follows has received them by then.
-const VANISHED_KEPT: Duration = Duration::from_secs(30);
+pub const VANISHED_KEPT: Duration = Duration::from_secs(30);
 
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -57,6 +57,31 @@
     Pause,
 }
 
+/// What a database says when it is asked again after it was held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldReport {
+    /// The end of its log.
+    pub received: position::LogPosition,
+    /// The term that it holds for; 0 if it holds for none.
+    pub held_term: u64,
+    /// Whether it leads.
+    pub is_primary: bool,
+}
+
+/// Returns whether a database still is as it was when it reported `held_at` and, unless
+/// the leader had stopped before, was told to pause. A restart ends a pause, and may
+/// lose the log.
+pub fn is_still_held(held_at: position::LogPosition, is_paused: bool, report: &HeldReport) -> bool {
+    if report.is_primary {
+        return true;
+    }
+    if is_paused {
+        report.held_term != 0 && report.received == held_at
+    } else {
+        report.received >= held_at
+    }
+}
+
 /// Returns how a database is to be stopped. The old leader may have come back under
 /// another identity: it then says that it leads, in no later term than the one that is
 /// replaced, and a pause would not stop it.
@@ -88,9 +113,12 @@
         .filter_map(|member| Some((member.held_at?, !member.is_leaving, member)))
         .max_by_key(|(position, stays, member)| (*position, *stays, &member.id));
     let all_held = replicas().all(|member| member.held_at.is_some());
+    // A replica that lost its log may have been the only one with the last commits.
+    let emptied = replicas().filter(|member| !has_whole_log(member));
+    let missing = emptied.filter_map(|member| member.was_at).max();
     if let Some((position, _, best)) = best {
         let has_reached_leader = leader_end.is_some_and(|end| position >= end);
-        if has_reached_leader || all_held {
+        if has_reached_leader || (all_held && Some(position) >= missing) {
             return promote(best, position);
         }
     }
