Ask again whether a database may take a statement once a connection came free

placement::role_of answers for the choice and for the sending, and the position follows from the answer at sending. Ruled out: a read with a bound sent to its replica after that was promoted; the replica's floor covers the bound.

Test first: a_statement_is_not_sent_under_a_belief_that_ended_while_it_waited failed at the lapsed lease; with the change it passes for a lease that lapses, a leader being replaced and another leader, and a read with a bound still runs at the former leader.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -101,7 +101,7 @@
     );
     control.borrow_mut().claims += 1;
     let known = control.borrow().leader_of(service);
-    let seen = table::seen_position(control, service);
+    let seen = control.borrow().shared.last_position(service);
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
         phase: leadership::LeaderPhase::Replacing,
--- a/crates/bluebellferry_edge/src/control/replacement/table.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/table.rs
@@ -3,7 +3,6 @@
 use bluebellferry_catalog::leadership;
 use bluebellferry_platform::objects;
 use bluebellferry_types::name;
-use bluebellferry_types::position;
 use rand::Rng;
 
 use crate::control;
@@ -12,8 +11,9 @@
 /// Returns the term in which a leader leads, as far as it is known: from its
 /// answers, or as the one after the last term in its log when it was chosen.
 pub(super) fn known_term(control: &control::ControlCell, service: &name::ServiceName) -> u64 {
-    let seen = seen_position(control, service).map_or(1, |position| position.term);
     let control = control.borrow();
+    let seen = control.shared.last_position(service);
+    let seen = seen.map_or(1, |position| position.term);
     let entry = control.table.leaders.get(service);
     let chosen = entry
         .and_then(|entry| entry.floor)
@@ -21,16 +21,6 @@
     seen.max(chosen)
 }
 
-/// Returns the last position that a service's leader was seen to hold.
-pub(super) fn seen_position(
-    control: &control::ControlCell,
-    service: &name::ServiceName,
-) -> Option<position::LogPosition> {
-    let control = control.borrow();
-    let positions = control.shared.positions();
-    positions.get(service).and_then(|history| history.latest())
-}
-
 /// How often a change of the table is tried when another one came first.
 const WRITE_TRIES: u32 = 4;
 
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -217,6 +217,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the last position that a service's leader was seen to hold.
+    pub fn last_position(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
+        let positions = self.positions();
+        positions.get(service).and_then(|history| history.latest())
+    }
+
     /// Notes that a leader held `position` at or after `asked`, if it was
     /// certainly the leader then.
     pub fn record_position(
--- a/crates/bluebellferry_edge/src/traffic.rs
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -4,6 +4,7 @@
 pub mod connection;
 pub mod dispatch;
 pub mod metrics;
+pub mod placement;
 pub mod reads;
 pub mod session;
 pub mod statement;
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -15,12 +15,14 @@
 use bluebellferry_pool::estimate;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
+use bluebellferry_types::position;
 use bluebellferry_types::refusal;
 use tokio::sync::oneshot;
 
 use crate::shared;
 use crate::traffic::connection;
 use crate::traffic::metrics;
+use crate::traffic::placement;
 
 /// What an answer is expected to take before one was seen: in this data
 /// centre, in this region, elsewhere.
@@ -59,6 +61,15 @@
 /// A connection that a statement holds.
 pub type HeldConnection = connection::DatabaseConnection;
 
+/// A connection to a database that may take a statement now.
+#[derive(Debug)]
+pub struct PlacedConnection {
+    /// The connection.
+    pub held: HeldConnection,
+    /// The position that the database must be asked to hold.
+    pub since: Option<position::LogPosition>,
+}
+
 /// What a statement needs.
 #[derive(Debug, Clone)]
 pub struct ConnectionDemand {
@@ -66,10 +77,8 @@
     pub service: name::ServiceName,
     /// Who asks.
     pub request: budget::GrantRequest,
-    /// Whether a replica will do.
-    pub allows_replica: bool,
-    /// Whether the leader must be known not to have been replaced.
-    pub needs_lease: bool,
+    /// What is asked of the database.
+    pub needs: placement::PlacementNeeds,
     /// Databases that have just failed the statement.
     pub excluded: Vec<budget::DatabaseIndex>,
     /// When the statement must be given up.
@@ -195,7 +204,7 @@
     pub async fn obtain(
         self: &Rc<Self>,
         demand: &mut ConnectionDemand,
-    ) -> Result<HeldConnection, refusal::RequestRefusal> {
+    ) -> Result<PlacedConnection, refusal::RequestRefusal> {
         let mut changes = self.shared.changes();
         loop {
             changes.mark_unchanged();
@@ -207,12 +216,18 @@
             }
             let left = demand.deadline.saturating_duration_since(now);
             match self.begin_obtain(demand, now) {
-                ObtainStep::Granted(held) if held.is_usable() => return Ok(held),
-                ObtainStep::Granted(held) => self.forget(held),
+                ObtainStep::Granted(held) => {
+                    if let Some(placed) = self.place(held, demand) {
+                        return Ok(placed);
+                    }
+                }
                 ObtainStep::Wait(waiter, granted) => {
                     match tokio::time::timeout(left.min(RECONSIDER), granted).await {
-                        Ok(Ok(held)) if held.is_usable() => return Ok(held),
-                        Ok(Ok(held)) => self.forget(held),
+                        Ok(Ok(held)) => {
+                            if let Some(placed) = self.place(held, demand) {
+                                return Ok(placed);
+                            }
+                        }
                         // Its database cannot be had; another one may.
                         Ok(Err(_)) => {}
                         Err(_) => {
@@ -235,6 +250,29 @@
         }
     }
 
+    /// Returns a connection if its database may still take the statement: what this VM
+    /// believes may have changed while the statement waited.
+    fn place(
+        self: &Rc<Self>,
+        held: HeldConnection,
+        demand: &ConnectionDemand,
+    ) -> Option<PlacedConnection> {
+        if !held.is_usable() {
+            self.forget(held);
+            return None;
+        }
+        let entry = self.entry(held.database);
+        let snapshot = self.shared.snapshot();
+        let Some(role) = placement::role_of(&snapshot, &entry, demand.needs, clock::now()) else {
+            self.metrics.count_connection("no_longer_suitable");
+            self.release(held);
+            return None;
+        };
+        let seen = self.shared.last_position(&entry.service);
+        let since = role.position_to_ask(seen);
+        Some(PlacedConnection { held, since })
+    }
+
     /// Waits for news of a database that can be used.
     async fn wait_for_database(
         &self,
@@ -251,7 +289,7 @@
         if now < demand.deadline && !is_hopeless {
             return Ok(());
         }
-        let reason = if demand.allows_replica {
+        let reason = if demand.needs.replica_since.is_some() {
             refusal::RefusalReason::PositionUnreachable
         } else {
             refusal::RefusalReason::NoPrimary
--- a/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
@@ -10,6 +10,7 @@
 
 use crate::shared;
 use crate::traffic::dispatch;
+use crate::traffic::placement;
 
 type Connections = pool::ConnectionBudget<dispatch::HeldConnection>;
 
@@ -56,20 +57,11 @@
     demand: &dispatch::ConnectionDemand,
     now: Instant,
 ) -> Vec<(pool::DatabaseIndex, Duration)> {
-    let leader = snapshot.leaders.get(&demand.service);
-    let is_trusted = if demand.needs_lease {
-        snapshot.trusted_leader(&demand.service, now).is_some()
-    } else {
-        leader.is_some_and(|leader| !leader.is_replacing)
-    };
     let cost = |(index, record): (pool::DatabaseIndex, &DatabaseRecord)| {
         let entry = &record.entry;
-        let is_leader = leader.is_some_and(|leader| leader.database == entry.id);
-        let is_usable = if is_leader {
-            is_trusted
-        } else {
-            demand.allows_replica && !entry.leaving && !record.lagging.holds(now)
-        };
+        let role = placement::role_of(snapshot, entry, demand.needs, now)?;
+        let is_leader = matches!(role, placement::PlacedRole::Leader(_));
+        let is_usable = is_leader || !record.lagging.holds(now);
         let is_wanted = entry.service == demand.service
             && record.is_listed
             && !demand.excluded.contains(&index)
@@ -81,7 +73,7 @@
         let connection = budget
             .opening_cost(&demand.request.workspace, index, now)
             .unwrap_or_else(|| expected_wait(budget, index, answer));
-        let scarcity = if is_leader && demand.allows_replica {
+        let scarcity = if is_leader && demand.needs.replica_since.is_some() {
             LEADER_READ_COST
         } else {
             Duration::ZERO
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -20,6 +20,7 @@
 
 use crate::traffic::connection;
 use crate::traffic::dispatch;
+use crate::traffic::placement;
 use crate::traffic::reads;
 use crate::traffic::session;
 
@@ -232,12 +233,12 @@
         opening: &state::TransactionOpening,
         scope: &StatementScope,
     ) -> Result<(), refusal::RequestRefusal> {
-        let mut demand = self.demand(scope, opening.read_only, true);
+        let mut demand = self.demand(scope, true);
         while clock::now() < scope.deadline {
-            let read = self.read_demand(scope);
-            demand.allows_replica = opening.read_only && read != reads::ReadDemand::Leader;
-            let mut held = self.context.dispatch.obtain(&mut demand).await?;
-            let since = self.since(&held, scope, read);
+            let since = self.replica_since(scope);
+            demand.needs.replica_since = since.filter(|_| opening.read_only);
+            let placed = self.context.dispatch.obtain(&mut demand).await?;
+            let dispatch::PlacedConnection { mut held, since } = placed;
             match self.begin(&mut held, opening, since, scope).await {
                 Ok(None) => {
                     self.held = Some(held);
@@ -291,16 +292,16 @@
             let service = snapshot.configuration.services.get(&scope.policy.service);
             service.is_some_and(|service| service.synchronous)
         };
-        let mut demand = self.demand(scope, is_read, is_read || !is_synchronous);
+        let mut demand = self.demand(scope, is_read || !is_synchronous);
         while clock::now() < scope.deadline {
-            let read = self.read_demand(scope);
-            demand.allows_replica = is_read && read != reads::ReadDemand::Leader;
-            let held = self.context.dispatch.obtain(&mut demand).await?;
+            let since = self.replica_since(scope);
+            demand.needs.replica_since = since.filter(|_| is_read);
+            let placed = self.context.dispatch.obtain(&mut demand).await?;
             let end = if is_read {
-                self.try_read(statement, plan, scope, read, held, &mut demand)
+                self.try_read(statement, plan, scope, placed, &mut demand)
                     .await
             } else {
-                self.try_write(statement, plan, scope, held, &mut demand)
+                self.try_write(statement, plan, scope, placed.held, &mut demand)
                     .await
             };
             match end {
@@ -317,11 +318,10 @@
         statement: &statement::Statement,
         plan: &state::RunPlan,
         scope: &StatementScope,
-        read: reads::ReadDemand,
-        mut held: dispatch::HeldConnection,
+        placed: dispatch::PlacedConnection,
         demand: &mut dispatch::ConnectionDemand,
     ) -> TryEnd {
-        let since = self.since(&held, scope, read);
+        let dispatch::PlacedConnection { mut held, since } = placed;
         let sent = clock::now();
         let patience = sent + self.context.dispatch.patience(held.database);
         let exchanged = self
@@ -426,12 +426,7 @@
         held.receive(steps.len() + 1, deadline).await
     }
 
-    fn demand(
-        &self,
-        scope: &StatementScope,
-        allows_replica: bool,
-        needs_lease: bool,
-    ) -> dispatch::ConnectionDemand {
+    fn demand(&self, scope: &StatementScope, needs_lease: bool) -> dispatch::ConnectionDemand {
         dispatch::ConnectionDemand {
             service: scope.policy.service.clone(),
             request: budget::GrantRequest {
@@ -439,38 +434,25 @@
                 priority: scope.policy.priority,
                 due: scope.arrived + scope.policy.objective,
             },
-            allows_replica,
-            needs_lease,
+            needs: placement::PlacementNeeds {
+                replica_since: None,
+                needs_lease,
+            },
             excluded: Vec::new(),
             deadline: scope.deadline,
             hopeless_after: clock::now() + dispatch::HOPELESS_AFTER,
         }
     }
 
-    fn read_demand(&self, scope: &StatementScope) -> reads::ReadDemand {
+    /// Returns the position that a replica's log must hold to serve a read; `None` if
+    /// only the leader will do.
+    fn replica_since(&self, scope: &StatementScope) -> Option<position::LogPosition> {
         let positions = self.context.shared.positions();
         let history = positions.get(&scope.policy.service);
         let floor = self.state.floor();
-        reads::demand_of(scope.policy.guarantee, floor, history, scope.arrived)
-    }
-
-    /// Returns the position that the database must be asked to hold.
-    fn since(
-        &self,
-        held: &dispatch::HeldConnection,
-        scope: &StatementScope,
-        read: reads::ReadDemand,
-    ) -> Option<position::LogPosition> {
-        let entry = self.context.dispatch.entry(held.database);
-        let snapshot = self.context.shared.snapshot();
-        let leader = snapshot.leaders.get(&scope.policy.service);
-        match leader.filter(|leader| leader.database == entry.id) {
-            // A leader that was just chosen may not have applied all of its log.
-            Some(leader) => leader.floor,
-            None => match read {
-                reads::ReadDemand::Since(position) => Some(position),
-                reads::ReadDemand::Leader => None,
-            },
+        match reads::demand_of(scope.policy.guarantee, floor, history, scope.arrived) {
+            reads::ReadDemand::Since(position) => Some(position),
+            reads::ReadDemand::Leader => None,
         }
     }
 }
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -0,0 +1,241 @@
+//! A statement is sent only to a database that may still take it, by what this VM
+//! believes when a connection has come free.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::database;
+use bluebellferry_edge::settings;
+use bluebellferry_edge::shared;
+use bluebellferry_edge::traffic::dispatch;
+use bluebellferry_edge::traffic::metrics;
+use bluebellferry_edge::traffic::placement;
+use bluebellferry_pool::budget;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpListener;
+
+/// How long the database takes to open a connection.
+const OPENING: Duration = Duration::from_millis(80);
+
+fn service() -> name::ServiceName {
+    name::ServiceName::try_from("rental").expect("a valid name")
+}
+
+fn id(text: &str) -> name::DatabaseName {
+    name::DatabaseName::try_from(text).expect("a valid name")
+}
+
+fn position(term: u64, offset: u64) -> position::LogPosition {
+    position::LogPosition::new(term, offset)
+}
+
+fn entry(text: &str, address: std::net::SocketAddr) -> database::DatabaseEntry {
+    database::DatabaseEntry {
+        id: id(text),
+        born: 1,
+        service: service(),
+        address,
+        data_centre: name::DataCentreName::try_from("amman-a").expect("a valid name"),
+        slots: 3,
+        leaving: false,
+        role: database::DatabaseRole::Replica,
+    }
+}
+
+fn any_address() -> std::net::SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn edge() -> Arc<shared::EdgeShared> {
+    let any = any_address();
+    let settings = settings::EdgeSettings {
+        vm: "vm-0".to_owned(),
+        address: any.ip(),
+        data_centre: name::DataCentreName::try_from("amman-a").expect("a valid name"),
+        region: "amman".to_owned(),
+        regions: BTreeMap::new(),
+        caller_address: any,
+        readiness_address: any,
+        copies_address: any,
+        peer_port: 2,
+        metrics_port: 3,
+        max_callers: 10,
+        store_address: any,
+        duty_address: any,
+        grace: Duration::from_secs(3),
+    };
+    shared::EdgeShared::new(settings, 1).0
+}
+
+/// Returns a snapshot in which `leader` leads until an instant.
+fn snapshot(
+    databases: &[database::DatabaseEntry],
+    leader: shared::LeaderView,
+    until: Instant,
+) -> shared::EdgeSnapshot {
+    let policy = configuration::ServicePolicy {
+        max_connections: 12,
+        synchronous: true,
+    };
+    let configuration = configuration::Configuration {
+        version: 1,
+        services: [(service(), policy)].into(),
+        ..configuration::Configuration::default()
+    };
+    shared::EdgeSnapshot {
+        configuration: Arc::new(configuration),
+        databases: Arc::new(databases.to_vec()),
+        leaders: Arc::new([(service(), leader)].into()),
+        leases: [(service(), until)].into(),
+        part: shared::FleetPart { from: 0.0, to: 1.0 },
+        ..shared::EdgeSnapshot::default()
+    }
+}
+
+fn leader(text: &str) -> shared::LeaderView {
+    shared::LeaderView {
+        database: id(text),
+        floor: None,
+        is_replacing: false,
+    }
+}
+
+fn demand(needs: placement::PlacementNeeds, now: Instant) -> dispatch::ConnectionDemand {
+    dispatch::ConnectionDemand {
+        service: service(),
+        request: budget::GrantRequest {
+            workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
+            priority: 0,
+            due: now + Duration::from_millis(200),
+        },
+        needs,
+        excluded: Vec::new(),
+        deadline: now + Duration::from_millis(400),
+        hopeless_after: now + dispatch::HOPELESS_AFTER,
+    }
+}
+
+/// Serves a database that takes its time to open a connection.
+async fn serve_slowly() -> std::net::SocketAddr {
+    let listener = TcpListener::bind(any_address().ip().to_string() + ":0").await;
+    let listener = listener.expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut stream = BufReader::new(stream);
+                stream.read_line(&mut String::new()).await.ok();
+                tokio::time::sleep(OPENING).await;
+                stream.get_mut().write_all(b"READY I -\r\n").await.ok();
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    address
+}
+
+/// Asks for a connection to the leader `i-a` and changes what the VM believes while the
+/// connection is being opened. Returns whether the statement may be sent.
+async fn obtains_despite(
+    needs: placement::PlacementNeeds,
+    change: impl FnOnce(&mut shared::EdgeSnapshot),
+) -> bool {
+    let address = serve_slowly().await;
+    let shared = edge();
+    let now = clock::now();
+    let databases = [entry("i-a", address)];
+    let mut beliefs = snapshot(&databases, leader("i-a"), now + Duration::from_secs(60));
+    let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
+    let metrics = metrics.expect("the names are new");
+    let dispatcher = Rc::new(dispatch::Dispatcher::new(Arc::clone(&shared), metrics));
+    shared.publish(beliefs.clone(), true);
+    dispatcher.apply_snapshot(now);
+    let obtained = Rc::new(RefCell::new(None));
+    let task = {
+        let (dispatcher, obtained) = (Rc::clone(&dispatcher), Rc::clone(&obtained));
+        tokio::task::spawn_local(async move {
+            let mut demand = demand(needs, clock::now());
+            *obtained.borrow_mut() = Some(dispatcher.obtain(&mut demand).await.is_ok());
+        })
+    };
+    tokio::time::sleep(OPENING / 4).await;
+    change(&mut beliefs);
+    shared.publish(beliefs, true);
+    task.await.expect("it ends");
+    let obtained = obtained.borrow_mut().take();
+    obtained.expect("it has ended")
+}
+
+const LEADER_ONLY: placement::PlacementNeeds = placement::PlacementNeeds {
+    replica_since: None,
+    needs_lease: true,
+};
+
+#[tokio::test]
+async fn a_statement_is_not_sent_under_a_belief_that_ended_while_it_waited() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            assert!(obtains_despite(LEADER_ONLY, |_| {}).await);
+            // The lease lapses.
+            let lapse = |beliefs: &mut shared::EdgeSnapshot| beliefs.leases.clear();
+            assert!(!obtains_despite(LEADER_ONLY, lapse).await);
+            // It is being replaced.
+            let replace = |beliefs: &mut shared::EdgeSnapshot| {
+                let mut view = leader("i-a");
+                view.is_replacing = true;
+                beliefs.leaders = Arc::new([(service(), view)].into());
+            };
+            assert!(!obtains_despite(LEADER_ONLY, replace).await);
+            // Another one leads.
+            let other = |beliefs: &mut shared::EdgeSnapshot| {
+                beliefs.leaders = Arc::new([(service(), leader("i-b"))].into());
+            };
+            assert!(!obtains_despite(LEADER_ONLY, other).await);
+            // A replica of it suffices for a read with a bound.
+            let bounded = placement::PlacementNeeds {
+                replica_since: Some(position(1, 40)),
+                needs_lease: true,
+            };
+            assert!(obtains_despite(bounded, other).await);
+        })
+        .await;
+}
+
+#[test]
+fn a_database_is_asked_for_the_position_of_the_role_in_which_it_is_used() {
+    let now = Instant::now();
+    let databases = [entry("i-a", any_address()), entry("i-b", any_address())];
+    let view = shared::LeaderView {
+        floor: Some(position(1, 40)),
+        ..leader("i-a")
+    };
+    let until = now + Duration::from_millis(10);
+    let beliefs = snapshot(&databases, view.clone(), until);
+    let needs = placement::PlacementNeeds {
+        replica_since: Some(position(2, 55)),
+        needs_lease: true,
+    };
+    let role = |index: usize, at| placement::role_of(&beliefs, &databases[index], needs, at);
+    let asked = |index: usize| {
+        role(index, now).and_then(|role| role.position_to_ask(Some(position(2, 60))))
+    };
+    // A leader that was just chosen may not have applied all of its log.
+    assert_eq!(role(0, now), Some(placement::PlacedRole::Leader(&view)));
+    assert_eq!(asked(0), Some(position(1, 40)));
+    assert_eq!(asked(1), Some(position(2, 55)));
+    // Nobody may be relied on to have everything once the lease has ended.
+    assert_eq!(role(0, until), None);
+    let all = placement::role_of(&beliefs, &databases[1], LEADER_ONLY, now);
+    assert_eq!(all, None);
+}
