Take a leader for lost if its log or its address is another's

Cause: a suspected leader that leads was kept if a replica had received all that it has. One that was started anew under its identity with an empty log always passed. A refusal that names another database at the address was taken for that of a busy leader, and failing to connect for that reason raised no suspicion.

suspect::judge draws the conclusion from the answer, without I/O. A VM that used the leader a moment ago outweighs a wrong address, as it outweighs silence, but not a lost log.

--- a/crates/bluebellferry_edge/src/control/orders.rs
+++ b/crates/bluebellferry_edge/src/control/orders.rs
@@ -30,8 +30,8 @@
     #[error(transparent)]
     Unreadable(#[from] line::LineError),
     /// The database refuses.
-    #[error("the database refuses: {0}")]
-    Refused(&'static str),
+    #[error("the database refuses: {}", .0.as_str())]
+    Refused(database::DatabaseError),
 }
 
 /// Gives an order on a connection of its own and returns the database's state.
@@ -67,7 +67,7 @@
             match database::decode_answer_line(&text)? {
                 database::AnswerLine::Row => row = Some(text),
                 database::AnswerLine::Error(error) => {
-                    return Err(OrderError::Refused(error.as_str()));
+                    return Err(OrderError::Refused(error));
                 }
                 database::AnswerLine::Ready { .. } if has_started => {
                     let row = row.ok_or(database::AnswerError)?;
--- a/crates/bluebellferry_edge/src/control/replacement/cause.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/cause.rs
@@ -6,8 +6,10 @@
 use bluebellferry_catalog::database as catalog;
 use bluebellferry_membership::beat;
 use bluebellferry_platform::database;
+use bluebellferry_promotion::suspect;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
+use bluebellferry_types::position;
 
 use crate::control;
 use crate::control::orders;
@@ -77,7 +79,7 @@
     service: &name::ServiceName,
 ) -> Option<(name::DatabaseName, ReplacementCause)> {
     let now = clock::now();
-    let (leader, entry, is_suspected, is_used) = {
+    let (leader, entry, is_suspected, is_used, known_end) = {
         let control = control.borrow();
         let leader = control.leader_of(service)?;
         let entry = find_entry(&control, &leader.database);
@@ -87,7 +89,8 @@
         }
         let is_suspected = is_suspected(&control, service, &leader.database, now);
         let is_used = is_used_lately(&control, service, &leader.database, now);
-        (leader.database, entry, is_suspected, is_used)
+        let known_end = leader.known_end(control.shared.last_position(service));
+        (leader.database, entry, is_suspected, is_used, known_end)
     };
     if entry.as_ref().is_some_and(|entry| entry.leaving) {
         return Some((leader, ReplacementCause::Leaving));
@@ -96,21 +99,39 @@
         return None;
     }
     let workspace = control.borrow().any_workspace()?;
+    let answer = ask_leader(entry.as_ref(), &workspace).await;
+    let verdict = suspect::judge(answer, known_end, is_used);
+    log::info!(
+        database = leader.as_str(), answer:? = answer, verdict:? = verdict, used = is_used;
+        "a suspected leader is judged"
+    );
+    match (verdict, answer, entry) {
+        (suspect::LeaderVerdict::Lost, _, _) => Some((leader, ReplacementCause::Lost)),
+        (suspect::LeaderVerdict::AskReplicas, suspect::LeaderAnswer::Leads(end), Some(entry)) => {
+            let is_stalled = is_cut_from_replicas(control, service, &entry, end, &workspace).await;
+            is_stalled.then_some((leader, ReplacementCause::CannotCommit))
+        }
+        _ => None,
+    }
+}
+
+async fn ask_leader(
+    entry: Option<&catalog::DatabaseEntry>,
+    workspace: &name::WorkspaceName,
+) -> suspect::LeaderAnswer {
     let Some(entry) = entry else {
-        return (!is_used).then_some((leader, ReplacementCause::Lost));
+        return suspect::LeaderAnswer::Unregistered;
     };
-    let status = orders::give_order(&entry, &workspace, database::DatabaseOrder::Status).await;
-    match status {
-        Ok(status) if !status.is_primary => Some((leader, ReplacementCause::Lost)),
-        Ok(status) => {
-            let is_stalled =
-                is_cut_from_replicas(control, service, &entry, status, &workspace).await;
-            is_stalled.then_some((leader, ReplacementCause::CannotCommit))
+    match orders::give_order(entry, workspace, database::DatabaseOrder::Status).await {
+        Ok(status) if status.is_primary => suspect::LeaderAnswer::Leads(status.received),
+        Ok(_) => suspect::LeaderAnswer::Follows,
+        Err(orders::OrderError::Refused(database::DatabaseError::Misrouted)) => {
+            suspect::LeaderAnswer::Misrouted
         }
-        Err(orders::OrderError::Refused(_)) => None,
+        Err(orders::OrderError::Refused(_)) => suspect::LeaderAnswer::Refuses,
         Err(error) => {
-            log::warn!(database = leader.as_str(), error:% = error, used = is_used; "a suspected leader does not answer");
-            (!is_used).then_some((leader, ReplacementCause::Lost))
+            log::warn!(database = entry.id.as_str(), error:% = error; "a suspected leader does not answer");
+            suspect::LeaderAnswer::Silent
         }
     }
 }
@@ -120,7 +141,7 @@
     control: &control::ControlCell,
     service: &name::ServiceName,
     leader: &catalog::DatabaseEntry,
-    before: database::DatabaseStatus,
+    before: position::LogPosition,
     workspace: &name::WorkspaceName,
 ) -> bool {
     /// Longer than any replica's receipt takes, shorter than callers' patience.
@@ -133,7 +154,7 @@
         let order = database::DatabaseOrder::Status;
         if let Ok(status) = orders::give_order(replica, workspace, order).await {
             has_answer = true;
-            if status.received >= before.received {
+            if status.received >= before {
                 return false;
             }
         }
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -427,7 +427,10 @@
         self.metrics.count_connection(result);
         log::info!(database = entry.id.as_str(), result = result; "no connection to a database");
         drop(state);
-        if matches!(error, connection::OpenError::Unreachable) {
+        if matches!(
+            error,
+            connection::OpenError::Unreachable | connection::OpenError::Misrouted
+        ) {
             self.report_evidence(database, shared::EvidenceKind::Silent);
         }
     }
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod observation;
 pub mod promoter;
 pub mod successor;
+pub mod suspect;
