Replace a leader whose registration lapsed

Cause: nobody sends statements to a database that is not registered, so none failed, nobody suspected the leader and it was never asked. Before the first replacement it was found by its entry only. A leader that was cut off from the store, or that went while nobody could replace it, left its service without writes until it registered again.

It may lead on, so it is told to step down at its last address. It counts as about to stop: first it was named again, since its own log lacks nothing.

Test first: a_leader_that_is_no_longer_registered_is_replaced failed after 8 s of refusals (reason=no_primary); now it passes, as does a_leader_whose_address_another_database_took_ is_replaced, which fails if a wrong address is taken for a busy leader as before.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -100,7 +100,7 @@
         "a leader is to be replaced"
     );
     control.borrow_mut().claims += 1;
-    let known = control.borrow().leader_of(service);
+    let known = control.borrow().known_leader(service);
     let seen = control.borrow().shared.last_position(service);
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
--- a/crates/bluebellferry_edge/src/control/replacement/cause.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/cause.rs
@@ -81,13 +81,17 @@
     let now = clock::now();
     let (leader, entry, is_suspected, is_used, known_end) = {
         let control = control.borrow();
-        let leader = control.leader_of(service)?;
+        let leader = control.known_leader(service)?;
         let entry = find_entry(&control, &leader.database);
         if leader.is_replacing {
             // A replacement that its VM did not finish.
             return Some((leader.database, ReplacementCause::Lost));
         }
-        let is_suspected = is_suspected(&control, service, &leader.database, now);
+        // Nobody sends statements to a leader that is not registered, so nobody
+        // suspects it.
+        let is_unregistered = entry.is_none() && control.versions.databases > 0;
+        let is_suspected =
+            is_unregistered || is_suspected(&control, service, &leader.database, now);
         let is_used = is_used_lately(&control, service, &leader.database, now);
         let known_end = leader.known_end(control.shared.last_position(service));
         (leader.database, entry, is_suspected, is_used, known_end)
@@ -179,7 +183,7 @@
     service: &name::ServiceName,
     now: Instant,
 ) -> bool {
-    let leader = control.leader_of(service);
+    let leader = control.known_leader(service);
     leader.is_some_and(|leader| is_suspected(control, service, &leader.database, now))
 }
 
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -51,7 +51,13 @@
     let Some(workspace) = control.borrow().any_workspace() else {
         return;
     };
-    let entries = control.borrow().databases_of(&replacement.service);
+    let mut entries = control.borrow().databases_of(&replacement.service);
+    // A leader whose registration lapsed may lead on.
+    let mut vanished = control
+        .borrow()
+        .vanished_of(&replacement.service, clock::now());
+    vanished.retain(|entry| entry.id == replacement.leader);
+    entries.append(&mut vanished);
     let mut tasks = JoinSet::new();
     for entry in entries {
         if replacement.held.contains_key(&entry.id) {
@@ -228,7 +234,10 @@
     let control = control.borrow();
     let mut entries = control.databases_of(&replacement.service);
     let mut vanished = control.vanished_of(&replacement.service, clock::now());
-    vanished.retain(|entry| entry.id != replacement.leader);
+    for entry in &mut vanished {
+        // Nobody could use it.
+        entry.leaving = true;
+    }
     entries.append(&mut vanished);
     let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
     evidence.collect()
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -384,6 +384,13 @@
         primaries.next().is_none().then_some(view)
     }
 
+    /// Returns the leader of a service, or the last one known if its registration lapsed
+    /// before it was ever replaced.
+    pub fn known_leader(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
+        let known = self.published.leaders.get(service);
+        self.leader_of(service).or_else(|| known.cloned())
+    }
+
     /// Takes a heartbeat of another VM.
     pub fn record_peer(
         &mut self,
@@ -474,9 +481,7 @@
         let mut leaders = BTreeMap::new();
         let mut leases = BTreeMap::new();
         for service in self.configuration.decoded.services.keys() {
-            let known = self.published.leaders.get(service).cloned();
-            // A leader whose registration lapsed stays the leader.
-            if let Some(leader) = self.leader_of(service).or(known) {
+            if let Some(leader) = self.known_leader(service) {
                 let until = self.leased_until(service, &leader);
                 leases.extend(until.map(|until| (service.clone(), until)));
                 leaders.insert(service.clone(), leader);
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/lost_leaders.rs
@@ -0,0 +1,56 @@
+//! Leaders that are gone although their entries, or others at their addresses, remain.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_standin_platform::caller;
+use bluebellferry_standin_platform::deployment;
+use bluebellferry_standin_platform::deployment::KEY;
+
+/// How long a service may stay without a leader.
+const REPLACED_WITHIN: Duration = Duration::from_secs(8);
+
+async fn start(vms: u8) -> deployment::StandinDeployment {
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
+    deployment::StandinDeployment::start(program, vms).await
+}
+
+async fn connect(deployment: &deployment::StandinDeployment) -> caller::StandinCaller {
+    let caller = deployment.caller(0, "counter", KEY).await;
+    caller.expect("it connects")
+}
+
+/// Has a write run again until it is acknowledged.
+async fn is_written_soon(deployment: &deployment::StandinDeployment, text: &str) {
+    let started = Instant::now();
+    loop {
+        let mut caller = connect(deployment).await;
+        let answer = deployment::run(&mut caller, text).await;
+        if answer.refusal.is_none() {
+            return;
+        }
+        assert!(started.elapsed() < REPLACED_WITHIN, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_is_no_longer_registered_is_replaced() {
+    let deployment = start(2).await;
+    is_written_soon(&deployment, "WRITE boots first").await;
+    deployment.store.remove("servers", "i-a");
+    // It is gone once no VM lists it any more.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    is_written_soon(&deployment, "WRITE boots second").await;
+    assert_eq!(deployment.group.written("boots"), ["first", "second"]);
+    assert!(!deployment.group.promotions().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_whose_address_another_database_took_is_replaced() {
+    let deployment = start(2).await;
+    is_written_soon(&deployment, "WRITE boots first").await;
+    deployment.group.start_anew(0, "i-other");
+    is_written_soon(&deployment, "WRITE boots second").await;
+    assert_eq!(deployment.group.written("boots"), ["first", "second"]);
+}
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -15,7 +15,7 @@
     pub id: name::DatabaseName,
     /// Whether it is the leader to be replaced.
     pub is_leader: bool,
-    /// Whether it is about to stop.
+    /// Whether it is about to stop, or no longer registered.
     pub is_leaving: bool,
     /// The end of its log, reported after it stopped receiving or leading;
     /// `None` until then.
