Ask a leader for the last position that was seen of it

Cause: a read at a leader asked for no position before the first replacement, and for the leader's floor later. A database that is started anew under its identity and holds nothing of before accepts connections like any other, and the registration with its new start is read up to 1.5 s later. It answered reads of primary routes from an empty log.

A leader that lacks the position is reported to control, which asks it.

Tests first: a_leader_that_came_back_empty_serves_no_read_and_is_replaced returned "none" for "first"; a_database_is_asked_for_the_position_of_the_role_in_which_it_is_used got 1.40 for 2.60.

replicas_serve_reads_that_may_be_old told replicas' reads by their SINCE, which reads at the leader now have too: it would have become weaker. It now counts the reads that came to members 1 and 2 by the member that received them; bound and denominator stay.

--- a/crates/bluebellferry_edge/src/traffic/placement.rs
+++ b/crates/bluebellferry_edge/src/traffic/placement.rs
@@ -53,11 +53,12 @@
     /// that any leader of the service was seen to hold.
     pub fn position_to_ask(
         self,
-        _seen: Option<position::LogPosition>,
+        seen: Option<position::LogPosition>,
     ) -> Option<position::LogPosition> {
         match self {
-            // A leader that was just chosen may not have applied all of its log.
-            Self::Leader(leader) => leader.floor,
+            // A leader that was just chosen may not have applied all of its log, and one
+            // that was started anew holds nothing of before.
+            Self::Leader(leader) => leader.known_end(seen),
             Self::Replica(since) => Some(since),
         }
     }
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -18,6 +18,7 @@
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
 
+use crate::shared;
 use crate::traffic::connection;
 use crate::traffic::dispatch;
 use crate::traffic::placement;
@@ -245,6 +246,7 @@
                     return Ok(());
                 }
                 Ok(Some(error)) => {
+                    self.note_leader_behind(&held, error);
                     self.note_rejection(&held, error, since.is_some(), &mut demand)
                         .await;
                     self.context.dispatch.release(held);
@@ -358,6 +360,7 @@
         };
         // A read may run again whatever happened to it.
         let can_retry = error != database::DatabaseError::Other && clock::now() < scope.deadline;
+        self.note_leader_behind(&held, error);
         self.note_rejection(&held, error, since.is_some(), demand)
             .await;
         self.context.dispatch.release(held);
@@ -405,6 +408,14 @@
         }
     }
 
+    /// Tells control of a leader that lacks what its log holds as long as it leads.
+    fn note_leader_behind(&self, held: &dispatch::HeldConnection, error: database::DatabaseError) {
+        if error == database::DatabaseError::Lagging {
+            let kind = shared::EvidenceKind::NotLeading;
+            self.context.dispatch.report_evidence(held.database, kind);
+        }
+    }
+
     /// Sends a statement after whatever brings the connection into the
     /// session's state, and receives its answer.
     async fn exchange(
--- a/crates/bluebellferry_edge/tests/lost_leaders.rs
+++ b/crates/bluebellferry_edge/tests/lost_leaders.rs
@@ -54,3 +54,23 @@
     is_written_soon(&deployment, "WRITE boots second").await;
     assert_eq!(deployment.group.written("boots"), ["first", "second"]);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_came_back_empty_serves_no_read_and_is_replaced() {
+    let deployment = start(2).await;
+    is_written_soon(&deployment, "WRITE boots first").await;
+    deployment.group.start_anew(0, "i-a");
+    let started = Instant::now();
+    let mut served = 0;
+    while served < 5 {
+        let mut caller = connect(&deployment).await;
+        let answer = deployment::run(&mut caller, "READ boots").await;
+        if answer.refusal.is_none() {
+            assert_eq!(answer.rows, ["first"]);
+            served += 1;
+        }
+        assert!(started.elapsed() < REPLACED_WITHIN, "{answer:?}");
+    }
+    is_written_soon(&deployment, "WRITE boots second").await;
+    assert_eq!(deployment.group.written("boots"), ["first", "second"]);
+}
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -230,9 +230,9 @@
     let asked = |index: usize| {
         role(index, now).and_then(|role| role.position_to_ask(Some(position(2, 60))))
     };
-    // A leader that was just chosen may not have applied all of its log.
+    // A leader that was started anew under its identity lacks what was seen of it.
     assert_eq!(role(0, now), Some(placement::PlacedRole::Leader(&view)));
-    assert_eq!(asked(0), Some(position(1, 40)));
+    assert_eq!(asked(0), Some(position(2, 60)));
     assert_eq!(asked(1), Some(position(2, 55)));
     // Nobody may be relied on to have everything once the lease has ended.
     assert_eq!(role(0, until), None);
--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -97,10 +97,10 @@
     read_by_six(&deployment).await;
     let learned = deployment.group.received().len();
     read_by_six(&deployment).await;
-    let received = deployment.group.received();
+    let received = deployment.group.received_by();
     let by_replicas = received[learned..]
         .iter()
-        .filter(|line| line.contains("SINCE"));
+        .filter(|(member, line)| *member != 0 && line.contains(" READ "));
     // The target for reads that may be old is 97 in 100.
     let share = by_replicas.count() as f64 / 240.0;
     assert!(share >= 0.97, "{share}");
