Take a leaving leader that does not step down within 1 s for lost

Cause: a leader that leaves is asked to step down before its replicas are held back. If it fell silent first, it was asked for ever, and no replica was ever considered.

Test first: a_leader_that_falls_silent_while_it_leaves_is_replaced was refused for 8 s (reason=no_primary); it passes now, with the other three of lost_leaders.rs.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -40,6 +40,9 @@
 /// How long a database that is about to stop is not chosen while another one, which
 /// stays, may still answer: as long as a lease, which is waited for anyway.
 const STAYING_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long a leader that leaves may take to step down before it is taken for lost: a few
+/// orders that are not answered in time.
+const STEP_DOWN_PATIENCE: Duration = Duration::from_millis(1_000);
 /// How long after a planned replacement the same service is left alone.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
@@ -136,6 +139,16 @@
 ) {
     loop {
         hold::hold_databases(control, &mut replacement).await;
+        let is_expected = replacement.cause == cause::ReplacementCause::Leaving
+            && !replacement.held.contains_key(&replacement.leader);
+        let asked_for = clock::now().saturating_duration_since(replacement.claimed);
+        if is_expected && asked_for >= STEP_DOWN_PATIENCE {
+            log::warn!(
+                database = replacement.leader.as_str(), asked_for_ms = asked_for.as_millis() as u64;
+                "a leader that leaves does not answer and is taken for lost"
+            );
+            replacement.cause = cause::ReplacementCause::Lost;
+        }
         if !is_still_holder(control) {
             log::warn!(service = replacement.service.as_str(); "another VM has taken the duty over");
             return;
--- a/crates/bluebellferry_edge/tests/lost_leaders.rs
+++ b/crates/bluebellferry_edge/tests/lost_leaders.rs
@@ -74,3 +74,16 @@
     is_written_soon(&deployment, "WRITE boots second").await;
     assert_eq!(deployment.group.written("boots"), ["first", "second"]);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_falls_silent_while_it_leaves_is_replaced() {
+    let deployment = start(2).await;
+    is_written_soon(&deployment, "WRITE boots first").await;
+    let entry = deployment.store.value("servers", "i-a");
+    let mut entry = entry.expect("it is registered");
+    entry["State"] = "draining".into();
+    deployment.store.put("servers", "i-a", entry);
+    deployment.group.set_down(0, true);
+    is_written_soon(&deployment, "WRITE boots second").await;
+    assert_eq!(deployment.group.written("boots"), ["first", "second"]);
+}
