--- /dev/null
+++ b/crates/bluebellferry_edge/tests/store_listings.rs
@@ -0,0 +1,62 @@
+//! Listings of the store that other writers have filled with entries of their own.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use axum::Json;
+use axum::extract::Query;
+use axum::routing::get;
+use bluebellferry_platform::objects;
+use bluebellferry_platform::registry;
+use serde_json::Value;
+use serde_json::json;
+
+fn server(name: &str) -> Value {
+    json!({"meta": {"Name": name, "Revision": 4}, "spec": {"Service": "rental",
+        "Addr": "127.0.0.1:1", "Zone": "amman-a", "Slots": 3, "State": "ready",
+        "DbRole": "replica", "born": 1}})
+}
+
+/// Serves a listing of two pages, of which the second begins after `last`.
+async fn serve_pages(first: Value, last: &'static str) -> SocketAddr {
+    let page = move |query: HashMap<String, String>| match query.get("after") {
+        None => json!({"items": first, "More": true, "AsOf": 7}),
+        Some(after) if after == last => {
+            json!({"items": [server("i-z")], "More": false, "AsOf": 9})
+        }
+        Some(_) => json!({"items": [], "More": false, "AsOf": 9}),
+    };
+    let list =
+        get(move |Query(query): Query<HashMap<String, String>>| async move { Json(page(query)) });
+    let router = axum::Router::new().route("/objects/servers", list);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+async fn listed(address: SocketAddr) -> Result<Vec<String>, objects::StoreError> {
+    let listing = objects::ObjectClient::new(address).list("servers").await?;
+    assert_eq!(listing.as_of, 7);
+    let entries = registry::decode_entries(&listing);
+    Ok(entries.iter().map(|entry| entry.id.to_string()).collect())
+}
+
+#[tokio::test]
+async fn a_page_that_ends_with_a_foreign_entry_hides_no_other_page() {
+    let damaged = json!([server("i-a"), {"meta": {"Name": 7}, "spec": null}, "text"]);
+    let address = serve_pages(damaged, "i-a").await;
+    assert_eq!(listed(address).await, Ok(vec!["i-a".into(), "i-z".into()]));
+    // Nothing tells where the next page begins, so this is no listing.
+    let nameless = json!([{"meta": {}, "spec": null}, 4]);
+    let address = serve_pages(nameless, "").await;
+    assert!(listed(address).await.is_err());
+}
+
+#[tokio::test]
+async fn a_page_may_end_with_a_name_that_has_to_be_escaped() {
+    let odd = json!([server("i-a"), server("i b&More=\u{e9}%2F#?")]);
+    let address = serve_pages(odd, "i b&More=\u{e9}%2F#?").await;
+    assert_eq!(listed(address).await, Ok(vec!["i-a".into(), "i-z".into()]));
+}
