Hear a VM again that was started anew after its clock was set back

Cause: incarnations are drawn from the time of day. A process that is started anew after the clock was set back by more than its predecessor ran has a lower one; its heartbeats were outdated for ever to every VM that had heard the predecessor, and LeaseKeeper refused its vouches.

A silent VM's place in the order is forgotten after 5 s. Its record stays: without it this VM would seem not to know the other, which keeps that from replacing leaders while only one direction is cut. Vouches are ordered by when the answered heartbeat was sent, which is true whatever incarnation answers.

--- a/crates/bluebellferry_edge/src/control/state/heads.rs
+++ b/crates/bluebellferry_edge/src/control/state/heads.rs
@@ -15,10 +15,20 @@
 /// head sends it to a dozen VMs within a second over a link of 10 Mbit/s.
 const LARGEST_COPY_BYTES: u32 = 64 << 10;
 
+/// How long after a VM fell silent its heartbeats are compared with the last one: longer
+/// than a datagram is on its way. A VM that is started anew after its time of day was set
+/// back has a lower incarnation than before.
+const ORDER_KEPT: Duration = Duration::from_secs(5);
+
 impl state::ControlState {
     /// Notes who deals out the parts. A VM that does not hear most others, or nobody who
     /// does, takes at most an equal part, so that those who do may deal out the rest.
     pub fn note_circle(&mut self, now: Instant) {
+        for record in self.peers.values_mut() {
+            if now.saturating_duration_since(record.heard) >= ORDER_KEPT {
+                (record.incarnation, record.sequence) = (0, 0);
+            }
+        }
         if parts::is_group_setter(self, now) {
             self.setter_since.get_or_insert(now);
         } else {
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -503,3 +503,19 @@
     // In the end it is taken as gone.
     assert!(vanished(&control, now + Duration::from_secs(40)).is_empty());
 }
+
+#[test]
+fn a_vm_that_started_anew_with_its_clock_set_back_is_heard_again() {
+    let now = clock::now();
+    let mut control = control(0, now);
+    hear(&mut control, head_beat(1), 5, now);
+    let order = |control: &state::ControlState| {
+        let record = &control.peers[&vm(1)];
+        (record.incarnation, record.sequence)
+    };
+    control.note_circle(now + circle::SILENT_AFTER * 2);
+    assert_eq!(order(&control), (1, 5));
+    // Heartbeats of any incarnation are then newer.
+    control.note_circle(now + Duration::from_secs(6));
+    assert_eq!(order(&control), (0, 0));
+}
--- a/crates/bluebellferry_promotion/src/lease.rs
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -34,14 +34,6 @@
     sent: Instant,
 }
 
-/// What another member has confirmed.
-#[derive(Debug, Clone, Copy)]
-struct MemberVouch {
-    incarnation: u64,
-    /// When the latest of this VM's heartbeats that the member answered was sent.
-    confirmed: Instant,
-}
-
 /// What another VM's heartbeat says about the leadership.
 #[derive(Debug, Clone, Copy)]
 pub struct BeatVouch {
@@ -60,7 +52,8 @@
 pub struct LeaseKeeper {
     revision: u64,
     sent: VecDeque<SentBeat>,
-    vouches: BTreeMap<String, MemberVouch>,
+    /// When the latest of this VM's heartbeats was sent that a member has answered.
+    vouches: BTreeMap<String, Instant>,
     members: Option<(Instant, Vec<String>)>,
     store_confirmed: Option<Instant>,
 }
@@ -135,19 +128,13 @@
         let Some(sent) = self.sent_at(vouch.echoed) else {
             return;
         };
-        let known = self.vouches.get(member);
-        // Heartbeats may arrive out of order; an older one takes nothing back.
-        let is_older = known.is_some_and(|known| {
-            vouch.incarnation < known.incarnation
-                || (vouch.incarnation == known.incarnation && sent < known.confirmed)
-        });
-        if !is_older {
-            let vouch = MemberVouch {
-                incarnation: vouch.incarnation,
-                confirmed: sent,
-            };
-            self.vouches.insert(member.to_owned(), vouch);
-        }
+        // Heartbeats may arrive out of order; an older one takes nothing back. Incarnations
+        // tell no order, since they are drawn from the time of day, which may jump.
+        let known = self.vouches.get(member).copied();
+        self.vouches.insert(
+            member.to_owned(),
+            known.map_or(sent, |known| known.max(sent)),
+        );
     }
 
     /// Returns until when this VM may rely on its table.
@@ -160,9 +147,9 @@
         let (listed, others) = self.members.as_ref()?;
         // Without others there is nobody to vouch; only the store can.
         let first = others.first()?;
-        let mut oldest = self.vouches.get(first)?.confirmed;
+        let mut oldest = *self.vouches.get(first)?;
         for member in others {
-            oldest = oldest.min(self.vouches.get(member)?.confirmed);
+            oldest = oldest.min(*self.vouches.get(member)?);
         }
         Some((oldest + LEASE_TERM).min(*listed + JOIN_DELAY))
     }
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -283,6 +283,29 @@
     assert_eq!(keeper.valid_until(), None);
 }
 
+#[test]
+fn a_member_that_started_anew_with_its_clock_set_back_vouches() {
+    let start = Instant::now();
+    let mut keeper = lease::LeaseKeeper::default();
+    keeper.record_members(start, vec!["b".to_owned()]);
+    let vouch = |incarnation, echoed| lease::BeatVouch {
+        incarnation,
+        echoed,
+        revision: 0,
+        is_claiming: false,
+    };
+    keeper.record_sent(1, start);
+    keeper.record_vouch("b", vouch(900, 1));
+    let later = start + Duration::from_secs(1);
+    keeper.record_sent(2, later);
+    // It has been killed; its new incarnation was drawn from an earlier time of day.
+    keeper.record_vouch("b", vouch(300, 2));
+    assert_eq!(keeper.valid_until(), Some(later + lease::LEASE_TERM));
+    // What comes late of the former one takes nothing back.
+    keeper.record_vouch("b", vouch(900, 1));
+    assert_eq!(keeper.valid_until(), Some(later + lease::LEASE_TERM));
+}
+
 #[test]
 fn a_list_of_members_that_is_not_renewed_ends_the_lease() {
     let start = Instant::now();
