--- /dev/null
+++ b/crates/bluebellferry_edge/tests/store_faults.rs
@@ -0,0 +1,104 @@
+//! Processes against a store that loses answers, makes writes late and drops its history.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_standin_platform::caller;
+use bluebellferry_standin_platform::deployment;
+use bluebellferry_standin_platform::deployment::KEY;
+
+async fn start(vms: u8) -> deployment::StandinDeployment {
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
+    deployment::StandinDeployment::start(program, vms).await
+}
+
+async fn connect(deployment: &deployment::StandinDeployment, vm: u8) -> caller::StandinCaller {
+    let caller = deployment.caller(vm, "counter", KEY).await;
+    caller.expect("it connects")
+}
+
+/// Has a write run again until it is acknowledged. Returns how long that took.
+async fn write(deployment: &deployment::StandinDeployment, text: &str, most: Duration) -> Duration {
+    let started = Instant::now();
+    loop {
+        let mut caller = connect(deployment, 0).await;
+        let answer = deployment::run(&mut caller, text).await;
+        if answer.refusal.is_none() {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < most, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn leader(deployment: &deployment::StandinDeployment) -> serde_json::Value {
+    let table = deployment.store.value("bluebellferry-leaders", "table");
+    table.expect("there is a table")["leaders"]["rental"].clone()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_is_replaced_although_the_store_answers_no_write() {
+    let deployment = start(2).await;
+    write(&deployment, "WRITE boots first", Duration::from_secs(5)).await;
+    deployment.store.set_loses_answers(true);
+    deployment.group.set_down(0, true);
+    // Two writes whose answers are waited for in vain, and the lease.
+    write(&deployment, "WRITE boots second", Duration::from_secs(12)).await;
+    assert_eq!(deployment.group.written("boots"), ["first", "second"]);
+    let promotions = deployment.group.promotions();
+    let tokens: Vec<u64> = promotions.iter().map(|call| call.token).collect();
+    assert!(tokens.is_sorted(), "{tokens:?}");
+    assert_eq!(leader(&deployment)["phase"], "steady");
+}
+
+/// Has the entry that begins a replacement made late.
+async fn replace_with_late_write(delay: Duration) {
+    let deployment = start(2).await;
+    write(&deployment, "WRITE boots first", Duration::from_secs(5)).await;
+    deployment.store.delay_next_write(delay);
+    deployment.group.set_down(0, true);
+    write(&deployment, "WRITE boots second", Duration::from_secs(15)).await;
+    let named = leader(&deployment);
+    assert_eq!(named["phase"], "steady");
+    assert_ne!(named["database"], "i-a");
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        let taken = write(&deployment, "WRITE boots more", Duration::from_secs(2)).await;
+        assert!(taken < Duration::from_secs(1), "{taken:?}");
+        assert_eq!(leader(&deployment), named);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_write_of_one_s_own_that_comes_late_is_recognised() {
+    // Before the next try, which finds it.
+    replace_with_late_write(Duration::from_millis(2_500)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_write_that_comes_late_undoes_nothing() {
+    // After the next try, when its condition no longer holds.
+    replace_with_late_write(Duration::from_millis(6_500)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_is_withdrawn_although_no_watch_hears_of_it() {
+    let deployment = start(2).await;
+    let mut callers = [connect(&deployment, 0).await, connect(&deployment, 1).await];
+    for caller in &mut callers {
+        deployment::succeeds(caller, "WRITE boots first").await;
+    }
+    let next = deployment::configuration(2, &["another"], 200.0);
+    deployment.store.put_unseen("config", "main", next);
+    let withdrawn = Instant::now();
+    for caller in &mut callers {
+        loop {
+            let answer = deployment::run(caller, "READ boots").await;
+            if answer.refusal == Some(caller::CallerRefusal::KeyRefused) {
+                break;
+            }
+            assert!(withdrawn.elapsed() < Duration::from_secs(3), "{answer:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
