--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -14,6 +14,7 @@
 use crate::control;
 use crate::control::orders;
 use crate::control::replacement::cause;
+use crate::control::state;
 
 /// A replacement under way.
 pub(super) struct LeaderReplacement {
@@ -35,6 +36,11 @@
     pub(super) decided: Option<Instant>,
     /// The databases that said they lead, with their terms and the ends of their logs.
     pub(super) leading: BTreeMap<name::DatabaseName, (u64, position::LogPosition)>,
+    /// What the leader to be replaced was seen to hold while it led.
+    pub(super) leader_seen: Option<position::LogPosition>,
+    /// The ends that logs had before their databases were started anew, and when that
+    /// was noticed.
+    pub(super) emptied: BTreeMap<name::DatabaseName, (position::LogPosition, Instant)>,
 }
 
 /// Has every database of the service that can be reached stop.
@@ -45,7 +51,13 @@
     let Some(workspace) = control.borrow().any_workspace() else {
         return;
     };
-    let entries = control.borrow().databases_of(&replacement.service);
+    let mut entries = control.borrow().databases_of(&replacement.service);
+    // A leader whose registration lapsed may lead on.
+    let mut vanished = control
+        .borrow()
+        .vanished_of(&replacement.service, clock::now());
+    vanished.retain(|entry| entry.id == replacement.leader);
+    entries.append(&mut vanished);
     let mut tasks = JoinSet::new();
     for entry in entries {
         if replacement.held.contains_key(&entry.id) {
@@ -150,14 +162,11 @@
 }
 
 /// Asks the replicas again: one that was started anew receives again, although
-/// it was held back.
+/// it was held back, and may hold nothing of before.
 pub(super) async fn forget_released(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
 ) {
-    if replacement.cause == cause::ReplacementCause::Leaving {
-        return;
-    }
     let Some(workspace) = control.borrow().any_workspace() else {
         return;
     };
@@ -172,14 +181,32 @@
             (orders::give_order(&entry, &workspace, order).await, entry)
         });
     }
+    let is_paused = replacement.cause != cause::ReplacementCause::Leaving;
     while let Some(answered) = questions.join_next().await {
-        if let Ok((Ok(status), entry)) = answered
-            && status.held_term == 0
-            && !status.is_primary
-        {
-            log::warn!(database = entry.id.as_str(); "a replica is no longer held back");
-            replacement.held.remove(&entry.id);
-            replacement.decided = None;
+        let Ok((Ok(status), entry)) = answered else {
+            continue;
+        };
+        let Some(held_at) = replacement.held.get(&entry.id).copied() else {
+            continue;
+        };
+        let report = successor::HeldReport {
+            received: status.received,
+            held_term: status.held_term,
+            is_primary: status.is_primary,
+        };
+        if successor::is_still_held(held_at, is_paused, &report) {
+            continue;
+        }
+        log::warn!(
+            database = entry.id.as_str(), held_term = status.held_term, received = status.received.offset,
+            held_at = held_at.offset;
+            "a replica is no longer held back"
+        );
+        replacement.held.remove(&entry.id);
+        replacement.decided = None;
+        if status.received < held_at {
+            let emptied = (held_at, clock::now());
+            replacement.emptied.insert(entry.id.clone(), emptied);
         }
     }
 }
@@ -207,7 +234,10 @@
     let control = control.borrow();
     let mut entries = control.databases_of(&replacement.service);
     let mut vanished = control.vanished_of(&replacement.service, clock::now());
-    vanished.retain(|entry| entry.id != replacement.leader);
+    for entry in &mut vanished {
+        // Nobody could use it.
+        entry.leaving = true;
+    }
     entries.append(&mut vanished);
     let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
     evidence.collect()
@@ -217,11 +247,20 @@
     replacement: &LeaderReplacement,
     entry: &catalog::DatabaseEntry,
 ) -> successor::MemberEvidence {
+    let leads = replacement.leading.get(&entry.id).copied();
+    let is_leader = entry.id == replacement.leader;
+    let has_led = is_leader || leads.is_some_and(|(term, _)| term == replacement.leader_term);
+    let emptied = replacement.emptied.get(&entry.id);
+    let is_recent = |(_, noticed): &&(_, Instant)| {
+        clock::now().saturating_duration_since(*noticed) < state::VANISHED_KEPT
+    };
+    let emptied = emptied.filter(is_recent).map(|(end, _)| *end);
     successor::MemberEvidence {
         id: entry.id.clone(),
-        is_leader: entry.id == replacement.leader,
+        is_leader,
         is_leaving: entry.leaving,
         held_at: replacement.held.get(&entry.id).copied(),
-        leads: replacement.leading.get(&entry.id).copied(),
+        leads,
+        was_at: replacement.leader_seen.filter(|_| has_led).max(emptied),
     }
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -38,9 +38,9 @@
 /// store or a leader is asked.
 const REMEMBERED_ARRIVALS: usize = 8;
 
-/// How long a database that vanished is taken to hold commits that no other replica has:
+/// How long a database that vanished, or came back empty, is taken to hold commits that no other replica has:
 /// one that follows has received them by then.
-const VANISHED_KEPT: Duration = Duration::from_secs(30);
+pub const VANISHED_KEPT: Duration = Duration::from_secs(30);
 
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -410,6 +410,13 @@
         primaries.next().is_none().then_some(view)
     }
 
+    /// Returns the leader of a service, or the last one known if its registration lapsed
+    /// before it was ever replaced.
+    pub fn known_leader(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
+        let known = self.published.leaders.get(service);
+        self.leader_of(service).or_else(|| known.cloned())
+    }
+
     /// Takes a heartbeat of another VM.
     pub fn record_peer(
         &mut self,
@@ -527,9 +534,7 @@
         let mut leaders = BTreeMap::new();
         let mut leases = BTreeMap::new();
         for service in self.configuration.decoded.services.keys() {
-            let known = self.published.leaders.get(service).cloned();
-            // A leader whose registration lapsed stays the leader.
-            if let Some(leader) = self.leader_of(service).or(known) {
+            if let Some(leader) = self.known_leader(service) {
                 let until = self.leased_until(service, &leader);
                 leases.extend(until.map(|until| (service.clone(), until)));
                 leaders.insert(service.clone(), leader);
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -35,6 +35,19 @@
     pub is_replacing: bool,
 }
 
+impl LeaderView {
+    /// Returns a position that the leader's log holds as long as it leads. `seen` is the
+    /// last one that any leader of the service was seen to hold.
+    ///
+    /// A former leader may have held more than its successor was chosen with, so a
+    /// position counts only if its term began after that.
+    pub fn known_end(&self, seen: Option<position::LogPosition>) -> Option<position::LogPosition> {
+        let is_own =
+            |seen: &position::LogPosition| self.floor.is_none_or(|floor| seen.term > floor.term);
+        seen.filter(is_own).or(self.floor)
+    }
+}
+
 /// What control tells traffic; replaced as a whole.
 #[derive(Debug, Clone, Default)]
 pub struct EdgeSnapshot {
@@ -204,6 +217,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the last position that a service's leader was seen to hold.
+    pub fn last_position(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
+        let positions = self.positions();
+        positions.get(service).and_then(|history| history.latest())
+    }
+
     /// Notes that a leader held `position` at or after `asked`, if it was
     /// certainly the leader then.
     pub fn record_position(
