Claim a replacement only against the leader that leads when it is entered

What callers saw: requests to a service refused although its leader had just been replaced, and reads that ran at the new leader before it had applied its log.

Cause: before a leader is replaced, it and its replicas are asked, for up to 0.7 s. If another VM replaced it meanwhile, as when the holder of the duty wakes up, the old leader was entered as being replaced once more, over its successor.

Ruled out: a table that was read late (the write's condition held).

Change: after the questions it is looked again whether the database leads and whether this VM is responsible. Nothing is awaited between that and the conditional write.

Test first: a_leader_that_was_replaced_while_it_was_asked_is_not_claimed found i-a as Replacing in place of i-b; it passes now.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -82,7 +82,14 @@
         if !cause::is_responsible(&control.borrow(), now) {
             continue;
         }
-        if let Some((leader, cause)) = cause::find_cause(&control, &service).await {
+        let found = cause::find_cause(&control, &service).await;
+        // Databases were asked meanwhile, and another VM may have been faster.
+        let found = found.filter(|(leader, _)| {
+            let control = control.borrow();
+            let is_current = control.is_led_by(&service, leader);
+            is_current && cause::is_responsible(&control, clock::now())
+        });
+        if let Some((leader, cause)) = found {
             replace(&control, &mut client, &service, &leader, cause).await;
             tokio::time::sleep(SETTLE_TIME).await;
         } else if cause::is_any_suspected(&control.borrow(), &service, now) {
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -417,6 +417,12 @@
         self.leader_of(service).or_else(|| known.cloned())
     }
 
+    /// Returns whether a database leads a service, as this VM knows it now.
+    pub fn is_led_by(&self, service: &name::ServiceName, database: &name::DatabaseName) -> bool {
+        let leader = self.known_leader(service);
+        leader.is_some_and(|leader| leader.database == *database)
+    }
+
     /// Takes a heartbeat of another VM.
     pub fn record_peer(
         &mut self,
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -0,0 +1,157 @@
+//! When a VM may enter the replacement of a leader into the table.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::database;
+use bluebellferry_catalog::leadership;
+use bluebellferry_edge::control;
+use bluebellferry_edge::control::members;
+use bluebellferry_edge::control::replacement;
+use bluebellferry_edge::control::state;
+use bluebellferry_edge::settings;
+use bluebellferry_edge::shared;
+use bluebellferry_runtime::clock;
+use bluebellferry_standin_platform::store;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use tokio::net::TcpListener;
+
+fn service() -> name::ServiceName {
+    name::ServiceName::try_from("rental").expect("a valid name")
+}
+
+fn data_centre() -> name::DataCentreName {
+    name::DataCentreName::try_from("here").expect("a valid name")
+}
+
+fn id(text: &str) -> name::DatabaseName {
+    name::DatabaseName::try_from(text).expect("a valid name")
+}
+
+fn entry(text: &str, address: SocketAddr, role: database::DatabaseRole) -> database::DatabaseEntry {
+    database::DatabaseEntry {
+        id: id(text),
+        born: 1,
+        service: service(),
+        address,
+        data_centre: data_centre(),
+        slots: 3,
+        leaving: false,
+        role,
+    }
+}
+
+/// Returns the beliefs of the only VM of a fleet that knows these databases.
+fn control(store: SocketAddr, databases: Vec<database::DatabaseEntry>) -> state::ControlState {
+    let any = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = settings::EdgeSettings {
+        vm: "vm-0".to_owned(),
+        address: any.ip(),
+        data_centre: data_centre(),
+        region: "here".to_owned(),
+        regions: BTreeMap::new(),
+        caller_address: any,
+        readiness_address: any,
+        copies_address: any,
+        peer_port: 2,
+        metrics_port: 3,
+        max_callers: 10,
+        store_address: store,
+        duty_address: any,
+        grace: Duration::from_secs(3),
+    };
+    let (shared, _) = shared::EdgeShared::new(settings, 1);
+    let mut control = state::ControlState::new(shared);
+    let own = state::MemberRecord {
+        address: any.ip(),
+        data_centre: data_centre(),
+    };
+    control.apply_members([("vm-0".to_owned(), own)].into(), 5, clock::now());
+    let policy = configuration::ServicePolicy {
+        max_connections: 12,
+        synchronous: true,
+    };
+    let workspace = name::WorkspaceName::try_from("families").expect("a valid name");
+    let limits = configuration::WorkspacePolicy {
+        rate_per_second: 100.0,
+        burst: 100.0,
+    };
+    control.configuration.decoded = Arc::new(configuration::Configuration {
+        version: 1,
+        services: [(service(), policy)].into(),
+        workspaces: [(workspace, limits)].into(),
+        ..configuration::Configuration::default()
+    });
+    control.has_store = true;
+    control.apply_databases(databases, 6);
+    control
+}
+
+/// Serves a database that accepts connections and never answers.
+async fn serve_in_silence() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    tokio::task::spawn_local(async move {
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.push(stream);
+        }
+    });
+    address
+}
+
+/// The holder of the duty woke up, and two VMs replaced the same leader: the second one
+/// had asked it before the first one named a successor, and entered it once more.
+#[tokio::test(flavor = "current_thread")]
+async fn a_leader_that_was_replaced_while_it_was_asked_is_not_claimed() {
+    let tasks = tokio::task::LocalSet::new();
+    tasks
+        .run_until(async {
+            let port = 21_000 + (std::process::id() % 10_000) as u16;
+            let address = SocketAddr::from(([127, 201, 0, 1], port));
+            let store = Arc::new(store::StandinStore::default());
+            let serving = Arc::clone(&store).serve(address).await;
+            serving.expect("the store listens");
+            let silent = serve_in_silence().await;
+            let databases = vec![
+                entry("i-a", silent, database::DatabaseRole::Primary),
+                entry("i-b", silent, database::DatabaseRole::Replica),
+            ];
+            let control = Rc::new(RefCell::new(control(address, databases)));
+            let evidence = shared::LeaderEvidence {
+                service: service(),
+                database: id("i-a"),
+                kind: shared::EvidenceKind::Silent,
+            };
+            control
+                .borrow_mut()
+                .suspicions
+                .record(&evidence, clock::now());
+            let watching = control::ControlCell::clone(&control);
+            tokio::task::spawn_local(replacement::watch(watching));
+            // The leader is being asked; another VM has been faster.
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            let successor = leadership::LeaderEntry {
+                database: id("i-b"),
+                phase: leadership::LeaderPhase::Steady,
+                floor: Some(position::LogPosition::new(1, 230)),
+            };
+            let table = leadership::LeadershipTable::default();
+            let mut table = table.with_entry("vm-1", 77, &service(), successor.clone());
+            let value = serde_json::to_value(&table).expect("the table can be coded");
+            store.put(members::TABLE_KIND, members::TABLE_NAME, value);
+            table.revision = store.revision();
+            control.borrow_mut().apply_table(&table);
+            tokio::time::sleep(Duration::from_millis(1_200)).await;
+            let known = control.borrow().table.leaders.get(&service()).cloned();
+            assert_eq!(known, Some(successor));
+        })
+        .await;
+}
