Date a leader's position by what was believed when the statement was sent

Cause: whether an answer tells what a leader held was judged by the beliefs of the moment at which it came. An answer of a replica that was named leader in between was dated as a leader's, by an instant at which the database followed: commits that were acknowledged before may be missing in it, and later reads asked for too little.

Test first: an_answer_of_a_replica_that_is_named_meanwhile_is_none_of_a_leader got 1.5 for none, through a caller's connection and a database that answers after 80 ms.

--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -187,7 +187,7 @@
         let Some(mut held) = self.held.take() else {
             return Err(outcomes::aborted("the transaction has no connection"));
         };
-        let sent = clock::now();
+        let sent = self.mark_sent(&held);
         let exchanged = self
             .exchange(&mut held, plan, scope.deadline, |out| {
                 database::encode_statement(out, &statement.id, &plan.text);
@@ -324,8 +324,8 @@
         demand: &mut dispatch::ConnectionDemand,
     ) -> TryEnd {
         let dispatch::PlacedConnection { mut held, since } = placed;
-        let sent = clock::now();
-        let patience = sent + self.context.dispatch.patience(held.database);
+        let sent = self.mark_sent(&held);
+        let patience = sent.at + self.context.dispatch.patience(held.database);
         let exchanged = self
             .exchange(
                 &mut held,
@@ -380,7 +380,7 @@
         mut held: dispatch::HeldConnection,
         demand: &mut dispatch::ConnectionDemand,
     ) -> TryEnd {
-        let sent = clock::now();
+        let sent = self.mark_sent(&held);
         let exchanged = self
             .exchange(&mut held, plan, scope.deadline, |out| {
                 database::encode_statement(out, &statement.id, &plan.text);
--- a/crates/bluebellferry_edge/src/traffic/statement/notes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/notes.rs
@@ -21,6 +21,15 @@
 /// not lead yet.
 const LEADER_REST: Duration = Duration::from_millis(40);
 
+/// When a statement was sent, and what this VM believed then.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SentMark {
+    /// An instant before it was sent.
+    pub(super) at: Instant,
+    /// Whether the database was the leader, which nobody had replaced.
+    to_leader: bool,
+}
+
 impl session::CallerSession {
     /// Logs a refusal with what this VM believed when it decided.
     pub(super) fn log_refusal(
@@ -130,15 +139,27 @@
         }
     }
 
+    /// Notes that a statement is about to be sent.
+    pub(super) fn mark_sent(&self, held: &dispatch::HeldConnection) -> SentMark {
+        let at = clock::now();
+        let entry = self.context.dispatch.entry(held.database);
+        let snapshot = self.context.shared.snapshot();
+        let trusted = snapshot.trusted_leader(&entry.service, at);
+        SentMark {
+            at,
+            to_leader: trusted.is_some_and(|leader| leader.database == entry.id),
+        }
+    }
+
     pub(super) fn record_answer(
         &self,
         held: &dispatch::HeldConnection,
         answer: &database::DatabaseAnswer,
-        sent: Instant,
+        sent: SentMark,
         plan: &state::RunPlan,
     ) {
         let dispatch = &self.context.dispatch;
-        let latency = clock::now().saturating_duration_since(sent);
+        let latency = clock::now().saturating_duration_since(sent.at);
         if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
             dispatch.record_answer(held.database, latency);
         }
@@ -160,12 +181,10 @@
         dispatch.report_evidence(held.database, kind);
         // Nobody had replaced the leader when it was asked, so its log held
         // everything that was acknowledged until then.
-        let leased_until = snapshot.leases.get(&entry.service);
-        let was_leased = leased_until.is_some_and(|until| *until >= sent);
-        if let Some(position) = answer.position.filter(|_| was_leased && leads) {
+        if let Some(position) = answer.position.filter(|_| sent.to_leader && leads) {
             self.context
                 .shared
-                .record_position(&entry.service, sent, position);
+                .record_position(&entry.service, sent.at, position);
         }
     }
 
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -12,9 +12,11 @@
 use bluebellferry_catalog::database;
 use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
+use bluebellferry_edge::traffic;
 use bluebellferry_edge::traffic::dispatch;
 use bluebellferry_edge::traffic::metrics;
 use bluebellferry_edge::traffic::placement;
+use bluebellferry_edge::traffic::session;
 use bluebellferry_pool::budget;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
@@ -23,6 +25,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::io::BufReader;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 /// How long the database takes to open a connection.
 const OPENING: Duration = Duration::from_millis(80);
@@ -239,3 +242,130 @@
     let all = placement::role_of(&beliefs, &databases[1], LEADER_ONLY, now);
     assert_eq!(all, None);
 }
+
+/// How long a database takes to answer a read.
+const READING: Duration = Duration::from_millis(80);
+
+/// Serves a database that answers each statement with `answer`.
+async fn serve_answers(answer: &'static str) -> std::net::SocketAddr {
+    let listener = TcpListener::bind(any_address().ip().to_string() + ":0").await;
+    let listener = listener.expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut stream = BufReader::new(stream);
+                let mut line = String::new();
+                while stream
+                    .read_line(&mut line)
+                    .await
+                    .is_ok_and(|length| length > 0)
+                {
+                    let reply = if line.starts_with("STARTUP") {
+                        "READY I -\r\n"
+                    } else {
+                        tokio::time::sleep(READING).await;
+                        answer
+                    };
+                    stream.get_mut().write_all(reply.as_bytes()).await.ok();
+                    line.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Has a caller read at `i-a` and changes what the VM believes while that answers. Returns
+/// the position that leaders were seen to hold since.
+async fn seen_after_read(
+    answer: &'static str,
+    known: Option<position::LogPosition>,
+    view: shared::LeaderView,
+    change: impl FnOnce(&mut shared::EdgeSnapshot),
+) -> Option<position::LogPosition> {
+    let shared = edge();
+    let now = clock::now();
+    let databases = [entry("i-a", serve_answers(answer).await)];
+    let mut beliefs = snapshot(&databases, view, now + Duration::from_secs(60));
+    let policy = configuration::RoutePolicy {
+        service: service(),
+        guarantee: configuration::ReadGuarantee::BoundedAge {
+            max_age: Duration::from_secs(2),
+        },
+        statement_timeout: Duration::from_millis(400),
+        objective: Duration::from_millis(200),
+        priority: 0,
+        is_public: true,
+    };
+    let mut configuration = configuration::Configuration::clone(&beliefs.configuration);
+    configuration.routes.insert("browse".to_owned(), policy);
+    beliefs.configuration = Arc::new(configuration);
+    if let Some(known) = known {
+        shared.record_position(&service(), now, known);
+    }
+    shared.publish(beliefs.clone(), true);
+    let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
+    let metrics = metrics.expect("the names are new");
+    let context = Rc::new(traffic::TrafficContext::new(Arc::clone(&shared), metrics));
+    context.dispatch.apply_snapshot(now);
+    let listener = TcpListener::bind(any_address().ip().to_string() + ":0").await;
+    let listener = listener.expect("it listens");
+    let address = listener.local_addr().expect("it has an address");
+    tokio::task::spawn_local(async move {
+        if let Ok((stream, _)) = listener.accept().await {
+            session::serve(stream, context).await;
+        }
+    });
+    let mut caller = TcpStream::connect(address).await.expect("it connects");
+    let text = b"STARTUP browse key\r\nQUERY 1 READ a\r\n";
+    caller.write_all(text).await.expect("it sends");
+    tokio::time::sleep(READING / 2).await;
+    change(&mut beliefs);
+    shared.publish(beliefs, true);
+    // READY after STARTUP, then the answer's last line.
+    let mut lines = BufReader::new(caller).lines();
+    for _ in 0..2 {
+        while let Ok(Some(line)) = lines.next_line().await {
+            if line.starts_with("READY") {
+                break;
+            }
+        }
+    }
+    let positions = shared.positions();
+    let history = positions.get(&service());
+    let latest = history.and_then(|history| history.latest_sample());
+    latest
+        .filter(|(asked, _)| *asked > now)
+        .map(|(_, position)| position)
+}
+
+const READ_AT_5: &str = "DATAROW x\r\nCOMPLETE r\r\nREADY I 1.5\r\n";
+
+#[tokio::test]
+async fn a_leader_s_answer_tells_what_it_holds() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let seen = seen_after_read(READ_AT_5, None, leader("i-a"), |_| {}).await;
+            assert_eq!(seen, Some(position(1, 5)));
+        })
+        .await;
+}
+
+// A replica's answer that came after the replica had been named leader counted as what a
+// leader held when the statement was sent, so that later reads asked for too little.
+#[tokio::test]
+async fn an_answer_of_a_replica_that_is_named_meanwhile_is_none_of_a_leader() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let name_it = |beliefs: &mut shared::EdgeSnapshot| {
+                beliefs.leaders = Arc::new([(service(), leader("i-a"))].into());
+            };
+            let known = Some(position(1, 5));
+            let seen = seen_after_read(READ_AT_5, known, leader("i-b"), name_it).await;
+            assert_eq!(seen, None);
+        })
+        .await;
+}
