Take no position from a leader that has not applied its log

Cause: a database that was just named leads before it has applied all that it received. Its answers, also the refusal of a read that asks for its floor, show the position up to which it has applied. That was dated as what the leader held, although it lies below the floor, which was acknowledged. A VM that had seen no later position, as after a start, then asked replicas for too little.

Found by reading, from the replica that stood at 1.152 of 1.230 after it was named.

Test first: a_leader_that_has_not_applied_its_log_does_not_tell_what_it_holds got 1.5 for none.

--- a/crates/bluebellferry_edge/src/traffic/statement/notes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/notes.rs
@@ -26,8 +26,22 @@
 pub(super) struct SentMark {
     /// An instant before it was sent.
     pub(super) at: Instant,
-    /// Whether the database was the leader, which nobody had replaced.
-    to_leader: bool,
+    /// What the database's log held when it was chosen, if it was the leader, which
+    /// nobody had replaced.
+    leader: Option<LeaderFloor>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LeaderFloor(Option<position::LogPosition>);
+
+impl SentMark {
+    /// Returns the position of an answer if it covers all that was acknowledged before
+    /// the statement was sent. A leader that was just named shows lower ones until it has
+    /// applied its log.
+    fn covering(&self, position: Option<position::LogPosition>) -> Option<position::LogPosition> {
+        let LeaderFloor(floor) = self.leader?;
+        position.filter(|position| Some(*position) >= floor)
+    }
 }
 
 impl session::CallerSession {
@@ -145,9 +159,10 @@
         let entry = self.context.dispatch.entry(held.database);
         let snapshot = self.context.shared.snapshot();
         let trusted = snapshot.trusted_leader(&entry.service, at);
+        let leader = trusted.filter(|leader| leader.database == entry.id);
         SentMark {
             at,
-            to_leader: trusted.is_some_and(|leader| leader.database == entry.id),
+            leader: leader.map(|leader| LeaderFloor(leader.floor)),
         }
     }
 
@@ -179,9 +194,7 @@
             (true, false) => shared::EvidenceKind::Answered,
         };
         dispatch.report_evidence(held.database, kind);
-        // Nobody had replaced the leader when it was asked, so its log held
-        // everything that was acknowledged until then.
-        if let Some(position) = answer.position.filter(|_| sent.to_leader && leads) {
+        if let Some(position) = sent.covering(answer.position).filter(|_| leads) {
             self.context
                 .shared
                 .record_position(&entry.service, sent.at, position);
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -369,3 +369,21 @@
         })
         .await;
 }
+
+// A leader that was just named and has not applied its log yet told a VM that had seen no
+// position before less than was acknowledged.
+#[tokio::test]
+async fn a_leader_that_has_not_applied_its_log_does_not_tell_what_it_holds() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let view = shared::LeaderView {
+                floor: Some(position(1, 9)),
+                ..leader("i-a")
+            };
+            let lagging = "ERROR LAGGING i-a\r\nREADY I 1.5\r\n";
+            let seen = seen_after_read(lagging, None, view, |_| {}).await;
+            assert_eq!(seen, None);
+        })
+        .await;
+}
