--- a/crates/bluebellferry_edge/tests/store_faults.rs
+++ b/crates/bluebellferry_edge/tests/store_faults.rs
@@ -102,3 +102,37 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_of_foreign_writers_in_every_kind_disturb_nobody() {
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
+    let mut deployment = deployment::StandinDeployment::prepare(program).await;
+    let values = [
+        serde_json::json!(null),
+        serde_json::json!("text"),
+        serde_json::json!([1, 2]),
+        serde_json::json!({"Service": 7, "address": "nowhere", "Version": -1, "revision": "x"}),
+    ];
+    let kinds = [
+        "servers",
+        "config",
+        "bluebellferry-vms",
+        "bluebellferry-leaders",
+    ];
+    for kind in kinds {
+        for (number, value) in values.iter().enumerate() {
+            deployment
+                .store
+                .put(kind, &format!("a foreign/{number}"), value.clone());
+        }
+    }
+    deployment.start_vms(2).await;
+    write(&deployment, "WRITE boots first", Duration::from_secs(5)).await;
+    // They come and change while the fleet runs.
+    for kind in kinds {
+        deployment.store.put(kind, "zz", values[3].clone());
+    }
+    deployment.group.set_down(0, true);
+    write(&deployment, "WRITE boots second", Duration::from_secs(8)).await;
+    assert_eq!(deployment.group.written("boots"), ["first", "second"]);
+}
