Do not take a database that stepped down for a replica that was released

Callers saw: after all databases of a service, or its leader and a replica, were lost for 2 s and came back under other identities, every request to that service refused until the end.

Cause: a leader that comes back under another identity is told to step down, not to pause. The last question before a successor is named took it for a replica that had been restarted, forgot it, and the circle began anew. A database that led in an earlier term ended in the same way.

--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -37,6 +37,14 @@
     pub(super) leading: BTreeMap<name::DatabaseName, (u64, position::LogPosition)>,
 }
 
+impl LeaderReplacement {
+    /// Returns whether a database led in the term that is replaced, under whatever identity.
+    fn has_led(&self, id: &name::DatabaseName) -> bool {
+        let leads = self.leading.get(id);
+        *id == self.leader || leads.is_some_and(|(term, _)| *term == self.leader_term)
+    }
+}
+
 /// Has every database of the service that can be reached stop.
 pub(super) async fn hold_databases(
     control: &control::ControlCell,
@@ -134,7 +142,16 @@
         replacement.leading.insert(entry.id.clone(), leading);
     }
     let is_held = match order {
-        database::DatabaseOrder::StepDown { .. } => !status.is_primary,
+        database::DatabaseOrder::StepDown { .. } if replacement.has_led(&entry.id) => {
+            !status.is_primary
+        }
+        // It led in an earlier term, so it receives from the leader now unless it is paused.
+        database::DatabaseOrder::StepDown { .. } => {
+            if !status.is_primary {
+                replacement.leading.remove(&entry.id);
+            }
+            false
+        }
         database::DatabaseOrder::Pause { term } => {
             !status.is_primary && status.held_term >= term && term > status.term
         }
@@ -150,7 +167,7 @@
 }
 
 /// Asks the replicas again: one that was started anew receives again, although
-/// it was held back.
+/// it was held back. Who led has stepped down and was never told to pause.
 pub(super) async fn forget_released(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
@@ -162,8 +179,9 @@
         return;
     };
     let mut entries = control.borrow().databases_of(&replacement.service);
-    entries
-        .retain(|entry| replacement.held.contains_key(&entry.id) && entry.id != replacement.leader);
+    entries.retain(|entry| {
+        replacement.held.contains_key(&entry.id) && !replacement.has_led(&entry.id)
+    });
     let mut questions = JoinSet::new();
     for entry in entries {
         let workspace = workspace.clone();
--- a/crates/bluebellferry_edge/tests/platform.rs
+++ b/crates/bluebellferry_edge/tests/platform.rs
@@ -157,6 +157,52 @@
     }
 }
 
+// Guards against a service without a leader for good after its leader and a replica crashed
+// and both came back under other identities.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_stepped_down_under_another_identity_is_not_asked_for_ever() {
+    let deployment = start(2).await;
+    let mut caller = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    succeeds(&mut caller, "WRITE boots before").await;
+    deployment.group.set_down(0, true);
+    deployment.group.set_down(2, true);
+    run(&mut caller, "WRITE boots lost").await;
+    // Long enough for the replacement to have begun; one replica may lack commits.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(deployment.group.promotions().is_empty());
+    deployment.start_database_anew(0, "i-a2");
+    deployment.start_database_anew(2, "i-c2");
+    is_served_soon(&mut caller, "WRITE boots after").await;
+    assert_eq!(succeeds(&mut caller, "READ boots").await[0], "after");
+    let written = deployment.group.written("boots");
+    assert_eq!(written.first().map(String::as_str), Some("before"));
+}
+
+// Guards against a service without a leader for good after a leader of an earlier term, which
+// was cut off when it was replaced, was asked to step down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_of_an_earlier_term_is_held_back_once_it_has_stepped_down() {
+    let mut deployment = Deployment::prepare(program()).await;
+    let table = json!({"revision": 0, "holder": "vm-0", "token": 1, "nonce": 7, "leaders":
+        {"rental": {"database": "i-b", "phase": "steady", "floor": {"term": 1, "offset": 0}}}});
+    deployment
+        .store
+        .put("bluebellferry-leaders", "table", table);
+    deployment.group.take_over("i-b");
+    deployment.group.lead_on(0, 1);
+    deployment.start_vms(2).await;
+    deployment.group.set_down(1, true);
+    let mut caller = deployment
+        .caller(0, "counter", KEY)
+        .await
+        .expect("it connects");
+    is_served_soon(&mut caller, "WRITE boots after").await;
+    assert_eq!(deployment.group.written("boots"), ["after"]);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replacement_whose_vm_died_after_it_named_a_leader_is_finished() {
     let mut deployment = Deployment::prepare(program()).await;
