Know a database that restarted by its address before its old registration lapses

Callers saw: after a leader was lost for good while a replica restarted for 1.5 s, every request to the service was refused for 30 s.

Cause: the replica was back under another identity before its old registration lapsed. When that lapsed, nobody registered in its place any more, so its log was waited for.

Ruled out: the reborn replica itself (held back at 7.5 s) and the lost leader (it bars no successor).

Test, failed before (with the old rule the holders are r1, r2, r3 instead of r1, r3): a_replica_that_is_back_before_its_old_registration_lapses_is_not_missed.

All tests of the crate pass.

--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -223,10 +223,14 @@
     replacement: &LeaderReplacement,
 ) -> Vec<successor::MemberEvidence> {
     let control = control.borrow();
-    let mut entries = control.databases_of(&replacement.service);
-    let mut vanished = control.vanished_of(&replacement.service, clock::now());
-    vanished.retain(|entry| entry.id != replacement.leader);
-    entries.append(&mut vanished);
+    let registered = control.databases_of(&replacement.service);
+    let mut entries = control.log_holders(&replacement.service, clock::now());
+    // The leader counts only while it is registered: it does not bar a successor.
+    entries.retain(|entry| entry.id != replacement.leader);
+    let leader = registered
+        .iter()
+        .find(|entry| entry.id == replacement.leader);
+    entries.extend(leader.cloned());
     let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
     evidence.collect()
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -263,7 +263,9 @@
         let has = |entries: &[database::DatabaseEntry], id: &name::DatabaseName| {
             entries.iter().any(|entry| entry.id == *id)
         };
-        let is_lost = |entry: &&database::DatabaseEntry| !has(next, &entry.id) && !entry.leaving;
+        let is_lost = |entry: &&database::DatabaseEntry| {
+            !has(next, &entry.id) && !entry.leaving && !has_new_identity(entry, next)
+        };
         let lost = self.databases.iter().filter(is_lost);
         self.vanished.extend(lost.map(|entry| (entry.clone(), now)));
         self.vanished.retain(|(entry, since)| {
@@ -281,6 +283,20 @@
         }
     }
 
+    /// Returns the databases of a service in whose logs an acknowledged commit may stand:
+    /// the registered ones and those that vanished a short while ago. One that crashed
+    /// may still be registered under the identity that it had before.
+    pub fn log_holders(
+        &self,
+        service: &name::ServiceName,
+        now: Instant,
+    ) -> Vec<database::DatabaseEntry> {
+        let mut holders = self.databases_of(service);
+        holders.retain(|entry| !has_new_identity(entry, &self.databases));
+        holders.append(&mut self.vanished_of(service, now));
+        holders
+    }
+
     /// Returns the databases of a service that vanished a short while ago: a commit may
     /// stand in the log of one of them and of the leader only.
     pub fn vanished_of(
@@ -514,3 +530,15 @@
         self.shared.publish(next, is_news);
     }
 }
+
+/// Returns whether a database that crashed has registered anew under another identity,
+/// with its log and at its address.
+fn has_new_identity(
+    entry: &database::DatabaseEntry,
+    registered: &[database::DatabaseEntry],
+) -> bool {
+    registered.iter().any(|other| {
+        let is_there = (&other.service, other.address) == (&entry.service, entry.address);
+        other.id != entry.id && is_there && other.born > entry.born
+    })
+}
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -464,7 +464,7 @@
         id: name::DatabaseName::try_from(id).expect("a valid name"),
         born: 1,
         service: name::ServiceName::try_from("rental").expect("a valid name"),
-        address: ([127, 0, 0, 1], 1).into(),
+        address: ([127, 0, 0, 1], id.bytes().map(u16::from).sum()).into(),
         data_centre: centre(centre_index),
         slots: 3,
         leaving,
@@ -472,6 +472,35 @@
     }
 }
 
+// Guards against a service without a leader for 30 s after its leader was lost for good
+// while a replica restarted under another identity.
+#[test]
+fn a_replica_that_is_back_before_its_old_registration_lapses_is_not_missed() {
+    let now = clock::now();
+    let mut control = control(0, now);
+    let service = name::ServiceName::try_from("rental").expect("a valid name");
+    let holders = |control: &state::ControlState| -> Vec<String> {
+        let holders = control.log_holders(&service, now);
+        holders.iter().map(|entry| entry.id.to_string()).collect()
+    };
+    let (r1, r2) = (database("r1", 1, false), database("r2", 2, false));
+    control.apply_databases(vec![r1.clone(), r2.clone()], 1);
+    let reborn = database::DatabaseEntry {
+        born: r2.born + 1,
+        address: r2.address,
+        ..database("r3", 2, false)
+    };
+    control.apply_databases(vec![r1.clone(), r2, reborn.clone()], 2);
+    assert_eq!(holders(&control), ["r1", "r3"]);
+    control.apply_databases(vec![r1.clone(), reborn.clone()], 3);
+    assert_eq!(holders(&control), ["r1", "r3"]);
+    // One that registers elsewhere while the other is still listed does not have its log.
+    let elsewhere = database("r4", 2, false);
+    control.apply_databases(vec![r1.clone(), reborn, elsewhere.clone()], 4);
+    control.apply_databases(vec![r1, elsewhere], 5);
+    assert_eq!(holders(&control), ["r1", "r4", "r3"]);
+}
+
 #[test]
 fn a_replica_that_vanished_counts_until_one_takes_its_place() {
     let now = clock::now();
