--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -163,7 +163,8 @@
     found.map(|(name, _)| name.clone())
 }
 
-fn take_beat(
+/// Takes a heartbeat that was read from the socket at `now`.
+pub fn take_beat(
     cell: &control::ControlCell,
     from: SocketAddr,
     (incarnation, sequence): (u64, u64),
@@ -192,8 +193,8 @@
     }
     take_parts(&mut control, &beat);
     let answered = take_echo(&mut control, incarnation, &beat);
-    let composed = answered.map(|sent| sent + held_for(&beat));
-    take_positions(&control, &beat, composed, now);
+    let composed = answered.map(|sent| sent + beat.held());
+    take_positions(&control, &beat, composed);
     let has_newer = beat.versions.configuration > control.versions.configuration;
     if has_newer && control.reads_configuration(beat.versions) {
         control.read_configuration.notify_one();
@@ -216,11 +217,6 @@
     }
 }
 
-fn held_for(beat: &beat::FleetBeat) -> Duration {
-    let held = beat.echo.as_ref().map_or(0, |echo| echo.held_ms);
-    Duration::from_millis(u64::from(held))
-}
-
 /// Takes what the sender has heard of this VM. Returns when the heartbeat that it
 /// answers was sent.
 fn take_echo(
@@ -249,18 +245,15 @@
     control.lease.sent_at(echo.sequence)
 }
 
-/// Takes positions that another VM has seen. Their ages are counted from when the
-/// heartbeat was composed: not before `composed`, or, where that is not known, not
-/// longer ago than a margin.
+/// Takes positions that another VM has seen, in a heartbeat that was composed not before
+/// `composed`. Where that is not known they have no bound on their age: a heartbeat may
+/// have waited for as long as either VM stood still, so the time of its arrival is none.
 fn take_positions(
     control: &state::ControlState,
     beat: &beat::FleetBeat,
     composed: Option<Instant>,
-    now: Instant,
 ) {
-    /// The longest time that a heartbeat is taken to be on its way.
-    const TRAVEL_MARGIN: Duration = Duration::from_millis(500);
-    let Some(composed) = composed.or_else(|| now.checked_sub(TRAVEL_MARGIN)) else {
+    let Some(composed) = composed else {
         return;
     };
     for sample in &beat.positions {
--- a/crates/bluebellferry_edge/src/control/replacement/table.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/table.rs
@@ -12,8 +12,7 @@
 /// answers, or as the one after the last term in its log when it was chosen.
 pub(super) fn known_term(control: &control::ControlCell, service: &name::ServiceName) -> u64 {
     let control = control.borrow();
-    let positions = control.shared.positions();
-    let seen = positions.get(service).and_then(|history| history.latest());
+    let seen = control.shared.last_position(service);
     let seen = seen.map_or(1, |position| position.term);
     let entry = control.table.leaders.get(service);
     let chosen = entry
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -32,13 +32,15 @@
 /// How long ago another VM must have had an answer from a leader for callers to be
 /// sent there: a heartbeat's interval and the time between two statements.
 const SERVED_LATELY: Duration = Duration::from_millis(700);
+/// How long a heartbeat is on its way when it counts as late: longer than links take.
+const LATE_AFTER: Duration = Duration::from_millis(500);
 /// How many arrivals of a VM's heartbeats are remembered: more than come while the
 /// store or a leader is asked.
 const REMEMBERED_ARRIVALS: usize = 8;
 
-/// How long a database that vanished is taken to hold commits that no other replica has:
+/// How long a database that vanished, or came back empty, is taken to hold commits that no other replica has:
 /// one that follows has received them by then.
-const VANISHED_KEPT: Duration = Duration::from_secs(30);
+pub const VANISHED_KEPT: Duration = Duration::from_secs(30);
 
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,10 +68,34 @@
     pub centre_demand: Option<beat::CentreDemand>,
     /// When this VM sent the latest heartbeat that the VM has answered.
     pub answered: Option<Instant>,
+    /// How long its last heartbeat was on its way.
+    pub transit: BeatTransit,
     /// When its last heartbeats came, with their numbers.
     arrivals: SmallVec<[(u64, Instant); REMEMBERED_ARRIVALS]>,
 }
 
+/// How long a heartbeat was on its way, and in the receiver's socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeatTransit {
+    /// Not known: it answers none of the receiver's heartbeats.
+    Unknown,
+    /// A moment.
+    Prompt,
+    /// Longer than links take.
+    Late,
+}
+
+impl BeatTransit {
+    /// Returns the transit of a heartbeat that was composed not before `composed`.
+    pub fn of(composed: Option<Instant>, now: Instant) -> Self {
+        match composed {
+            None => Self::Unknown,
+            Some(composed) if now.saturating_duration_since(composed) < LATE_AFTER => Self::Prompt,
+            Some(_) => Self::Late,
+        }
+    }
+}
+
 impl PeerRecord {
     /// Returns whether the VM was heard a moment ago.
     pub fn is_live(&self, now: Instant) -> bool {
@@ -293,7 +319,12 @@
     ) -> Vec<database::DatabaseEntry> {
         let mut holders = self.databases_of(service);
         holders.retain(|entry| !has_new_identity(entry, &self.databases));
-        holders.append(&mut self.vanished_of(service, now));
+        let vanished = self.vanished_of(service, now).into_iter();
+        // Nobody could use one that vanished.
+        holders.extend(vanished.map(|entry| database::DatabaseEntry {
+            leaving: true,
+            ..entry
+        }));
         holders
     }
 
@@ -400,6 +431,13 @@
         primaries.next().is_none().then_some(view)
     }
 
+    /// Returns the leader of a service, or the last one known if its registration lapsed
+    /// before it was ever replaced.
+    pub fn known_leader(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
+        let known = self.published.leaders.get(service);
+        self.leader_of(service).or_else(|| known.cloned())
+    }
+
     /// Takes a heartbeat of another VM.
     pub fn record_peer(
         &mut self,
@@ -408,6 +446,9 @@
         answered: Option<Instant>,
         now: Instant,
     ) {
+        let composed = answered.map(|sent| sent + beat.held());
+        let transit = BeatTransit::of(composed, now);
+        self.log_transit(&beat, composed, transit, now);
         let known = self.peers.remove(&beat.vm);
         let known = known.filter(|known| known.incarnation == incarnation);
         let before = known.as_ref().and_then(|known| known.answered);
@@ -426,6 +467,7 @@
             demands: beat.demands.clone().unwrap_or(demands),
             centre_demand: beat.centre_demand.clone().or(centre_demand),
             answered: before.max(answered),
+            transit,
             arrivals,
             beat,
         };
@@ -438,6 +480,29 @@
         }
     }
 
+    /// Logs when a VM's heartbeats begin to come late, or to come in time again.
+    fn log_transit(
+        &self,
+        beat: &beat::FleetBeat,
+        composed: Option<Instant>,
+        transit: BeatTransit,
+        now: Instant,
+    ) {
+        let before = self.peers.get(&beat.vm).map(|record| record.transit);
+        if before == Some(transit) || (before.is_none() && transit == BeatTransit::Prompt) {
+            return;
+        }
+        let transit = format!("{transit:?}");
+        let at_most = composed.map_or(0, |composed| {
+            now.saturating_duration_since(composed).as_millis() as u64
+        });
+        log::info!(
+            vm = beat.vm.as_str(), transit = transit.as_str(), at_most_ms = at_most,
+            positions = beat.positions.len() as u64;
+            "the transit of a VM's heartbeats has changed"
+        );
+    }
+
     /// Returns the registered databases of a service.
     pub fn databases_of(&self, service: &name::ServiceName) -> Vec<database::DatabaseEntry> {
         let of_service = |entry: &&database::DatabaseEntry| entry.service == *service;
@@ -490,9 +555,7 @@
         let mut leaders = BTreeMap::new();
         let mut leases = BTreeMap::new();
         for service in self.configuration.decoded.services.keys() {
-            let known = self.published.leaders.get(service).cloned();
-            // A leader whose registration lapsed stays the leader.
-            if let Some(leader) = self.leader_of(service).or(known) {
+            if let Some(leader) = self.known_leader(service) {
                 let until = self.leased_until(service, &leader);
                 leases.extend(until.map(|until| (service.clone(), until)));
                 leaders.insert(service.clone(), leader);
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -15,13 +15,16 @@
     pub id: name::DatabaseName,
     /// Whether it is the leader to be replaced.
     pub is_leader: bool,
-    /// Whether it is about to stop.
+    /// Whether it is about to stop, or no longer registered.
     pub is_leaving: bool,
     /// The end of its log, reported after it stopped receiving or leading;
     /// `None` until then.
     pub held_at: Option<position::LogPosition>,
     /// The term in which it said that it leads, with the end of its log.
     pub leads: Option<(u64, position::LogPosition)>,
+    /// An end that its log was seen to have before. A database that is started anew
+    /// under its identity may hold nothing of that.
+    pub was_at: Option<position::LogPosition>,
 }
 
 /// What may be done.
@@ -54,6 +57,31 @@
     Pause,
 }
 
+/// What a database says when it is asked again after it was held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldReport {
+    /// The end of its log.
+    pub received: position::LogPosition,
+    /// The term that it holds for; 0 if it holds for none.
+    pub held_term: u64,
+    /// Whether it leads.
+    pub is_primary: bool,
+}
+
+/// Returns whether a database still is as it was when it reported `held_at` and, unless
+/// the leader had stopped before, was told to pause. A restart ends a pause, and may
+/// lose the log.
+pub fn is_still_held(held_at: position::LogPosition, is_paused: bool, report: &HeldReport) -> bool {
+    if report.is_primary {
+        return true;
+    }
+    if is_paused {
+        report.held_term != 0 && report.received == held_at
+    } else {
+        report.received >= held_at
+    }
+}
+
 /// Returns how a database is to be stopped. The old leader may have come back under
 /// another identity: it then says that it leads, in no later term than the one that is
 /// replaced, and a pause would not stop it.
@@ -78,15 +106,19 @@
         let leads = member.leads.is_some_and(|(term, _)| term == leader_term);
         member.is_leader || leads
     };
-    let leader_end = members.iter().filter(led).find_map(|member| member.held_at);
+    let mut stopped = members.iter().filter(led).filter(has_whole_log);
+    let leader_end = stopped.find_map(|member| member.held_at);
     let replicas = || members.iter().filter(|member| !member.is_leader);
     let best = replicas()
         .filter_map(|member| Some((member.held_at?, !member.is_leaving, member)))
         .max_by_key(|(position, stays, member)| (*position, *stays, &member.id));
     let all_held = replicas().all(|member| member.held_at.is_some());
+    // A replica that lost its log may have been the only one with the last commits.
+    let emptied = replicas().filter(|member| !has_whole_log(member));
+    let missing = emptied.filter_map(|member| member.was_at).max();
     if let Some((position, _, best)) = best {
         let has_reached_leader = leader_end.is_some_and(|end| position >= end);
-        if has_reached_leader || all_held {
+        if has_reached_leader || (all_held && Some(position) >= missing) {
             return promote(best, position);
         }
     }
@@ -108,6 +140,13 @@
     members.iter().any(is_leaving) && members.iter().any(may_serve)
 }
 
+/// Returns whether a log that has an end still has what it was seen to have before.
+fn has_whole_log(member: &&MemberEvidence) -> bool {
+    member
+        .was_at
+        .is_none_or(|before| member.held_at >= Some(before))
+}
+
 fn find_adopted(members: &[MemberEvidence], leader_term: u64) -> Option<SuccessorChoice> {
     let others = members.iter().filter(|member| !member.is_leader);
     let leading = others.filter_map(|member| Some((member.leads?, member)));
