--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -43,6 +43,14 @@
     pub(super) emptied: BTreeMap<name::DatabaseName, (position::LogPosition, Instant)>,
 }
 
+impl LeaderReplacement {
+    /// Returns whether a database led in the term that is replaced, under whatever identity.
+    fn has_led(&self, id: &name::DatabaseName) -> bool {
+        let leads = self.leading.get(id);
+        *id == self.leader || leads.is_some_and(|(term, _)| *term == self.leader_term)
+    }
+}
+
 /// Has every database of the service that can be reached stop.
 pub(super) async fn hold_databases(
     control: &control::ControlCell,
@@ -146,7 +154,16 @@
         replacement.leading.insert(entry.id.clone(), leading);
     }
     let is_held = match order {
-        database::DatabaseOrder::StepDown { .. } => !status.is_primary,
+        database::DatabaseOrder::StepDown { .. } if replacement.has_led(&entry.id) => {
+            !status.is_primary
+        }
+        // It led in an earlier term, so it receives from the leader now unless it is paused.
+        database::DatabaseOrder::StepDown { .. } => {
+            if !status.is_primary {
+                replacement.leading.remove(&entry.id);
+            }
+            false
+        }
         database::DatabaseOrder::Pause { term } => {
             !status.is_primary && status.held_term >= term && term > status.term
         }
@@ -162,7 +179,8 @@
 }
 
 /// Asks the replicas again: one that was started anew receives again, although
-/// it was held back, and may hold nothing of before.
+/// it was held back, and may hold nothing of before. Who led has stepped down and was
+/// never told to pause.
 pub(super) async fn forget_released(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
@@ -171,8 +189,9 @@
         return;
     };
     let mut entries = control.borrow().databases_of(&replacement.service);
-    entries
-        .retain(|entry| replacement.held.contains_key(&entry.id) && entry.id != replacement.leader);
+    entries.retain(|entry| {
+        replacement.held.contains_key(&entry.id) && !replacement.has_led(&entry.id)
+    });
     let mut questions = JoinSet::new();
     for entry in entries {
         let workspace = workspace.clone();
@@ -232,13 +251,7 @@
     replacement: &LeaderReplacement,
 ) -> Vec<successor::MemberEvidence> {
     let control = control.borrow();
-    let mut entries = control.databases_of(&replacement.service);
-    let mut vanished = control.vanished_of(&replacement.service, clock::now());
-    for entry in &mut vanished {
-        // Nobody could use it.
-        entry.leaving = true;
-    }
-    entries.append(&mut vanished);
+    let entries = control.log_holders(&replacement.service, clock::now());
     let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
     evidence.collect()
 }
@@ -249,7 +262,7 @@
 ) -> successor::MemberEvidence {
     let leads = replacement.leading.get(&entry.id).copied();
     let is_leader = entry.id == replacement.leader;
-    let has_led = is_leader || leads.is_some_and(|(term, _)| term == replacement.leader_term);
+    let has_led = replacement.has_led(&entry.id);
     let emptied = replacement.emptied.get(&entry.id);
     let is_recent = |(_, noticed): &&(_, Instant)| {
         clock::now().saturating_duration_since(*noticed) < state::VANISHED_KEPT
--- a/crates/bluebellferry_edge/tests/lost_vms.rs
+++ b/crates/bluebellferry_edge/tests/lost_vms.rs
@@ -9,6 +9,8 @@
 
 /// The file is looked at every 2 s.
 const LOOKED_AT_WITHIN: Duration = Duration::from_millis(2_200);
+/// Well under the 3 s for which a transaction may be idle.
+const STATEMENT_PAUSE: Duration = Duration::from_millis(200);
 
 async fn start(vms: u8) -> deployment::StandinDeployment {
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
@@ -74,7 +76,11 @@
     // Changed, then damaged, then as before.
     for text in [changed.as_str(), "{", before.as_str()] {
         std::fs::write(&file, text).expect("it can be written");
-        tokio::time::sleep(LOOKED_AT_WITHIN).await;
+        let written = Instant::now();
+        while written.elapsed() < LOOKED_AT_WITHIN {
+            deployment::succeeds(&mut caller, "READ boots").await;
+            tokio::time::sleep(STATEMENT_PAUSE).await;
+        }
         deployment::succeeds(&mut caller, "READ boots").await;
         assert_eq!(deployment.readiness(0).await, Some(200));
     }
