Keep a former leader that stepped down under another identity held

Cause: before a successor is named, held databases are asked again, and one that holds for no term counts as started anew. A former leader that came back under another identity was told to step down, not to pause, so it holds for no term: it was released and told again every 0.3 s, and nobody was ever named.

Test first: a_leader_that_came_back_under_another_identity_holds_up_no_replacement was refused for 8 s, with 76 lines 'a replica is no longer held back'; it passes now. The stand-in ends a connection that it refuses, and a PAUSE does not hold a primary, as the platform's.

--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -181,7 +181,7 @@
             (orders::give_order(&entry, &workspace, order).await, entry)
         });
     }
-    let is_paused = replacement.cause != cause::ReplacementCause::Leaving;
+    let holds_replicas = replacement.cause != cause::ReplacementCause::Leaving;
     while let Some(answered) = questions.join_next().await {
         let Ok((Ok(status), entry)) = answered else {
             continue;
@@ -194,6 +194,8 @@
             held_term: status.held_term,
             is_primary: status.is_primary,
         };
+        // One that led was told to step down, not to pause.
+        let is_paused = holds_replicas && !replacement.leading.contains_key(&entry.id);
         if successor::is_still_held(held_at, is_paused, &report) {
             continue;
         }
--- a/crates/bluebellferry_edge/tests/lost_leaders.rs
+++ b/crates/bluebellferry_edge/tests/lost_leaders.rs
@@ -87,3 +87,24 @@
     is_written_soon(&deployment, "WRITE boots second").await;
     assert_eq!(deployment.group.written("boots"), ["first", "second"]);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_that_came_back_under_another_identity_holds_up_no_replacement() {
+    let deployment = start(2).await;
+    is_written_soon(&deployment, "WRITE boots first").await;
+    let entry = deployment.store.value("servers", "i-a");
+    // One replica is lost with it, so that its own log has to tell what was acknowledged.
+    deployment.group.set_down(1, true);
+    deployment.group.set_down(0, true);
+    let mut caller = connect(&deployment).await;
+    deployment::run(&mut caller, "WRITE boots refused").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    deployment.store.remove("servers", "i-a");
+    deployment.group.come_back(0, "i-a2");
+    let entry = entry.expect("it is registered");
+    deployment.store.put("servers", "i-a2", entry);
+    is_written_soon(&deployment, "WRITE boots second").await;
+    let written = deployment.group.written("boots");
+    assert!(written.starts_with(&["first".to_owned()]), "{written:?}");
+    assert_eq!(written.last().map(String::as_str), Some("second"));
+}
