Do not wait again for a database whose place was taken

Cause: the entry of a database that is dead was written late, 2 s after another one had registered in its place. When it lapsed, the database counted as vanished a second time, so that a commit might stand in its log only, and nobody came in its place any more: a replacement that needed all replicas waited for 30 s. Ruled out: that it lived, since its address answered MISROUTED.

--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,10 @@
 /// one that follows has received them by then.
 pub const VANISHED_KEPT: Duration = Duration::from_secs(30);
 
+/// How many databases are remembered whose place another one has taken: more than are
+/// lost within the seconds by which an entry may be late.
+const REMEMBERED_SUPERSEDED: usize = 64;
+
 /// A VM as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -148,6 +153,9 @@
     told_seen: Option<beat::CentreSeen>,
     /// Databases that vanished, and when.
     vanished: Vec<(database::DatabaseEntry, Instant)>,
+    /// Databases whose place another one has taken, with their starts; entries that were
+    /// written late may show them once more.
+    superseded: VecDeque<(name::DatabaseName, u64)>,
     /// Whether copies of another VM are on their way.
     pub is_fetching: bool,
     /// Since when this VM knows the parts of its group.
@@ -190,6 +198,7 @@
             probed: BTreeMap::new(),
             told_seen: None,
             vanished: Vec::new(),
+            superseded: VecDeque::new(),
             is_fetching: false,
             weights_since: clock::now(),
             is_isolated: false,
@@ -263,20 +272,33 @@
         let has = |entries: &[database::DatabaseEntry], id: &name::DatabaseName| {
             entries.iter().any(|entry| entry.id == *id)
         };
-        let is_lost = |entry: &&database::DatabaseEntry| !has(next, &entry.id) && !entry.leaving;
+        let is_superseded = |entry: &database::DatabaseEntry| {
+            let mut superseded = self.superseded.iter();
+            superseded.any(|(id, born)| *id == entry.id && *born == entry.born)
+        };
+        let is_lost = |entry: &&database::DatabaseEntry| {
+            !has(next, &entry.id) && !entry.leaving && !is_superseded(entry)
+        };
         let lost = self.databases.iter().filter(is_lost);
         self.vanished.extend(lost.map(|entry| (entry.clone(), now)));
         self.vanished.retain(|(entry, since)| {
             let is_recent = now.saturating_duration_since(*since) < VANISHED_KEPT;
             is_recent && !has(next, &entry.id)
         });
-        let arrived = next.iter().filter(|entry| !has(&self.databases, &entry.id));
+        let is_new = |entry: &&database::DatabaseEntry| {
+            !has(&self.databases, &entry.id) && !is_superseded(entry)
+        };
+        let arrived: SmallVec<[&database::DatabaseEntry; 4]> = next.iter().filter(is_new).collect();
         for entry in arrived {
             let takes_place = |(lost, _): &(database::DatabaseEntry, Instant)| {
                 (&lost.service, &lost.data_centre) == (&entry.service, &entry.data_centre)
             };
             if let Some(index) = self.vanished.iter().position(takes_place) {
-                self.vanished.remove(index);
+                let (lost, _) = self.vanished.remove(index);
+                if self.superseded.len() == REMEMBERED_SUPERSEDED {
+                    self.superseded.pop_front();
+                }
+                self.superseded.push_back((lost.id, lost.born));
             }
         }
     }
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -519,3 +519,34 @@
     control.note_circle(now + Duration::from_secs(6));
     assert_eq!(order(&control), (0, 0));
 }
+
+#[test]
+fn a_late_entry_of_a_replaced_replica_is_not_waited_for_again() {
+    let now = clock::now();
+    let mut control = control(0, now);
+    let service = name::ServiceName::try_from("rental").expect("a valid name");
+    let (x, r1, r2) = (
+        database("x", 0, false),
+        database("r1", 1, false),
+        database("r2", 2, false),
+    );
+    let next = database("r3", 2, false);
+    let listings = [
+        vec![x.clone(), r1.clone(), r2.clone()],
+        // It crashed and is back under another identity.
+        vec![x.clone(), r1.clone()],
+        vec![x.clone(), r1.clone(), next.clone()],
+        // Its last entry, written late, appears once more and lapses.
+        vec![x.clone(), r1.clone(), next.clone(), r2.clone()],
+        vec![x.clone(), r1.clone(), next.clone()],
+    ];
+    for (number, listing) in listings.into_iter().enumerate() {
+        control.apply_databases(listing, number as u64 + 1);
+    }
+    assert!(control.vanished_of(&service, now).is_empty());
+    // A later start under the same identity counts as any other.
+    let reborn = database::DatabaseEntry { born: 7, ..r2 };
+    control.apply_databases(vec![x.clone(), r1.clone(), next.clone(), reborn], 6);
+    control.apply_databases(vec![x, r1, next], 7);
+    assert_eq!(control.vanished_of(&service, now).len(), 1);
+}
