--- a/crates/bluebellferry_edge/src/traffic/statement/notes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/notes.rs
@@ -21,6 +21,29 @@
 /// not lead yet.
 const LEADER_REST: Duration = Duration::from_millis(40);
 
+/// When a statement was sent, and what this VM believed then.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SentMark {
+    /// An instant before it was sent.
+    pub(super) at: Instant,
+    /// What the database's log held when it was chosen, if it was the leader, which
+    /// nobody had replaced.
+    leader: Option<LeaderFloor>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LeaderFloor(Option<position::LogPosition>);
+
+impl SentMark {
+    /// Returns the position of an answer if it covers all that was acknowledged before
+    /// the statement was sent. A leader that was just named shows lower ones until it has
+    /// applied its log.
+    fn covering(&self, position: Option<position::LogPosition>) -> Option<position::LogPosition> {
+        let LeaderFloor(floor) = self.leader?;
+        position.filter(|position| Some(*position) >= floor)
+    }
+}
+
 impl session::CallerSession {
     /// Logs a refusal with what this VM believed when it decided.
     pub(super) fn log_refusal(
@@ -130,15 +153,28 @@
         }
     }
 
+    /// Notes that a statement is about to be sent.
+    pub(super) fn mark_sent(&self, held: &dispatch::HeldConnection) -> SentMark {
+        let at = clock::now();
+        let entry = self.context.dispatch.entry(held.database);
+        let snapshot = self.context.shared.snapshot();
+        let trusted = snapshot.trusted_leader(&entry.service, at);
+        let leader = trusted.filter(|leader| leader.database == entry.id);
+        SentMark {
+            at,
+            leader: leader.map(|leader| LeaderFloor(leader.floor)),
+        }
+    }
+
     pub(super) fn record_answer(
         &self,
         held: &dispatch::HeldConnection,
         answer: &database::DatabaseAnswer,
-        sent: Instant,
+        sent: SentMark,
         plan: &state::RunPlan,
     ) {
         let dispatch = &self.context.dispatch;
-        let latency = clock::now().saturating_duration_since(sent);
+        let latency = clock::now().saturating_duration_since(sent.at);
         if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
             dispatch.record_answer(held.database, latency);
         }
@@ -158,14 +194,10 @@
             (true, false) => shared::EvidenceKind::Answered,
         };
         dispatch.report_evidence(held.database, kind);
-        // Nobody had replaced the leader when it was asked, so its log held
-        // everything that was acknowledged until then.
-        let leased_until = snapshot.leases.get(&entry.service);
-        let was_leased = leased_until.is_some_and(|until| *until >= sent);
-        if let Some(position) = answer.position.filter(|_| was_leased && leads) {
+        if let Some(position) = sent.covering(answer.position).filter(|_| leads) {
             self.context
                 .shared
-                .record_position(&entry.service, sent, position);
+                .record_position(&entry.service, sent.at, position);
         }
     }
 
