Name a replica that leaves with the last commits before it goes

Cause: a database that vanished may hold commits that no other has and is waited for during 30 s. The leader that was lost first, and had been replaced, was waited for while the only replica with the last commits stopped. Its end was then forgotten.

Ruled out: the checks of emptied logs (the databases answered with their whole logs).

Change: choose_leaver, 2 s after the claim; ends of logs count after their databases have gone; a successor that is about to stop is replaced as soon as it leads.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::leadership;
+use bluebellferry_platform::database;
 use bluebellferry_platform::duty;
 use bluebellferry_platform::objects;
 use bluebellferry_promotion::lease;
@@ -25,6 +26,7 @@
 
 use crate::control;
 use crate::control::members;
+use crate::control::orders;
 
 /// How often it is looked whether a leader is to be replaced.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
@@ -91,13 +93,34 @@
         });
         if let Some((leader, cause)) = found {
             replace(&control, &mut client, &service, &leader, cause).await;
-            tokio::time::sleep(SETTLE_TIME).await;
+            settle(&control, &service).await;
         } else if cause::is_any_suspected(&control.borrow(), &service, now) {
             tokio::time::sleep(QUESTION_INTERVAL).await;
         }
     }
 }
 
+/// Leaves a service alone after its leader was replaced. A successor that is about to stop
+/// is to be replaced in turn as soon as it leads.
+async fn settle(control: &control::ControlCell, service: &name::ServiceName) {
+    let until = clock::now() + SETTLE_TIME;
+    while clock::now() < until {
+        tokio::time::sleep(QUESTION_INTERVAL).await;
+        let (leaver, workspace) = {
+            let control = control.borrow();
+            (control.leaving_leader(service), control.any_workspace())
+        };
+        let (Some(leaver), Some(workspace)) = (leaver, workspace) else {
+            continue;
+        };
+        let order = database::DatabaseOrder::Status;
+        let status = orders::give_order(&leaver, &workspace, order).await;
+        if status.is_ok_and(|status| status.is_primary) {
+            return;
+        }
+    }
+}
+
 async fn replace(
     control: &control::ControlCell,
     client: &mut objects::ObjectClient,
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -1,6 +1,7 @@
 //! Having databases stop, and the choice among them.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_catalog::database as catalog;
@@ -9,6 +10,7 @@
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
+use smallvec::SmallVec;
 use tokio::task::JoinSet;
 
 use crate::control;
@@ -16,6 +18,11 @@
 use crate::control::replacement::cause;
 use crate::control::state;
 
+/// How long a replica that leaves with the longest log waits for one that vanished. Entries
+/// that lapsed while their databases lived are back within 2 s, and it must be named a
+/// while before it stops.
+const LEAVER_PATIENCE: Duration = Duration::from_secs(2);
+
 /// A replacement under way.
 pub(super) struct LeaderReplacement {
     /// The service.
@@ -59,6 +66,7 @@
     let Some(workspace) = control.borrow().any_workspace() else {
         return;
     };
+    note_gone(control, replacement);
     let mut entries = control.borrow().databases_of(&replacement.service);
     // A leader whose registration lapsed may lead on.
     let mut vanished = control
@@ -236,7 +244,35 @@
     control: &control::ControlCell,
     replacement: &LeaderReplacement,
 ) -> successor::SuccessorChoice {
-    successor::choose_successor(&evidence(control, replacement), replacement.leader_term)
+    let mut members = evidence(control, replacement);
+    let choice = successor::choose_successor(&members, replacement.leader_term);
+    let since_claim = clock::now().saturating_duration_since(replacement.claimed);
+    if choice != successor::SuccessorChoice::Wait || since_claim < LEAVER_PATIENCE {
+        return choice;
+    }
+    let registered = control.borrow().databases_of(&replacement.service);
+    members.retain(|member| {
+        let has_end = member.held_at.is_some() || member.was_at.is_some();
+        has_end || registered.iter().any(|entry| entry.id == member.id)
+    });
+    successor::choose_leaver(&members, replacement.leader_term)
+}
+
+/// Notes the databases that have gone since they were held back: their logs' ends still
+/// count.
+fn note_gone(control: &control::ControlCell, replacement: &mut LeaderReplacement) {
+    let now = clock::now();
+    let holders = control.borrow().log_holders(&replacement.service, now);
+    let leader = replacement.leader.clone();
+    let has_gone =
+        |id: &name::DatabaseName| *id != leader && !holders.iter().any(|entry| entry.id == *id);
+    let gone = replacement.held.iter().filter(|(id, _)| has_gone(id));
+    let gone: SmallVec<[_; 2]> = gone.map(|(id, end)| (id.clone(), *end)).collect();
+    for (id, end) in gone {
+        log::warn!(database = id.as_str(), end = end.offset; "a replica that was held back has gone");
+        replacement.held.remove(&id);
+        replacement.emptied.insert(id, (end, now));
+    }
 }
 
 /// Returns whether a choice is one to wait with for another database.
@@ -254,8 +290,28 @@
 ) -> Vec<successor::MemberEvidence> {
     let control = control.borrow();
     let entries = control.log_holders(&replacement.service, clock::now());
-    let evidence = entries.iter().map(|entry| evidence_of(replacement, entry));
-    evidence.collect()
+    let mut members: Vec<_> = entries
+        .iter()
+        .map(|entry| evidence_of(replacement, entry))
+        .collect();
+    for id in replacement.emptied.keys() {
+        let is_present = members.iter().any(|member| member.id == *id);
+        if let Some(end) = emptied_end(replacement, id).filter(|_| !is_present) {
+            members.push(successor::gone_member(id, end));
+        }
+    }
+    members
+}
+
+/// Returns the end that a log had before its database was started anew or went, unless that
+/// is long ago.
+fn emptied_end(
+    replacement: &LeaderReplacement,
+    id: &name::DatabaseName,
+) -> Option<position::LogPosition> {
+    let (end, noticed) = replacement.emptied.get(id)?;
+    let since = clock::now().saturating_duration_since(*noticed);
+    (since < state::VANISHED_KEPT).then_some(*end)
 }
 
 fn evidence_of(
@@ -265,11 +321,7 @@
     let leads = replacement.leading.get(&entry.id).copied();
     let is_leader = entry.id == replacement.leader;
     let has_led = replacement.has_led(&entry.id);
-    let emptied = replacement.emptied.get(&entry.id);
-    let is_recent = |(_, noticed): &&(_, Instant)| {
-        clock::now().saturating_duration_since(*noticed) < state::VANISHED_KEPT
-    };
-    let emptied = emptied.filter(is_recent).map(|(end, _)| *end);
+    let emptied = emptied_end(replacement, &entry.id);
     successor::MemberEvidence {
         id: entry.id.clone(),
         is_leader,
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -459,6 +459,13 @@
         self.leader_of(service).or_else(|| known.cloned())
     }
 
+    /// Returns the leader of a service if it is about to stop.
+    pub fn leaving_leader(&self, service: &name::ServiceName) -> Option<database::DatabaseEntry> {
+        let leader = self.known_leader(service)?;
+        let mut entries = self.databases_of(service).into_iter();
+        entries.find(|entry| entry.id == leader.database && entry.leaving)
+    }
+
     /// Returns whether a database leads a service, as this VM knows it now.
     pub fn is_led_by(&self, service: &name::ServiceName, database: &name::DatabaseName) -> bool {
         let leader = self.known_leader(service);
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -129,6 +129,34 @@
     }
 }
 
+/// Chooses a database that is about to stop, although one that vanished may hold commits
+/// that it lacks: its own last commits go with it. `known` are the databases that are
+/// registered, or whose logs' ends are known.
+pub fn choose_leaver(known: &[MemberEvidence], leader_term: u64) -> SuccessorChoice {
+    let choice = choose_successor(known, leader_term);
+    let is_leaver = |id: &name::DatabaseName| {
+        let mut leavers = known.iter().filter(|member| member.is_leaving);
+        leavers.any(|member| member.id == *id)
+    };
+    match &choice {
+        SuccessorChoice::Promote { id, .. } if is_leaver(id) => choice,
+        _ => SuccessorChoice::Wait,
+    }
+}
+
+/// Returns the evidence of a database that has gone after its log was seen to end at `end`:
+/// one that holds less may lack acknowledged commits.
+pub fn gone_member(id: &name::DatabaseName, end: position::LogPosition) -> MemberEvidence {
+    MemberEvidence {
+        id: id.clone(),
+        is_leader: false,
+        is_leaving: true,
+        held_at: Some(position::LogPosition::new(0, 0)),
+        leads: None,
+        was_at: Some(end),
+    }
+}
+
 /// Returns whether a choice is one to wait with: it names a database that is about to
 /// stop, while another one that stays may only have been slower to answer.
 pub fn is_last_resort(choice: &SuccessorChoice, members: &[MemberEvidence]) -> bool {
--- a/crates/bluebellferry_promotion/tests/lost_logs.rs
+++ b/crates/bluebellferry_promotion/tests/lost_logs.rs
@@ -129,3 +129,40 @@
     }
     assert!(chosen > 1_000 && waited > 1_000, "{chosen} {waited}");
 }
+
+// A leader that vanished after it had been replaced was waited for, for 30 s, while the
+// replica that alone had the last commits left and stopped.
+#[test]
+fn a_replica_that_leaves_with_the_last_commits_is_named_before_it_goes() {
+    let leaver = successor::MemberEvidence {
+        is_leaving: true,
+        ..member("r1", Some(226), None)
+    };
+    let vanished = member("r3", None, None);
+    let known = [
+        member("x", None, None),
+        leaver.clone(),
+        member("r2", Some(222), None),
+    ];
+    let mut all = known.to_vec();
+    all.push(vanished);
+    assert_eq!(promoted(&all), None);
+    let named = successor::choose_leaver(&known, 1);
+    let expected = successor::SuccessorChoice::Promote {
+        id: leaver.id.clone(),
+        position: position(226),
+    };
+    assert_eq!(named, expected);
+    // One that stays loses nothing by waiting.
+    let staying = [member("r1", Some(226), None), member("r2", Some(222), None)];
+    let waits = successor::choose_leaver(&staying, 1);
+    assert_eq!(waits, successor::SuccessorChoice::Wait);
+    // Once it has gone, its end still counts.
+    let gone = successor::gone_member(&leaver.id, position(226));
+    assert_eq!(
+        promoted(&[gone.clone(), member("r2", Some(222), None)]),
+        None
+    );
+    let caught_up = [gone, member("r2", Some(226), None)];
+    assert_eq!(promoted(&caught_up).as_deref(), Some("r2"));
+}
