Let workspaces take turns at a database

Cause: the pool served waiting statements by due time only. A workspace that is within its rate but sends more than the connections serve is due first all the time, and a quiet one waits behind its whole backlog.

The virtual time of the fair queue (start-time fair queueing) moves to fairness::turns, so that the pool can use it where it chooses among a workspace's statements by due time. FairQueue keeps its order on the same clock.

--- a/crates/bluebellferry_fairness/src/lib.rs
+++ b/crates/bluebellferry_fairness/src/lib.rs
@@ -1,8 +1,10 @@
 //! Fair queueing of requests that wait for a database.
 //!
 //! [`queue::FairQueue`] hands out waiting requests so that each workspace gets
-//! its weighted share, whatever the others send. [`concurrency`] finds how many
-//! requests a database can serve at a time without queueing inside it.
+//! its weighted share, whatever the others send. [`turns::TurnClock`] keeps the
+//! order for queues that choose among a workspace's requests themselves.
+//! [`concurrency`] finds how many requests a database can serve at a time without
+//! queueing inside it.
 //!
 //! ```
 //! use bluebellferry_fairness::queue;
@@ -22,3 +24,4 @@
 
 pub mod concurrency;
 pub mod queue;
+pub mod turns;
--- a/crates/bluebellferry_fairness/src/queue.rs
+++ b/crates/bluebellferry_fairness/src/queue.rs
@@ -6,25 +6,18 @@
 
 use bluebellferry_types::name;
 
-/// The virtual time that one request of weight 1 takes.
-const UNIT: u64 = 1 << 20;
+use crate::turns;
 
 /// The queue is full.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueFull;
 
-#[derive(Debug)]
-struct WorkspaceLine<T> {
-    waiting: VecDeque<(u64, T)>,
-    last_finish: u64,
-}
-
 /// Waiting requests, ordered by virtual start time.
 #[derive(Debug)]
 pub struct FairQueue<T> {
-    lines: HashMap<name::WorkspaceName, WorkspaceLine<T>>,
+    lines: HashMap<name::WorkspaceName, VecDeque<(u64, T)>>,
     heads: BTreeMap<(u64, name::WorkspaceName), ()>,
-    virtual_time: u64,
+    clock: turns::TurnClock,
     waiting: usize,
     capacity: usize,
 }
@@ -35,7 +28,7 @@
         Self {
             lines: HashMap::new(),
             heads: BTreeMap::new(),
-            virtual_time: 0,
+            clock: turns::TurnClock::default(),
             waiting: 0,
             capacity,
         }
@@ -64,10 +57,7 @@
         weight: u32,
         request: T,
     ) -> Result<(), QueueFull> {
-        let own = self
-            .lines
-            .get(workspace)
-            .map_or(0, |line| line.waiting.len());
+        let own = self.lines.get(workspace).map_or(0, VecDeque::len);
         // Half of the capacity is kept for workspaces that wait with little.
         let small = own < self.capacity / 16;
         let limit = if small {
@@ -78,20 +68,12 @@
         if self.waiting >= limit {
             return Err(QueueFull);
         }
-        let virtual_time = self.virtual_time;
-        let line = self
-            .lines
-            .entry(workspace.clone())
-            .or_insert_with(|| WorkspaceLine {
-                waiting: VecDeque::new(),
-                last_finish: 0,
-            });
-        let start = line.last_finish.max(virtual_time);
-        line.last_finish = start + UNIT / u64::from(weight.max(1));
-        if line.waiting.is_empty() {
+        let start = self.clock.assign(workspace, weight);
+        let line = self.lines.entry(workspace.clone()).or_default();
+        if line.is_empty() {
             self.heads.insert((start, workspace.clone()), ());
         }
-        line.waiting.push_back((start, request));
+        line.push_back((start, request));
         self.waiting += 1;
         Ok(())
     }
@@ -99,18 +81,19 @@
     /// Takes the request whose turn it is.
     pub fn pop(&mut self) -> Option<T> {
         let ((start, workspace), ()) = self.heads.pop_first()?;
-        self.virtual_time = self.virtual_time.max(start);
         let line = self.lines.get_mut(&workspace)?;
-        let (_, request) = line.waiting.pop_front()?;
+        let (_, request) = line.pop_front()?;
         self.waiting -= 1;
-        if let Some((next, _)) = line.waiting.front() {
+        if let Some((next, _)) = line.front() {
             self.heads.insert((*next, workspace), ());
-        } else if line.last_finish <= self.virtual_time {
+        } else {
             self.lines.remove(&workspace);
         }
         if self.waiting == 0 {
-            self.lines.clear();
-            self.virtual_time = 0;
+            self.clock = turns::TurnClock::default();
+        } else {
+            self.clock
+                .advance(start, |one| self.lines.contains_key(one));
         }
         Some(request)
     }
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -6,35 +6,23 @@
 
 use bluebellferry_types::name;
 
-/// The index of a database, fixed for the life of the process.
-pub type DatabaseIndex = usize;
+use crate::waiting;
+
+pub use crate::waiting::DatabaseIndex;
+pub use crate::waiting::GrantRequest;
+pub use crate::waiting::MAX_WAITING;
+pub use crate::waiting::SWITCH_ADVANTAGE;
+pub use crate::waiting::WaiterId;
 
 /// What a new connection costs a statement: a handshake's slot time at the
 /// database and its round trips.
 pub const OPENING_COST: Duration = Duration::from_millis(25);
-/// How much earlier a waiting statement of another workspace must be due to
-/// take a connection's place. A handshake costs the database as much as a
-/// statement, so changing for each would halve what it can serve.
-pub const SWITCH_ADVANTAGE: Duration = Duration::from_millis(150);
-/// The most statements that wait for connections on one VM.
-pub const MAX_WAITING: usize = 2_000;
 /// How many connections a VM opens to one database at once. Handshakes queue
 /// at the database like statements.
 pub const MAX_OPENING: usize = 1;
 /// How long a database that refused a connection for its limit is not asked.
 const LIMIT_BACK_OFF: Duration = Duration::from_millis(150);
 
-/// Who asks for a connection.
-#[derive(Debug, Clone)]
-pub struct GrantRequest {
-    /// The workspace.
-    pub workspace: name::WorkspaceName,
-    /// The priority; 0 goes first.
-    pub priority: u8,
-    /// When the statement's objective falls due.
-    pub due: Instant,
-}
-
 /// A connection to open.
 #[derive(Debug, PartialEq, Eq)]
 pub struct ConnectionOpening<C> {
@@ -46,10 +34,6 @@
     pub closing: Option<C>,
 }
 
-/// Identifies a waiting statement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct WaiterId(u64);
-
 /// What is to be done with a connection that has come free.
 #[derive(Debug, PartialEq, Eq)]
 pub enum PoolAction<C> {
@@ -127,31 +111,31 @@
     }
 }
 
-#[derive(Debug)]
-struct WaitingStatement {
-    request: GrantRequest,
-    databases: Vec<DatabaseIndex>,
-}
-
 /// All connections of this VM.
 #[derive(Debug)]
 pub struct ConnectionBudget<C> {
     databases: BTreeMap<DatabaseIndex, DatabaseBudget<C>>,
-    waiting: BTreeMap<WaiterId, WaitingStatement>,
-    next_waiter: u64,
+    line: waiting::WaitingLine,
 }
 
 impl<C> Default for ConnectionBudget<C> {
     fn default() -> Self {
         Self {
             databases: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            next_waiter: 0,
+            line: waiting::WaitingLine::default(),
         }
     }
 }
 
 impl<C> ConnectionBudget<C> {
+    /// Creates a budget that serves waiting statements in another order than its own.
+    pub fn with_order(order: waiting::WaitingOrder) -> Self {
+        Self {
+            line: waiting::WaitingLine::new(order),
+            ..Self::default()
+        }
+    }
+
     /// Sets how many connections to a database are this VM's own, and how many more it
     /// may hold for a moment. Returns the idle ones that are too many.
     pub fn set_allowance(
@@ -175,6 +159,7 @@
         let budget = self.databases.get_mut(&database)?;
         let connection = remove_newest(&mut budget.idle, |idle| idle.workspace == *workspace)?;
         budget.in_use += 1;
+        self.line.record_turn(database, workspace);
         Some(connection)
     }
 
@@ -223,15 +208,7 @@
         workspace: &name::WorkspaceName,
     ) -> Vec<WaiterId> {
         self.end_opening(database, workspace);
-        let wants = |(_, statement): &(&WaiterId, &WaitingStatement)| {
-            statement.databases.contains(&database)
-        };
-        let waiters = self.waiting.iter().filter(wants).map(|(id, _)| *id);
-        let waiters: Vec<WaiterId> = waiters.collect();
-        for waiter in &waiters {
-            self.waiting.remove(waiter);
-        }
-        waiters
+        self.line.remove_for(database)
     }
 
     fn end_opening(&mut self, database: DatabaseIndex, workspace: &name::WorkspaceName) {
@@ -273,13 +250,12 @@
 
     /// Returns how many statements wait.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.line.len()
     }
 
     /// Returns how many statements wait for a database.
     pub fn waiting_for(&self, database: DatabaseIndex) -> usize {
-        let wants = |statement: &&WaitingStatement| statement.databases.contains(&database);
-        self.waiting.values().filter(wants).count()
+        self.line.len_for(database)
     }
 
     /// Lets a statement wait for any of the databases. Returns `None` when too
@@ -289,19 +265,12 @@
         request: GrantRequest,
         databases: Vec<DatabaseIndex>,
     ) -> Option<WaiterId> {
-        if self.waiting.len() >= MAX_WAITING {
-            return None;
-        }
-        self.next_waiter += 1;
-        let waiter = WaiterId(self.next_waiter);
-        self.waiting
-            .insert(waiter, WaitingStatement { request, databases });
-        Some(waiter)
+        self.line.push(request, databases)
     }
 
     /// Forgets a statement that no longer waits.
     pub fn cancel(&mut self, waiter: WaiterId) {
-        self.waiting.remove(&waiter);
+        self.line.remove(waiter);
     }
 
     /// Takes a connection back, for whoever waits for it.
@@ -386,43 +355,34 @@
 
     /// Returns what to do for the statements that wait for a database.
     ///
-    /// A kept connection goes to the statement of its workspace that is due
-    /// first, unless one of another workspace, which needs a new connection, is
-    /// due much earlier.
+    /// A kept connection goes to the first statement of its workspace, unless one of
+    /// another workspace, which needs a new connection, is due much earlier or its
+    /// workspace has had far fewer turns.
     pub fn serve_waiting(
         &mut self,
         database: DatabaseIndex,
         now: Instant,
     ) -> Option<PoolAction<C>> {
         let budget = self.databases.get(&database)?;
-        let first_of = |accept: &dyn Fn(&name::WorkspaceName) -> bool| {
-            let wants = |statement: &WaitingStatement| {
-                statement.databases.contains(&database) && accept(&statement.request.workspace)
-            };
-            let waiting = self.waiting.iter().filter(|(_, one)| wants(one));
-            waiting.min_by_key(|(id, one)| (one.request.priority, one.request.due, **id))
-        };
         let is_kept = |workspace: &name::WorkspaceName| {
             budget.idle.iter().any(|idle| idle.workspace == *workspace)
         };
         let is_coming = |workspace: &name::WorkspaceName| budget.opening.contains(workspace);
-        let of_kept = first_of(&is_kept);
-        let of_other = first_of(&|workspace| !is_kept(workspace) && !is_coming(workspace));
-        let of_other = of_other.filter(|(_, other)| {
-            of_kept.is_none_or(|(_, kept)| {
-                other.request.due + SWITCH_ADVANTAGE < kept.request.due
-                    || other.request.priority < kept.request.priority
-            })
+        let of_kept = self.line.first_for(database, is_kept);
+        let of_other = self.line.first_for(database, |workspace| {
+            !is_kept(workspace) && !is_coming(workspace)
         });
-        let of_other = of_other.map(|(_, other)| other.request.workspace.clone());
-        let of_kept = of_kept.map(|(id, kept)| (*id, kept.request.workspace.clone()));
+        let of_other = of_other
+            .filter(|(other, _)| of_kept.is_none_or(|(kept, _)| other.takes_place_of(&kept)));
+        let of_other = of_other.map(|(_, workspace)| workspace.clone());
+        let of_kept = of_kept.map(|(kept, workspace)| (kept.waiter, workspace.clone()));
         let opening = of_other.and_then(|other| self.begin_open(&other, database, now));
         if let Some(opening) = opening {
             return Some(PoolAction::Open(opening));
         }
         let (waiter, workspace) = of_kept?;
+        self.line.remove(waiter);
         let connection = self.take_kept(&workspace, database)?;
-        self.waiting.remove(&waiter);
         Some(PoolAction::Deliver { waiter, connection })
     }
 }
--- a/crates/bluebellferry_pool/src/lib.rs
+++ b/crates/bluebellferry_pool/src/lib.rs
@@ -6,8 +6,9 @@
 //! each database's limit, prefers a kept connection of the same workspace,
 //! replaces the longest idle one of another workspace before it lets a
 //! statement wait, and hands a released connection to the waiting statement
-//! whose objective falls due first. [`estimate::LatencyEstimate`] learns how
-//! long each database takes to answer.
+//! that goes first by [`waiting::WaitingOrder`]: workspaces take turns, and within
+//! one the objective that falls due first. [`estimate::LatencyEstimate`] learns
+//! how long each database takes to answer.
 //!
 //! ```
 //! use std::time::Instant;
@@ -26,3 +27,4 @@
 
 pub mod budget;
 pub mod estimate;
+pub mod waiting;
--- /dev/null
+++ b/crates/bluebellferry_pool/src/waiting.rs
@@ -0,0 +1,187 @@
+//! The statements that wait for connections, and which of them goes first.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_fairness::turns;
+use bluebellferry_types::name;
+
+/// The index of a database, fixed for the life of the process.
+pub type DatabaseIndex = usize;
+
+/// How much earlier a waiting statement of another workspace must be due to
+/// take a connection's place. A handshake costs the database as much as a
+/// statement, so changing for each would halve what it can serve.
+pub const SWITCH_ADVANTAGE: Duration = Duration::from_millis(150);
+/// How many turns a waiting workspace must be behind to take a connection's place:
+/// as many statements as three connections serve in [`SWITCH_ADVANTAGE`] at 20 ms each.
+pub const SWITCH_TURNS: u64 = 22;
+/// The most statements that wait for connections on one VM.
+pub const MAX_WAITING: usize = 2_000;
+
+/// Who asks for a connection.
+#[derive(Debug, Clone)]
+pub struct GrantRequest {
+    /// The workspace.
+    pub workspace: name::WorkspaceName,
+    /// The priority; 0 goes first.
+    pub priority: u8,
+    /// When the statement's objective falls due.
+    pub due: Instant,
+}
+
+/// Identifies a waiting statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaiterId(u64);
+
+/// In which order waiting statements of one priority are served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum WaitingOrder {
+    /// Whichever is due first: the baseline of the load tests.
+    DueFirst,
+    /// Workspaces take turns at each database; within a workspace, whichever is due first.
+    #[default]
+    FairTurns,
+}
+
+/// What decides when a waiting statement is served; the smallest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct StatementRank {
+    priority: u8,
+    /// The virtual time at which the workspace's next turn starts.
+    turn: u64,
+    due: Instant,
+    pub(crate) waiter: WaiterId,
+}
+
+impl StatementRank {
+    /// Returns whether this statement, which needs a new connection, goes before one
+    /// whose workspace has a connection.
+    pub(crate) fn takes_place_of(&self, kept: &Self) -> bool {
+        let is_behind = self.turn + SWITCH_TURNS * turns::TURN <= kept.turn;
+        let is_due_earlier = self.due + SWITCH_ADVANTAGE < kept.due;
+        self.priority < kept.priority
+            || self.priority == kept.priority && is_behind
+            || self.turn <= kept.turn && is_due_earlier
+    }
+}
+
+#[derive(Debug)]
+struct WaitingStatement {
+    request: GrantRequest,
+    databases: Vec<DatabaseIndex>,
+}
+
+/// All statements that wait on this VM.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingLine {
+    order: WaitingOrder,
+    statements: BTreeMap<WaiterId, WaitingStatement>,
+    /// The turns at databases that statements wait for.
+    clocks: BTreeMap<DatabaseIndex, turns::TurnClock>,
+    next_waiter: u64,
+}
+
+impl WaitingLine {
+    pub(crate) fn new(order: WaitingOrder) -> Self {
+        Self {
+            order,
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.statements.len()
+    }
+
+    pub(crate) fn len_for(&self, database: DatabaseIndex) -> usize {
+        self.wanting(database).count()
+    }
+
+    fn wanting(
+        &self,
+        database: DatabaseIndex,
+    ) -> impl Iterator<Item = (WaiterId, &WaitingStatement)> {
+        let statements = self.statements.iter().map(|(id, one)| (*id, one));
+        statements.filter(move |(_, one)| one.databases.contains(&database))
+    }
+
+    /// Adds a statement, or returns `None` when too many wait already.
+    pub(crate) fn push(
+        &mut self,
+        request: GrantRequest,
+        databases: Vec<DatabaseIndex>,
+    ) -> Option<WaiterId> {
+        if self.statements.len() >= MAX_WAITING {
+            return None;
+        }
+        for database in &databases {
+            let clock = self.clocks.entry(*database).or_default();
+            clock.join(&request.workspace);
+        }
+        self.next_waiter += 1;
+        let waiter = WaiterId(self.next_waiter);
+        self.statements
+            .insert(waiter, WaitingStatement { request, databases });
+        Some(waiter)
+    }
+
+    pub(crate) fn remove(&mut self, waiter: WaiterId) {
+        self.statements.remove(&waiter);
+    }
+
+    /// Removes the statements that wait for a database.
+    pub(crate) fn remove_for(&mut self, database: DatabaseIndex) -> Vec<WaiterId> {
+        let waiters: Vec<WaiterId> = self.wanting(database).map(|(id, _)| id).collect();
+        for waiter in &waiters {
+            self.statements.remove(waiter);
+        }
+        waiters
+    }
+
+    /// Returns which of a database's waiting statements goes first, among the
+    /// workspaces that `accept` names.
+    pub(crate) fn first_for(
+        &self,
+        database: DatabaseIndex,
+        accept: impl Fn(&name::WorkspaceName) -> bool,
+    ) -> Option<(StatementRank, &name::WorkspaceName)> {
+        let clock = self.clocks.get(&database);
+        let rank = |(waiter, statement): (WaiterId, &WaitingStatement)| {
+            let request = &statement.request;
+            let turn = match self.order {
+                WaitingOrder::DueFirst => 0,
+                WaitingOrder::FairTurns => {
+                    clock.map_or(0, |clock| clock.next_start(&request.workspace))
+                }
+            };
+            StatementRank {
+                priority: request.priority,
+                turn,
+                due: request.due,
+                waiter,
+            }
+        };
+        self.wanting(database)
+            .filter(|(_, one)| accept(&one.request.workspace))
+            .map(|(id, one)| (rank((id, one)), &one.request.workspace))
+            .min_by_key(|(rank, _)| *rank)
+    }
+
+    /// Notes that a workspace had a turn at a database. Turns count only while others
+    /// wait: a database that serves everyone at once is not shared out.
+    pub(crate) fn record_turn(&mut self, database: DatabaseIndex, workspace: &name::WorkspaceName) {
+        if self.len_for(database) == 0 {
+            self.clocks.remove(&database);
+            return;
+        }
+        let mut clock = self.clocks.remove(&database).unwrap_or_default();
+        let start = clock.assign(workspace, 1);
+        clock.advance(start, |one| {
+            self.wanting(database)
+                .any(|(_, statement)| statement.request.workspace == *one)
+        });
+        self.clocks.insert(database, clock);
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_pool/tests/crowded_database.rs
@@ -0,0 +1,335 @@
+//! Many statements, one database, each order of waiting statements on the same arrivals.
+//!
+//! Patterns: one hot workspace beside seven quiet ones; a burst of one workspace; a database
+//! that is slow for some seconds; a lost leader after which all callers return at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_pool::budget;
+use bluebellferry_pool::waiting;
+use bluebellferry_types::name;
+use rand::Rng;
+use rand::SeedableRng;
+
+const STEP: Duration = Duration::from_millis(1);
+const HANDSHAKE: Duration = Duration::from_millis(12);
+const OBJECTIVE: Duration = Duration::from_millis(300);
+/// How long a statement waits before it is refused.
+const PATIENCE: Duration = Duration::from_millis(800);
+const CONNECTIONS: usize = 3;
+const WORKSPACES: usize = 8;
+/// The workspace that is hot or sends the burst.
+const HOT: usize = 0;
+
+/// What happens to the database and its callers.
+struct LoadPattern {
+    /// Statements a second of each workspace.
+    rates: [f64; WORKSPACES],
+    /// Statements of the hot workspace that arrive at once, and how often.
+    burst: Option<(usize, Duration)>,
+    /// When the database is slow, and how many times slower.
+    slow: Option<(std::ops::Range<Duration>, u32)>,
+    /// When the database is gone.
+    lost: Option<std::ops::Range<Duration>>,
+    length: Duration,
+}
+
+impl Default for LoadPattern {
+    fn default() -> Self {
+        Self {
+            rates: [9.0; WORKSPACES],
+            burst: None,
+            slow: None,
+            lost: None,
+            length: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What became of the statements of a workspace.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outcome {
+    asked: u32,
+    in_time: u32,
+    late: u32,
+}
+
+impl Outcome {
+    fn share_in_time(self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+
+    fn share_served(self) -> f64 {
+        f64::from(self.in_time + self.late) / f64::from(self.asked.max(1))
+    }
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            asked: self.asked + other.asked,
+            in_time: self.in_time + other.in_time,
+            late: self.late + other.late,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Statement {
+    workspace: usize,
+    arrived: Instant,
+    service: Duration,
+}
+
+struct World {
+    names: Vec<name::WorkspaceName>,
+    budget: budget::ConnectionBudget<usize>,
+    opening: Vec<(Instant, usize)>,
+    running: Vec<(Instant, Statement)>,
+    waiting: BTreeMap<waiting::WaiterId, Statement>,
+    outcomes: [Outcome; WORKSPACES],
+    slowness: u32,
+}
+
+impl World {
+    fn new(order: waiting::WaitingOrder) -> Self {
+        let name = |index| name::WorkspaceName::try_from(format!("w{index}").as_str());
+        let mut budget = budget::ConnectionBudget::with_order(order);
+        budget.set_allowance(0, CONNECTIONS, 0);
+        Self {
+            names: (0..WORKSPACES)
+                .map(|index| name(index).expect("a valid name"))
+                .collect(),
+            budget,
+            opening: Vec::new(),
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            outcomes: [Outcome::default(); WORKSPACES],
+            slowness: 1,
+        }
+    }
+
+    fn index_of(&self, workspace: &name::WorkspaceName) -> usize {
+        let found = self.names.iter().position(|name| name == workspace);
+        found.expect("a known workspace")
+    }
+
+    fn run(&mut self, statement: Statement, now: Instant) {
+        let end = now + statement.service * self.slowness;
+        self.running.push((end, statement));
+    }
+
+    fn open(&mut self, opening: &budget::ConnectionOpening<usize>, now: Instant) {
+        let workspace = self.index_of(&opening.workspace);
+        self.opening
+            .push((now + HANDSHAKE * self.slowness, workspace));
+    }
+
+    fn act(&mut self, action: Option<budget::PoolAction<usize>>, now: Instant) {
+        let mut next = action;
+        while let Some(action) = next.take() {
+            match action {
+                budget::PoolAction::Open(opening) => self.open(&opening, now),
+                budget::PoolAction::Deliver { waiter, .. } => {
+                    let statement = self.waiting.remove(&waiter).expect("it waits");
+                    self.run(statement, now);
+                }
+            }
+            next = self.budget.serve_waiting(0, now);
+        }
+    }
+
+    fn ask(&mut self, statement: Statement, now: Instant) {
+        let workspace = self.names[statement.workspace].clone();
+        if self.budget.take_kept(&workspace, 0).is_some() {
+            self.run(statement, now);
+            return;
+        }
+        let request = waiting::GrantRequest {
+            workspace: workspace.clone(),
+            priority: 1,
+            due: statement.arrived + OBJECTIVE,
+        };
+        let waiter = self.budget.wait(request, vec![0]).expect("there is room");
+        self.waiting.insert(waiter, statement);
+        if let Some(opening) = self.budget.begin_open(&workspace, 0, now) {
+            self.open(&opening, now);
+        }
+    }
+
+    fn finish_due(&mut self, now: Instant) {
+        while let Some(at) = self.opening.iter().position(|(end, _)| *end <= now) {
+            let (_, workspace) = self.opening.swap_remove(at);
+            let workspace = self.names[workspace].clone();
+            let action = self.budget.finish_open(0, workspace, 0, now);
+            self.act(action, now);
+        }
+        while let Some(at) = self.running.iter().position(|(end, _)| *end <= now) {
+            let (_, statement) = self.running.swap_remove(at);
+            let outcome = &mut self.outcomes[statement.workspace];
+            if now - statement.arrived <= OBJECTIVE {
+                outcome.in_time += 1;
+            } else {
+                outcome.late += 1;
+            }
+            let workspace = self.names[statement.workspace].clone();
+            let action = self.budget.release(0, workspace, 0, now);
+            self.act(action, now);
+        }
+    }
+
+    fn give_up_late(&mut self, now: Instant) {
+        let is_late = |(_, one): &(&waiting::WaiterId, &Statement)| now - one.arrived >= PATIENCE;
+        let late: Vec<_> = self.waiting.iter().filter(is_late).collect();
+        let late: Vec<_> = late.into_iter().map(|(id, _)| *id).collect();
+        for waiter in late {
+            self.budget.cancel(waiter);
+            self.waiting.remove(&waiter);
+        }
+    }
+}
+
+/// Plays a pattern and returns what became of each workspace's statements.
+fn play(pattern: &LoadPattern, order: waiting::WaitingOrder, seed: u64) -> [Outcome; WORKSPACES] {
+    let mut random = rand::rngs::StdRng::seed_from_u64(seed);
+    let mut world = World::new(order);
+    let start = Instant::now();
+    let mut held_back: Vec<Statement> = Vec::new();
+    let steps = pattern.length.as_millis() as u32;
+    for step in 0..steps {
+        let since = STEP * step;
+        let now = start + since;
+        let slow = pattern.slow.as_ref();
+        let slow = slow.filter(|(span, _)| span.contains(&since));
+        world.slowness = slow.map_or(1, |(_, times)| *times);
+        world.finish_due(now);
+        world.give_up_late(now);
+        let is_lost = pattern
+            .lost
+            .as_ref()
+            .is_some_and(|span| span.contains(&since));
+        let mut arriving = Vec::new();
+        let mut add = |workspace: usize, random: &mut rand::rngs::StdRng| {
+            arriving.push(Statement {
+                workspace,
+                arrived: now,
+                service: Duration::from_millis(random.random_range(8..=32)),
+            });
+        };
+        for (workspace, rate) in pattern.rates.iter().enumerate() {
+            if random.random_bool(rate * STEP.as_secs_f64()) {
+                add(workspace, &mut random);
+            }
+        }
+        if let Some((count, period)) = pattern.burst
+            && step > 0
+            && u128::from(step) % period.as_millis() == 0
+        {
+            for _ in 0..count {
+                add(HOT, &mut random);
+            }
+        }
+        for statement in &arriving {
+            world.outcomes[statement.workspace].asked += 1;
+        }
+        held_back.extend(arriving);
+        if is_lost {
+            held_back.retain(|one| now - one.arrived < PATIENCE);
+            continue;
+        }
+        for statement in held_back.drain(..) {
+            world.ask(statement, now);
+        }
+    }
+    world.outcomes
+}
+
+const SEEDS: std::ops::Range<u64> = 1..9;
+
+/// The outcomes of an order over all seeds: of the hot workspace and of all others.
+fn summed(pattern: &LoadPattern, order: waiting::WaitingOrder) -> (Outcome, Outcome) {
+    let mut sums = (Outcome::default(), Outcome::default());
+    for seed in SEEDS {
+        let outcomes = play(pattern, order, seed);
+        sums.0 = sums.0.add(outcomes[HOT]);
+        sums.1 = outcomes[HOT + 1..]
+            .iter()
+            .fold(sums.1, |sum, one| sum.add(*one));
+    }
+    sums
+}
+
+/// Prints and returns the outcomes by due time alone and with turns.
+fn compare(label: &str, pattern: &LoadPattern) -> [(Outcome, Outcome); 2] {
+    let orders = [
+        waiting::WaitingOrder::DueFirst,
+        waiting::WaitingOrder::FairTurns,
+    ];
+    orders.map(|order| {
+        let (hot, others) = summed(pattern, order);
+        println!(
+            "{label}, {order:?}: hot in time {:.3} served {:.3}, others in time {:.3} served {:.3}, all in time {:.3} served {:.3}",
+            hot.share_in_time(),
+            hot.share_served(),
+            others.share_in_time(),
+            others.share_served(),
+            hot.add(others).share_in_time(),
+            hot.add(others).share_served(),
+        );
+        (hot, others)
+    })
+}
+
+fn total_of((hot, others): (Outcome, Outcome)) -> Outcome {
+    hot.add(others)
+}
+
+#[test]
+fn a_hot_workspace_does_not_crowd_out_quiet_ones() {
+    let mut rates = [5.0; WORKSPACES];
+    rates[HOT] = 130.0;
+    let pattern = LoadPattern {
+        rates,
+        ..LoadPattern::default()
+    };
+    let [before, after] = compare("hot", &pattern);
+    assert!(after.1.share_in_time() >= 0.95, "{after:?}");
+    assert!(after.1.share_in_time() > before.1.share_in_time() + 0.1);
+    assert!(total_of(after).share_in_time() > total_of(before).share_in_time());
+}
+
+#[test]
+fn a_burst_of_one_workspace_delays_itself() {
+    let pattern = LoadPattern {
+        burst: Some((80, Duration::from_secs(2))),
+        ..LoadPattern::default()
+    };
+    let [before, after] = compare("burst", &pattern);
+    assert!(after.1.share_in_time() >= 0.95, "{after:?}");
+    assert!(after.1.share_in_time() > before.1.share_in_time());
+    assert!(total_of(after).share_in_time() > total_of(before).share_in_time());
+}
+
+#[test]
+fn a_slow_database_serves_no_fewer_statements_by_turns() {
+    let pattern = LoadPattern {
+        slow: Some((Duration::from_secs(5)..Duration::from_secs(15), 4)),
+        ..LoadPattern::default()
+    };
+    let [before, after] = compare("slow", &pattern);
+    let (before, after) = (total_of(before), total_of(after));
+    assert!(after.share_in_time() >= before.share_in_time() - 0.01);
+    assert!(after.share_served() >= before.share_served() - 0.01);
+}
+
+#[test]
+fn callers_that_return_to_a_new_leader_are_served_no_worse_by_turns() {
+    let pattern = LoadPattern {
+        lost: Some(Duration::from_secs(5)..Duration::from_secs(7)),
+        ..LoadPattern::default()
+    };
+    let [before, after] = compare("lost leader", &pattern);
+    let (before, after) = (total_of(before), total_of(after));
+    assert!(after.share_in_time() >= before.share_in_time() - 0.01);
+    assert!(after.share_served() >= before.share_served() - 0.01);
+}
