Serve what can meet its objective before what is late

Cause: after an outage or a burst the statements that are due first are late already. Serving them first makes each one behind them late too, until the backlog is gone.

A waiting statement that would be answered after its objective, by the database's learned answer time, now goes behind those that can still meet theirs, among the statements of workspaces with a connection and among those without one.

--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -452,6 +452,8 @@
         let record = &mut state.records[database];
         record.latency.record(latency, now);
         record.unreachable.clear();
+        let expected = record.latency.expected(now);
+        state.budget.set_answer_time(database, expected);
     }
 
     /// Notes that a replica served a read that asked for a position.
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -71,6 +71,8 @@
     opening: Vec<name::WorkspaceName>,
     idle: Vec<IdleConnection<C>>,
     refused_until: Option<Instant>,
+    /// How long the database is expected to take for an answer.
+    answer_time: Duration,
 }
 
 impl<C> Default for DatabaseBudget<C> {
@@ -82,6 +84,7 @@
             opening: Vec::new(),
             idle: Vec::new(),
             refused_until: None,
+            answer_time: Duration::ZERO,
         }
     }
 }
@@ -150,6 +153,11 @@
         budget.shed(allowance, |_| true)
     }
 
+    /// Sets how long a database is expected to take for an answer.
+    pub fn set_answer_time(&mut self, database: DatabaseIndex, time: Duration) {
+        self.databases.entry(database).or_default().answer_time = time;
+    }
+
     /// Takes a kept connection of a workspace.
     pub fn take_kept(
         &mut self,
@@ -368,8 +376,9 @@
             budget.idle.iter().any(|idle| idle.workspace == *workspace)
         };
         let is_coming = |workspace: &name::WorkspaceName| budget.opening.contains(workspace);
-        let of_kept = self.line.first_for(database, is_kept);
-        let of_other = self.line.first_for(database, |workspace| {
+        let finish = now + budget.answer_time;
+        let of_kept = self.line.first_for(database, finish, is_kept);
+        let of_other = self.line.first_for(database, finish, |workspace| {
             !is_kept(workspace) && !is_coming(workspace)
         });
         let of_other = of_other
--- a/crates/bluebellferry_pool/src/waiting.rs
+++ b/crates/bluebellferry_pool/src/waiting.rs
@@ -41,13 +41,19 @@
     /// Whichever is due first: the baseline of the load tests.
     DueFirst,
     /// Workspaces take turns at each database; within a workspace, whichever is due first.
-    #[default]
     FairTurns,
+    /// The same, and what can still meet its objective goes before what is late, whatever
+    /// its priority: after an outage, statements that are served in the order of their
+    /// objectives would all be late.
+    #[default]
+    InTimeFirst,
 }
 
 /// What decides when a waiting statement is served; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct StatementRank {
+    /// Whether the statement's objective can no longer be met.
+    is_late: bool,
     priority: u8,
     /// The virtual time at which the workspace's next turn starts.
     turn: u64,
@@ -141,10 +147,12 @@
     }
 
     /// Returns which of a database's waiting statements goes first, among the
-    /// workspaces that `accept` names.
+    /// workspaces that `accept` names. `finish` is when a statement that begins now is
+    /// expected to be answered.
     pub(crate) fn first_for(
         &self,
         database: DatabaseIndex,
+        finish: Instant,
         accept: impl Fn(&name::WorkspaceName) -> bool,
     ) -> Option<(StatementRank, &name::WorkspaceName)> {
         let clock = self.clocks.get(&database);
@@ -152,11 +160,12 @@
             let request = &statement.request;
             let turn = match self.order {
                 WaitingOrder::DueFirst => 0,
-                WaitingOrder::FairTurns => {
+                WaitingOrder::FairTurns | WaitingOrder::InTimeFirst => {
                     clock.map_or(0, |clock| clock.next_start(&request.workspace))
                 }
             };
             StatementRank {
+                is_late: self.order == WaitingOrder::InTimeFirst && finish > request.due,
                 priority: request.priority,
                 turn,
                 due: request.due,
--- a/crates/bluebellferry_pool/tests/contention.rs
+++ b/crates/bluebellferry_pool/tests/contention.rs
@@ -122,6 +122,22 @@
     assert!(is_delivered(action, first.expect("there is room")));
 }
 
+#[test]
+fn a_statement_that_can_be_answered_in_time_goes_before_a_late_one() {
+    let now = Instant::now();
+    let answer = Duration::from_millis(20);
+    let mut budget = Budget::default();
+    budget.set_allowance(0, 1, 0);
+    budget.set_answer_time(0, answer);
+    hold(&mut budget, "a", "c1", now);
+    let late = budget.wait(request("a", now + answer / 2), vec![0]);
+    let in_time = budget.wait(request("a", now + answer * 2), vec![0]);
+    let action = budget.release(0, workspace("a"), "c1", now);
+    assert!(is_delivered(action, in_time.expect("there is room")));
+    let action = budget.release(0, workspace("a"), "c1", now);
+    assert!(is_delivered(action, late.expect("there is room")));
+}
+
 #[test]
 fn handshakes_do_not_crowd_out_statements() {
     let now = Instant::now();
