Refuse at once what is expected to be far too late

Cause: a statement waited for a connection until its route's time was over, also when the line before it would take twice that long.

pool::pace learns the interval between connections that went to statements that waited. A statement is refused when, at each database that may serve it, the statements ahead times this interval and the answer time exceed twice the time it has left, none takes a new connection, and ten or more connections came free lately. Half a second without one counts as no evidence, so nothing is refused because a leader is silent. The caller is told when the line should be short enough.

--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -100,6 +100,8 @@
     Wait(budget::WaiterId, oneshot::Receiver<HeldConnection>),
     NoDatabase,
     TooManyWaiting,
+    /// The statements ahead are expected to take this much longer than there is time.
+    TooLate(Duration),
 }
 
 impl Dispatcher {
@@ -231,6 +233,11 @@
                         refuse(refusal::RefusalReason::QueueFull, "too many wait already");
                     return Err(refusal.retry_after(AVOID_AT_FIRST));
                 }
+                ObtainStep::TooLate(excess) => {
+                    let reason = refusal::RefusalReason::QueueFull;
+                    let refusal = refuse(reason, "too many wait to be answered in time");
+                    return Err(refusal.retry_after(excess.max(RECONSIDER)));
+                }
             }
         }
     }
@@ -271,7 +278,13 @@
         if let Some(held) = state.budget.take_kept(workspace, best) {
             return ObtainStep::Granted(held);
         }
-        let indexes = ranked.iter().map(|(index, _)| *index).collect();
+        let indexes: Vec<_> = ranked.iter().map(|(index, _)| *index).collect();
+        let left = demand.deadline.saturating_duration_since(now);
+        let request = &demand.request;
+        let excess = state.budget.expected_excess(request, &indexes, left, now);
+        if let Some(excess) = excess {
+            return ObtainStep::TooLate(excess);
+        }
         let Some(waiter) = state.budget.wait(demand.request.clone(), indexes) else {
             return ObtainStep::TooManyWaiting;
         };
--- a/crates/bluebellferry_pool/src/budget.rs
+++ b/crates/bluebellferry_pool/src/budget.rs
@@ -6,6 +6,7 @@
 
 use bluebellferry_types::name;
 
+use crate::pace;
 use crate::waiting;
 
 pub use crate::waiting::DatabaseIndex;
@@ -73,6 +74,7 @@
     refused_until: Option<Instant>,
     /// How long the database is expected to take for an answer.
     answer_time: Duration,
+    pace: pace::GrantPace,
 }
 
 impl<C> Default for DatabaseBudget<C> {
@@ -85,6 +87,7 @@
             idle: Vec::new(),
             refused_until: None,
             answer_time: Duration::ZERO,
+            pace: pace::GrantPace::default(),
         }
     }
 }
@@ -266,6 +269,34 @@
         self.line.len_for(database)
     }
 
+    /// Returns by how much a statement that would wait for any of the databases is expected
+    /// to miss the time that is `left` for it. Returns `None` unless it would miss it by far
+    /// at each of them, by the statements that wait and the connections that came free lately,
+    /// and none of them takes a new connection.
+    pub fn expected_excess(
+        &self,
+        request: &GrantRequest,
+        databases: &[DatabaseIndex],
+        left: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let excess_at = |database: &DatabaseIndex| {
+            if self
+                .opening_cost(&request.workspace, *database, now)
+                .is_some()
+            {
+                return None;
+            }
+            let budget = self.databases.get(database)?;
+            let finish = now + budget.answer_time;
+            let ahead = self.line.count_ahead(*database, request, finish);
+            let wait = budget.pace.expected_wait(ahead, now)?;
+            pace::excess_of(wait + budget.answer_time, left)
+        };
+        let excesses: Option<Vec<Duration>> = databases.iter().map(excess_at).collect();
+        excesses?.into_iter().min()
+    }
+
     /// Lets a statement wait for any of the databases. Returns `None` when too
     /// many wait already.
     pub fn wait(
@@ -392,6 +423,9 @@
         let (waiter, workspace) = of_kept?;
         self.line.remove(waiter);
         let connection = self.take_kept(&workspace, database)?;
+        let others_wait = self.line.len_for(database) > 0;
+        let budget = self.databases.get_mut(&database)?;
+        budget.pace.record(others_wait, now);
         Some(PoolAction::Deliver { waiter, connection })
     }
 }
--- a/crates/bluebellferry_pool/src/lib.rs
+++ b/crates/bluebellferry_pool/src/lib.rs
@@ -27,4 +27,5 @@
 
 pub mod budget;
 pub mod estimate;
+pub mod pace;
 pub mod waiting;
--- a/crates/bluebellferry_pool/src/waiting.rs
+++ b/crates/bluebellferry_pool/src/waiting.rs
@@ -178,6 +178,34 @@
             .min_by_key(|(rank, _)| *rank)
     }
 
+    /// Returns how many of a database's waiting statements go before a new one at least.
+    /// Those of another workspace count as far as it has turns before this one's.
+    pub(crate) fn count_ahead(
+        &self,
+        database: DatabaseIndex,
+        request: &GrantRequest,
+        finish: Instant,
+    ) -> usize {
+        let mut urgent = 0;
+        let mut own = 0;
+        let mut others: BTreeMap<&name::WorkspaceName, usize> = BTreeMap::new();
+        for (_, statement) in self.wanting(database) {
+            let waiting = &statement.request;
+            if finish > waiting.due || waiting.priority > request.priority {
+                continue;
+            }
+            if waiting.priority < request.priority {
+                urgent += 1;
+            } else if waiting.workspace != request.workspace {
+                *others.entry(&waiting.workspace).or_default() += 1;
+            } else if waiting.due <= request.due {
+                own += 1;
+            }
+        }
+        let shared: usize = others.values().map(|count| (*count).min(own + 1)).sum();
+        urgent + own + shared
+    }
+
     /// Notes that a workspace had a turn at a database. Turns count only while others
     /// wait: a database that serves everyone at once is not shared out.
     pub(crate) fn record_turn(&mut self, database: DatabaseIndex, workspace: &name::WorkspaceName) {
--- a/crates/bluebellferry_pool/tests/contention.rs
+++ b/crates/bluebellferry_pool/tests/contention.rs
@@ -9,6 +9,7 @@
 
 use bluebellferry_pool::budget;
 use bluebellferry_pool::estimate;
+use bluebellferry_pool::pace;
 use bluebellferry_types::name;
 
 type Budget = budget::ConnectionBudget<&'static str>;
@@ -234,3 +235,35 @@
     assert!(!budget.has_borrowed_idle(0));
     assert!(budget.drain_borrowed(0, keep, start + 3 * keep).is_empty());
 }
+
+#[test]
+fn a_wait_is_estimated_only_from_connections_that_came_free_lately() {
+    let start = Instant::now();
+    let interval = Duration::from_millis(10);
+    let mut pace = pace::GrantPace::default();
+    for step in 0..10 {
+        pace.record(true, start + interval * step);
+    }
+    let now = start + interval * 9;
+    assert_eq!(pace.expected_wait(4, now), None);
+    pace.record(true, start + interval * 10);
+    let wait = pace
+        .expected_wait(4, now + interval)
+        .expect("enough came free");
+    assert!(
+        wait.abs_diff(interval * 5) < Duration::from_millis(1),
+        "{wait:?}"
+    );
+    // Since then none came free, for whatever reason: nothing is known.
+    assert_eq!(pace.expected_wait(4, now + Duration::from_secs(1)), None);
+    pace.record(false, now + interval * 2);
+    assert_eq!(pace.expected_wait(4, now + interval * 2), None);
+}
+
+#[test]
+fn a_statement_is_refused_only_when_it_is_expected_to_be_far_too_late() {
+    let left = Duration::from_millis(800);
+    assert_eq!(pace::excess_of(left, left), None);
+    assert_eq!(pace::excess_of(left * 2, left), None);
+    assert_eq!(pace::excess_of(left * 3, left), Some(left * 2));
+}
--- a/crates/bluebellferry_pool/tests/crowded_database.rs
+++ b/crates/bluebellferry_pool/tests/crowded_database.rs
@@ -1,7 +1,8 @@
 //! Many statements, one database, each order of waiting statements on the same arrivals.
 //!
 //! Patterns: one hot workspace beside seven quiet ones; a burst of one workspace; a database
-//! that is slow for some seconds; a lost leader after which all callers return at once.
+//! that is slow for some seconds; a lost leader after which all callers return at once; a
+//! rush of several seconds beyond what the database can serve.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,6 +39,9 @@
     slow: Option<(std::ops::Range<Duration>, u32)>,
     /// When the database is gone.
     lost: Option<std::ops::Range<Duration>>,
+    /// How many times more statements come than usual, and when.
+    rush: Option<(std::ops::Range<Duration>, f64)>,
+    objective: Duration,
     length: Duration,
 }
 
@@ -48,6 +52,8 @@
             burst: None,
             slow: None,
             lost: None,
+            rush: None,
+            objective: OBJECTIVE,
             length: Duration::from_secs(30),
         }
     }
@@ -59,6 +65,10 @@
     asked: u32,
     in_time: u32,
     late: u32,
+    /// Attempts that were refused as soon as they came.
+    refused_at_once: u32,
+    /// Milliseconds that attempts waited until they were refused.
+    waited_in_vain: u64,
 }
 
 impl Outcome {
@@ -75,6 +85,8 @@
             asked: self.asked + other.asked,
             in_time: self.in_time + other.in_time,
             late: self.late + other.late,
+            refused_at_once: self.refused_at_once + other.refused_at_once,
+            waited_in_vain: self.waited_in_vain + other.waited_in_vain,
         }
     }
 }
@@ -90,6 +102,29 @@
     service: Duration,
 }
 
+/// How statements that wait are served.
+#[derive(Debug, Clone, Copy)]
+struct LoadPolicy {
+    order: waiting::WaitingOrder,
+    /// Whether a statement that is not expected to be answered in time is refused at once.
+    refuses_early: bool,
+}
+
+const fn waits_out(order: waiting::WaitingOrder) -> LoadPolicy {
+    LoadPolicy {
+        order,
+        refuses_early: false,
+    }
+}
+
+const DUE_FIRST: LoadPolicy = waits_out(waiting::WaitingOrder::DueFirst);
+const FAIR_TURNS: LoadPolicy = waits_out(waiting::WaitingOrder::FairTurns);
+const IN_TIME_FIRST: LoadPolicy = waits_out(waiting::WaitingOrder::InTimeFirst);
+const EARLY_REFUSAL: LoadPolicy = LoadPolicy {
+    order: waiting::WaitingOrder::InTimeFirst,
+    refuses_early: true,
+};
+
 struct World {
     names: Vec<name::WorkspaceName>,
     budget: budget::ConnectionBudget<usize>,
@@ -100,12 +135,14 @@
     returning: Vec<(Instant, Statement)>,
     outcomes: [Outcome; WORKSPACES],
     slowness: u32,
+    refuses_early: bool,
+    objective: Duration,
 }
 
 impl World {
-    fn new(order: waiting::WaitingOrder) -> Self {
+    fn new(policy: LoadPolicy, objective: Duration) -> Self {
         let name = |index| name::WorkspaceName::try_from(format!("w{index}").as_str());
-        let mut budget = budget::ConnectionBudget::with_order(order);
+        let mut budget = budget::ConnectionBudget::with_order(policy.order);
         budget.set_allowance(0, CONNECTIONS, 0);
         budget.set_answer_time(0, Duration::from_millis(20));
         Self {
@@ -119,6 +156,8 @@
             returning: Vec::new(),
             outcomes: [Outcome::default(); WORKSPACES],
             slowness: 1,
+            refuses_early: policy.refuses_early,
+            objective,
         }
     }
 
@@ -161,8 +200,16 @@
         let request = waiting::GrantRequest {
             workspace: workspace.clone(),
             priority: 1,
-            due: statement.arrived + OBJECTIVE,
+            due: statement.arrived + self.objective,
         };
+        if self.refuses_early {
+            let excess = self.budget.expected_excess(&request, &[0], PATIENCE, now);
+            if let Some(excess) = excess {
+                self.outcomes[statement.workspace].refused_at_once += 1;
+                self.refuse(statement, now + RETRY_PAUSE.max(excess));
+                return;
+            }
+        }
         let waiter = self.budget.wait(request, vec![0]).expect("there is room");
         self.waiting.insert(waiter, statement);
         if let Some(opening) = self.budget.begin_open(&workspace, 0, now) {
@@ -180,7 +227,7 @@
         while let Some(at) = self.running.iter().position(|(end, _)| *end <= now) {
             let (_, statement) = self.running.swap_remove(at);
             let outcome = &mut self.outcomes[statement.workspace];
-            if now - statement.asked <= OBJECTIVE {
+            if now - statement.asked <= self.objective {
                 outcome.in_time += 1;
             } else {
                 outcome.late += 1;
@@ -198,6 +245,8 @@
         for waiter in late {
             self.budget.cancel(waiter);
             let statement = self.waiting.remove(&waiter).expect("it waits");
+            let outcome = &mut self.outcomes[statement.workspace];
+            outcome.waited_in_vain += PATIENCE.as_millis() as u64;
             self.refuse(statement, now + RETRY_PAUSE);
         }
     }
@@ -226,9 +275,9 @@
 }
 
 /// Plays a pattern and returns what became of each workspace's statements.
-fn play(pattern: &LoadPattern, order: waiting::WaitingOrder, seed: u64) -> [Outcome; WORKSPACES] {
+fn play(pattern: &LoadPattern, policy: LoadPolicy, seed: u64) -> [Outcome; WORKSPACES] {
     let mut random = rand::rngs::StdRng::seed_from_u64(seed);
-    let mut world = World::new(order);
+    let mut world = World::new(policy, pattern.objective);
     let start = Instant::now();
     let mut held_back: Vec<Statement> = Vec::new();
     let steps = pattern.length.as_millis() as u32;
@@ -254,8 +303,11 @@
                 service: Duration::from_millis(random.random_range(8..=32)),
             });
         };
+        let rush = pattern.rush.as_ref();
+        let rush = rush.filter(|(span, _)| span.contains(&since));
+        let times = rush.map_or(1.0, |(_, times)| *times);
         for (workspace, rate) in pattern.rates.iter().enumerate() {
-            if random.random_bool(rate * STEP.as_secs_f64()) {
+            if random.random_bool(rate * times * STEP.as_secs_f64()) {
                 add(workspace, &mut random);
             }
         }
@@ -287,13 +339,14 @@
     world.outcomes
 }
 
+const ORDERS: [LoadPolicy; 3] = [DUE_FIRST, FAIR_TURNS, IN_TIME_FIRST];
 const SEEDS: std::ops::Range<u64> = 1..5;
 
 /// The outcomes of an order over all seeds: of the hot workspace and of all others.
-fn summed(pattern: &LoadPattern, order: waiting::WaitingOrder) -> (Outcome, Outcome) {
+fn summed(pattern: &LoadPattern, policy: LoadPolicy) -> (Outcome, Outcome) {
     let mut sums = (Outcome::default(), Outcome::default());
     for seed in SEEDS {
-        let outcomes = play(pattern, order, seed);
+        let outcomes = play(pattern, policy, seed);
         sums.0 = sums.0.add(outcomes[HOT]);
         sums.1 = outcomes[HOT + 1..]
             .iter()
@@ -303,16 +356,15 @@
 }
 
 /// Prints and returns the outcomes by due time alone and with turns.
-fn compare(label: &str, pattern: &LoadPattern) -> [(Outcome, Outcome); 3] {
-    let orders = [
-        waiting::WaitingOrder::DueFirst,
-        waiting::WaitingOrder::FairTurns,
-        waiting::WaitingOrder::InTimeFirst,
-    ];
-    orders.map(|order| {
-        let (hot, others) = summed(pattern, order);
+fn compare<const N: usize>(
+    label: &str,
+    pattern: &LoadPattern,
+    policies: [LoadPolicy; N],
+) -> [(Outcome, Outcome); N] {
+    policies.map(|policy| {
+        let (hot, others) = summed(pattern, policy);
         println!(
-            "{label}, {order:?}: hot in time {:.3} served {:.3}, others in time {:.3} served {:.3}, all in time {:.3} served {:.3}",
+            "{label}, {policy:?}: hot in time {:.3} served {:.3}, others in time {:.3} served {:.3}, all in time {:.3} served {:.3}",
             hot.share_in_time(),
             hot.share_served(),
             others.share_in_time(),
@@ -360,7 +412,7 @@
 
 #[test]
 fn a_hot_workspace_does_not_crowd_out_quiet_ones() {
-    let [before, turns, in_time_first] = compare("hot", &hot_workspace());
+    let [before, turns, in_time_first] = compare("hot", &hot_workspace(), ORDERS);
     for after in [turns, in_time_first] {
         assert!(after.1.share_in_time() >= 0.95, "{after:?}");
         assert!(after.1.share_in_time() > before.1.share_in_time() + 0.1);
@@ -370,7 +422,7 @@
 
 #[test]
 fn a_burst_of_one_workspace_delays_itself() {
-    let [before, turns, in_time_first] = compare("burst", &burst());
+    let [before, turns, in_time_first] = compare("burst", &burst(), ORDERS);
     for after in [turns, in_time_first] {
         assert!(after.1.share_in_time() >= 0.95, "{after:?}");
         assert!(after.1.share_in_time() > before.1.share_in_time());
@@ -380,7 +432,7 @@
 
 #[test]
 fn a_slow_database_serves_no_fewer_statements_by_turns() {
-    let [before, turns, in_time_first] = compare("slow", &slow_database()).map(total_of);
+    let [before, turns, in_time_first] = compare("slow", &slow_database(), ORDERS).map(total_of);
     for after in [turns, in_time_first] {
         assert!(after.share_in_time() >= before.share_in_time() - 0.01);
         assert!(after.share_served() >= before.share_served() - 0.01);
@@ -389,7 +441,7 @@
 
 #[test]
 fn callers_that_return_to_a_new_leader_are_served_no_worse_by_turns() {
-    let outcomes = compare("lost leader", &lost_leader());
+    let outcomes = compare("lost leader", &lost_leader(), ORDERS);
     let [before, turns, in_time_first] = outcomes.map(total_of);
     for after in [turns, in_time_first] {
         assert!(after.share_in_time() >= before.share_in_time() - 0.01);
@@ -405,7 +457,7 @@
         ("slow", slow_database()),
         ("lost leader", lost_leader()),
     ] {
-        let [_, turns, in_time_first] = compare(label, &pattern).map(total_of);
+        let [_, turns, in_time_first] = compare(label, &pattern, ORDERS).map(total_of);
         let (before, after) = (turns, in_time_first);
         assert!(
             after.share_in_time() > before.share_in_time(),
@@ -417,3 +469,25 @@
         );
     }
 }
+
+#[test]
+fn a_rush_beyond_what_the_database_serves_is_refused_at_once() {
+    let rush = LoadPattern {
+        rush: Some((Duration::from_secs(5)..Duration::from_secs(15), 4.0)),
+        objective: Duration::from_secs(1),
+        ..LoadPattern::default()
+    };
+    let [before, after] = compare("rush", &rush, [IN_TIME_FIRST, EARLY_REFUSAL]).map(total_of);
+    println!("{before:?} {after:?}");
+    assert!(after.share_in_time() >= before.share_in_time() - 0.01);
+    assert!(after.share_served() >= before.share_served() - 0.01);
+    assert!(after.waited_in_vain < before.waited_in_vain);
+}
+
+#[test]
+fn nobody_is_refused_at_once_while_the_database_keeps_up() {
+    for (label, pattern) in [("usual", LoadPattern::default()), ("burst", burst())] {
+        let [after] = compare(label, &pattern, [EARLY_REFUSAL]).map(total_of);
+        assert_eq!(after.refused_at_once, 0, "{label}");
+    }
+}
