Play each load pattern once for all tests of the pool

The tests of tests/crowded_database.rs took 59 s in a debug build beside other work, since one test played all patterns again; now 26 s, with the same checks and figures.

--- a/crates/bluebellferry_pool/tests/crowded_database.rs
+++ b/crates/bluebellferry_pool/tests/crowded_database.rs
@@ -5,6 +5,7 @@
 //! rush of several seconds beyond what the database can serve.
 
 use std::collections::BTreeMap;
+use std::sync::LazyLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -406,13 +407,21 @@
     }
 }
 
+/// The outcomes of [`ORDERS`], played once for all tests.
+type OrderOutcomes = LazyLock<[(Outcome, Outcome); 3]>;
+
+static OF_HOT: OrderOutcomes = LazyLock::new(|| compare("hot", &hot_workspace(), ORDERS));
+static OF_BURST: OrderOutcomes = LazyLock::new(|| compare("burst", &burst(), ORDERS));
+static OF_SLOW: OrderOutcomes = LazyLock::new(|| compare("slow", &slow_database(), ORDERS));
+static OF_LOST: OrderOutcomes = LazyLock::new(|| compare("lost leader", &lost_leader(), ORDERS));
+
 fn total_of((hot, others): (Outcome, Outcome)) -> Outcome {
     hot.add(others)
 }
 
 #[test]
 fn a_hot_workspace_does_not_crowd_out_quiet_ones() {
-    let [before, turns, in_time_first] = compare("hot", &hot_workspace(), ORDERS);
+    let [before, turns, in_time_first] = *OF_HOT;
     for after in [turns, in_time_first] {
         assert!(after.1.share_in_time() >= 0.95, "{after:?}");
         assert!(after.1.share_in_time() > before.1.share_in_time() + 0.1);
@@ -422,7 +431,7 @@
 
 #[test]
 fn a_burst_of_one_workspace_delays_itself() {
-    let [before, turns, in_time_first] = compare("burst", &burst(), ORDERS);
+    let [before, turns, in_time_first] = *OF_BURST;
     for after in [turns, in_time_first] {
         assert!(after.1.share_in_time() >= 0.95, "{after:?}");
         assert!(after.1.share_in_time() > before.1.share_in_time());
@@ -432,7 +441,7 @@
 
 #[test]
 fn a_slow_database_serves_no_fewer_statements_by_turns() {
-    let [before, turns, in_time_first] = compare("slow", &slow_database(), ORDERS).map(total_of);
+    let [before, turns, in_time_first] = OF_SLOW.map(total_of);
     for after in [turns, in_time_first] {
         assert!(after.share_in_time() >= before.share_in_time() - 0.01);
         assert!(after.share_served() >= before.share_served() - 0.01);
@@ -441,8 +450,7 @@
 
 #[test]
 fn callers_that_return_to_a_new_leader_are_served_no_worse_by_turns() {
-    let outcomes = compare("lost leader", &lost_leader(), ORDERS);
-    let [before, turns, in_time_first] = outcomes.map(total_of);
+    let [before, turns, in_time_first] = OF_LOST.map(total_of);
     for after in [turns, in_time_first] {
         assert!(after.share_in_time() >= before.share_in_time() - 0.01);
         assert!(after.share_served() >= before.share_served() - 0.01);
@@ -451,13 +459,13 @@
 
 #[test]
 fn a_backlog_of_late_statements_does_not_make_new_ones_late() {
-    for (label, pattern) in [
-        ("hot", hot_workspace()),
-        ("burst", burst()),
-        ("slow", slow_database()),
-        ("lost leader", lost_leader()),
+    for (label, outcomes) in [
+        ("hot", *OF_HOT),
+        ("burst", *OF_BURST),
+        ("slow", *OF_SLOW),
+        ("lost leader", *OF_LOST),
     ] {
-        let [_, turns, in_time_first] = compare(label, &pattern, ORDERS).map(total_of);
+        let [_, turns, in_time_first] = outcomes.map(total_of);
         let (before, after) = (turns, in_time_first);
         assert!(
             after.share_in_time() > before.share_in_time(),
