--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -109,6 +109,8 @@
     Wait(budget::WaiterId, oneshot::Receiver<HeldConnection>),
     NoDatabase,
     TooManyWaiting,
+    /// The statements ahead are expected to take this much longer than there is time.
+    TooLate(Duration),
 }
 
 impl Dispatcher {
@@ -246,6 +248,11 @@
                         refuse(refusal::RefusalReason::QueueFull, "too many wait already");
                     return Err(refusal.retry_after(AVOID_AT_FIRST));
                 }
+                ObtainStep::TooLate(excess) => {
+                    let reason = refusal::RefusalReason::QueueFull;
+                    let refusal = refuse(reason, "too many wait to be answered in time");
+                    return Err(refusal.retry_after(excess.max(RECONSIDER)));
+                }
             }
         }
     }
@@ -309,7 +316,13 @@
         if let Some(held) = state.budget.take_kept(workspace, best) {
             return ObtainStep::Granted(held);
         }
-        let indexes = ranked.iter().map(|(index, _)| *index).collect();
+        let indexes: Vec<_> = ranked.iter().map(|(index, _)| *index).collect();
+        let left = demand.deadline.saturating_duration_since(now);
+        let request = &demand.request;
+        let excess = state.budget.expected_excess(request, &indexes, left, now);
+        if let Some(excess) = excess {
+            return ObtainStep::TooLate(excess);
+        }
         let Some(waiter) = state.budget.wait(demand.request.clone(), indexes) else {
             return ObtainStep::TooManyWaiting;
         };
@@ -493,6 +506,8 @@
         let record = &mut state.records[database];
         record.latency.record(latency, now);
         record.unreachable.clear();
+        let expected = record.latency.expected(now);
+        state.budget.set_answer_time(database, expected);
     }
 
     /// Notes that a replica served a read that asked for a position.
