Keep what lapsed also where a VM begins to read during an outage

Cause: entries that lapse while the store is away are kept for 2.5 s after its return by a VM that had listed them itself. A VM that had them from another one and began to read when that one lost the store kept nothing; its listing was newer and was copied by all.

--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -30,11 +30,22 @@
 }
 
 impl LapsedEntries {
+    /// Takes the databases in use, which another VM may have listed.
+    pub fn adopt(&mut self, in_use: &[database::DatabaseEntry]) {
+        let in_use = in_use.iter().map(|entry| (entry.id.clone(), entry.clone()));
+        self.known.extend(in_use);
+    }
+
     /// Notes that the store did not answer.
     pub fn record_away(&mut self) {
         self.was_away = true;
     }
 
+    /// Returns whether the store may have been away since the last listing.
+    pub const fn is_away(&self) -> bool {
+        self.was_away
+    }
+
     /// Takes a listing; returns the databases to use.
     pub fn record_listing(
         &mut self,
@@ -71,11 +82,19 @@
     let mut lapsed = LapsedEntries::default();
     loop {
         if !is_reader(&control.borrow(), clock::now()) {
-            // Entries that lapsed unseen are no longer known here.
+            // Whoever reads for this VM may stop because the store went away.
             lapsed = LapsedEntries::default();
+            lapsed.record_away();
             tokio::time::sleep(configuration::READER_STEP).await;
             continue;
         }
+        // Other calls of this VM may have found the store away.
+        if !control.borrow().has_store {
+            lapsed.record_away();
+        }
+        if lapsed.is_away() {
+            lapsed.adopt(&control.borrow().databases);
+        }
         match client.list(registry::KIND).await {
             Ok(listing) => {
                 dependency.record_success();
