Check when a leader's position is dated, and a lapsed lease

A review put faults back into the code: an answer dated by its arrival, and one of a leader whose lease had ended, passed all tests. seen_after_read now also demands an instant before the database can have answered; a case without a lease is new.

--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -277,7 +277,8 @@
 }
 
 /// Has a caller read at `i-a` and changes what the VM believes while that answers. Returns
-/// the position that leaders were seen to hold since.
+/// the position that leaders were seen to hold since, which must be dated before the
+/// database was asked.
 async fn seen_after_read(
     answer: &'static str,
     known: Option<position::LogPosition>,
@@ -321,6 +322,7 @@
     let text = b"STARTUP browse key\r\nQUERY 1 READ a\r\n";
     caller.write_all(text).await.expect("it sends");
     tokio::time::sleep(READING / 2).await;
+    let asked_before = clock::now();
     change(&mut beliefs);
     shared.publish(beliefs, true);
     // READY after STARTUP, then the answer's last line.
@@ -335,9 +337,9 @@
     let positions = shared.positions();
     let history = positions.get(&service());
     let latest = history.and_then(|history| history.latest_sample());
-    latest
-        .filter(|(asked, _)| *asked > now)
-        .map(|(_, position)| position)
+    let latest = latest.filter(|(asked, _)| *asked > now);
+    assert!(latest.is_none_or(|(asked, _)| asked < asked_before));
+    latest.map(|(_, position)| position)
 }
 
 const READ_AT_5: &str = "DATAROW x\r\nCOMPLETE r\r\nREADY I 1.5\r\n";
@@ -353,6 +355,23 @@
         .await;
 }
 
+#[tokio::test]
+async fn an_answer_of_a_leader_whose_lease_had_ended_tells_nothing() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            // A read with a bound goes to the former leader like to any replica.
+            let known = Some(position(1, 5));
+            let other = |beliefs: &mut shared::EdgeSnapshot| {
+                beliefs.leaders = Arc::new([(service(), leader("i-a"))].into());
+                beliefs.leases.clear();
+            };
+            let seen = seen_after_read(READ_AT_5, known, leader("i-b"), other).await;
+            assert_eq!(seen, None);
+        })
+        .await;
+}
+
 // A replica's answer that came after the replica had been named leader counted as what a
 // leader held when the statement was sent, so that later reads asked for too little.
 #[tokio::test]
