--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -241,6 +241,15 @@
     replacement: &hold::LeaderReplacement,
     id: &name::DatabaseName,
 ) -> bool {
+    // Nothing is waited for between the confirmation of the duty and the call.
+    let address = control.borrow().shared.settings.duty_address;
+    let caller = match duty::DutyClient::connect(address).await {
+        Ok(caller) => caller,
+        Err(error) => {
+            log::warn!(error:% = error; "the platform cannot be reached for a new leader");
+            return false;
+        }
+    };
     let asked = clock::now();
     // The duty may have changed hands while this VM stood still.
     match members::read_table(client).await {
@@ -253,17 +262,15 @@
     if !is_still_holder(control) {
         return false;
     }
-    let (holder, token, address) = {
+    let (holder, token) = {
         let control = control.borrow();
-        let address = control.shared.settings.duty_address;
-        (control.own_name().to_owned(), control.table.token, address)
+        (control.own_name().to_owned(), control.table.token)
     };
     if clock::now().saturating_duration_since(asked) > DUTY_CONFIRMED {
         return false;
     }
-    let client = duty::DutyClient::new(address);
     let service = replacement.service.as_str();
-    let answer = client
+    let answer = caller
         .promote(&holder, token, service, id.as_str(), DUTY_CALL_LIMIT)
         .await;
     log::warn!(
