Wait for VMs that registered or started anew while a leader is replaced

Rule at stake: reads at a leader that was replaced (STALE).

Cause: whoever replaces a leader goes on once all VMs that it had listed have seen the claim. A VM that had registered since the last listing, up to 5 s ago, may have read the table just before the claim and trust the leader for 1.5 s. One that had seen the claim and started anew counts as having seen it for up to 1.3 s, while it may know no table yet, take the leader from the registry and trust it for 0.8 s after asking it.

Change: the VMs are listed again after the claim; a VM confirms the table only once it is registered, and trusts a leader that it asked itself only once it has heard of the table.

--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -247,6 +247,10 @@
 }
 
 fn is_confirmation_due(control: &state::ControlState, now: Instant) -> bool {
+    // Whoever replaces a leader waits for the VMs that are listed.
+    if !control.members.contains_key(control.own_name()) {
+        return false;
+    }
     let valid_until = control.lease.valid_until();
     let before_end = if control.relies_on_head(now) {
         CONFIRM_BEFORE_END_OF_HEAD
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -226,8 +226,9 @@
     /// How often it is looked whether all VMs have seen the claim.
     const STEP: Duration = Duration::from_millis(20);
     let until = lease::lapsed_from(claimed, decided);
+    control.borrow().list_members.notify_one();
     while clock::now() < until {
-        let has_seen_all = control.borrow().have_all_seen_table(clock::now());
+        let has_seen_all = control.borrow().have_all_seen_table(claimed, clock::now());
         if has_seen_all {
             return;
         }
--- a/crates/bluebellferry_edge/src/control/state/leases.rs
+++ b/crates/bluebellferry_edge/src/control/state/leases.rs
@@ -44,7 +44,14 @@
 
     /// Returns whether every VM has seen the table as this one has it, by its own word
     /// or by that of its head, which must list the same VMs.
-    pub fn have_all_seen_table(&self, now: Instant) -> bool {
+    ///
+    /// All VMs are those that were listed after `claimed`, when the table was changed: one
+    /// that registered since has read the table in that version.
+    pub fn have_all_seen_table(&self, claimed: Instant, now: Instant) -> bool {
+        let listed = self.lease.members_listed();
+        if listed.is_none_or(|listed| listed < claimed) {
+            return false;
+        }
         let revision = self.table.revision;
         let has_seen = |name: &String| {
             let record = self.peers.get(name).filter(|record| record.is_live(now));
@@ -98,6 +105,16 @@
         self.probed.iter().filter_map(tell).collect()
     }
 
+    /// Returns whether this VM has learned of the table since it started. Before that it
+    /// may take a leader for one that is being replaced, although its predecessor had seen
+    /// that.
+    fn knows_table(&self) -> bool {
+        let revision = self.table.revision;
+        let mut peers = self.peers.values();
+        self.lease.store_confirmed().is_some()
+            || peers.any(|record| record.beat.table_revision <= revision)
+    }
+
     /// Returns until when a service's leader may be relied on.
     pub fn service_leased_until(&self, service: &name::ServiceName) -> Option<Instant> {
         self.leased_until(service, &self.leader_of(service)?)
@@ -108,7 +125,7 @@
         service: &name::ServiceName,
         leader: &shared::LeaderView,
     ) -> Option<Instant> {
-        let probed = self.probed.get(service);
+        let probed = self.probed.get(service).filter(|_| self.knows_table());
         let probed = probed.filter(|(database, _)| *database == leader.database);
         self.lease
             .valid_until()
--- a/crates/bluebellferry_edge/tests/claims.rs
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -12,10 +12,12 @@
 use bluebellferry_catalog::leadership;
 use bluebellferry_edge::control;
 use bluebellferry_edge::control::members;
+use bluebellferry_edge::control::peers;
 use bluebellferry_edge::control::replacement;
 use bluebellferry_edge::control::state;
 use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
+use bluebellferry_membership::beat;
 use bluebellferry_runtime::clock;
 use bluebellferry_standin_platform::store;
 use bluebellferry_types::name;
@@ -47,11 +49,20 @@
     }
 }
 
-/// Returns the beliefs of the only VM of a fleet that knows these databases.
-fn control(store: SocketAddr, databases: Vec<database::DatabaseEntry>) -> state::ControlState {
-    let any = SocketAddr::from(([127, 0, 0, 1], 1));
+fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// Returns the beliefs of a VM of a fleet that knows these databases.
+fn control(
+    vm: &str,
+    members: &[&str],
+    store: SocketAddr,
+    databases: Vec<database::DatabaseEntry>,
+) -> state::ControlState {
+    let any = any_address();
     let settings = settings::EdgeSettings {
-        vm: "vm-0".to_owned(),
+        vm: vm.to_owned(),
         address: any.ip(),
         data_centre: data_centre(),
         region: "here".to_owned(),
@@ -68,11 +79,14 @@
     };
     let (shared, _) = shared::EdgeShared::new(settings, 1);
     let mut control = state::ControlState::new(shared);
-    let own = state::MemberRecord {
+    let record = state::MemberRecord {
         address: any.ip(),
         data_centre: data_centre(),
     };
-    control.apply_members([("vm-0".to_owned(), own)].into(), 5, clock::now());
+    let records = members
+        .iter()
+        .map(|name| ((*name).to_owned(), record.clone()));
+    control.apply_members(records.collect(), 5, clock::now());
     let policy = configuration::ServicePolicy {
         max_connections: 12,
         synchronous: true,
@@ -124,7 +138,7 @@
                 entry("i-a", silent, database::DatabaseRole::Primary),
                 entry("i-b", silent, database::DatabaseRole::Replica),
             ];
-            let control = Rc::new(RefCell::new(control(address, databases)));
+            let control = Rc::new(RefCell::new(control("vm-0", &["vm-0"], address, databases)));
             let evidence = shared::LeaderEvidence {
                 service: service(),
                 database: id("i-a"),
@@ -155,3 +169,78 @@
         })
         .await;
 }
+
+fn databases() -> Vec<database::DatabaseEntry> {
+    vec![
+        entry("i-a", any_address(), database::DatabaseRole::Primary),
+        entry("i-b", any_address(), database::DatabaseRole::Replica),
+    ]
+}
+
+/// Has `vm-0` enter the replacement of `i-a`, and `vm-1` say that it has seen that.
+fn claim_seen_by_all(claimer: &control::ControlCell) {
+    let replacing = leadership::LeaderEntry {
+        database: id("i-a"),
+        phase: leadership::LeaderPhase::Replacing,
+        floor: None,
+    };
+    let table = leadership::LeadershipTable::default();
+    let mut table = table.with_entry("vm-0", 7, &service(), replacing);
+    table.revision = 9;
+    claimer.borrow_mut().apply_table(&table);
+    let beat = beat::FleetBeat {
+        vm: "vm-1".to_owned(),
+        table_revision: 9,
+        ..beat::FleetBeat::default()
+    };
+    peers::take_beat(claimer, any_address(), (7, 1), beat, clock::now());
+}
+
+fn trusts_leader(control: &state::ControlState) -> bool {
+    let snapshot = control.shared.snapshot();
+    let trusted = snapshot.trusted_leader(&service(), clock::now());
+    trusted.is_some()
+}
+
+// Guards against reads at a leader that was replaced, by a VM that had registered after the
+// claimer listed all VMs and had read the table just before the claim.
+#[test]
+fn a_claimer_goes_on_only_once_it_has_listed_the_vms_again() {
+    let members = ["vm-0", "vm-1"];
+    let claimer = control("vm-0", &members, any_address(), databases());
+    let claimer = Rc::new(RefCell::new(claimer));
+    let all = ["vm-0", "vm-1", "vm-2"];
+    let mut newcomer = control("vm-2", &all, any_address(), databases());
+    newcomer.lease.record_store(clock::now(), 0);
+    newcomer.publish();
+    assert!(trusts_leader(&newcomer));
+    let claimed = clock::now();
+    claim_seen_by_all(&claimer);
+    let has_seen_all = |claimer: &control::ControlCell| {
+        let claimer = claimer.borrow();
+        claimer.have_all_seen_table(claimed, clock::now())
+    };
+    assert!(!has_seen_all(&claimer));
+    // The list still has these two only.
+    let records = claimer.borrow().members.clone();
+    claimer.borrow_mut().apply_members(records, 6, clock::now());
+    assert!(has_seen_all(&claimer));
+}
+
+// Guards against reads at a leader that was replaced, by a VM that had seen the claim,
+// started anew without the store and asked the leader itself.
+#[test]
+fn a_vm_that_has_started_trusts_no_leader_before_it_has_heard_of_the_table() {
+    let members = ["vm-0", "vm-1"];
+    let mut anew = control("vm-1", &members, any_address(), databases());
+    anew.record_probed(&service(), &id("i-a"), clock::now());
+    anew.publish();
+    assert!(!trusts_leader(&anew));
+    let anew = Rc::new(RefCell::new(anew));
+    let beat = beat::FleetBeat {
+        vm: "vm-0".to_owned(),
+        ..beat::FleetBeat::default()
+    };
+    peers::take_beat(&anew, any_address(), (7, 1), beat, clock::now());
+    assert!(trusts_leader(&anew.borrow()));
+}
