Name no database that does not answer the last question

Cause: before a successor is named, the databases that were held back are asked again. One that did not answer went on counting as held. If it had lost power, and came up empty between that question and the call, it was named with an empty log.

Change: the database that is to be named must have answered that question.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -193,13 +193,14 @@
             successor::SuccessorChoice::Promote { id, position } => {
                 let decided = replacement.decided.unwrap_or_else(clock::now);
                 wait_for_leases(control, replacement.claimed, decided).await;
-                hold::forget_released(control, &mut replacement).await;
+                let has_answered = hold::forget_released(control, &mut replacement, &id).await;
                 let before = successor::SuccessorChoice::Promote {
                     id: id.clone(),
                     position,
                 };
                 let is_unchanged = hold::choose(control, &replacement) == before;
-                if is_unchanged && promote(control, client, &replacement, &id).await {
+                if has_answered && is_unchanged && promote(control, client, &replacement, &id).await
+                {
                     publish_leader(control, client, &replacement, id, position).await;
                     return;
                 }
--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -188,14 +188,17 @@
 
 /// Asks the replicas again: one that was started anew receives again, although
 /// it was held back, and may hold nothing of before. Who led has stepped down and was
-/// never told to pause.
+/// never told to pause. Returns whether `chosen`, if it is one of them, has answered: a
+/// silent one may come back empty.
 pub(super) async fn forget_released(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
-) {
+    chosen: &name::DatabaseName,
+) -> bool {
     let Some(workspace) = control.borrow().any_workspace() else {
-        return;
+        return false;
     };
+    let mut has_answered = replacement.has_led(chosen);
     let mut entries = control.borrow().databases_of(&replacement.service);
     entries.retain(|entry| {
         replacement.held.contains_key(&entry.id) && !replacement.has_led(&entry.id)
@@ -213,6 +216,7 @@
         let Ok((Ok(status), entry)) = answered else {
             continue;
         };
+        has_answered |= entry.id == *chosen;
         let Some(held_at) = replacement.held.get(&entry.id).copied() else {
             continue;
         };
@@ -238,6 +242,7 @@
             replacement.emptied.insert(entry.id.clone(), emptied);
         }
     }
+    has_answered
 }
 
 pub(super) fn choose(
