History of statements as callers and databases saw them, and its checks

Times come from the clock that counts suspensions, which processes of one machine share.

Ruled out: a checker of its own in the soak; the search for keys is the existing one. The leaking bucket of check_rate is not used for windows: the platform's rate binds windows of one length and allows a slack.

--- a/crates/bluebellferry_history/src/lib.rs
+++ b/crates/bluebellferry_history/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A run records [`event::CallerEvent`]s; [`checker::check_history`] compares
 //! them with the rows that the surviving primary holds and returns every
-//! violation it finds.
+//! violation it finds. Where databases record what they run as well,
+//! [`statement::check_statements`] compares both sides statement by statement.
 //!
 //! ```
 //! use bluebellferry_history::{checker, event};
@@ -16,3 +17,5 @@
 
 pub mod checker;
 pub mod event;
+pub mod recorder;
+pub mod statement;
--- a/crates/bluebellferry_runtime/src/clock.rs
+++ b/crates/bluebellferry_runtime/src/clock.rs
@@ -16,7 +16,7 @@
 /// [`Instant::now`] stops while a machine is suspended, so leases judged by it
 /// would outlive their term. Values of both clocks must not be compared.
 pub fn now() -> Instant {
-    let boot_time = read_boot_time();
+    let boot_time = boot_time();
     let origin = ORIGIN.get_or_init(|| ClockOrigin {
         instant: Instant::now(),
         boot_time,
@@ -24,7 +24,10 @@
     origin.instant + boot_time.saturating_sub(origin.boot_time)
 }
 
-fn read_boot_time() -> Duration {
+/// Returns the time since the machine started, suspensions included.
+///
+/// All processes of a machine read the same clock, so their values compare.
+pub fn boot_time() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
     let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
