Play seeded faults against real processes behind relays

A new crate runs bluebellferry-edge processes, the stand-in store and the stand-in databases as processes of their own, with every link through a relay that delays, cuts one or both ways, silences or resets it, and injects faults by a seeded schedule. Datagrams between VMs are relayed without a change of the product: the store shows each VM the others and the databases at addresses of its own. All VMs must use one address of the store, so its relay tells them apart by the process that holds the connection.

Callers are a placeholder yet, so nothing is checked.

--- /dev/null
+++ b/crates/bluebellferry_soak/src/layout.rs
@@ -0,0 +1,167 @@
+//! Addresses of one run.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Below the ports that the system hands out for outgoing connections.
+const BASE_PORT: u16 = 19_000;
+/// Where VMs serve callers.
+const CALLER_PORT: u16 = BASE_PORT;
+const READINESS_PORT: u16 = BASE_PORT + 1;
+/// Where VMs copy objects from each other.
+pub const COPIES_PORT: u16 = BASE_PORT + 2;
+/// Where VMs send heartbeats.
+pub const PEER_PORT: u16 = BASE_PORT + 3;
+/// Where VMs serve metrics.
+pub const METRICS_PORT: u16 = BASE_PORT + 4;
+const STORE_PORT: u16 = BASE_PORT + 5;
+const DUTY_PORT: u16 = BASE_PORT + 6;
+const DATABASE_PORT: u16 = BASE_PORT + 7;
+const ORDER_PORT: u16 = BASE_PORT + 8;
+
+/// The networks 127.x that runs use; tests of other crates use lower ones.
+const FIRST_SUBNET: u8 = 100;
+const LAST_SUBNET: u8 = 250;
+/// The most places for VMs: their number stands in an address behind an offset.
+pub const MOST_PLACES: u8 = 100;
+/// Offsets within an address.
+const PLACE_OFFSET: u8 = 10;
+const VIEW_OFFSET: u8 = 100;
+const DATABASE_OFFSET: u8 = 120;
+
+/// Addresses of one run. Each VM sees the others, the databases, the store and
+/// the duty call at addresses of its own, which belong to relays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteLayout {
+    /// The second number of all addresses.
+    pub subnet: u8,
+    /// For how many VMs there is place, those that replace others included.
+    pub places: u8,
+    /// How many databases there are.
+    pub databases: u8,
+}
+
+/// A network that no other run uses while this value lives.
+#[derive(Debug)]
+pub struct SubnetClaim {
+    /// The second number of its addresses.
+    pub subnet: u8,
+    _listener: TcpListener,
+}
+
+impl SubnetClaim {
+    /// Claims a network.
+    ///
+    /// # Errors
+    /// Fails when all are taken.
+    pub fn take() -> std::io::Result<Self> {
+        let count = u32::from(LAST_SUBNET - FIRST_SUBNET);
+        let first = std::process::id() % count;
+        let mut failure = None;
+        for step in 0..count {
+            let subnet = FIRST_SUBNET + ((first + step) % count) as u8;
+            match TcpListener::bind((Ipv4Addr::new(127, subnet, 0, 1), BASE_PORT)) {
+                Ok(listener) => {
+                    return Ok(Self {
+                        subnet,
+                        _listener: listener,
+                    });
+                }
+                Err(error) => failure = Some(error),
+            }
+        }
+        Err(failure.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+    }
+}
+
+impl SiteLayout {
+    const fn ip(&self, third: u8, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.subnet, third, last)
+    }
+
+    const fn at(&self, third: u8, last: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(std::net::IpAddr::V4(self.ip(third, last)), port)
+    }
+
+    /// Returns a VM's address.
+    pub const fn vm(&self, place: u8) -> Ipv4Addr {
+        self.ip(0, PLACE_OFFSET + place)
+    }
+
+    /// Returns the place of a VM's address.
+    pub fn place_of(&self, address: Ipv4Addr) -> Option<u8> {
+        (0..self.places).find(|place| self.vm(*place) == address)
+    }
+
+    /// Returns the address under which `viewer` sees the VM `seen`.
+    pub const fn view(&self, viewer: u8, seen: u8) -> Ipv4Addr {
+        self.ip(VIEW_OFFSET + viewer, PLACE_OFFSET + seen)
+    }
+
+    /// Returns where a VM serves callers.
+    pub const fn callers(&self, place: u8) -> SocketAddr {
+        self.at(0, PLACE_OFFSET + place, CALLER_PORT)
+    }
+
+    /// Returns where callers connect to reach a VM.
+    pub const fn caller_relay(&self, place: u8) -> SocketAddr {
+        self.at(4, PLACE_OFFSET + place, CALLER_PORT)
+    }
+
+    /// Returns where a VM tells whether it is ready.
+    pub const fn readiness(&self, place: u8) -> SocketAddr {
+        self.at(0, PLACE_OFFSET + place, READINESS_PORT)
+    }
+
+    /// Returns where the store serves a VM.
+    pub const fn store(&self, place: u8) -> SocketAddr {
+        self.at(1, PLACE_OFFSET + place, STORE_PORT)
+    }
+
+    /// Returns where all VMs find the store: its address tells deployments
+    /// apart, so it must be the same for all.
+    pub const fn store_relay(&self) -> SocketAddr {
+        self.at(0, 1, STORE_PORT)
+    }
+
+    /// Returns where the duty call is served.
+    pub const fn duty(&self) -> SocketAddr {
+        self.at(0, 2, DUTY_PORT)
+    }
+
+    /// Returns where a VM finds the duty call.
+    pub const fn duty_relay(&self, place: u8) -> SocketAddr {
+        self.at(2, PLACE_OFFSET + place, DUTY_PORT)
+    }
+
+    /// Returns where a database serves.
+    pub const fn database(&self, database: u8) -> SocketAddr {
+        self.at(3, DATABASE_OFFSET + database, DATABASE_PORT)
+    }
+
+    /// Returns where a VM finds a database.
+    pub const fn database_relay(&self, place: u8, database: u8) -> SocketAddr {
+        let third = VIEW_OFFSET + place;
+        self.at(third, DATABASE_OFFSET + database, DATABASE_PORT)
+    }
+
+    /// Returns the database that serves at an address.
+    pub fn database_of(&self, address: &str) -> Option<u8> {
+        let address = address.parse::<SocketAddr>().ok()?;
+        (0..self.databases).find(|database| self.database(*database) == address)
+    }
+
+    /// Returns where the store takes orders.
+    pub const fn store_orders(&self) -> SocketAddr {
+        self.at(0, 3, ORDER_PORT)
+    }
+
+    /// Returns where the databases take orders.
+    pub const fn group_orders(&self) -> SocketAddr {
+        self.at(0, 4, ORDER_PORT)
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_soak/src/orders.rs
@@ -0,0 +1,241 @@
+//! The stand-ins' processes, and the orders that they take.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_history::statement;
+use bluebellferry_standin_platform::contents;
+use bluebellferry_standin_platform::database;
+use bluebellferry_standin_platform::store;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::SoakError;
+use crate::layout;
+
+/// How long a stand-in waits for whoever started it, and an order for its answer.
+const ORDER_LIMIT: Duration = Duration::from_secs(20);
+/// The service that the databases run.
+pub const SERVICE: &str = "rental";
+/// How many connections a database takes.
+const MAX_CONNECTIONS: u32 = 20;
+/// How long replicas take to apply what they receive.
+pub const USUAL_LAG: Duration = Duration::from_millis(20);
+
+/// An order to the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum StoreOrder {
+    /// Writes an object: kind, name, value.
+    Put(String, String, Value),
+    /// Removes an object: kind, name.
+    Remove(String, String),
+    /// Makes every call fail, or ends that.
+    Down(bool),
+    /// Delays every call by so many milliseconds.
+    Delay(u64),
+    /// Loses the answers to writes, or ends that.
+    LoseAnswers(bool),
+    /// Makes writes take effect late, or ends that.
+    WriteLate(bool),
+    /// Forgets the history.
+    Forget,
+    /// Refuses these readers, and no others.
+    TurnAway(BTreeSet<usize>),
+}
+
+/// An order to the databases.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GroupOrder {
+    /// Makes a member silent, or ends that.
+    Silence(usize, bool),
+    /// Sets a member's lag in milliseconds.
+    Lag(usize, u64),
+    /// Keeps the log from a member, or ends that.
+    Deafen(usize, bool),
+    /// Ends a member.
+    Crash(usize),
+    /// Starts a member again, under another identity if one is given.
+    Start(usize, Option<String>),
+    /// Makes the next statement run without an answer.
+    DropAnswer,
+    /// Asks for what an operator sees.
+    Reports,
+    /// Asks for what was seen since the last time.
+    TakeHistory,
+}
+
+/// Plays the store until whoever started it goes away.
+///
+/// # Errors
+/// Fails when an address is taken.
+pub async fn play_store(layout: layout::SiteLayout) -> Result<(), SoakError> {
+    let store = Arc::new(store::StandinStore::default());
+    for place in 0..layout.places {
+        let view = move |kind: &str, name: &str, value| view_of(layout, place, kind, name, value);
+        let serving = Arc::clone(&store).serve_reader(
+            layout.store(place),
+            usize::from(place),
+            Box::new(view),
+        );
+        serving.await?;
+    }
+    take_orders(layout.store_orders(), |order| {
+        match order {
+            StoreOrder::Put(kind, name, value) => store.put(&kind, &name, value),
+            StoreOrder::Remove(kind, name) => store.remove(&kind, &name),
+            StoreOrder::Down(is_down) => store.set_down(is_down),
+            StoreOrder::Delay(millis) => store.set_delay(Duration::from_millis(millis)),
+            StoreOrder::LoseAnswers(loses) => store.set_loses_answers(loses),
+            StoreOrder::WriteLate(is_late) => store.set_writes_late(is_late),
+            StoreOrder::Forget => store.forget_history(),
+            StoreOrder::TurnAway(readers) => store.turn_away(readers),
+        }
+        json!({"calls": store.calls()})
+    })
+    .await
+}
+
+/// Returns an object as the VM at `place` sees it: others and databases stand at
+/// the addresses of its own relays.
+fn view_of(
+    layout: layout::SiteLayout,
+    place: u8,
+    kind: &str,
+    name: &str,
+    mut value: Value,
+) -> Value {
+    if kind == contents::REGISTRATIONS {
+        let database = value["Addr"]
+            .as_str()
+            .and_then(|text| layout.database_of(text));
+        if let Some(database) = database {
+            value["Addr"] = json!(layout.database_relay(place, database).to_string());
+        }
+    } else if let Some(seen) = place_in_name(name).filter(|_| value["address"].is_string())
+        && seen != place
+    {
+        value["address"] = json!(layout.view(place, seen).to_string());
+    }
+    value
+}
+
+/// Returns the name of the VM at a place.
+pub fn vm_name(place: u8) -> String {
+    format!("vm-{place}")
+}
+
+pub(crate) fn place_in_name(name: &str) -> Option<u8> {
+    name.strip_prefix("vm-")?.parse().ok()
+}
+
+/// Returns the first identity of a database.
+pub fn database_name(database: u8) -> String {
+    format!("i-{database}")
+}
+
+/// Plays the databases until whoever started them goes away.
+///
+/// # Errors
+/// Fails when an address is taken.
+pub async fn play_group(layout: layout::SiteLayout) -> Result<(), SoakError> {
+    let names: Vec<String> = (0..layout.databases).map(database_name).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let group = database::StandinGroup::new(SERVICE, &names, USUAL_LAG, MAX_CONNECTIONS);
+    for database in 0..layout.databases {
+        let address = layout.database(database);
+        let serving = Arc::clone(&group).serve(usize::from(database), address);
+        serving.await?;
+    }
+    Arc::clone(&group).serve_duty(layout.duty()).await?;
+    take_orders(layout.group_orders(), |order| {
+        match order {
+            GroupOrder::Silence(member, is_silent) => group.set_down(member, is_silent),
+            GroupOrder::Lag(member, millis) => group.set_lag(member, Duration::from_millis(millis)),
+            GroupOrder::Deafen(member, is_deaf) => group.set_deaf(member, is_deaf),
+            GroupOrder::Crash(member) => group.crash(member),
+            GroupOrder::Start(member, id) => group.start_again(member, id.as_deref()),
+            GroupOrder::DropAnswer => group.drop_next_answer(),
+            GroupOrder::Reports => return json!(group.reports()),
+            GroupOrder::TakeHistory => return json!(statement::StatementHistory::default()),
+        }
+        Value::Null
+    })
+    .await
+}
+
+/// Answers the orders of one connection until it ends.
+async fn take_orders<T, F>(address: SocketAddr, mut carry_out: F) -> Result<(), SoakError>
+where
+    T: DeserializeOwned,
+    F: FnMut(T) -> Value,
+{
+    let listener = TcpListener::bind(address).await?;
+    let (stream, _) = within_limit(listener.accept()).await?;
+    stream.set_nodelay(true)?;
+    let mut stream = BufReader::new(stream);
+    let mut line = String::new();
+    while stream.read_line(&mut line).await? > 0 {
+        let mut answer = carry_out(serde_json::from_str(&line)?).to_string();
+        answer.push('\n');
+        stream.get_mut().write_all(answer.as_bytes()).await?;
+        line.clear();
+    }
+    Ok(())
+}
+
+async fn within_limit<T>(future: impl Future<Output = std::io::Result<T>>) -> std::io::Result<T> {
+    tokio::time::timeout(ORDER_LIMIT, future).await?
+}
+
+/// The way to a stand-in's process.
+#[derive(Debug)]
+pub struct OrderLine {
+    stream: BufReader<TcpStream>,
+}
+
+impl OrderLine {
+    /// Connects to a process that may still be starting.
+    ///
+    /// # Errors
+    /// Fails when it does not listen within the limit.
+    pub async fn connect(address: SocketAddr) -> Result<Self, SoakError> {
+        let started = tokio::time::Instant::now();
+        loop {
+            match TcpStream::connect(address).await {
+                Ok(stream) => {
+                    stream.set_nodelay(true)?;
+                    let stream = BufReader::new(stream);
+                    return Ok(Self { stream });
+                }
+                Err(error) if started.elapsed() > ORDER_LIMIT => return Err(error.into()),
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    /// Has an order carried out; returns the answer.
+    ///
+    /// # Errors
+    /// Fails when the process is gone.
+    pub async fn send(&mut self, order: &impl Serialize) -> Result<Value, SoakError> {
+        let mut line = serde_json::to_string(order)?;
+        line.push('\n');
+        self.stream.get_mut().write_all(line.as_bytes()).await?;
+        line.clear();
+        let reading = within_limit(self.stream.read_line(&mut line));
+        if reading.await? == 0 {
+            return Err(SoakError::StandinEnded);
+        }
+        Ok(serde_json::from_str(&line)?)
+    }
+}
--- /dev/null
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -0,0 +1,161 @@
+//! Schedules of faults that are drawn by seed.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fault::FaultKind;
+use crate::fault::LinkFault;
+use crate::fault::LinkName;
+use crate::fault::ScheduledFault;
+use crate::relay::WayState;
+
+/// When the first fault may come: callers have learned the answer times by then.
+const FIRST_MS: u64 = 1_500;
+/// How long after the last fault callers go on, so that recovery is seen.
+pub const CALM_END_MS: u64 = 5_000;
+/// The pauses between two faults of a series.
+const PAUSES_MS: std::ops::Range<u64> = 100..1_600;
+/// Of how many faults one comes together with the one before it.
+const TOGETHER: f64 = 0.3;
+/// How long faults last. A freeze of six seconds outlives every lease and time-out.
+const LASTS_MS: std::ops::Range<u64> = 200..6_000;
+/// The rate that a lower limit allows.
+const RATES: std::ops::Range<u32> = 60..200;
+
+/// The size of what is played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteSize {
+    /// The VMs at the start.
+    pub vms: u8,
+    /// The places for VMs that replace others.
+    pub spares: u8,
+    /// The databases.
+    pub databases: u8,
+}
+
+/// What is played, and when.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultSchedule {
+    /// The seed that it was drawn by.
+    pub seed: u64,
+    /// The size of the site.
+    pub size: SiteSize,
+    /// For how long callers run, in milliseconds.
+    pub length_ms: u64,
+    /// The faults, by their time.
+    pub faults: Vec<ScheduledFault>,
+}
+
+impl FaultSchedule {
+    /// Draws a schedule; the same arguments give the same schedule.
+    pub fn draw(seed: u64, size: SiteSize, length_ms: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let last_ms = length_ms.saturating_sub(CALM_END_MS);
+        let mut faults = Vec::new();
+        let mut replaced = 0;
+        let mut at_ms = FIRST_MS;
+        while at_ms < last_ms {
+            let kind = draw_kind(&mut random, size, &mut replaced);
+            let lasts_ms = random.random_range(LASTS_MS).min(last_ms - at_ms);
+            faults.push(ScheduledFault {
+                at_ms,
+                lasts_ms,
+                kind,
+            });
+            if !random.random_bool(TOGETHER) {
+                at_ms += random.random_range(PAUSES_MS);
+            }
+        }
+        Self {
+            seed,
+            size,
+            length_ms,
+            faults,
+        }
+    }
+}
+
+fn draw_kind(random: &mut StdRng, size: SiteSize, replaced: &mut u8) -> FaultKind {
+    let vm = random.random_range(0..size.vms);
+    let database = random.random_range(0..size.databases);
+    let some = some_vms(random, size);
+    // Links and freezes have many forms, so they come more often.
+    match random.random_range(0..28) {
+        0 | 1 => FaultKind::Stop(some),
+        2 => FaultKind::Reload(vm),
+        3..=6 => FaultKind::Freeze(some),
+        7 | 8 => FaultKind::Kill(some),
+        9 if *replaced < size.spares => {
+            *replaced += 1;
+            FaultKind::Replace(vm)
+        }
+        9..=14 => draw_link(random, size),
+        15 => FaultKind::Rate(random.random_range(RATES)),
+        16 => FaultKind::WithdrawKey,
+        17 => FaultKind::Leave(database),
+        18 => FaultKind::StoreDown,
+        19 => FaultKind::StoreSlow(random.random_range(50..2_000)),
+        20 if random.random_bool(0.5) => FaultKind::StoreLosesAnswers,
+        20 => FaultKind::StoreWritesLate,
+        21 => FaultKind::StoreForgets,
+        22 => FaultKind::StoreTurnsAway(some),
+        23 => FaultKind::Lag(database, random.random_range(100..5_000)),
+        24 => FaultKind::Deafen(database),
+        25 => FaultKind::Silence(database),
+        26 if random.random_bool(0.5) => FaultKind::Rebirth(database),
+        26 => FaultKind::Crash(database),
+        _ => FaultKind::LoseAnswer,
+    }
+}
+
+/// Draws one VM mostly, and several at times.
+fn some_vms(random: &mut StdRng, size: SiteSize) -> Vec<u8> {
+    let vms: Vec<u8> = (0..size.vms).collect();
+    let count = if random.random_bool(0.7) {
+        1
+    } else {
+        random.random_range(1..=vms.len())
+    };
+    let mut chosen: Vec<u8> = vms.choose_multiple(random, count).copied().collect();
+    chosen.sort_unstable();
+    chosen
+}
+
+fn draw_link(random: &mut StdRng, size: SiteSize) -> FaultKind {
+    let vm = random.random_range(0..size.vms);
+    let database = random.random_range(0..size.databases);
+    let others = (0..size.vms).filter(|other| *other != vm);
+    let peers = |vm: u8, other: u8| LinkName::Peers(vm, other);
+    let links: Vec<LinkName> = match random.random_range(0..7) {
+        0 => vec![LinkName::Callers(vm)],
+        1 => vec![LinkName::Store(vm)],
+        2 => vec![LinkName::Duty(vm)],
+        3 => vec![LinkName::Database(vm, database)],
+        4 => (0..size.vms)
+            .map(|vm| LinkName::Database(vm, database))
+            .collect(),
+        // A VM that is cut off from the others, and perhaps from all else.
+        5 => others.map(|other| peers(vm, other)).collect(),
+        _ => {
+            let mut links: Vec<LinkName> = others.map(|other| peers(vm, other)).collect();
+            links.push(LinkName::Store(vm));
+            links.push(LinkName::Duty(vm));
+            links
+        }
+    };
+    let delay = WayState::Delayed(random.random_range(5..800));
+    let fault = match random.random_range(0..7) {
+        0 => LinkFault::Reset,
+        1 => LinkFault::Ways(delay, delay),
+        2 => LinkFault::Ways(WayState::Open, delay),
+        3 => LinkFault::Ways(WayState::Cut, WayState::Open),
+        4 => LinkFault::Ways(WayState::Open, WayState::Cut),
+        5 => LinkFault::Ways(WayState::Cut, WayState::Cut),
+        _ => LinkFault::Ways(WayState::Silenced, WayState::Silenced),
+    };
+    FaultKind::Link(links, fault)
+}
