--- a/crates/bluebellferry_soak/src/relay.rs
+++ b/crates/bluebellferry_soak/src/relay.rs
@@ -118,7 +118,7 @@
         };
         match choose(from) {
             Some((target, link)) => drop(tokio::spawn(carry(near, target, link))),
-            None => log::debug!("a relay knows nobody at {from}"),
+            None => log::warn!("a relay knows nobody at {from}"),
         }
     }
 }
--- a/crates/bluebellferry_soak/src/site.rs
+++ b/crates/bluebellferry_soak/src/site.rs
@@ -130,6 +130,10 @@
         size: schedule::SiteSize,
         folder: &Path,
     ) -> Result<Self, SoakError> {
+        if folder.exists() {
+            // Logs are appended to, so those of an earlier play go first.
+            std::fs::remove_dir_all(folder)?;
+        }
         std::fs::create_dir_all(folder)?;
         let claim = layout::SubnetClaim::take()?;
         let layout = layout::SiteLayout {
