--- a/crates/bluebellferry_history/src/statement/index.rs
+++ b/crates/bluebellferry_history/src/statement/index.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::ops::Bound;
 
 use bluebellferry_types::position;
 
@@ -115,7 +116,10 @@
         if position.term > end.term || position.offset > end.offset {
             return false;
         }
-        let later = (service, position.term + 1)..=(service, end.term);
+        let later = (
+            Bound::Excluded((service, position.term)),
+            Bound::Included((service, end.term)),
+        );
         let mut promotions = self.promotions.range(later);
         promotions.all(|(_, promotion)| position.offset <= promotion.kept.offset)
     }
