--- a/crates/bluebellferry_history/tests/statements/commits.rs
+++ b/crates/bluebellferry_history/tests/statements/commits.rs
@@ -169,7 +169,7 @@
     };
     assert_eq!(
         ended(Action::Commit, Outcome::NothingKept),
-        [untrue.clone()]
+        std::slice::from_ref(&untrue)
     );
     assert_eq!(ended(Action::Commit, Outcome::InDoubt), []);
     assert_eq!(ended(Action::Commit, answered("c")), []);
