--- a/crates/bluebellferry_soak/src/orders.rs
+++ b/crates/bluebellferry_soak/src/orders.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellferry_history::statement;
 use bluebellferry_standin_platform::contents;
 use bluebellferry_standin_platform::database;
 use bluebellferry_standin_platform::store;
@@ -166,7 +165,7 @@
             GroupOrder::Start(member, id) => group.start_again(member, id.as_deref()),
             GroupOrder::DropAnswer => group.drop_next_answer(),
             GroupOrder::Reports => return json!(group.reports()),
-            GroupOrder::TakeHistory => return json!(statement::StatementHistory::default()),
+            GroupOrder::TakeHistory => return json!(group.take_history()),
         }
         Value::Null
     })
--- /dev/null
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -0,0 +1,48 @@
+//! A short seeded soak with real processes.
+//!
+//! The VMs' program is the one beside the soak's: cargo builds both where it tests the
+//! whole workspace. With `-p bluebellferry_soak` alone, build `bluebellferry_edge` first.
+
+use std::path::Path;
+
+use bluebellferry_soak::play;
+use bluebellferry_soak::report;
+use bluebellferry_soak::schedule;
+use bluebellferry_soak::site;
+
+/// The variable that names another seed.
+const SEED_VARIABLE: &str = "BLUEBELLFERRY_SOAK_SEED";
+const USUAL_SEED: u64 = 1;
+const LENGTH_MS: u64 = 35_000;
+const CALLERS: usize = 12;
+/// Fewer statements would show little.
+const LEAST_STATEMENTS: usize = 500;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_breaks_no_promise() {
+    let seed = std::env::var(SEED_VARIABLE).ok();
+    let seed = seed.map_or(USUAL_SEED, |text| text.parse().expect("a seed is a number"));
+    println!("{SEED_VARIABLE}={seed}");
+    let soak = Path::new(env!("CARGO_BIN_EXE_bluebellferry-soak"));
+    let programs = site::SitePrograms {
+        vm: soak.with_file_name("bluebellferry-edge"),
+        soak: soak.to_owned(),
+    };
+    assert!(programs.vm.exists(), "build bluebellferry_edge first");
+    let size = schedule::SiteSize {
+        vms: 3,
+        spares: 2,
+        databases: 3,
+    };
+    let schedule = schedule::FaultSchedule::draw(seed, size, LENGTH_MS);
+    let settings = play::PlaySettings {
+        programs,
+        folder: soak.with_file_name(format!("soak-test-{seed}")),
+        callers: CALLERS,
+        shows_progress: false,
+    };
+    let outcome = play::play(&schedule, &settings).await.expect("it is played");
+    let page = report::render(&outcome);
+    assert!(outcome.violations.is_empty(), "seed {seed}\n{page}");
+    assert!(outcome.statements >= LEAST_STATEMENTS, "seed {seed}\n{page}");
+}
