--- a/crates/bluebellferry_soak/src/fault.rs
+++ b/crates/bluebellferry_soak/src/fault.rs
@@ -5,6 +5,9 @@
 
 use crate::relay::WayState;
 
+/// Stands for the database that leads when a fault begins.
+pub const LEADER: u8 = u8::MAX;
+
 /// A link between two processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkName {
@@ -29,7 +32,7 @@
     Reset,
 }
 
-/// A fault. Numbers of VMs are places, those of databases indices.
+/// A fault. Numbers of VMs are places, those of databases indices or [`LEADER`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FaultKind {
     /// SIGTERM to some VMs; they are started again once they have ended.
@@ -111,6 +114,27 @@
         ("lose-answer", "a statement runs without an answer"),
     ];
 
+    /// Returns the fault with the database that leads in place of [`LEADER`].
+    pub fn with_leader(&self, leader: u8) -> Self {
+        let named = |database: u8| if database == LEADER { leader } else { database };
+        match self {
+            Self::Link(links, fault) => {
+                let link = |link: &LinkName| match *link {
+                    LinkName::Database(vm, database) => LinkName::Database(vm, named(database)),
+                    other => other,
+                };
+                Self::Link(links.iter().map(link).collect(), *fault)
+            }
+            Self::Leave(database) => Self::Leave(named(*database)),
+            Self::Lag(database, millis) => Self::Lag(named(*database), *millis),
+            Self::Deafen(database) => Self::Deafen(named(*database)),
+            Self::Silence(database) => Self::Silence(named(*database)),
+            Self::Crash(database) => Self::Crash(named(*database)),
+            Self::Rebirth(database) => Self::Rebirth(named(*database)),
+            other => other.clone(),
+        }
+    }
+
     /// Returns the kind's index in [`Self::KINDS`].
     const fn index(&self) -> usize {
         match self {
--- a/crates/bluebellferry_soak/src/play.rs
+++ b/crates/bluebellferry_soak/src/play.rs
@@ -152,7 +152,7 @@
             .extract_if(.., |index| is_over(index))
             .collect::<Vec<_>>()
         {
-            site.end(index, &faults[index]).await?;
+            site.end(index).await?;
         }
         while begun < faults.len() && faults[begun].at_ms <= now_ms {
             let fault = &faults[begun];
@@ -181,7 +181,7 @@
         }
         if !violations.is_empty() || now_ms >= schedule.length_ms {
             for index in running {
-                site.end(index, &faults[index]).await?;
+                site.end(index).await?;
             }
             return Ok(violations);
         }
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fault;
 use crate::fault::FaultKind;
 use crate::fault::LinkFault;
 use crate::fault::LinkName;
@@ -21,6 +22,8 @@
 const PAUSES_MS: std::ops::Range<u64> = 100..1_600;
 /// Of how many faults one comes together with the one before it.
 const TOGETHER: f64 = 0.3;
+/// Of how many faults of a database one meets its leader for certain.
+const LEADERS: f64 = 0.4;
 /// How long faults last. A freeze of six seconds outlives every lease and time-out.
 const LASTS_MS: std::ops::Range<u64> = 200..6_000;
 /// The rate that a lower limit allows.
@@ -81,10 +84,10 @@
 
 fn draw_kind(random: &mut StdRng, size: SiteSize, replaced: &mut u8) -> FaultKind {
     let vm = random.random_range(0..size.vms);
-    let database = random.random_range(0..size.databases);
+    let database = draw_database(random, size);
     let some = some_vms(random, size);
-    // Links and freezes have many forms, so they come more often.
-    match random.random_range(0..28) {
+    // Freezes, links and databases have many forms, so they come more often.
+    match random.random_range(0..34) {
         0 | 1 => FaultKind::Stop(some),
         2 => FaultKind::Reload(vm),
         3..=6 => FaultKind::Freeze(some),
@@ -96,22 +99,30 @@
         9..=14 => draw_link(random, size),
         15 => FaultKind::Rate(random.random_range(RATES)),
         16 => FaultKind::WithdrawKey,
-        17 => FaultKind::Leave(database),
-        18 => FaultKind::StoreDown,
-        19 => FaultKind::StoreSlow(random.random_range(50..2_000)),
-        20 if random.random_bool(0.5) => FaultKind::StoreLosesAnswers,
-        20 => FaultKind::StoreWritesLate,
-        21 => FaultKind::StoreForgets,
-        22 => FaultKind::StoreTurnsAway(some),
-        23 => FaultKind::Lag(database, random.random_range(100..5_000)),
-        24 => FaultKind::Deafen(database),
-        25 => FaultKind::Silence(database),
-        26 if random.random_bool(0.5) => FaultKind::Rebirth(database),
-        26 => FaultKind::Crash(database),
+        17 | 18 => FaultKind::Leave(database),
+        19 => FaultKind::StoreDown,
+        20 => FaultKind::StoreSlow(random.random_range(50..2_000)),
+        21 if random.random_bool(0.5) => FaultKind::StoreLosesAnswers,
+        21 => FaultKind::StoreWritesLate,
+        22 => FaultKind::StoreForgets,
+        23 => FaultKind::StoreTurnsAway(some),
+        24..=26 => FaultKind::Lag(database, random.random_range(100..5_000)),
+        27 => FaultKind::Deafen(database),
+        28 | 29 => FaultKind::Silence(database),
+        30 => FaultKind::Crash(database),
+        31 => FaultKind::Rebirth(database),
         _ => FaultKind::LoseAnswer,
     }
 }
 
+fn draw_database(random: &mut StdRng, size: SiteSize) -> u8 {
+    if random.random_bool(LEADERS) {
+        fault::LEADER
+    } else {
+        random.random_range(0..size.databases)
+    }
+}
+
 /// Draws one VM mostly, and several at times.
 fn some_vms(random: &mut StdRng, size: SiteSize) -> Vec<u8> {
     let vms: Vec<u8> = (0..size.vms).collect();
@@ -127,7 +138,7 @@
 
 fn draw_link(random: &mut StdRng, size: SiteSize) -> FaultKind {
     let vm = random.random_range(0..size.vms);
-    let database = random.random_range(0..size.databases);
+    let database = draw_database(random, size);
     let others = (0..size.vms).filter(|other| *other != vm);
     let peers = |vm: u8, other: u8| LinkName::Peers(vm, other);
     let links: Vec<LinkName> = match random.random_range(0..7) {
--- a/crates/bluebellferry_soak/src/site.rs
+++ b/crates/bluebellferry_soak/src/site.rs
@@ -15,6 +15,7 @@
 use bluebellferry_history::statement;
 use bluebellferry_history::statement::FaultTarget;
 use bluebellferry_standin_platform::contents;
+use bluebellferry_standin_platform::database;
 use bluebellferry_standin_platform::deployment;
 use rustix::process::Signal;
 use serde_json::json;
@@ -66,6 +67,15 @@
     is_killed: bool,
 }
 
+/// A fault that has not ended.
+#[derive(Debug)]
+struct RunningFault {
+    /// What it is, with all targets named.
+    kind: FaultKind,
+    /// Its spans in the history.
+    spans: Vec<usize>,
+}
+
 /// A running site.
 #[derive(Debug)]
 pub struct RunningSite {
@@ -86,8 +96,8 @@
     version: u64,
     rate: u32,
     key_number: u64,
-    /// The spans of faults that have not ended, by the faults' indices.
-    open_spans: BTreeMap<usize, Vec<usize>>,
+    /// The faults that have not ended, by their indices.
+    running: BTreeMap<usize, RunningFault>,
     /// What was done: faults, signals, starts, configurations, leaving databases.
     pub done: statement::StatementHistory,
     /// Processes that ended by themselves or did not stop in time.
@@ -161,7 +171,7 @@
             version: 0,
             rate: USUAL_RATE,
             key_number: 0,
-            open_spans: BTreeMap::new(),
+            running: BTreeMap::new(),
             done: statement::StatementHistory::default(),
             ended: Vec::new(),
         };
@@ -408,11 +418,10 @@
         index: usize,
         scheduled: &fault::ScheduledFault,
     ) -> Result<(), SoakError> {
-        for target in self.targets(&scheduled.kind) {
-            self.open_spans
-                .entry(index)
-                .or_default()
-                .push(self.done.faults.len());
+        let kind = scheduled.kind.with_leader(self.find_leader().await?);
+        let mut spans = Vec::new();
+        for target in self.targets(&kind) {
+            spans.push(self.done.faults.len());
             self.done.faults.push(statement::FaultSpan {
                 target,
                 started_us: recorder::now_us(),
@@ -420,7 +429,17 @@
             });
         }
         let lasts = Duration::from_millis(scheduled.lasts_ms);
-        self.inject(&scheduled.kind, lasts).await
+        self.inject(&kind, lasts).await?;
+        self.running.insert(index, RunningFault { kind, spans });
+        Ok(())
+    }
+
+    /// Returns the database that leads, the first if none does.
+    async fn find_leader(&mut self) -> Result<u8, SoakError> {
+        let reports = self.group.send(&GroupOrder::Reports).await?;
+        let reports: Vec<database::MemberReport> = serde_json::from_value(reports)?;
+        let leader = reports.iter().position(|member| member.is_primary);
+        Ok(leader.unwrap_or(0) as u8)
     }
 
     async fn inject(&mut self, kind: &FaultKind, lasts: Duration) -> Result<(), SoakError> {
@@ -479,12 +498,11 @@
     ///
     /// # Errors
     /// Fails when a stand-in is gone or a process cannot be started.
-    pub async fn end(
-        &mut self,
-        index: usize,
-        scheduled: &fault::ScheduledFault,
-    ) -> Result<(), SoakError> {
-        match &scheduled.kind {
+    pub async fn end(&mut self, index: usize) -> Result<(), SoakError> {
+        let Some(fault) = self.running.remove(&index) else {
+            return Ok(());
+        };
+        match &fault.kind {
             FaultKind::Freeze(places) => {
                 for place in places {
                     self.signal(self.current(*place), Signal::CONT);
@@ -516,9 +534,8 @@
             other => self.order(other, false).await?,
         }
         self.look_after_processes()?;
-        let is_for_good = matches!(scheduled.kind, FaultKind::Replace(_));
-        let spans = self.open_spans.remove(&index).unwrap_or_default();
-        for span in spans.into_iter().filter(|_| !is_for_good) {
+        let is_for_good = matches!(fault.kind, FaultKind::Replace(_));
+        for span in fault.spans.into_iter().filter(|_| !is_for_good) {
             self.done.faults[span].ended_us = recorder::now_us();
         }
         Ok(())
