Count only answers of databases as service after a fault

A VM answers STARTUP, BEGIN and SET itself, so the check of recovery would have passed a VM that serves nothing else. A twin in the test shows it.

--- a/crates/bluebellferry_history/src/statement.rs
+++ b/crates/bluebellferry_history/src/statement.rs
@@ -59,6 +59,13 @@
     Setup,
 }
 
+impl StatementAction {
+    /// Returns whether only a database can answer it.
+    pub const fn needs_database(self) -> bool {
+        matches!(self, Self::Read | Self::Write | Self::Commit)
+    }
+}
+
 /// What a caller was told.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatementOutcome {
--- a/crates/bluebellferry_history/src/statement/answers.rs
+++ b/crates/bluebellferry_history/src/statement/answers.rs
@@ -13,13 +13,6 @@
 /// The id of statements that the system sends of its own.
 const SYSTEM_REQUEST: &str = "-";
 
-const fn needs_database(action: StatementAction) -> bool {
-    matches!(
-        action,
-        StatementAction::Read | StatementAction::Write | StatementAction::Commit
-    )
-}
-
 /// Finds runs and commits that no caller asked for.
 pub(super) fn unasked_runs(index: &index::HistoryIndex<'_>) -> Vec<StatementViolation> {
     let unasked = |request: &str, database: &str| StatementViolation::UnaskedRun {
@@ -29,7 +22,7 @@
     let is_unasked = |run: &&DatabaseRun| {
         let sent = index.statement(&run.request);
         let is_sent = sent.is_some_and(|sent| sent.text == run.text && sent.action == run.action);
-        let is_system = run.request == SYSTEM_REQUEST && !needs_database(run.action);
+        let is_system = run.request == SYSTEM_REQUEST && !run.action.needs_database();
         !is_sent && !is_system
     };
     let runs = index.history.runs.iter().filter(is_unasked);
@@ -64,7 +57,7 @@
         };
         let mut runs = index.runs(&statement.request).iter();
         let is_given = runs.any(|run| run.receipt.as_ref() == Some(receipt) && run.rows == *rows);
-        if needs_database(statement.action) && !is_given {
+        if statement.action.needs_database() && !is_given {
             violations.push(StatementViolation::ForeignAnswer {
                 request: statement.request.clone(),
             });
@@ -87,7 +80,7 @@
     runs.sort_by_key(|run| run.started_us);
     for run in runs {
         let statement = index.statement(&run.request);
-        let Some(statement) = statement.filter(|_| needs_database(run.action)) else {
+        let Some(statement) = statement.filter(|_| run.action.needs_database()) else {
             continue;
         };
         let is_own = match (run.transaction, statement.is_in_transaction) {
@@ -110,7 +103,7 @@
 pub(super) fn foreign_values(index: &index::HistoryIndex<'_>) -> Vec<StatementViolation> {
     let is_foreign = |run: &&DatabaseRun| {
         let statement = index.statement(&run.request);
-        needs_database(run.action)
+        run.action.needs_database()
             && statement.is_some_and(|statement| statement.values != run.values)
     };
     let foreign = index.history.runs.iter().filter(is_foreign);
--- a/crates/bluebellferry_history/src/statement/service.rs
+++ b/crates/bluebellferry_history/src/statement/service.rs
@@ -75,14 +75,15 @@
 /// Finds spans without faults in which a VM served nothing for longer than the
 /// bound, or all together less than a quarter although it was more before.
 pub(super) fn missing_recoveries(index: &index::HistoryIndex<'_>) -> Vec<StatementViolation> {
-    let is_refused = |statement: &CallerStatement| {
-        let refusals = [StatementOutcome::UnknownRoute, StatementOutcome::KeyRefused];
-        refusals.contains(&statement.outcome)
+    // Refusals of routes and keys, and answers that a VM gives itself, say
+    // nothing of its service.
+    let is_telling = |statement: &&CallerStatement| match statement.outcome {
+        StatementOutcome::UnknownRoute | StatementOutcome::KeyRefused => false,
+        StatementOutcome::Answered { .. } => statement.action.needs_database(),
+        _ => true,
     };
     let statements = index.history.statements.iter();
-    let mut statements: Vec<&CallerStatement> = statements
-        .filter(|statement| !is_refused(statement))
-        .collect();
+    let mut statements: Vec<&CallerStatement> = statements.filter(is_telling).collect();
     statements.sort_by_key(|statement| statement.sent_us);
     let end_us = statements.iter().map(|statement| statement.ended_us).max();
     let vms: BTreeSet<&str> = statements
--- a/crates/bluebellferry_history/tests/statements/service.rs
+++ b/crates/bluebellferry_history/tests/statements/service.rs
@@ -149,6 +149,13 @@
         history.runs.push(ran);
     });
     assert_eq!(check(&once), []);
+    // What the VM answers itself does not.
+    let begun = with(&late, |history| {
+        let read = &mut history.statements[30];
+        read.action = Action::Begin;
+        read.outcome = answered(&read.request.clone());
+    });
+    assert_eq!(check(&begun).len(), 1);
     // Refusals of the key say nothing of recovery.
     let denied = with(&late, |history| {
         for statement in &mut history.statements {
