Callers of all three kinds for the soak

Each statement is recorded as its caller saw it. StandinCaller tells receipts, promises and what comes unasked.

--- /dev/null
+++ b/crates/bluebellferry_soak/src/callers/session.rs
@@ -0,0 +1,302 @@
+//! A session, and what is recorded of its statements.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_history::recorder;
+use bluebellferry_history::statement;
+use bluebellferry_standin_platform::caller;
+use statement::StatementAction as Action;
+use statement::StatementOutcome as Outcome;
+
+use super::CallerRoute;
+use super::SharedNumbers;
+
+/// How long a caller waits until its session is open; the platform's.
+const START_LIMIT: Duration = Duration::from_secs(2);
+/// How long a caller waits for an answer: twice the time-out of a statement.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+
+/// How a session is opened.
+pub(super) struct SessionOpening {
+    pub(super) address: SocketAddr,
+    pub(super) vm: String,
+    pub(super) route: CallerRoute,
+    pub(super) key: String,
+}
+
+/// The operation that a statement belongs to.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OperationAttempt {
+    pub(super) number: u64,
+    pub(super) is_transaction: bool,
+}
+
+/// How a statement ended for its caller.
+pub(super) struct StatementEnd {
+    pub(super) outcome: Outcome,
+    /// Whether a database ran it and said that it failed.
+    pub(super) has_failed: bool,
+    /// Whether the session is outside any transaction.
+    pub(super) is_idle: bool,
+}
+
+/// An open session.
+pub(super) struct CallerSession {
+    caller: caller::StandinCaller,
+    opening: SessionOpening,
+    number: u64,
+    recorder: Arc<recorder::HistoryRecorder>,
+    numbers: Arc<SharedNumbers>,
+    values: BTreeMap<String, String>,
+    /// The kind and shape of prepared statements by name.
+    prepared: BTreeMap<String, String>,
+    is_open: bool,
+}
+
+impl CallerSession {
+    /// Opens a session.
+    ///
+    /// # Errors
+    /// Returns what the caller was told instead.
+    pub(super) async fn open(
+        opening: SessionOpening,
+        recorder: Arc<recorder::HistoryRecorder>,
+        numbers: Arc<SharedNumbers>,
+    ) -> Result<Self, Outcome> {
+        let sent_us = recorder::now_us();
+        let (address, route, key) = (opening.address, opening.route.name, &opening.key);
+        let connecting = caller::StandinCaller::connect(address, route, key);
+        let connected = match tokio::time::timeout(START_LIMIT, connecting).await {
+            Ok(Ok(caller)) => Ok(caller),
+            Ok(Err(refusal)) => Err(refused(&refusal)),
+            Err(_) => Err(Outcome::Broken),
+        };
+        let number = numbers.next();
+        let template = Template {
+            opening: &opening,
+            session: number,
+            attempt: OperationAttempt {
+                number,
+                is_transaction: false,
+            },
+        };
+        let outcome = connected.as_ref().err().cloned();
+        recorder.record(statement::CallerStatement {
+            sent_us,
+            outcome: outcome.unwrap_or_else(|| succeeded("-".to_owned(), Vec::new())),
+            ..template.statement(
+                format!("start-{number}"),
+                Action::Start,
+                "STARTUP".to_owned(),
+            )
+        });
+        Ok(Self {
+            caller: connected?,
+            opening,
+            number,
+            recorder,
+            numbers,
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            is_open: true,
+        })
+    }
+
+    /// Returns the number of a new attempt.
+    pub(super) fn attempt(&self, is_transaction: bool) -> OperationAttempt {
+        OperationAttempt {
+            number: self.numbers.next(),
+            is_transaction,
+        }
+    }
+
+    /// Returns whether nothing has ended the session. An answer to nothing is
+    /// recorded as one that no database gave.
+    pub(super) async fn is_usable(&mut self) -> bool {
+        if self.is_open {
+            match self.caller.take_unasked().await {
+                caller::UnaskedInput::Nothing => {}
+                caller::UnaskedInput::End => self.is_open = false,
+                caller::UnaskedInput::Answer(text) => {
+                    self.is_open = false;
+                    let attempt = self.attempt(false);
+                    let request = format!("unasked-{}", attempt.number);
+                    let outcome = succeeded(text, Vec::new());
+                    self.record(attempt, request, Action::Read, String::new(), outcome);
+                }
+            }
+        }
+        self.is_open
+    }
+
+    /// Returns the kind and shape of a prepared statement.
+    pub(super) fn shape(&self, name: &str) -> Option<&str> {
+        self.prepared.get(name).map(String::as_str)
+    }
+
+    /// Runs a statement.
+    pub(super) async fn run(
+        &mut self,
+        attempt: OperationAttempt,
+        action: Action,
+        text: &str,
+    ) -> StatementEnd {
+        let request = format!("q{}", self.numbers.next());
+        let sent_us = recorder::now_us();
+        let asking = self.caller.run_as(&request, text);
+        let answer = tokio::time::timeout(ANSWER_LIMIT, asking).await;
+        let end = match answer {
+            Ok(Ok(answer)) => StatementEnd {
+                has_failed: answer.refusal == Some(caller::CallerRefusal::Failed),
+                is_idle: answer.is_idle,
+                outcome: match answer.refusal {
+                    Some(refusal) => refused(&refusal),
+                    None => succeeded(answer.receipt.unwrap_or_default(), answer.rows),
+                },
+            },
+            Ok(Err(_)) | Err(_) => {
+                self.is_open = false;
+                StatementEnd {
+                    has_failed: false,
+                    is_idle: false,
+                    outcome: Outcome::Broken,
+                }
+            }
+        };
+        let template = self.template(attempt);
+        let shown = self.shown(text);
+        self.recorder.record(statement::CallerStatement {
+            values: self.values.clone(),
+            sent_us,
+            outcome: end.outcome.clone(),
+            ..template.statement(request, action, shown)
+        });
+        if action == Action::Setup {
+            self.adopt(text, &end.outcome);
+        }
+        end
+    }
+
+    /// Ends the session.
+    pub(super) async fn leave(self) {
+        if self.is_open {
+            self.caller.leave().await;
+        }
+    }
+
+    /// Marks the session as one that its caller leaves in the middle.
+    pub(super) const fn abandon(&mut self) {
+        self.is_open = false;
+    }
+
+    /// Remembers a change of the session; a session that refuses one is closed.
+    fn adopt(&mut self, text: &str, outcome: &Outcome) {
+        let words: Vec<&str> = text.split(' ').collect();
+        self.is_open &= outcome.is_success();
+        match words[..] {
+            _ if !outcome.is_success() => {}
+            ["SET", name, value] => {
+                self.values.insert(name.to_owned(), value.to_owned());
+            }
+            ["PREPARE", name, kind, shape] => {
+                let shape = format!("{kind} {shape}");
+                self.prepared.insert(name.to_owned(), shape);
+            }
+            ["DEALLOC", name] => {
+                self.prepared.remove(name);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns a text in which kind and shape stand for a prepared statement's
+    /// name.
+    fn shown(&self, text: &str) -> String {
+        let execution = text.strip_prefix("EXECUTE ");
+        let execution = execution.and_then(|rest| rest.split_once(' '));
+        let shown = execution.and_then(|(name, arguments)| {
+            let shape = self.shape(name)?;
+            Some(format!("EXECUTE {shape} {arguments}"))
+        });
+        shown.unwrap_or_else(|| text.to_owned())
+    }
+
+    const fn template(&self, attempt: OperationAttempt) -> Template<'_> {
+        Template {
+            opening: &self.opening,
+            session: self.number,
+            attempt,
+        }
+    }
+
+    fn record(
+        &self,
+        attempt: OperationAttempt,
+        request: String,
+        action: Action,
+        text: String,
+        outcome: Outcome,
+    ) {
+        self.recorder.record(statement::CallerStatement {
+            outcome,
+            ..self.template(attempt).statement(request, action, text)
+        });
+    }
+}
+
+/// What all statements of a session have in common.
+struct Template<'a> {
+    opening: &'a SessionOpening,
+    session: u64,
+    attempt: OperationAttempt,
+}
+
+impl Template<'_> {
+    /// Returns a statement that was sent and ended now.
+    fn statement(
+        &self,
+        request: String,
+        action: Action,
+        text: String,
+    ) -> statement::CallerStatement {
+        let route = self.opening.route;
+        let now_us = recorder::now_us();
+        statement::CallerStatement {
+            session: self.session,
+            attempt: self.attempt.number,
+            is_in_transaction: self.attempt.is_transaction,
+            request,
+            vm: self.opening.vm.clone(),
+            route: route.name.to_owned(),
+            kind: route.kind,
+            timeout_us: route.timeout.as_micros() as u64,
+            key: self.opening.key.clone(),
+            action,
+            text,
+            values: BTreeMap::new(),
+            sent_us: now_us,
+            ended_us: now_us,
+            outcome: Outcome::Broken,
+        }
+    }
+}
+
+const fn succeeded(receipt: String, rows: Vec<String>) -> Outcome {
+    Outcome::Answered { receipt, rows }
+}
+
+fn refused(refusal: &caller::CallerRefusal) -> Outcome {
+    use caller::CallerRefusal as Refusal;
+    match refusal {
+        Refusal::UnknownRoute => Outcome::UnknownRoute,
+        Refusal::KeyRefused => Outcome::KeyRefused,
+        Refusal::NothingKept(_) => Outcome::NothingKept,
+        Refusal::InDoubt | Refusal::Failed | Refusal::Malformed => Outcome::InDoubt,
+        // A connection that failed, or an error that promises nothing.
+        Refusal::Other(text) if text.starts_with("ERROR ") => Outcome::InDoubt,
+        Refusal::Other(_) => Outcome::Broken,
+    }
+}
--- a/crates/bluebellferry_soak/src/play.rs
+++ b/crates/bluebellferry_soak/src/play.rs
@@ -95,6 +95,9 @@
     let (stop, stopped) = watch::channel(false);
     let plan = callers::CallerPlan {
         addresses: site.caller_addresses(),
+        routes: callers::ROUTES.to_vec(),
+        steady_key: site::STEADY_KEY.to_owned(),
+        spare_key: site::spare_key,
         seed: schedule.seed,
         count: settings.callers,
     };
--- a/crates/bluebellferry_soak/src/site.rs
+++ b/crates/bluebellferry_soak/src/site.rs
@@ -45,6 +45,11 @@
 /// The key of callers, which no fault withdraws.
 pub const STEADY_KEY: &str = "steady-key-of-families";
 
+/// Returns the key that a fault withdraws when the next one comes.
+pub fn spare_key(number: u64) -> String {
+    format!("spare-key-{number}")
+}
+
 /// The programs that are run.
 #[derive(Debug, Clone)]
 pub struct SitePrograms {
@@ -316,7 +321,7 @@
 
     async fn configure(&mut self) -> Result<(), SoakError> {
         self.version += 1;
-        let spare = format!("spare-key-{}", self.key_number);
+        let spare = spare_key(self.key_number);
         let keys = [STEADY_KEY, spare.as_str()];
         let rate = f64::from(self.rate);
         let value = contents::configuration(self.version, orders::SERVICE, &keys, rate);
--- a/crates/bluebellferry_soak/tests/short_soak.rs
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -41,8 +41,13 @@
         callers: CALLERS,
         shows_progress: false,
     };
-    let outcome = play::play(&schedule, &settings).await.expect("it is played");
+    let outcome = play::play(&schedule, &settings)
+        .await
+        .expect("it is played");
     let page = report::render(&outcome);
     assert!(outcome.violations.is_empty(), "seed {seed}\n{page}");
-    assert!(outcome.statements >= LEAST_STATEMENTS, "seed {seed}\n{page}");
+    assert!(
+        outcome.statements >= LEAST_STATEMENTS,
+        "seed {seed}\n{page}"
+    );
 }
