Find a VM by both ends of its connection, and leave pauses between faults

The relay of the store looked for the near end alone.

Now they come every second or two and most are short; runs of 30 s or more end with 16 s without faults, longer than the platform allows for recovery.

--- a/crates/bluebellferry_soak/src/mesh.rs
+++ b/crates/bluebellferry_soak/src/mesh.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -111,7 +110,7 @@
     let (shared, table) = (Arc::clone(&links), Arc::clone(places));
     connect(layout.store_relay(), move |from| {
         let table = table.lock().unwrap_or_else(PoisonError::into_inner);
-        let place = find_place(&table, from)?;
+        let place = find_place(&table, from, layout.store_relay())?;
         let link = shared.stores[usize::from(place)].clone();
         Some((layout.store(place), link))
     })
@@ -169,11 +168,11 @@
     Ok(())
 }
 
-/// Returns the place of the process that holds a connection's far end. All VMs
-/// must use one address of the store, so the address does not tell them apart.
-fn find_place(table: &PlaceTable, from: SocketAddr) -> Option<u8> {
+/// Returns the place of the process that holds the far end of a connection to an
+/// address. All VMs must use one address of the store, so it does not tell them apart.
+fn find_place(table: &PlaceTable, from: SocketAddr, to: SocketAddr) -> Option<u8> {
     let connections = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let inode = find_inode(&connections, from)?;
+    let inode = find_inode(&connections, from, to)?;
     let socket = format!("socket:[{inode}]");
     let holds = |process: u32| {
         let files = std::fs::read_dir(format!("/proc/{process}/fd"));
@@ -188,19 +187,18 @@
     found.map(|(place, _)| *place)
 }
 
-/// Returns the inode of the socket that is bound to an address, from the text of
-/// `/proc/net/tcp`.
-fn find_inode(connections: &str, address: SocketAddr) -> Option<&str> {
-    let lines = connections.lines().skip(1);
-    let mut fields = lines.map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let found = fields
-        .find(|fields| fields.get(1).and_then(|text| parse_address(text)) == Some(address))?;
-    found.get(9).copied()
+/// Returns the inode of a connected socket from the text of `/proc/net/tcp`. Both
+/// ends are needed: the system uses a port for several connections.
+fn find_inode(connections: &str, from: SocketAddr, to: SocketAddr) -> Option<&str> {
+    let ends = format!("{} {} ", encode_address(from)?, encode_address(to)?);
+    let line = connections.lines().find(|line| line.contains(&ends))?;
+    line.split_whitespace().nth(9)
 }
 
-fn parse_address(text: &str) -> Option<SocketAddr> {
-    let (ip, port) = text.split_once(':')?;
-    let ip = u32::from_str_radix(ip, 16).ok()?;
-    let port = u16::from_str_radix(port, 16).ok()?;
-    Some(SocketAddr::from((Ipv4Addr::from(ip.to_le_bytes()), port)))
+fn encode_address(address: SocketAddr) -> Option<String> {
+    let IpAddr::V4(ip) = address.ip() else {
+        return None;
+    };
+    let ip = u32::from_le_bytes(ip.octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
 }
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -16,19 +16,38 @@
 
 /// When the first fault may come: callers have learned the answer times by then.
 const FIRST_MS: u64 = 1_500;
-/// How long after the last fault callers go on, so that recovery is seen.
-pub const CALM_END_MS: u64 = 5_000;
-/// The pauses between two faults of a series.
-const PAUSES_MS: std::ops::Range<u64> = 100..1_600;
-/// Of how many faults one comes together with the one before it.
-const TOGETHER: f64 = 0.3;
-/// Of how many faults of a database one meets its leader for certain.
+/// How long after the last fault callers go on in a short run.
+const SHORT_END_MS: u64 = 5_000;
+/// The same in a run that is long enough to see callers served again: longer than
+/// what the platform allows for recovery.
+const LONG_END_MS: u64 = 16_000;
+/// From which length on a run is long, in milliseconds.
+const LONG_MS: u64 = 30_000;
+/// The pauses between two faults of a series. A replacement of a leader takes about
+/// two seconds, so some fall into one pause and others meet the next fault.
+const PAUSES_MS: std::ops::Range<u64> = 200..2_600;
+/// The part of faults that come together with the next.
+const TOGETHER: f64 = 0.25;
+/// The part of faults of databases that meet the leader for certain.
 const LEADERS: f64 = 0.4;
-/// How long faults last. A freeze of six seconds outlives every lease and time-out.
-const LASTS_MS: std::ops::Range<u64> = 200..6_000;
+/// How long most faults last.
+const SHORT_MS: std::ops::Range<u64> = 200..2_000;
+/// How long the others do. A freeze of six seconds outlives every lease and time-out.
+const LASTING_MS: std::ops::Range<u64> = 2_000..6_000;
+/// The part of the others.
+const LASTING: f64 = 0.35;
 /// The rate that a lower limit allows.
 const RATES: std::ops::Range<u32> = 60..200;
 
+/// Returns how long after the last fault callers go on, in milliseconds.
+pub const fn calm_end_ms(length_ms: u64) -> u64 {
+    if length_ms < LONG_MS {
+        SHORT_END_MS
+    } else {
+        LONG_END_MS
+    }
+}
+
 /// The size of what is played.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SiteSize {
@@ -57,13 +76,18 @@
     /// Draws a schedule; the same arguments give the same schedule.
     pub fn draw(seed: u64, size: SiteSize, length_ms: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
-        let last_ms = length_ms.saturating_sub(CALM_END_MS);
+        let last_ms = length_ms.saturating_sub(calm_end_ms(length_ms));
         let mut faults = Vec::new();
         let mut replaced = 0;
         let mut at_ms = FIRST_MS;
         while at_ms < last_ms {
             let kind = draw_kind(&mut random, size, &mut replaced);
-            let lasts_ms = random.random_range(LASTS_MS).min(last_ms - at_ms);
+            let lasts_ms = if random.random_bool(LASTING) {
+                random.random_range(LASTING_MS)
+            } else {
+                random.random_range(SHORT_MS)
+            };
+            let lasts_ms = lasts_ms.min(last_ms - at_ms);
             faults.push(ScheduledFault {
                 at_ms,
                 lasts_ms,
