--- a/crates/bluebellferry_soak/src/mesh.rs
+++ b/crates/bluebellferry_soak/src/mesh.rs
@@ -9,6 +9,7 @@
 
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
 
 use crate::layout;
 use crate::relay;
@@ -68,6 +69,14 @@
     }
 }
 
+/// The relays of a site; they end when this value is dropped.
+#[derive(Debug)]
+pub struct SiteRelays {
+    /// What they carry.
+    pub links: Arc<SiteLinks>,
+    _tasks: JoinSet<()>,
+}
+
 /// Opens all relays of a site.
 ///
 /// # Errors
@@ -75,62 +84,72 @@
 pub async fn open(
     layout: layout::SiteLayout,
     places: &SharedPlaces,
-) -> std::io::Result<Arc<SiteLinks>> {
+) -> std::io::Result<SiteRelays> {
     let links = Arc::new(SiteLinks::new(&layout));
+    let mut tasks = JoinSet::new();
     for place in 0..layout.places {
         let (link, table) = (
             links.callers[usize::from(place)].clone(),
             Arc::clone(places),
         );
-        connect(layout.caller_relay(place), move |_| {
+        connect(&mut tasks, layout.caller_relay(place), move |_| {
             let table = table.lock().unwrap_or_else(PoisonError::into_inner);
             let serving = table.successors.get(&place).copied().unwrap_or(place);
             Some((layout.callers(serving), link.clone()))
         })
         .await?;
         let link = links.duties[usize::from(place)].clone();
-        connect(layout.duty_relay(place), move |_| {
+        connect(&mut tasks, layout.duty_relay(place), move |_| {
             Some((layout.duty(), link.clone()))
         })
         .await?;
     }
     for ((place, database), link) in &links.databases {
         let (link, target) = (link.clone(), layout.database(*database));
-        connect(layout.database_relay(*place, *database), move |_| {
-            Some((target, link.clone()))
-        })
+        connect(
+            &mut tasks,
+            layout.database_relay(*place, *database),
+            move |_| Some((target, link.clone())),
+        )
         .await?;
     }
     for ((viewer, seen), link) in &links.peers {
         let address = SocketAddr::from((layout.view(*viewer, *seen), layout::COPIES_PORT));
         let target = SocketAddr::from((layout.vm(*seen), layout::COPIES_PORT));
         let link = link.clone();
-        connect(address, move |_| Some((target, link.clone()))).await?;
+        connect(&mut tasks, address, move |_| Some((target, link.clone()))).await?;
     }
     let (shared, table) = (Arc::clone(&links), Arc::clone(places));
-    connect(layout.store_relay(), move |from| {
+    connect(&mut tasks, layout.store_relay(), move |from| {
         let table = table.lock().unwrap_or_else(PoisonError::into_inner);
         let place = find_place(&table, from, layout.store_relay())?;
         let link = shared.stores[usize::from(place)].clone();
         Some((layout.store(place), link))
     })
     .await?;
-    open_datagrams(layout, &links).await?;
-    Ok(links)
+    open_datagrams(layout, &links, &mut tasks).await?;
+    Ok(SiteRelays {
+        links,
+        _tasks: tasks,
+    })
 }
 
-async fn connect<F>(address: SocketAddr, choose: F) -> std::io::Result<()>
+async fn connect<F>(tasks: &mut JoinSet<()>, address: SocketAddr, choose: F) -> std::io::Result<()>
 where
     F: Fn(SocketAddr) -> Option<(SocketAddr, relay::RelayLink)> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(relay::relay_connections(listener, choose));
+    tasks.spawn(relay::relay_connections(listener, choose));
     Ok(())
 }
 
 /// Opens a socket for each VM that a VM sees. A datagram to one is sent on from the
 /// socket under which its receiver sees the sender.
-async fn open_datagrams(layout: layout::SiteLayout, links: &Arc<SiteLinks>) -> std::io::Result<()> {
+async fn open_datagrams(
+    layout: layout::SiteLayout,
+    links: &Arc<SiteLinks>,
+    tasks: &mut JoinSet<()>,
+) -> std::io::Result<()> {
     let mut sockets = BTreeMap::new();
     for (viewer, seen) in links.peers.keys() {
         let address = (layout.view(*viewer, *seen), layout::PEER_PORT);
@@ -140,7 +159,7 @@
     for (key, socket) in sockets.iter() {
         let (seen, socket) = (key.1, Arc::clone(socket));
         let (sockets, links) = (Arc::clone(&sockets), Arc::clone(links));
-        tokio::spawn(async move {
+        tasks.spawn(async move {
             let target = SocketAddr::from((layout.vm(seen), layout::PEER_PORT));
             let mut buffer = vec![0; DATAGRAM_BYTES];
             loop {
