--- a/crates/bluebellferry_soak/src/main.rs
+++ b/crates/bluebellferry_soak/src/main.rs
@@ -16,6 +16,8 @@
 
 /// Where logs, histories and reports go.
 const OUT: &str = "target/soak";
+/// The command that plays a schedule again.
+const REPLAY: &str = "cargo run --release -p bluebellferry_soak -- replay";
 /// The program of a VM, beside this one.
 const VM_PROGRAM: &str = "bluebellferry-edge";
 const USUAL_VMS: u8 = 3;
@@ -55,10 +57,10 @@
                 /// Prints one line a seed only.
                 optional --quiet
             }
-            /// Plays a schedule from a file.
+            /// Plays schedules from files, such as those of crates/bluebellferry_soak/cases.
             cmd replay {
-                /// The schedule.
-                required file: PathBuf
+                /// The schedules.
+                repeated files: PathBuf
                 /// The program of a VM (bluebellferry-edge beside this one).
                 optional --program program: PathBuf
             }
@@ -96,12 +98,17 @@
     match command {
         flags::BluebellferrySoakCmd::Run(run) => run_seeds(&run).await,
         flags::BluebellferrySoakCmd::Replay(replay) => {
-            let schedule = serde_json::from_str(&std::fs::read_to_string(&replay.file)?)?;
-            let out = Path::new(OUT).join("replay");
-            let settings = settings(replay.program, out, USUAL_CALLERS, true)?;
-            let outcome = play::play(&schedule, &settings).await?;
-            print!("{}", report::render(&outcome));
-            Ok(outcome.violations.is_empty())
+            let mut has_passed = true;
+            for file in &replay.files {
+                let schedule = serde_json::from_str(&std::fs::read_to_string(file)?)?;
+                let name = file.file_stem().unwrap_or_default();
+                let out = Path::new(OUT).join("replay").join(name);
+                let settings = settings(replay.program.clone(), out, USUAL_CALLERS, true)?;
+                let outcome = play::play(&schedule, &settings).await?;
+                print!("{}", report::render(&outcome));
+                has_passed &= outcome.violations.is_empty();
+            }
+            Ok(has_passed)
         }
         flags::BluebellferrySoakCmd::ListFaults(_) => {
             for (name, about) in fault::FaultKind::KINDS {
@@ -187,7 +194,7 @@
             println!("  violated: {violation}");
         }
         let folder = settings.folder.display();
-        println!("  kept in {folder}; once more: bluebellferry-soak replay {folder}/schedule.json");
+        println!("  kept in {folder}; once more: {REPLAY} {folder}/schedule.json");
         if run.shrink {
             let (smallest, trials) = play::shrink(&schedule, &settings).await?;
             let file = settings.folder.join("smallest.json");
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -64,6 +64,9 @@
 pub struct FaultSchedule {
     /// The seed that it was drawn by.
     pub seed: u64,
+    /// Why it once failed, for a schedule that is kept as a regression case.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub cause: String,
     /// The size of the site.
     pub size: SiteSize,
     /// For how long callers run, in milliseconds.
@@ -99,6 +102,7 @@
         }
         Self {
             seed,
+            cause: String::new(),
             size,
             length_ms,
             faults,
--- a/crates/bluebellferry_soak/src/site/processes.rs
+++ b/crates/bluebellferry_soak/src/site/processes.rs
@@ -8,6 +8,7 @@
 
 use bluebellferry_history::recorder;
 use bluebellferry_history::statement;
+use bluebellferry_history::statement::FaultTarget;
 use bluebellferry_standin_platform::deployment;
 use rustix::process::Signal;
 
@@ -94,6 +95,14 @@
             {
                 child.kill()?;
                 vm.is_killed = true;
+                let target = FaultTarget::Vm(orders::vm_name(place));
+                let since_us = recorder::now_us() - stopped.elapsed().as_micros() as u64;
+                let mut faults = self.done.faults.iter();
+                if !faults.any(|fault| fault.target == target && fault.ended_us >= since_us) {
+                    let name = orders::vm_name(place);
+                    let ended = format!("{name} did not stop within its grace");
+                    self.ended.push(ended);
+                }
             }
             let is_due = vm.starts.is_some_and(|starts| starts <= Instant::now());
             if has_ended && is_due {
