Judge rates in a soak, and leave nothing running after it

The usual rate of 400 operations a second was above what callers ask for, so no check of rates could fail; 180 binds. Faults without an end of their own no longer excuse a span, and a leaving database stays 4 s at least. A command that is asked to stop ends its VMs (three were left after one was), and a site returns its addresses before another may claim them (one of eleven plays found one taken).

--- a/crates/bluebellferry_soak/src/fault.rs
+++ b/crates/bluebellferry_soak/src/fault.rs
@@ -114,6 +114,18 @@
         ("lose-answer", "a statement runs without an answer"),
     ];
 
+    /// Returns whether it has no end of its own.
+    pub const fn is_momentary(&self) -> bool {
+        matches!(
+            self,
+            Self::Reload(_)
+                | Self::Link(_, LinkFault::Reset)
+                | Self::WithdrawKey
+                | Self::StoreForgets
+                | Self::LoseAnswer
+        )
+    }
+
     /// Returns the fault with the database that leads in place of [`LEADER`].
     pub fn with_leader(&self, leader: u8) -> Self {
         let named = |database: u8| if database == LEADER { leader } else { database };
--- a/crates/bluebellferry_soak/src/layout.rs
+++ b/crates/bluebellferry_soak/src/layout.rs
@@ -3,8 +3,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -47,9 +45,6 @@
     pub databases: u8,
 }
 
-/// How many networks this process has claimed.
-static NEXT_SUBNET: AtomicU32 = AtomicU32::new(0);
-
 /// A network that no other run uses while this value lives.
 #[derive(Debug)]
 pub struct SubnetClaim {
@@ -65,8 +60,7 @@
     /// Fails when all are taken.
     pub fn take() -> std::io::Result<Self> {
         let count = u32::from(LAST_SUBNET - FIRST_SUBNET);
-        // Sockets of an earlier run of this process may still be closing.
-        let first = std::process::id() + NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
+        let first = rand::random_range(0..count);
         let mut failure = None;
         for step in 0..count {
             let subnet = FIRST_SUBNET + ((first + step) % count) as u8;
--- a/crates/bluebellferry_soak/src/main.rs
+++ b/crates/bluebellferry_soak/src/main.rs
@@ -13,6 +13,7 @@
 use bluebellferry_soak::report;
 use bluebellferry_soak::schedule;
 use bluebellferry_soak::site;
+use tokio::signal;
 
 /// Where logs, histories and reports go.
 const OUT: &str = "target/soak";
@@ -79,7 +80,15 @@
     let flags = flags::BluebellferrySoak::from_env_or_exit();
     logging::start_logging("bluebellferry-soak", log::LevelFilter::Warn);
     let run = || -> Result<bool, Box<dyn std::error::Error>> {
-        tokio::runtime::Runtime::new()?.block_on(dispatch(flags.subcommand))
+        tokio::runtime::Runtime::new()?.block_on(async {
+            let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+            // A site that is dropped ends its processes.
+            tokio::select! {
+                passed = dispatch(flags.subcommand) => passed,
+                _ = signal::ctrl_c() => Err("interrupted".into()),
+                _ = terminate.recv() => Err("asked to stop".into()),
+            }
+        })
     };
     match run() {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/bluebellferry_soak/src/mesh.rs
+++ b/crates/bluebellferry_soak/src/mesh.rs
@@ -74,7 +74,14 @@
 pub struct SiteRelays {
     /// What they carry.
     pub links: Arc<SiteLinks>,
-    _tasks: JoinSet<()>,
+    tasks: JoinSet<()>,
+}
+
+impl SiteRelays {
+    /// Closes all relays, and returns once their addresses are free.
+    pub async fn close(&mut self) {
+        self.tasks.shutdown().await;
+    }
 }
 
 /// Opens all relays of a site.
@@ -128,10 +135,7 @@
     })
     .await?;
     open_datagrams(layout, &links, &mut tasks).await?;
-    Ok(SiteRelays {
-        links,
-        _tasks: tasks,
-    })
+    Ok(SiteRelays { links, tasks })
 }
 
 async fn connect<F>(tasks: &mut JoinSet<()>, address: SocketAddr, choose: F) -> std::io::Result<()>
--- a/crates/bluebellferry_soak/src/play.rs
+++ b/crates/bluebellferry_soak/src/play.rs
@@ -120,7 +120,8 @@
     let mut names: Vec<String> = violations.iter().map(name).collect();
     let retracted = early.iter().map(name).filter(|name| !names.contains(name));
     let retracted = retracted.collect();
-    names.extend(site.ended.iter().cloned());
+    names.append(&mut site.ended);
+    site.close().await;
     let history = &check.history;
     let outcome = report::PlayOutcome {
         schedule: schedule.clone(),
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -28,6 +28,8 @@
 const PAUSES_MS: std::ops::Range<u64> = 200..2_600;
 /// The part of faults that come together with the next.
 const TOGETHER: f64 = 0.25;
+/// How long a database stays at least once it has announced that it leaves.
+const LEAVE_MS: u64 = 4_000;
 /// The part of faults of databases that meet the leader for certain.
 const LEADERS: f64 = 0.4;
 /// How long most faults last.
@@ -37,7 +39,7 @@
 /// The part of the others.
 const LASTING: f64 = 0.35;
 /// The rate that a lower limit allows.
-const RATES: std::ops::Range<u32> = 60..200;
+const RATES: std::ops::Range<u32> = 60..150;
 
 /// Returns how long after the last fault callers go on, in milliseconds.
 pub const fn calm_end_ms(length_ms: u64) -> u64 {
@@ -90,6 +92,11 @@
             } else {
                 random.random_range(SHORT_MS)
             };
+            let lasts_ms = match kind {
+                _ if kind.is_momentary() => 0,
+                FaultKind::Leave(_) => lasts_ms.max(LEAVE_MS),
+                _ => lasts_ms,
+            };
             let lasts_ms = lasts_ms.min(last_ms - at_ms);
             faults.push(ScheduledFault {
                 at_ms,
--- a/crates/bluebellferry_soak/src/site.rs
+++ b/crates/bluebellferry_soak/src/site.rs
@@ -31,8 +31,9 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// How long VMs may take to get ready; builds without optimisation take longer.
 const READY_LIMIT: Duration = Duration::from_secs(30);
-/// The rate that the configuration allows usually, in operations a second.
-const USUAL_RATE: u32 = 400;
+/// The rate that the configuration allows usually, in operations a second: less than
+/// callers ask for, so that it binds.
+const USUAL_RATE: u32 = 180;
 /// The workspace of all callers.
 const WORKSPACE: &str = "families";
 /// The routes of the configuration.
@@ -81,7 +82,6 @@
     programs: SitePrograms,
     folder: PathBuf,
     layout: layout::SiteLayout,
-    _claim: layout::SubnetClaim,
     standins: Vec<Child>,
     store: orders::OrderLine,
     group: orders::OrderLine,
@@ -101,6 +101,8 @@
     pub done: statement::StatementHistory,
     /// Processes that ended by themselves or did not stop in time.
     pub ended: Vec<String>,
+    /// Given back when all else is closed.
+    _claim: layout::SubnetClaim,
 }
 
 impl Drop for RunningSite {
@@ -157,7 +159,6 @@
         let mut site = Self {
             folder: folder.to_owned(),
             layout,
-            _claim: claim,
             standins,
             store: orders::OrderLine::connect(layout.store_orders()).await?,
             group: orders::OrderLine::connect(layout.group_orders()).await?,
@@ -173,6 +174,7 @@
             running: BTreeMap::new(),
             done: statement::StatementHistory::default(),
             ended: Vec::new(),
+            _claim: claim,
         };
         for database in 0..size.databases {
             site.register(database, "ready", database == 0).await?;
@@ -187,6 +189,11 @@
         Ok(site)
     }
 
+    /// Ends all processes and relays.
+    pub async fn close(mut self) {
+        self.relays.close().await;
+    }
+
     /// Returns where callers connect.
     pub fn caller_addresses(&self) -> Vec<std::net::SocketAddr> {
         (0..self.vms)
