--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -30,6 +30,8 @@
 const TOGETHER: f64 = 0.25;
 /// How long a database stays at least once it has announced that it leaves.
 const LEAVE_MS: u64 = 4_000;
+/// How long a database is away at least: most leaders are replaced meanwhile.
+const AWAY_MS: u64 = 2_000;
 /// The part of faults of databases that meet the leader for certain.
 const LEADERS: f64 = 0.4;
 /// How long most faults last.
@@ -95,6 +97,9 @@
             let lasts_ms = match kind {
                 _ if kind.is_momentary() => 0,
                 FaultKind::Leave(_) => lasts_ms.max(LEAVE_MS),
+                FaultKind::Silence(_) | FaultKind::Crash(_) | FaultKind::Rebirth(_) => {
+                    lasts_ms.max(AWAY_MS)
+                }
                 _ => lasts_ms,
             };
             let lasts_ms = lasts_ms.min(last_ms - at_ms);
