--- a/crates/bluebellferry_soak/src/callers.rs
+++ b/crates/bluebellferry_soak/src/callers.rs
@@ -25,6 +25,9 @@
 const LONG_SESSION: Range<u32> = 50..400;
 /// Between operations of a session, in milliseconds.
 const THINKING_MS: Range<u64> = 20..120;
+/// The part of operations that follow at once on the one before: replicas have
+/// not applied its write by then.
+const HURRIED: f64 = 0.3;
 /// Before a caller whose session could not be opened tries again.
 const RECONNECT_MS: Range<u64> = 50..200;
 /// Every so many callers one uses keys that are withdrawn now and then.
@@ -148,7 +151,9 @@
                     None => operation::CallerOperation::draw(&mut self.random, is_short),
                 };
                 pending = operation.run(&mut open, &mut self.random).await;
-                self.pause(THINKING_MS).await;
+                if !self.random.random_bool(HURRIED) {
+                    self.pause(THINKING_MS).await;
+                }
             }
             open.leave().await;
         }
