--- a/crates/bluebellferry_soak/src/layout.rs
+++ b/crates/bluebellferry_soak/src/layout.rs
@@ -60,7 +60,7 @@
     /// Fails when all are taken.
     pub fn take() -> std::io::Result<Self> {
         let count = u32::from(LAST_SUBNET - FIRST_SUBNET);
-        let first = std::process::id() % count;
+        let first = rand::random_range(0..count);
         let mut failure = None;
         for step in 0..count {
             let subnet = FIRST_SUBNET + ((first + step) % count) as u8;
--- a/crates/bluebellferry_soak/src/main.rs
+++ b/crates/bluebellferry_soak/src/main.rs
@@ -13,9 +13,12 @@
 use bluebellferry_soak::report;
 use bluebellferry_soak::schedule;
 use bluebellferry_soak::site;
+use tokio::signal;
 
 /// Where logs, histories and reports go.
 const OUT: &str = "target/soak";
+/// The command that plays a schedule again.
+const REPLAY: &str = "cargo run --release -p bluebellferry_soak -- replay";
 /// The program of a VM, beside this one.
 const VM_PROGRAM: &str = "bluebellferry-edge";
 const USUAL_VMS: u8 = 3;
@@ -55,10 +58,10 @@
                 /// Prints one line a seed only.
                 optional --quiet
             }
-            /// Plays a schedule from a file.
+            /// Plays schedules from files, such as those of crates/bluebellferry_soak/cases.
             cmd replay {
-                /// The schedule.
-                required file: PathBuf
+                /// The schedules.
+                repeated files: PathBuf
                 /// The program of a VM (bluebellferry-edge beside this one).
                 optional --program program: PathBuf
             }
@@ -77,7 +80,15 @@
     let flags = flags::BluebellferrySoak::from_env_or_exit();
     logging::start_logging("bluebellferry-soak", log::LevelFilter::Warn);
     let run = || -> Result<bool, Box<dyn std::error::Error>> {
-        tokio::runtime::Runtime::new()?.block_on(dispatch(flags.subcommand))
+        tokio::runtime::Runtime::new()?.block_on(async {
+            let mut terminate = signal::unix::signal(signal::unix::SignalKind::terminate())?;
+            // A site that is dropped ends its processes.
+            tokio::select! {
+                passed = dispatch(flags.subcommand) => passed,
+                _ = signal::ctrl_c() => Err("interrupted".into()),
+                _ = terminate.recv() => Err("asked to stop".into()),
+            }
+        })
     };
     match run() {
         Ok(true) => ExitCode::SUCCESS,
@@ -96,12 +107,17 @@
     match command {
         flags::BluebellferrySoakCmd::Run(run) => run_seeds(&run).await,
         flags::BluebellferrySoakCmd::Replay(replay) => {
-            let schedule = serde_json::from_str(&std::fs::read_to_string(&replay.file)?)?;
-            let out = Path::new(OUT).join("replay");
-            let settings = settings(replay.program, out, USUAL_CALLERS, true)?;
-            let outcome = play::play(&schedule, &settings).await?;
-            print!("{}", report::render(&outcome));
-            Ok(outcome.violations.is_empty())
+            let mut has_passed = true;
+            for file in &replay.files {
+                let schedule = serde_json::from_str(&std::fs::read_to_string(file)?)?;
+                let name = file.file_stem().unwrap_or_default();
+                let out = Path::new(OUT).join("replay").join(name);
+                let settings = settings(replay.program.clone(), out, USUAL_CALLERS, true)?;
+                let outcome = play::play(&schedule, &settings).await?;
+                print!("{}", report::render(&outcome));
+                has_passed &= outcome.violations.is_empty();
+            }
+            Ok(has_passed)
         }
         flags::BluebellferrySoakCmd::ListFaults(_) => {
             for (name, about) in fault::FaultKind::KINDS {
@@ -187,7 +203,7 @@
             println!("  violated: {violation}");
         }
         let folder = settings.folder.display();
-        println!("  kept in {folder}; once more: bluebellferry-soak replay {folder}/schedule.json");
+        println!("  kept in {folder}; once more: {REPLAY} {folder}/schedule.json");
         if run.shrink {
             let (smallest, trials) = play::shrink(&schedule, &settings).await?;
             let file = settings.folder.join("smallest.json");
--- a/crates/bluebellferry_soak/src/mesh.rs
+++ b/crates/bluebellferry_soak/src/mesh.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +9,7 @@
 
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
 
 use crate::layout;
 use crate::relay;
@@ -69,6 +69,21 @@
     }
 }
 
+/// The relays of a site; they end when this value is dropped.
+#[derive(Debug)]
+pub struct SiteRelays {
+    /// What they carry.
+    pub links: Arc<SiteLinks>,
+    tasks: JoinSet<()>,
+}
+
+impl SiteRelays {
+    /// Closes all relays, and returns once their addresses are free.
+    pub async fn close(&mut self) {
+        self.tasks.shutdown().await;
+    }
+}
+
 /// Opens all relays of a site.
 ///
 /// # Errors
@@ -76,62 +91,69 @@
 pub async fn open(
     layout: layout::SiteLayout,
     places: &SharedPlaces,
-) -> std::io::Result<Arc<SiteLinks>> {
+) -> std::io::Result<SiteRelays> {
     let links = Arc::new(SiteLinks::new(&layout));
+    let mut tasks = JoinSet::new();
     for place in 0..layout.places {
         let (link, table) = (
             links.callers[usize::from(place)].clone(),
             Arc::clone(places),
         );
-        connect(layout.caller_relay(place), move |_| {
+        connect(&mut tasks, layout.caller_relay(place), move |_| {
             let table = table.lock().unwrap_or_else(PoisonError::into_inner);
             let serving = table.successors.get(&place).copied().unwrap_or(place);
             Some((layout.callers(serving), link.clone()))
         })
         .await?;
         let link = links.duties[usize::from(place)].clone();
-        connect(layout.duty_relay(place), move |_| {
+        connect(&mut tasks, layout.duty_relay(place), move |_| {
             Some((layout.duty(), link.clone()))
         })
         .await?;
     }
     for ((place, database), link) in &links.databases {
         let (link, target) = (link.clone(), layout.database(*database));
-        connect(layout.database_relay(*place, *database), move |_| {
-            Some((target, link.clone()))
-        })
+        connect(
+            &mut tasks,
+            layout.database_relay(*place, *database),
+            move |_| Some((target, link.clone())),
+        )
         .await?;
     }
     for ((viewer, seen), link) in &links.peers {
         let address = SocketAddr::from((layout.view(*viewer, *seen), layout::COPIES_PORT));
         let target = SocketAddr::from((layout.vm(*seen), layout::COPIES_PORT));
         let link = link.clone();
-        connect(address, move |_| Some((target, link.clone()))).await?;
+        connect(&mut tasks, address, move |_| Some((target, link.clone()))).await?;
     }
     let (shared, table) = (Arc::clone(&links), Arc::clone(places));
-    connect(layout.store_relay(), move |from| {
+    connect(&mut tasks, layout.store_relay(), move |from| {
         let table = table.lock().unwrap_or_else(PoisonError::into_inner);
-        let place = find_place(&table, from)?;
+        let place = find_place(&table, from, layout.store_relay())?;
         let link = shared.stores[usize::from(place)].clone();
         Some((layout.store(place), link))
     })
     .await?;
-    open_datagrams(layout, &links).await?;
-    Ok(links)
+    open_datagrams(layout, &links, &mut tasks).await?;
+    Ok(SiteRelays { links, tasks })
 }
 
-async fn connect<F>(address: SocketAddr, choose: F) -> std::io::Result<()>
+async fn connect<F>(tasks: &mut JoinSet<()>, address: SocketAddr, choose: F) -> std::io::Result<()>
 where
     F: Fn(SocketAddr) -> Option<(SocketAddr, relay::RelayLink)> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(relay::relay_connections(listener, choose));
+    tasks.spawn(relay::relay_connections(listener, choose));
     Ok(())
 }
 
 /// Opens a socket for each VM that a VM sees. A datagram to one is sent on from the
 /// socket under which its receiver sees the sender.
-async fn open_datagrams(layout: layout::SiteLayout, links: &Arc<SiteLinks>) -> std::io::Result<()> {
+async fn open_datagrams(
+    layout: layout::SiteLayout,
+    links: &Arc<SiteLinks>,
+    tasks: &mut JoinSet<()>,
+) -> std::io::Result<()> {
     let mut sockets = BTreeMap::new();
     for (viewer, seen) in links.peers.keys() {
         let address = (layout.view(*viewer, *seen), layout::PEER_PORT);
@@ -141,7 +163,7 @@
     for (key, socket) in sockets.iter() {
         let (seen, socket) = (key.1, Arc::clone(socket));
         let (sockets, links) = (Arc::clone(&sockets), Arc::clone(links));
-        tokio::spawn(async move {
+        tasks.spawn(async move {
             let target = SocketAddr::from((layout.vm(seen), layout::PEER_PORT));
             let mut buffer = vec![0; DATAGRAM_BYTES];
             loop {
@@ -169,11 +191,11 @@
     Ok(())
 }
 
-/// Returns the place of the process that holds a connection's far end. All VMs
-/// must use one address of the store, so the address does not tell them apart.
-fn find_place(table: &PlaceTable, from: SocketAddr) -> Option<u8> {
+/// Returns the place of the process that holds the far end of a connection to an
+/// address. All VMs must use one address of the store, so it does not tell them apart.
+fn find_place(table: &PlaceTable, from: SocketAddr, to: SocketAddr) -> Option<u8> {
     let connections = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let inode = find_inode(&connections, from)?;
+    let inode = find_inode(&connections, from, to)?;
     let socket = format!("socket:[{inode}]");
     let holds = |process: u32| {
         let files = std::fs::read_dir(format!("/proc/{process}/fd"));
@@ -188,19 +210,18 @@
     found.map(|(place, _)| *place)
 }
 
-/// Returns the inode of the socket that is bound to an address, from the text of
-/// `/proc/net/tcp`.
-fn find_inode(connections: &str, address: SocketAddr) -> Option<&str> {
-    let lines = connections.lines().skip(1);
-    let mut fields = lines.map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let found = fields
-        .find(|fields| fields.get(1).and_then(|text| parse_address(text)) == Some(address))?;
-    found.get(9).copied()
+/// Returns the inode of a connected socket from the text of `/proc/net/tcp`. Both
+/// ends are needed: the system uses a port for several connections.
+fn find_inode(connections: &str, from: SocketAddr, to: SocketAddr) -> Option<&str> {
+    let ends = format!("{} {} ", encode_address(from)?, encode_address(to)?);
+    let line = connections.lines().find(|line| line.contains(&ends))?;
+    line.split_whitespace().nth(9)
 }
 
-fn parse_address(text: &str) -> Option<SocketAddr> {
-    let (ip, port) = text.split_once(':')?;
-    let ip = u32::from_str_radix(ip, 16).ok()?;
-    let port = u16::from_str_radix(port, 16).ok()?;
-    Some(SocketAddr::from((Ipv4Addr::from(ip.to_le_bytes()), port)))
+fn encode_address(address: SocketAddr) -> Option<String> {
+    let IpAddr::V4(ip) = address.ip() else {
+        return None;
+    };
+    let ip = u32::from_le_bytes(ip.octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
 }
