--- a/crates/bluebellferry_soak/src/site/injection.rs
+++ b/crates/bluebellferry_soak/src/site/injection.rs
@@ -107,8 +107,11 @@
     async fn find_leader(&mut self) -> Result<u8, SoakError> {
         let reports = self.group.send(&GroupOrder::Reports).await?;
         let reports: Vec<database::MemberReport> = serde_json::from_value(reports)?;
-        let leader = reports.iter().position(|member| member.is_primary);
-        Ok(leader.unwrap_or(0) as u8)
+        // A replaced leader goes on until it hears of that.
+        let leaders = reports.iter().enumerate();
+        let leaders = leaders.filter(|(_, member)| member.is_primary);
+        let newest = leaders.max_by_key(|(_, member)| member.term);
+        Ok(newest.map_or(0, |(database, _)| database as u8))
     }
 
     async fn inject(&mut self, kind: &FaultKind, lasts: Duration) -> Result<(), SoakError> {
