Take a transaction that an orderly stop closes between statements for cut

A stop that closed connections at once was not found: an open transaction waits between its statements, so the caller's next one finds the connection closed and was never taken. It has half of the grace to end; its next statement is owed.

The new test has a twin of a transaction that began after the signal.

--- a/crates/bluebellferry_history/src/statement/service.rs
+++ b/crates/bluebellferry_history/src/statement/service.rs
@@ -45,7 +45,10 @@
     let (sent_us, ended_us) = (statement.sent_us, statement.ended_us);
     let runs = index.runs(&statement.request);
     let took_us = ended_us - sent_us;
-    let was_taken = !runs.is_empty() || took_us > bounds.loss_slack_us;
+    let is_first = index.is_first(statement);
+    // A transaction that was open may go on, so its next statement is owed.
+    let was_open = !is_first && index.attempt_sent_us(statement) < signal.sent_us;
+    let was_taken = was_open || !runs.is_empty() || took_us > bounds.loss_slack_us;
     let calm_us = sent_us.saturating_sub(bounds.contact_us);
     let is_excused = took_us >= statement.timeout_us
         || index.is_vm_harmed(&statement.vm, calm_us, ended_us)
@@ -59,7 +62,7 @@
         return sent_us <= signal.sent_us + bounds.apply_us;
     }
     // An open transaction has the first half of the grace to end.
-    let ends_us = if index.is_first(statement) {
+    let ends_us = if is_first {
         signal.sent_us + bounds.grace_us + STOP_TAIL_US
     } else {
         signal.sent_us + bounds.grace_us / 2
--- a/crates/bluebellferry_history/tests/statements/service.rs
+++ b/crates/bluebellferry_history/tests/statements/service.rs
@@ -102,6 +102,22 @@
     assert_eq!(open(NOON + 3_000 * MS + 1), []);
 }
 
+#[test]
+fn an_open_transaction_is_not_closed_between_its_statements() {
+    let closed = |first_us: u64| {
+        let mut history = broken(true, NOON + 2_000 * MS);
+        history.runs.clear();
+        history.statements[0].is_in_transaction = true;
+        history.statements[0].attempt = 7;
+        history.statements[0].sent_us = history.statements[0].ended_us;
+        push(&mut history, step(7, "q", Action::Read, first_us), 0);
+        check(&history)
+    };
+    assert_eq!(closed(NOON - 1), cut());
+    // One that began after the signal is not owed more than any request.
+    assert_eq!(closed(NOON), []);
+}
+
 #[test]
 fn a_reload_cuts_no_request() {
     assert_eq!(check(&broken(false, NOON + 1)), cut());
