Let VMs stand still while a replica lags, as in the incident of stale reads

A stale read needs a replica that is behind by more than the route's age, and a VM that stood still for longer than that, at once.

--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -32,6 +32,10 @@
 const LEAVE_MS: u64 = 4_000;
 /// How long a database is away at least: most leaders are replaced meanwhile.
 const AWAY_MS: u64 = 2_000;
+/// The part of faults that come with a VM that stands still while a replica lags.
+const STANDSTILLS: f64 = 0.06;
+/// By how much the replica lags then; more than the age that routes allow.
+const STANDSTILL_LAG_MS: std::ops::Range<u64> = 1_600..2_600;
 /// The part of faults of databases that meet the leader for certain.
 const LEADERS: f64 = 0.4;
 /// How long most faults last.
@@ -88,6 +92,9 @@
         let mut replaced = 0;
         let mut at_ms = FIRST_MS;
         while at_ms < last_ms {
+            if random.random_bool(STANDSTILLS) {
+                faults.extend(draw_standstill(&mut random, size, at_ms, last_ms));
+            }
             let kind = draw_kind(&mut random, size, &mut replaced);
             let lasts_ms = if random.random_bool(LASTING) {
                 random.random_range(LASTING_MS)
@@ -112,6 +119,7 @@
                 at_ms += random.random_range(PAUSES_MS);
             }
         }
+        faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
             cause: String::new(),
@@ -122,6 +130,31 @@
     }
 }
 
+/// Draws a VM that stands still while a replica lags by less than that, but by more
+/// than the age that routes allow: what the VM then finds in its sockets is old.
+fn draw_standstill(
+    random: &mut StdRng,
+    size: SiteSize,
+    at_ms: u64,
+    last_ms: u64,
+) -> [ScheduledFault; 2] {
+    let lag_ms = random.random_range(STANDSTILL_LAG_MS);
+    let frozen_ms = lag_ms + random.random_range(SHORT_MS);
+    let fault = |at_ms: u64, lasts_ms: u64, kind| ScheduledFault {
+        at_ms: at_ms.min(last_ms),
+        lasts_ms: lasts_ms.min(last_ms.saturating_sub(at_ms)),
+        kind,
+    };
+    let vm = random.random_range(0..size.vms);
+    let replica = random.random_range(0..size.databases);
+    let lag = FaultKind::Lag(replica, lag_ms);
+    let freeze = FaultKind::Freeze(vec![vm]);
+    [
+        fault(at_ms, frozen_ms + 2 * lag_ms, lag),
+        fault(at_ms + lag_ms, frozen_ms, freeze),
+    ]
+}
+
 fn draw_kind(random: &mut StdRng, size: SiteSize, replaced: &mut u8) -> FaultKind {
     let vm = random.random_range(0..size.vms);
     let database = draw_database(random, size);
