--- a/crates/bluebellferry_soak/tests/short_soak.rs
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -18,32 +18,35 @@
 /// Fewer statements would show little.
 const LEAST_STATEMENTS: usize = 500;
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_short_soak_breaks_no_promise() {
-    let seed = std::env::var(SEED_VARIABLE).ok();
-    let seed = seed.map_or(USUAL_SEED, |text| text.parse().expect("a seed is a number"));
-    println!("{SEED_VARIABLE}={seed}");
+fn settings(name: &str) -> play::PlaySettings {
     let soak = Path::new(env!("CARGO_BIN_EXE_bluebellferry-soak"));
     let programs = site::SitePrograms {
         vm: soak.with_file_name("bluebellferry-edge"),
         soak: soak.to_owned(),
     };
     assert!(programs.vm.exists(), "build bluebellferry_edge first");
+    play::PlaySettings {
+        programs,
+        folder: soak.with_file_name(format!("soak-test-{name}")),
+        callers: CALLERS,
+        shows_progress: false,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_short_soak_breaks_no_promise() {
+    let seed = std::env::var(SEED_VARIABLE).ok();
+    let seed = seed.map_or(USUAL_SEED, |text| text.parse().expect("a seed is a number"));
+    println!("{SEED_VARIABLE}={seed}");
     let size = schedule::SiteSize {
         vms: 3,
         spares: 2,
         databases: 3,
     };
     let schedule = schedule::FaultSchedule::draw(seed, size, LENGTH_MS);
-    let settings = play::PlaySettings {
-        programs,
-        folder: soak.with_file_name(format!("soak-test-{seed}")),
-        callers: CALLERS,
-        shows_progress: false,
-    };
-    let outcome = play::play(&schedule, &settings)
-        .await
-        .expect("it is played");
+    let settings = settings(&format!("seed-{seed}"));
+    let outcome = play::play(&schedule, &settings).await;
+    let outcome = outcome.expect("it is played");
     let page = report::render(&outcome);
     assert!(outcome.violations.is_empty(), "seed {seed}\n{page}");
     assert!(
@@ -51,3 +54,20 @@
         "seed {seed}\n{page}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn schedules_that_once_failed_break_no_promise() {
+    let cases = Path::new(env!("CARGO_MANIFEST_DIR")).join("cases");
+    for case in std::fs::read_dir(cases).expect("there are cases") {
+        let file = case.expect("a case can be listed").path();
+        let text = std::fs::read_to_string(&file).expect("a case can be read");
+        let schedule: schedule::FaultSchedule =
+            serde_json::from_str(&text).expect("a case is a schedule");
+        let name = file.file_stem().expect("a case has a name");
+        let settings = settings(&name.to_string_lossy());
+        let outcome = play::play(&schedule, &settings).await;
+        let outcome = outcome.expect("it is played");
+        let page = report::render(&outcome);
+        assert!(outcome.violations.is_empty(), "{}\n{page}", schedule.cause);
+    }
+}
