--- a/crates/bluebellferry_soak/src/main.rs
+++ b/crates/bluebellferry_soak/src/main.rs
@@ -58,7 +58,7 @@
                 /// Prints one line a seed only.
                 optional --quiet
             }
-            /// Plays schedules from files, such as those of crates/bluebellferry_soak/cases.
+            /// Plays schedules from files, such as those of crates/bluebellferry_soak/regressions.
             cmd replay {
                 /// The schedules.
                 repeated files: PathBuf
