--- a/crates/bluebellferry_edge/tests/broken_connections.rs
+++ b/crates/bluebellferry_edge/tests/broken_connections.rs
@@ -81,7 +81,7 @@
         deployment::succeeds(&mut caller, "READ boots").await;
         let answer = run_lost(&deployment, &mut caller, "WRITE boots lost", loss).await;
         // Nothing of it is kept, and the caller is told so.
-        let Some(caller::CallerRefusal::Other(line)) = answer.refusal else {
+        let Some(caller::CallerRefusal::NothingKept(line)) = answer.refusal else {
             panic!("{loss:?}: {answer:?}");
         };
         assert!(line.starts_with("ERROR ABORTED"), "{loss:?}: {line}");
--- /dev/null
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -0,0 +1,245 @@
+//! Schedules of faults that are drawn by seed.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fault;
+use crate::fault::FaultKind;
+use crate::fault::LinkFault;
+use crate::fault::LinkName;
+use crate::fault::ScheduledFault;
+use crate::relay::WayState;
+
+/// When the first fault may come: callers have learned the answer times by then.
+const FIRST_MS: u64 = 1_500;
+/// How long after the last fault callers go on in a short run.
+const SHORT_END_MS: u64 = 5_000;
+/// The same in a run that is long enough to see callers served again: longer than
+/// what the platform allows for recovery.
+const LONG_END_MS: u64 = 16_000;
+/// From which length on a run is long, in milliseconds.
+const LONG_MS: u64 = 30_000;
+/// The pauses between two faults of a series. A replacement of a leader takes about
+/// two seconds, so some fall into one pause and others meet the next fault.
+const PAUSES_MS: std::ops::Range<u64> = 200..2_600;
+/// The part of faults that come together with the next.
+const TOGETHER: f64 = 0.25;
+/// How long a database stays at least once it has announced that it leaves.
+const LEAVE_MS: u64 = 4_000;
+/// How long a database is away at least: most leaders are replaced meanwhile.
+const AWAY_MS: u64 = 2_000;
+/// The part of faults that come with a VM that stands still while a replica lags.
+const STANDSTILLS: f64 = 0.06;
+/// By how much the replica lags then; more than the age that routes allow.
+const STANDSTILL_LAG_MS: std::ops::Range<u64> = 1_600..2_600;
+/// The part of faults of databases that meet the leader for certain.
+const LEADERS: f64 = 0.4;
+/// How long most faults last.
+const SHORT_MS: std::ops::Range<u64> = 200..2_000;
+/// How long the others do. A freeze of six seconds outlives every lease and time-out.
+const LASTING_MS: std::ops::Range<u64> = 2_000..6_000;
+/// The part of the others.
+const LASTING: f64 = 0.35;
+/// The rate that a lower limit allows.
+const RATES: std::ops::Range<u32> = 60..150;
+
+/// Returns how long after the last fault callers go on, in milliseconds.
+pub const fn calm_end_ms(length_ms: u64) -> u64 {
+    if length_ms < LONG_MS {
+        SHORT_END_MS
+    } else {
+        LONG_END_MS
+    }
+}
+
+/// The size of what is played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteSize {
+    /// The VMs at the start.
+    pub vms: u8,
+    /// The places for VMs that replace others.
+    pub spares: u8,
+    /// The databases.
+    pub databases: u8,
+}
+
+/// What is played, and when.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultSchedule {
+    /// The seed that it was drawn by.
+    pub seed: u64,
+    /// Why it once failed, for a schedule that is kept as a regression case.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub cause: String,
+    /// The size of the site.
+    pub size: SiteSize,
+    /// For how long callers run, in milliseconds.
+    pub length_ms: u64,
+    /// The faults, by their time.
+    pub faults: Vec<ScheduledFault>,
+}
+
+impl FaultSchedule {
+    /// Draws a schedule; the same arguments give the same schedule.
+    pub fn draw(seed: u64, size: SiteSize, length_ms: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let last_ms = length_ms.saturating_sub(calm_end_ms(length_ms));
+        let mut faults = Vec::new();
+        let mut replaced = 0;
+        let mut at_ms = FIRST_MS;
+        while at_ms < last_ms {
+            if random.random_bool(STANDSTILLS) {
+                faults.extend(draw_standstill(&mut random, size, at_ms, last_ms));
+            }
+            let kind = draw_kind(&mut random, size, &mut replaced);
+            let lasts_ms = if random.random_bool(LASTING) {
+                random.random_range(LASTING_MS)
+            } else {
+                random.random_range(SHORT_MS)
+            };
+            let lasts_ms = match kind {
+                _ if kind.is_momentary() => 0,
+                FaultKind::Leave(_) => lasts_ms.max(LEAVE_MS),
+                FaultKind::Silence(_) | FaultKind::Crash(_) | FaultKind::Rebirth(_) => {
+                    lasts_ms.max(AWAY_MS)
+                }
+                _ => lasts_ms,
+            };
+            let lasts_ms = lasts_ms.min(last_ms - at_ms);
+            faults.push(ScheduledFault {
+                at_ms,
+                lasts_ms,
+                kind,
+            });
+            if !random.random_bool(TOGETHER) {
+                at_ms += random.random_range(PAUSES_MS);
+            }
+        }
+        faults.sort_by_key(|fault| fault.at_ms);
+        Self {
+            seed,
+            cause: String::new(),
+            size,
+            length_ms,
+            faults,
+        }
+    }
+}
+
+/// Draws a VM that stands still while a replica lags by less than that, but by more
+/// than the age that routes allow: what the VM then finds in its sockets is old.
+fn draw_standstill(
+    random: &mut StdRng,
+    size: SiteSize,
+    at_ms: u64,
+    last_ms: u64,
+) -> [ScheduledFault; 2] {
+    let lag_ms = random.random_range(STANDSTILL_LAG_MS);
+    let frozen_ms = lag_ms + random.random_range(SHORT_MS);
+    let fault = |at_ms: u64, lasts_ms: u64, kind| ScheduledFault {
+        at_ms: at_ms.min(last_ms),
+        lasts_ms: lasts_ms.min(last_ms.saturating_sub(at_ms)),
+        kind,
+    };
+    let vm = random.random_range(0..size.vms);
+    let replica = random.random_range(0..size.databases);
+    let lag = FaultKind::Lag(replica, lag_ms);
+    let freeze = FaultKind::Freeze(vec![vm]);
+    [
+        fault(at_ms, frozen_ms + 2 * lag_ms, lag),
+        fault(at_ms + lag_ms, frozen_ms, freeze),
+    ]
+}
+
+fn draw_kind(random: &mut StdRng, size: SiteSize, replaced: &mut u8) -> FaultKind {
+    let vm = random.random_range(0..size.vms);
+    let database = draw_database(random, size);
+    let some = some_vms(random, size);
+    // Freezes, links and databases have many forms, so they come more often.
+    match random.random_range(0..34) {
+        0 | 1 => FaultKind::Stop(some),
+        2 => FaultKind::Reload(vm),
+        3..=6 => FaultKind::Freeze(some),
+        7 | 8 => FaultKind::Kill(some),
+        9 if *replaced < size.spares => {
+            *replaced += 1;
+            FaultKind::Replace(vm)
+        }
+        9..=14 => draw_link(random, size),
+        15 => FaultKind::Rate(random.random_range(RATES)),
+        16 => FaultKind::WithdrawKey,
+        17 | 18 => FaultKind::Leave(database),
+        19 => FaultKind::StoreDown,
+        20 => FaultKind::StoreSlow(random.random_range(50..2_000)),
+        21 if random.random_bool(0.5) => FaultKind::StoreLosesAnswers,
+        21 => FaultKind::StoreWritesLate,
+        22 => FaultKind::StoreForgets,
+        23 => FaultKind::StoreTurnsAway(some),
+        24..=26 => FaultKind::Lag(database, random.random_range(100..5_000)),
+        27 => FaultKind::Deafen(database),
+        28 | 29 => FaultKind::Silence(database),
+        30 => FaultKind::Crash(database),
+        31 => FaultKind::Rebirth(database),
+        _ => FaultKind::LoseAnswer,
+    }
+}
+
+fn draw_database(random: &mut StdRng, size: SiteSize) -> u8 {
+    if random.random_bool(LEADERS) {
+        fault::LEADER
+    } else {
+        random.random_range(0..size.databases)
+    }
+}
+
+/// Draws one VM mostly, and several at times.
+fn some_vms(random: &mut StdRng, size: SiteSize) -> Vec<u8> {
+    let vms: Vec<u8> = (0..size.vms).collect();
+    let count = if random.random_bool(0.7) {
+        1
+    } else {
+        random.random_range(1..=vms.len())
+    };
+    let mut chosen: Vec<u8> = vms.choose_multiple(random, count).copied().collect();
+    chosen.sort_unstable();
+    chosen
+}
+
+fn draw_link(random: &mut StdRng, size: SiteSize) -> FaultKind {
+    let vm = random.random_range(0..size.vms);
+    let database = draw_database(random, size);
+    let others = (0..size.vms).filter(|other| *other != vm);
+    let peers = |vm: u8, other: u8| LinkName::Peers(vm, other);
+    let links: Vec<LinkName> = match random.random_range(0..7) {
+        0 => vec![LinkName::Callers(vm)],
+        1 => vec![LinkName::Store(vm)],
+        2 => vec![LinkName::Duty(vm)],
+        3 => vec![LinkName::Database(vm, database)],
+        4 => (0..size.vms)
+            .map(|vm| LinkName::Database(vm, database))
+            .collect(),
+        // A VM that is cut off from the others, and perhaps from all else.
+        5 => others.map(|other| peers(vm, other)).collect(),
+        _ => {
+            let mut links: Vec<LinkName> = others.map(|other| peers(vm, other)).collect();
+            links.push(LinkName::Store(vm));
+            links.push(LinkName::Duty(vm));
+            links
+        }
+    };
+    let delay = WayState::Delayed(random.random_range(5..800));
+    let fault = match random.random_range(0..7) {
+        0 => LinkFault::Reset,
+        1 => LinkFault::Ways(delay, delay),
+        2 => LinkFault::Ways(WayState::Open, delay),
+        3 => LinkFault::Ways(WayState::Cut, WayState::Open),
+        4 => LinkFault::Ways(WayState::Open, WayState::Cut),
+        5 => LinkFault::Ways(WayState::Cut, WayState::Cut),
+        _ => LinkFault::Ways(WayState::Silenced, WayState::Silenced),
+    };
+    FaultKind::Link(links, fault)
+}
