--- a/crates/bluebellferry_soak/src/main.rs
+++ b/crates/bluebellferry_soak/src/main.rs
@@ -23,6 +23,9 @@
 const VM_PROGRAM: &str = "bluebellferry-edge";
 const USUAL_VMS: u8 = 3;
 const USUAL_SPARES: u8 = 2;
+/// With those that replace others sixteen. Beyond, VMs use lists that others have read,
+/// in which VMs stand at addresses of the others' relays.
+const MOST_VMS: u8 = 14;
 const USUAL_DATABASES: u8 = 3;
 const USUAL_CALLERS: usize = 24;
 const USUAL_SECONDS: u64 = 20;
@@ -45,7 +48,7 @@
                 optional --minutes minutes: u64
                 /// How long callers run, in seconds (20).
                 optional --seconds seconds: u64
-                /// How many VMs there are (3).
+                /// How many VMs there are (3; 14 at most).
                 optional --vms vms: u8
                 /// How many callers there are (24).
                 optional --callers callers: usize
@@ -166,6 +169,9 @@
 }
 
 async fn run_seeds(run: &flags::Run) -> Result<bool, Box<dyn std::error::Error>> {
+    if run.vms.is_some_and(|vms| !(1..=MOST_VMS).contains(&vms)) {
+        return Err(format!("--vms wants 1 to {MOST_VMS}").into());
+    }
     let size = schedule::SiteSize {
         vms: run.vms.unwrap_or(USUAL_VMS),
         spares: USUAL_SPARES,
