--- a/crates/bluebellferry_edge/tests/claims.rs
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -1,7 +1,6 @@
 //! When a VM may enter the replacement of a leader into the table.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,7 +14,6 @@
 use bluebellferry_edge::control::peers;
 use bluebellferry_edge::control::replacement;
 use bluebellferry_edge::control::state;
-use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
 use bluebellferry_membership::beat;
 use bluebellferry_runtime::clock;
@@ -24,6 +22,9 @@
 use bluebellferry_types::position;
 use tokio::net::TcpListener;
 
+#[path = "fixtures/settings.rs"]
+mod fixtures;
+
 fn service() -> name::ServiceName {
     name::ServiceName::try_from("rental").expect("a valid name")
 }
@@ -61,22 +62,8 @@
     databases: Vec<database::DatabaseEntry>,
 ) -> state::ControlState {
     let any = any_address();
-    let settings = settings::EdgeSettings {
-        vm: vm.to_owned(),
-        address: any.ip(),
-        data_centre: data_centre(),
-        region: "here".to_owned(),
-        regions: BTreeMap::new(),
-        caller_address: any,
-        readiness_address: any,
-        copies_address: any,
-        peer_port: 2,
-        metrics_port: 3,
-        max_callers: 10,
-        store_address: store,
-        duty_address: any,
-        grace: Duration::from_secs(3),
-    };
+    let mut settings = fixtures::settings(vm, data_centre(), any);
+    settings.store_address = store;
     let (shared, _) = shared::EdgeShared::new(settings, 1);
     let mut control = state::ControlState::new(shared);
     let record = state::MemberRecord {
--- a/crates/bluebellferry_edge/tests/heads.rs
+++ b/crates/bluebellferry_edge/tests/heads.rs
@@ -13,13 +13,15 @@
 use bluebellferry_edge::control::parts;
 use bluebellferry_edge::control::parts::table;
 use bluebellferry_edge::control::state;
-use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
 use bluebellferry_membership::beat;
 use bluebellferry_membership::circle;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
 
+#[path = "fixtures/settings.rs"]
+mod fixtures;
+
 const CENTRES: usize = 3;
 const VMS: usize = 24;
 
@@ -46,22 +48,7 @@
 
 fn control(index: usize, now: Instant) -> state::ControlState {
     let any = SocketAddr::from(([127, 0, 0, 1], 1));
-    let settings = settings::EdgeSettings {
-        vm: vm(index),
-        address: any.ip(),
-        data_centre: centre(index),
-        region: "here".to_owned(),
-        regions: BTreeMap::new(),
-        caller_address: any,
-        readiness_address: any,
-        copies_address: any,
-        peer_port: 2,
-        metrics_port: 3,
-        max_callers: 10,
-        store_address: any,
-        duty_address: any,
-        grace: Duration::from_secs(3),
-    };
+    let settings = fixtures::settings(&vm(index), centre(index), any);
     let (shared, _) = shared::EdgeShared::new(settings, 1);
     let mut control = state::ControlState::new(shared);
     control.apply_members(members(), 5, now);
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -2,7 +2,6 @@
 //! believes when a connection has come free.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +9,6 @@
 
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::database;
-use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
 use bluebellferry_edge::traffic;
 use bluebellferry_edge::traffic::dispatch;
@@ -27,6 +25,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+#[path = "fixtures/settings.rs"]
+mod fixtures;
+
 /// How long the database takes to open a connection.
 const OPENING: Duration = Duration::from_millis(80);
 
@@ -60,23 +61,8 @@
 }
 
 fn edge() -> Arc<shared::EdgeShared> {
-    let any = any_address();
-    let settings = settings::EdgeSettings {
-        vm: "vm-0".to_owned(),
-        address: any.ip(),
-        data_centre: name::DataCentreName::try_from("amman-a").expect("a valid name"),
-        region: "amman".to_owned(),
-        regions: BTreeMap::new(),
-        caller_address: any,
-        readiness_address: any,
-        copies_address: any,
-        peer_port: 2,
-        metrics_port: 3,
-        max_callers: 10,
-        store_address: any,
-        duty_address: any,
-        grace: Duration::from_secs(3),
-    };
+    let data_centre = name::DataCentreName::try_from("amman-a").expect("a valid name");
+    let settings = fixtures::settings("vm-0", data_centre, any_address());
     shared::EdgeShared::new(settings, 1).0
 }
 
--- a/crates/bluebellferry_edge/tests/position_ages.rs
+++ b/crates/bluebellferry_edge/tests/position_ages.rs
@@ -15,7 +15,6 @@
 use bluebellferry_edge::control::parts;
 use bluebellferry_edge::control::peers;
 use bluebellferry_edge::control::state;
-use bluebellferry_edge::settings;
 use bluebellferry_edge::shared;
 use bluebellferry_edge::traffic::reads;
 use bluebellferry_membership::beat;
@@ -27,6 +26,9 @@
 use rand::SeedableRng;
 use rand::rngs;
 
+#[path = "fixtures/settings.rs"]
+mod fixtures;
+
 const VMS: usize = 5;
 /// Commits that the leader acknowledges in a second.
 const COMMITS_PER_SECOND: u64 = 20;
@@ -45,22 +47,7 @@
 
 fn control(index: usize, incarnation: u64, now: Instant) -> control::ControlCell {
     let data_centre = name::DataCentreName::try_from("here").expect("a valid name");
-    let settings = settings::EdgeSettings {
-        vm: vm(index),
-        address: address(index).ip(),
-        data_centre: data_centre.clone(),
-        region: "here".to_owned(),
-        regions: BTreeMap::new(),
-        caller_address: address(index),
-        readiness_address: address(index),
-        copies_address: address(index),
-        peer_port: 2,
-        metrics_port: 3,
-        max_callers: 10,
-        store_address: address(index),
-        duty_address: address(index),
-        grace: Duration::from_secs(3),
-    };
+    let settings = fixtures::settings(&vm(index), data_centre.clone(), address(index));
     let (shared, _) = shared::EdgeShared::new(settings, incarnation);
     let mut control = state::ControlState::new(shared);
     let member = |index: usize| state::MemberRecord {
