--- a/crates/bluebellferry_edge/src/control/replacement/hold.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/hold.rs
@@ -16,7 +16,7 @@
 use crate::control;
 use crate::control::orders;
 use crate::control::replacement::cause;
-use crate::control::state;
+use crate::control::state::databases;
 
 /// How long a replica that leaves with the longest log waits for one that vanished. Entries
 /// that lapsed while their databases lived are back within 2 s, and it must be named a
@@ -316,7 +316,7 @@
 ) -> Option<position::LogPosition> {
     let (end, noticed) = replacement.emptied.get(id)?;
     let since = clock::now().saturating_duration_since(*noticed);
-    (since < state::VANISHED_KEPT).then_some(*end)
+    (since < databases::VANISHED_KEPT).then_some(*end)
 }
 
 fn evidence_of(
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -17,6 +17,7 @@
 use bluebellferry_edge::traffic::session;
 use bluebellferry_pool::budget;
 use bluebellferry_runtime::clock;
+use bluebellferry_standin_platform::contents;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use tokio::io::AsyncBufReadExt;
@@ -233,12 +234,14 @@
 const READING: Duration = Duration::from_millis(80);
 
 /// Serves a database that answers each statement with `answer`.
-async fn serve_answers(answer: &'static str) -> std::net::SocketAddr {
+async fn serve_answers(answer: &str) -> std::net::SocketAddr {
+    let answer = answer.to_owned();
     let listener = TcpListener::bind(any_address().ip().to_string() + ":0").await;
     let listener = listener.expect("it listens");
     let address = listener.local_addr().expect("it has an address");
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
             tokio::task::spawn_local(async move {
                 let mut stream = BufReader::new(stream);
                 let mut line = String::new();
@@ -251,7 +254,7 @@
                         "READY I -\r\n"
                     } else {
                         tokio::time::sleep(READING).await;
-                        answer
+                        &answer
                     };
                     stream.get_mut().write_all(reply.as_bytes()).await.ok();
                     line.clear();
@@ -266,7 +269,7 @@
 /// the position that leaders were seen to hold since, which must be dated before the
 /// database was asked.
 async fn seen_after_read(
-    answer: &'static str,
+    answer: &str,
     known: Option<position::LogPosition>,
     view: shared::LeaderView,
     change: impl FnOnce(&mut shared::EdgeSnapshot),
@@ -328,14 +331,13 @@
     latest.map(|(_, position)| position)
 }
 
-const READ_AT_5: &str = "DATAROW x\r\nCOMPLETE r\r\nREADY I 1.5\r\n";
-
 #[tokio::test]
 async fn a_leader_s_answer_tells_what_it_holds() {
     let local = tokio::task::LocalSet::new();
     local
         .run_until(async {
-            let seen = seen_after_read(READ_AT_5, None, leader("i-a"), |_| {}).await;
+            let seen =
+                seen_after_read(&contents::read_answer("1.5"), None, leader("i-a"), |_| {}).await;
             assert_eq!(seen, Some(position(1, 5)));
         })
         .await;
@@ -352,7 +354,8 @@
                 beliefs.leaders = Arc::new([(service(), leader("i-a"))].into());
                 beliefs.leases.clear();
             };
-            let seen = seen_after_read(READ_AT_5, known, leader("i-b"), other).await;
+            let seen =
+                seen_after_read(&contents::read_answer("1.5"), known, leader("i-b"), other).await;
             assert_eq!(seen, None);
         })
         .await;
@@ -369,7 +372,8 @@
                 beliefs.leaders = Arc::new([(service(), leader("i-a"))].into());
             };
             let known = Some(position(1, 5));
-            let seen = seen_after_read(READ_AT_5, known, leader("i-b"), name_it).await;
+            let seen =
+                seen_after_read(&contents::read_answer("1.5"), known, leader("i-b"), name_it).await;
             assert_eq!(seen, None);
         })
         .await;
--- a/crates/bluebellferry_edge/tests/store_listings.rs
+++ b/crates/bluebellferry_edge/tests/store_listings.rs
@@ -8,13 +8,14 @@
 use axum::routing::get;
 use bluebellferry_platform::objects;
 use bluebellferry_platform::registry;
+use bluebellferry_standin_platform::contents;
 use serde_json::Value;
 use serde_json::json;
 
 fn server(name: &str) -> Value {
-    json!({"meta": {"Name": name, "Revision": 4}, "spec": {"Service": "rental",
-        "Addr": "127.0.0.1:1", "Zone": "amman-a", "Slots": 3, "State": "ready",
-        "DbRole": "replica", "born": 1}})
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let entry = contents::registration("rental", address, false);
+    json!({"meta": {"Name": name, "Revision": 4}, "spec": entry})
 }
 
 /// Serves a listing of two pages, of which the second begins after `last`.
