Keep a session whose write is in doubt at the leader

What callers saw: a caller that was told that its write is in doubt, and looked it up, read the value of before at a replica, although the write had been committed.

Cause: a session's floor rises with answers only.

Change: reads that promise own writes go to the leader until the bound of the route covers the doubted write.

Tests first: a_read_after_a_write_in_doubt_sees_whether_it_ran read 'before' for 'one'.

--- a/crates/bluebellferry_edge/src/traffic/reads.rs
+++ b/crates/bluebellferry_edge/src/traffic/reads.rs
@@ -1,5 +1,6 @@
 //! Which databases may serve a read.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
@@ -15,6 +16,41 @@
     Since(position::LogPosition),
 }
 
+/// How long a database may take to commit a write that was given up: its connection is
+/// closed at once.
+const DOUBT_SETTLES: Duration = Duration::from_secs(1);
+
+/// What is known of a session's last commit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SessionFloor {
+    /// Its position, if there was one.
+    Known(Option<position::LogPosition>),
+    /// A write was given up, and may have been committed.
+    Doubted {
+        /// When it was given up.
+        at: Instant,
+        /// The position of the last commit that was answered.
+        floor: Option<position::LogPosition>,
+    },
+}
+
+impl SessionFloor {
+    /// Returns the position that covers the session's commits; `None` if only the leader
+    /// is known to hold them. Those that are older than `max_age` are covered anyway.
+    fn covering(
+        self,
+        max_age: Duration,
+        arrived: Instant,
+    ) -> Option<Option<position::LogPosition>> {
+        match self {
+            Self::Known(floor) => Some(floor),
+            Self::Doubted { at, floor } => {
+                (arrived >= at + DOUBT_SETTLES + max_age).then_some(floor)
+            }
+        }
+    }
+}
+
 /// Works out what a read must see. `arrived` is when its first byte, or its
 /// transaction's, was received.
 ///
@@ -23,7 +59,7 @@
 /// the bound covers all that the read must see.
 pub fn demand_of(
     guarantee: configuration::ReadGuarantee,
-    session_floor: Option<position::LogPosition>,
+    session_floor: SessionFloor,
     history: Option<&history::PositionHistory>,
     arrived: Instant,
 ) -> ReadDemand {
@@ -31,7 +67,10 @@
     let (max_age, floor) = match guarantee {
         Guarantee::Primary => return ReadDemand::Leader,
         Guarantee::BoundedAge { max_age } => (max_age, None),
-        Guarantee::ReadYourWrites { max_age } => (max_age, session_floor),
+        Guarantee::ReadYourWrites { max_age } => match session_floor.covering(max_age, arrived) {
+            Some(floor) => (max_age, floor),
+            None => return ReadDemand::Leader,
+        },
     };
     let bound = arrived
         .checked_sub(max_age)
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -67,6 +67,8 @@
     pub held: Option<dispatch::HeldConnection>,
     /// The open transaction.
     pub transaction: Option<TransactionContext>,
+    /// When the last write was given up whose effect is not known.
+    pub doubted: Option<Instant>,
 }
 
 /// The next thing that happens on a caller's connection.
@@ -143,6 +145,7 @@
         state: state::SessionState::default(),
         held: None,
         transaction: None,
+        doubted: None,
     })
 }
 
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -203,6 +203,9 @@
             }
             Err(error) => {
                 self.record_failure(&statement.id, held, error, outcomes::is_commit(plan));
+                if plan.kind == state::RunKind::Commit {
+                    self.doubted = Some(clock::now());
+                }
                 self.state.record_outcome(plan, state::RunOutcome::Lost);
                 self.transaction = None;
                 Err(outcomes::lost_in_transaction(plan.kind, error))
@@ -390,6 +393,7 @@
             Ok(answer) => answer,
             Err(error) => {
                 self.record_failure(&statement.id, held, error, true);
+                self.doubted = Some(clock::now());
                 return TryEnd::GivenUp(outcomes::in_doubt(error));
             }
         };
@@ -461,7 +465,13 @@
     fn replica_since(&self, scope: &StatementScope) -> Option<position::LogPosition> {
         let positions = self.context.shared.positions();
         let history = positions.get(&scope.policy.service);
-        let floor = self.state.floor();
+        let floor = match self.doubted {
+            Some(doubted) => reads::SessionFloor::Doubted {
+                at: doubted,
+                floor: self.state.floor(),
+            },
+            None => reads::SessionFloor::Known(self.state.floor()),
+        };
         match reads::demand_of(scope.policy.guarantee, floor, history, scope.arrived) {
             reads::ReadDemand::Since(position) => Some(position),
             reads::ReadDemand::Leader => None,
--- a/crates/bluebellferry_edge/tests/broken_connections.rs
+++ b/crates/bluebellferry_edge/tests/broken_connections.rs
@@ -131,3 +131,33 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+// A caller that was told that a write is in doubt, and looked it up, was shown a replica that
+// had not received it yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_read_after_a_write_in_doubt_sees_whether_it_ran() {
+    let deployment = start(1).await;
+    let caller = deployment.caller(0, "booking", KEY).await;
+    let mut caller = caller.expect("it connects");
+    deployment::succeeds(&mut caller, "WRITE boots before").await;
+    for replica in [1, 2] {
+        deployment.group.set_lag(replica, Duration::from_secs(4));
+    }
+    // The position that bounds reads is the one before the writes.
+    let reader = deployment.caller(0, "counter", KEY).await;
+    deployment::succeeds(&mut reader.expect("it connects"), "READ boots").await;
+    let answer = run_lost(&deployment, &mut caller, "WRITE boots one", AnswerLoss::Cut).await;
+    assert_eq!(answer.refusal, Some(caller::CallerRefusal::InDoubt));
+    assert_eq!(
+        deployment::succeeds(&mut caller, "READ boots").await,
+        ["one"]
+    );
+    deployment::succeeds(&mut caller, "BEGIN").await;
+    deployment::succeeds(&mut caller, "WRITE boots two").await;
+    let answer = run_lost(&deployment, &mut caller, "COMMIT", AnswerLoss::Cut).await;
+    assert_eq!(answer.refusal, Some(caller::CallerRefusal::InDoubt));
+    assert_eq!(
+        deployment::succeeds(&mut caller, "READ boots").await,
+        ["two"]
+    );
+}
--- a/crates/bluebellferry_edge/tests/decisions.rs
+++ b/crates/bluebellferry_edge/tests/decisions.rs
@@ -71,17 +71,37 @@
     let arrived = start + Duration::from_millis(9_500);
     let max_age = Duration::from_millis(1_500);
     let bounded = configuration::ReadGuarantee::BoundedAge { max_age };
-    let demand = reads::demand_of(bounded, Some(position(85)), Some(&history), arrived);
+    let demand = reads::demand_of(
+        bounded,
+        reads::SessionFloor::Known(Some(position(85))),
+        Some(&history),
+        arrived,
+    );
     assert_eq!(demand, reads::ReadDemand::Since(position(80)));
     let own = configuration::ReadGuarantee::ReadYourWrites { max_age };
-    let demand = reads::demand_of(own, Some(position(85)), Some(&history), arrived);
+    let demand = reads::demand_of(
+        own,
+        reads::SessionFloor::Known(Some(position(85))),
+        Some(&history),
+        arrived,
+    );
     assert_eq!(demand, reads::ReadDemand::Since(position(85)));
     // Without a recent sample only the leader is known to hold enough.
     let late = start + Duration::from_secs(20);
-    let demand = reads::demand_of(bounded, None, Some(&history), late);
+    let demand = reads::demand_of(
+        bounded,
+        reads::SessionFloor::Known(None),
+        Some(&history),
+        late,
+    );
     assert_eq!(demand, reads::ReadDemand::Leader);
     let primary = configuration::ReadGuarantee::Primary;
-    let demand = reads::demand_of(primary, None, Some(&history), arrived);
+    let demand = reads::demand_of(
+        primary,
+        reads::SessionFloor::Known(None),
+        Some(&history),
+        arrived,
+    );
     assert_eq!(demand, reads::ReadDemand::Leader);
 }
 
@@ -185,3 +205,30 @@
     assert!(!members::may_join(after(5_000), 2, 6, true));
     assert!(members::may_join(after(6_600), 0, 6, true));
 }
+
+#[test]
+fn a_write_in_doubt_keeps_its_session_at_the_leader_until_the_bound_covers_it() {
+    let start = Instant::now();
+    let max_age = Duration::from_millis(1_500);
+    let own = configuration::ReadGuarantee::ReadYourWrites { max_age };
+    let bounded = configuration::ReadGuarantee::BoundedAge { max_age };
+    let mut history = history::PositionHistory::default();
+    for second in 0..10 {
+        history.record(start + Duration::from_secs(second), position(second * 10));
+    }
+    let doubted = reads::SessionFloor::Doubted {
+        at: start + Duration::from_secs(5),
+        floor: Some(position(40)),
+    };
+    let demand = |guarantee, arrived| {
+        let arrived = start + Duration::from_millis(arrived);
+        reads::demand_of(guarantee, doubted, Some(&history), arrived)
+    };
+    assert_eq!(demand(own, 5_001), reads::ReadDemand::Leader);
+    assert_eq!(demand(own, 7_499), reads::ReadDemand::Leader);
+    assert_eq!(demand(own, 7_500), reads::ReadDemand::Since(position(60)));
+    assert_eq!(
+        demand(bounded, 5_001),
+        reads::ReadDemand::Since(position(40))
+    );
+}
--- a/crates/bluebellferry_edge/tests/position_ages.rs
+++ b/crates/bluebellferry_edge/tests/position_ages.rs
@@ -64,7 +64,12 @@
     let control = control.borrow();
     let positions = control.shared.positions();
     let guarantee = configuration::ReadGuarantee::ReadYourWrites { max_age };
-    reads::demand_of(guarantee, None, positions.get(&service()), now)
+    reads::demand_of(
+        guarantee,
+        reads::SessionFloor::Known(None),
+        positions.get(&service()),
+        now,
+    )
 }
 
 // A VM that had stood still took positions out of heartbeats that waited in its socket for
