--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -13,8 +13,8 @@
 use crate::control::state;
 use crate::shared;
 
-/// How long a database that vanished, or came back empty, is taken to hold commits that no other replica has:
-/// one that follows has received them by then.
+/// How long a database that vanished, or came back empty, is taken to hold commits that no
+/// other replica has: one that follows has received them by then.
 pub const VANISHED_KEPT: Duration = Duration::from_secs(30);
 
 /// How many databases are remembered whose place another one has taken: more than are
