Record the first SIGTERM of a process only

Its history has SIGTERM at 11.66 and again at 13.81 s, when the process was still stopping: with 6 s of grace it ended its transactions at 14.96 s, over the half that they are owed. The runner recorded the second signal, too, so that a transaction begun at 13.44 s seemed to be owed half of a second grace. The platform sends one SIGTERM.

Ruled out: the process serving beyond its grace (no start of vm-3 between, and the connection ends when the phase Ending begins).

The schedule is kept.

--- a/crates/bluebellferry_soak/src/site/processes.rs
+++ b/crates/bluebellferry_soak/src/site/processes.rs
@@ -136,7 +136,10 @@
     pub(super) fn stop(&mut self, place: u8, lasts: Duration) {
         let place = self.current(place);
         if self.signal(place, Signal::TERM) {
-            self.note_signal(place, true);
+            // A further signal gives a process that is stopping no more time.
+            if self.places[usize::from(place)].stopped.is_none() {
+                self.note_signal(place, true);
+            }
             let vm = &mut self.places[usize::from(place)];
             vm.stopped.get_or_insert_with(Instant::now);
             vm.starts = Some(Instant::now() + lasts);
