--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -246,8 +246,8 @@
 }
 
 /// Takes positions that another VM has seen, in a heartbeat that was composed not before
-/// `composed`. Where that is not known they have no bound on their age: a heartbeat may
-/// have waited for as long as either VM stood still, so the time of its arrival is none.
+/// `composed`. Where that is not known, their age has no bound: the heartbeat may have
+/// waited in the socket for as long as this VM stood still.
 fn take_positions(
     control: &state::ControlState,
     beat: &beat::FleetBeat,
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -243,7 +243,7 @@
     replacement: &hold::LeaderReplacement,
     id: &name::DatabaseName,
 ) -> bool {
-    // Nothing is waited for between the confirmation of the duty and the call.
+    // Connecting comes first: the call must follow the confirmation of the duty at once.
     let address = control.borrow().shared.settings.duty_address;
     let caller = match duty::DutyClient::connect(address).await {
         Ok(caller) => caller,
