Show when the configuration was read, skipped entries and failed watches

Logs and metrics could not tell a watch without an answer, refused reads, skipped entries and slow decoding apart.

New: gauges of the version in use, of skipped entries and of the time since the store last answered a read; a counter of reads by call and result; lines for a listing, for a failed watch with its revision and duration, and the version with a skipped entry and with a rejected caller. Gauges are computed when they are fetched, so they cost nothing in between.

No decision changes.

--- a/crates/bluebellferry_catalog/src/configuration.rs
+++ b/crates/bluebellferry_catalog/src/configuration.rs
@@ -75,6 +75,9 @@
     pub keys: table::KeyTable,
     /// The maximum idle time within a transaction; `None` if it is not limited.
     pub transaction_idle_timeout: Option<Duration>,
+    /// The number of routes, services and workspaces that were skipped because they could not
+    /// be decoded.
+    pub skipped_entries: usize,
 }
 
 impl Configuration {
--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod heartbeats;
 pub mod members;
+pub mod metrics;
 pub mod orders;
 pub mod owners;
 pub mod peers;
@@ -45,11 +46,15 @@
     shared: Arc<shared::EdgeShared>,
     evidence: mpsc::Receiver<shared::LeaderEvidence>,
     sockets: PeerSockets,
+    configuration_metrics: metrics::ConfigurationMetrics,
 ) {
     let links = Rc::new(peers::PeerLinks::new(sockets.udp, &shared));
     let control = Rc::new(RefCell::new(state::ControlState::new(shared)));
     let tasks = [
-        tokio::task::spawn_local(configuration::keep_up_to_date(Rc::clone(&control))),
+        tokio::task::spawn_local(configuration::keep_up_to_date(
+            Rc::clone(&control),
+            configuration_metrics,
+        )),
         tokio::task::spawn_local(registry::keep_up_to_date(Rc::clone(&control))),
         tokio::task::spawn_local(members::keep_up_to_date(Rc::clone(&control))),
         tokio::task::spawn_local(members::wait_to_join_group(Rc::clone(&control))),
--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use crate::control;
+use crate::control::metrics;
 
 /// How often a VM checks whether the coordinator of its data centre still reads the store
 /// for it.
@@ -77,13 +78,20 @@
 }
 
 /// Keeps the configuration up to date until the process ends.
-pub async fn keep_up_to_date(control: control::ControlCell) {
+pub async fn keep_up_to_date(
+    control: control::ControlCell,
+    metrics: metrics::ConfigurationMetrics,
+) {
     let address = control.borrow().shared.settings.store_address;
-    let mut client = objects::ObjectClient::new(address);
+    let mut reader = ConfigurationReader {
+        client: objects::ObjectClient::new(address),
+        control,
+        metrics,
+    };
     let mut backoff = RetryBackoff::default();
     let mut dependency = DependencyLog::new("configuration in the store");
     loop {
-        let result = list_and_watch(&control, &mut client, &mut backoff, &mut dependency).await;
+        let result = list_and_watch(&mut reader, &mut backoff, &mut dependency).await;
         if let Err(error) = result
             && error != objects::StoreError::HistoryExpired
         {
@@ -95,27 +103,77 @@
 
 /// Lists the configuration and then watches it for changes until a call fails.
 async fn list_and_watch(
-    control: &control::ControlCell,
-    client: &mut objects::ObjectClient,
+    reader: &mut ConfigurationReader,
     backoff: &mut RetryBackoff,
     dependency: &mut DependencyLog,
 ) -> Result<(), objects::StoreError> {
-    let listing = client.list(configuration::CONFIGURATION_KIND).await?;
-    for object in &listing.objects {
-        apply_if_configuration(control, object);
-    }
-    let mut after = listing.revision;
+    let mut after = reader.list().await?;
     loop {
-        wait_while_coordinator_reads(control).await;
+        wait_while_coordinator_reads(&reader.control).await;
         dependency.record_success();
         backoff.reset();
-        let (changes, next) = client
+        after = reader.watch(after).await?;
+    }
+}
+
+/// Reads the configuration from the store and applies it.
+struct ConfigurationReader {
+    client: objects::ObjectClient,
+    control: control::ControlCell,
+    metrics: metrics::ConfigurationMetrics,
+}
+
+impl ConfigurationReader {
+    /// Lists the configuration and returns the store's revision.
+    async fn list(&mut self) -> Result<u64, objects::StoreError> {
+        let result = self.client.list(configuration::CONFIGURATION_KIND).await;
+        self.record_read("list", &result);
+        let listing = result?;
+        for object in &listing.objects {
+            apply_if_configuration(&self.control, object);
+        }
+        log::info!(
+            revision = listing.revision,
+            version = self.control.borrow().versions.configuration;
+            "the configuration was listed and is now watched"
+        );
+        Ok(listing.revision)
+    }
+
+    /// Waits for a change after a revision, and returns the revision from which the next watch
+    /// continues.
+    async fn watch(&mut self, after: u64) -> Result<u64, objects::StoreError> {
+        let started_at = clock::now();
+        let result = self
+            .client
             .watch(configuration::CONFIGURATION_KIND, after, WATCH_TIMEOUT)
-            .await?;
+            .await;
+        self.record_read("watch", &result);
+        let elapsed_ms = clock::now()
+            .saturating_duration_since(started_at)
+            .as_millis() as u64;
+        let (changes, next) = result.inspect_err(|error| {
+            log::warn!(
+                after = after, elapsed_ms = elapsed_ms, error:% = error;
+                "a watch of the configuration failed"
+            );
+        })?;
+        log::debug!(
+            after = after, next = next, elapsed_ms = elapsed_ms, changes = changes.len() as u64;
+            "a watch of the configuration was answered"
+        );
         for change in changes.iter().filter(|change| !change.is_deleted) {
-            apply_if_configuration(control, &change.object);
+            apply_if_configuration(&self.control, &change.object);
+        }
+        Ok(next.max(after))
+    }
+
+    fn record_read<T>(&self, call: &'static str, result: &Result<T, objects::StoreError>) {
+        self.metrics.count_read(call, result);
+        if result.is_ok() {
+            let control = self.control.borrow();
+            control.shared.record_configuration_read(clock::now());
         }
-        after = next.max(after);
     }
 }
 
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -0,0 +1,105 @@
+//! Metrics of the control thread.
+
+use std::sync::Arc;
+
+use bluebellferry_platform::objects;
+use bluebellferry_runtime::clock;
+use prometheus::core;
+use prometheus::proto;
+
+use crate::shared;
+
+/// The metrics of the configuration: counters of the calls that read it, and gauges that are
+/// computed when the metrics are fetched.
+#[derive(Debug, Clone)]
+pub struct ConfigurationMetrics {
+    reads: prometheus::IntCounterVec,
+}
+
+impl ConfigurationMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    /// Returns an error if a metric name is already registered.
+    pub fn new(
+        registry: &prometheus::Registry,
+        shared: &Arc<shared::EdgeShared>,
+    ) -> Result<Self, prometheus::Error> {
+        let options = prometheus::Opts::new(
+            "bluebellferry_configuration_reads_total",
+            "Calls that read the configuration from the store, by call and result.",
+        );
+        let reads = prometheus::IntCounterVec::new(options, &["call", "result"])?;
+        registry.register(Box::new(reads.clone()))?;
+        registry.register(Box::new(ConfigurationGauges::new(Arc::clone(shared))?))?;
+        Ok(Self { reads })
+    }
+
+    /// Counts a finished call.
+    pub fn count_read<T>(&self, call: &'static str, result: &Result<T, objects::StoreError>) {
+        let result = match result {
+            Ok(_) => "answered",
+            Err(objects::StoreError::HistoryExpired) => "history_expired",
+            Err(objects::StoreError::Refused(_)) => "refused",
+            Err(objects::StoreError::Unreachable(_)) => "unreachable",
+            Err(objects::StoreError::Unanswered(_)) => "unanswered",
+            Err(_) => "failed",
+        };
+        self.reads.with_label_values(&[call, result]).inc();
+    }
+}
+
+/// Gauges that describe the configuration in use at the time when they are collected.
+struct ConfigurationGauges {
+    shared: Arc<shared::EdgeShared>,
+    version: prometheus::IntGauge,
+    skipped_entries: prometheus::IntGauge,
+    read_age: prometheus::Gauge,
+}
+
+impl ConfigurationGauges {
+    fn new(shared: Arc<shared::EdgeShared>) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            shared,
+            version: prometheus::IntGauge::new(
+                "bluebellferry_configuration_version",
+                "The version of the configuration in use; 0 if there is none.",
+            )?,
+            skipped_entries: prometheus::IntGauge::new(
+                "bluebellferry_configuration_skipped_entries",
+                "Entries of the configuration in use that could not be decoded.",
+            )?,
+            read_age: prometheus::Gauge::new(
+                "bluebellferry_configuration_read_age_seconds",
+                "Time since the store answered a read of the configuration; -1 if it never did.",
+            )?,
+        })
+    }
+}
+
+impl core::Collector for ConfigurationGauges {
+    fn desc(&self) -> Vec<&core::Desc> {
+        let mut descriptions = self.version.desc();
+        descriptions.extend(self.skipped_entries.desc());
+        descriptions.extend(self.read_age.desc());
+        descriptions
+    }
+
+    fn collect(&self) -> Vec<proto::MetricFamily> {
+        let snapshot = self.shared.snapshot();
+        let configuration = &snapshot.configuration;
+        self.version.set(configuration.version as i64);
+        self.skipped_entries
+            .set(configuration.skipped_entries as i64);
+        let age = self.shared.configuration_read_at().map_or(-1.0, |read_at| {
+            clock::now()
+                .saturating_duration_since(read_at)
+                .as_secs_f64()
+        });
+        self.read_age.set(age);
+        let mut families = self.version.collect();
+        families.extend(self.skipped_entries.collect());
+        families.extend(self.read_age.collect());
+        families
+    }
+}
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -259,7 +259,8 @@
         }
         log::info!(
             version = decoded.version, before = self.configuration.decoded.version,
-            source = source, routes = decoded.routes.len() as u64;
+            source = source, routes = decoded.routes.len() as u64,
+            skipped_entries = decoded.skipped_entries as u64;
             "a new configuration is in use"
         );
         self.log_rates(&decoded);
--- a/crates/bluebellferry_edge/src/server.rs
+++ b/crates/bluebellferry_edge/src/server.rs
@@ -150,12 +150,20 @@
         };
         let readiness = TcpListener::bind(settings.readiness_address).await?;
         let metrics = TcpListener::bind((settings.address, settings.metrics_port)).await?;
+        let configuration_metrics =
+            control::metrics::ConfigurationMetrics::new(&registry, &shared)?;
         tokio::task::spawn_local(serve_http(readiness, readiness_router(&shared)));
         let ready_check = readiness_check(&shared);
         let router = health::health_router(registry, ready_check);
         tokio::task::spawn_local(serve_http(metrics, router));
         tokio::task::spawn_local(watch_settings(file, settings.clone()));
-        control::run(Arc::clone(&shared), evidence, sockets).await;
+        control::run(
+            Arc::clone(&shared),
+            evidence,
+            sockets,
+            configuration_metrics,
+        )
+        .await;
         Ok(())
     })
 }
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -169,6 +169,8 @@
     pub evidence_sender: mpsc::Sender<LeaderEvidence>,
     /// The current phase of the shutdown.
     pub drain_phase: watch::Sender<DrainPhase>,
+    /// When the store last answered a read of the configuration.
+    configuration_read_at: Mutex<Option<Instant>>,
     snapshot: ArcSwap<EdgeSnapshot>,
     snapshot_number: watch::Sender<u64>,
     positions: Mutex<BTreeMap<name::ServiceName, history::PositionHistory>>,
@@ -193,6 +195,7 @@
             operation_count: AtomicU64::new(0),
             evidence_sender,
             drain_phase: watch::Sender::new(DrainPhase::Serving),
+            configuration_read_at: Mutex::default(),
             snapshot: ArcSwap::default(),
             snapshot_number: watch::Sender::new(0),
             positions: Mutex::default(),
@@ -219,6 +222,23 @@
         self.snapshot_number.subscribe()
     }
 
+    /// Records that the store answered a read of the configuration at an instant.
+    pub fn record_configuration_read(&self, read_at: Instant) {
+        let mut last_read_at = self.lock_configuration_read_at();
+        *last_read_at = (*last_read_at).max(Some(read_at));
+    }
+
+    /// Returns when the store last answered a read of the configuration.
+    pub fn configuration_read_at(&self) -> Option<Instant> {
+        *self.lock_configuration_read_at()
+    }
+
+    fn lock_configuration_read_at(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.configuration_read_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks and returns the positions observed at the leaders of each service.
     pub fn lock_positions(
         &self,
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -175,7 +175,11 @@
     refusal: refusal::RequestRefusal,
 ) -> Option<CallerSession> {
     context.metrics.count_refusal(refusal.reason);
-    log::info!(reason = refusal.reason.code(); "caller rejected");
+    log::info!(
+        reason = refusal.reason.code(),
+        configuration_version = context.shared.snapshot().configuration.version;
+        "caller rejected"
+    );
     let mut out = String::new();
     caller::encode_refusal(&mut out, &refusal);
     caller.send(&out).await;
