Reproduce an outdated configuration behind a lost watch answer

What callers see: requests handled by a version that a confirmed one had superseded, for up to 11.5 s; the bound is 3 s, or 4 s after a disturbance. The stand-in store can lose the answers to the watches that wait, and the soak can silence the open connections of a link for good while new ones work; in both cases the connection lives, so keep-alive probes are answered.

--- a/crates/bluebellferry_edge/tests/store_faults.rs
+++ b/crates/bluebellferry_edge/tests/store_faults.rs
@@ -116,6 +116,49 @@
     }
 }
 
+/// How long a VM may go without applying configurations after its connections were disturbed: the
+/// shortest time that the platform allows.
+const MAX_APPLY_TIME: Duration = Duration::from_secs(4);
+
+/// Waits until every VM refuses a key, at most until [`MAX_APPLY_TIME`] after `since`.
+async fn wait_until_refused(
+    deployment: &deployment::StandinDeployment,
+    vms: u8,
+    key: &str,
+    since: Instant,
+) {
+    for vm in 0..vms {
+        while deployment.open_caller(vm, "counter", key).await.is_ok() {
+            let elapsed = since.elapsed();
+            assert!(
+                elapsed < MAX_APPLY_TIME,
+                "vm-{vm} accepts {key} after {elapsed:?}"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+// Guards against VMs that use an outdated configuration until a watch times out whose answer was
+// lost, although the store answers on new connections.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_is_applied_in_time_although_the_answers_to_all_watches_are_lost() {
+    const VMS: u8 = 3;
+    let deployment = start(VMS).await;
+    let keys: Vec<String> = (1..=4).map(|version| format!("key-{version}")).collect();
+    let mut withdrawn = KEY;
+    for (version, key) in (2..).zip(&keys) {
+        // The previous change has ended all watches; each VM begins the next one at once.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let lost_at = Instant::now();
+        deployment.store.lose_waiting_watches();
+        let next = deployment::configuration(version, &[key], 200.0);
+        deployment::deploy_configuration(&deployment.store, next);
+        wait_until_refused(&deployment, VMS, withdrawn, lost_at).await;
+        withdrawn = key;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entries_of_other_writers_in_every_kind_are_ignored() {
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
--- a/crates/bluebellferry_soak/src/fault.rs
+++ b/crates/bluebellferry_soak/src/fault.rs
@@ -32,6 +32,8 @@
     Ways(DirectionState, DirectionState),
     /// Resets all connections of the link.
     Reset,
+    /// Silences all open connections of the link for good; new ones work.
+    Silence,
 }
 
 /// A fault and what it affects.
@@ -102,7 +104,7 @@
         ),
         (
             "link",
-            "links are delayed, reset, cut in one or both directions, or silenced",
+            "links are delayed, reset, cut in one or both directions, or silenced, or only their open connections are silenced",
         ),
         ("rate", "a configuration with another rate limit"),
         (
@@ -135,7 +137,7 @@
         matches!(
             self,
             Self::Reload(_)
-                | Self::Link(_, LinkFault::Reset)
+                | Self::Link(_, LinkFault::Reset | LinkFault::Silence)
                 | Self::WithdrawKey
                 | Self::StoreForgets
                 | Self::LoseAnswer
--- a/crates/bluebellferry_soak/src/relay.rs
+++ b/crates/bluebellferry_soak/src/relay.rs
@@ -43,6 +43,7 @@
 struct LinkState {
     directions: [DirectionState; 2],
     resets: u64,
+    silences: u64,
 }
 
 /// A link between two processes, seen from one of its ends.
@@ -84,6 +85,15 @@
         self.state.send_modify(|state| state.resets += 1);
     }
 
+    /// Silences all open TCP connections of the link for good. New connections work.
+    pub fn silence_open_connections(&self) {
+        self.state.send_modify(|state| state.silences += 1);
+    }
+
+    fn silences(&self) -> u64 {
+        self.state.borrow().silences
+    }
+
     fn outgoing_state(&self) -> DirectionState {
         self.state.borrow().directions[self.outgoing]
     }
@@ -125,6 +135,7 @@
 }
 
 async fn relay_connection(mut client: TcpStream, target: SocketAddr, link: RelayLink) {
+    let silences = link.silences();
     let connecting = async {
         link.wait_until_unblocked().await;
         TcpStream::connect(target).await
@@ -145,8 +156,8 @@
     let incoming = link.reversed();
     let forwarding = async {
         tokio::try_join!(
-            forward(client_read, server_write, &link),
-            forward(server_read, client_write, &incoming)
+            forward(client_read, server_write, &link, silences),
+            forward(server_read, client_write, &incoming, silences)
         )
     };
     let is_clean_close = tokio::select! {
@@ -166,15 +177,19 @@
     }
 }
 
+/// Forwards one direction of a connection. `silences` is how often the link's open connections had
+/// been silenced when this one was accepted.
 async fn forward(
     mut source: tcp::ReadHalf<'_>,
     mut sink: tcp::WriteHalf<'_>,
     link: &RelayLink,
+    silences: u64,
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut is_discarding = false;
     loop {
         let size = source.read(&mut buffer).await?;
+        is_discarding |= link.silences() != silences;
         match link.outgoing_state() {
             DirectionState::Delayed(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             DirectionState::Silenced => is_discarding = true,
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -50,6 +50,11 @@
 const LONG_FAULTS_MS: std::ops::Range<u64> = 2_000..6_000;
 /// The probability of a long fault.
 const LONG_FAULT_PROBABILITY: f64 = 0.35;
+/// The probability that a fault comes with silent connections to the store and a change of the
+/// configuration.
+const SILENT_CHANGE_PROBABILITY: f64 = 0.06;
+/// The time from the silence to that change, in milliseconds.
+const SILENT_CHANGE_DELAYS_MS: std::ops::Range<u64> = 0..2_500;
 /// The reduced rate limits, in operations per second.
 const RATE_LIMITS: std::ops::Range<u32> = 60..150;
 
@@ -102,6 +107,9 @@
             if random.random_bool(SUSPENSION_PROBABILITY) {
                 faults.extend(draw_suspension(&mut random, size, at_ms, fault_end_ms));
             }
+            if random.random_bool(SILENT_CHANGE_PROBABILITY) {
+                faults.extend(draw_silent_change(&mut random, size, at_ms, fault_end_ms));
+            }
             let kind = draw_kind(&mut random, size, &mut replacements);
             let lasts_ms = if random.random_bool(LONG_FAULT_PROBABILITY) {
                 random.random_range(LONG_FAULTS_MS)
@@ -163,6 +171,27 @@
     ]
 }
 
+/// Draws the silence of all open connections from VMs to the store, and a withdrawn key soon
+/// after it. Watches that wait in the store then get no answer.
+fn draw_silent_change(
+    random: &mut StdRng,
+    size: SiteSize,
+    at_ms: u64,
+    fault_end_ms: u64,
+) -> [ScheduledFault; 2] {
+    let fault = |at_ms: u64, kind| ScheduledFault {
+        at_ms: at_ms.min(fault_end_ms),
+        lasts_ms: 0,
+        kind,
+    };
+    let links = (0..size.vms).map(LinkName::Store).collect();
+    let delay_ms = random.random_range(SILENT_CHANGE_DELAYS_MS);
+    [
+        fault(at_ms, FaultKind::Link(links, LinkFault::Silence)),
+        fault(at_ms + delay_ms, FaultKind::WithdrawKey),
+    ]
+}
+
 fn draw_kind(random: &mut StdRng, size: SiteSize, replacements: &mut u8) -> FaultKind {
     let vm = random.random_range(0..size.vms);
     let database = draw_database(random, size);
@@ -242,8 +271,9 @@
         }
     };
     let delay = DirectionState::Delayed(random.random_range(5..800));
-    let fault = match random.random_range(0..7) {
+    let fault = match random.random_range(0..8) {
         0 => LinkFault::Reset,
+        7 => LinkFault::Silence,
         1 => LinkFault::Ways(delay, delay),
         2 => LinkFault::Ways(DirectionState::Open, delay),
         3 => LinkFault::Ways(DirectionState::Cut, DirectionState::Open),
--- a/crates/bluebellferry_soak/src/site/injection.rs
+++ b/crates/bluebellferry_soak/src/site/injection.rs
@@ -140,6 +140,10 @@
             FaultKind::Link(links, LinkFault::Reset) => {
                 links.iter().for_each(|link| self.find_link(*link).reset());
             }
+            FaultKind::Link(links, LinkFault::Silence) => {
+                let links = links.iter().map(|link| self.find_link(*link));
+                links.for_each(relay::RelayLink::silence_open_connections);
+            }
             FaultKind::Link(links, LinkFault::Ways(outgoing, incoming)) => {
                 links
                     .iter()
--- a/crates/bluebellferry_soak/tests/relays.rs
+++ b/crates/bluebellferry_soak/tests/relays.rs
@@ -110,6 +110,16 @@
     assert_eq!(receive_byte(&mut pair.server).await, Some(1));
 }
 
+#[tokio::test]
+async fn silenced_open_connections_stay_open_and_forward_nothing() {
+    let mut pair = connect_through_relay().await;
+    pair.link.silence_open_connections();
+    write(&mut pair.client, 1).await;
+    assert_eq!(receive_byte(&mut pair.server).await, None);
+    write(&mut pair.server, 2).await;
+    assert_eq!(receive_byte(&mut pair.client).await, None);
+}
+
 #[tokio::test]
 async fn a_silenced_connection_never_forwards_again() {
     let mut pair = connect_through_relay().await;
--- a/crates/bluebellferry_soak/tests/short_soak.rs
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -112,6 +112,13 @@
     replay_regression("primary-back-after-successor-stepped-down").await;
 }
 
+// Guards against VMs that use an outdated configuration because the answers to their watches were
+// lost on connections that stayed open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_connections_to_the_store() {
+    replay_regression("silent-connections-to-the-store").await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn vm_asked_twice_to_stop() {
     replay_regression("vm-asked-twice-to-stop").await;
