Copy a large configuration while the VM's own reads of it fail

What callers saw, or could see: a VM that the store turns away goes on with an older configuration although the others have the new one.

Cause: above 64 KB a VM takes no copy from another VM while the store answers it, and that was one flag for all calls. A VM that does not list registrations calls the store for anything but the configuration only every 5 s, so the flag stays set while its reads of the configuration fail.

Change: failed reads of the configuration have a flag of their own, and copies are refused only while both are set.

Evidence: a_large_configuration_is_copied_while_only_its_own_reads_fail failed with the flag recorded and not consulted.

--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -172,8 +172,10 @@
 
     fn record_read<T>(&self, call: &'static str, result: &Result<T, objects::StoreError>) {
         self.metrics.count_read(call, result);
+        let is_answered = matches!(result, Ok(_) | Err(objects::StoreError::HistoryExpired));
+        let mut control = self.control.borrow_mut();
+        control.is_configuration_readable = is_answered;
         if result.is_ok() {
-            let control = self.control.borrow();
             control.shared.record_configuration_read(clock::now());
         }
     }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -167,8 +167,10 @@
     /// Notified to send heartbeats without waiting for the interval, when other VMs should
     /// learn of a change at once.
     pub heartbeat_trigger: Arc<Notify>,
-    /// Whether the store answered the last request.
+    /// Whether the store answered the last request for anything but the configuration.
     pub is_store_reachable: bool,
+    /// Whether the store answered the last request for the configuration; true before the first.
+    pub is_configuration_readable: bool,
     /// Whether this VM may use its allocation of fleet-wide limits.
     pub has_joined: bool,
     /// The time from which every list of VMs that is in use contains this VM.
@@ -223,6 +225,7 @@
             suspicions: suspicion::SuspicionTracker::default(),
             token_requests: lending::TokenRequestTracker::default(),
             is_store_reachable: false,
+            is_configuration_readable: true,
             has_joined: false,
             listed_everywhere_from: None,
             member_list_trigger: Arc::new(Notify::new()),
--- a/crates/bluebellferry_edge/src/control/state/coordinators.rs
+++ b/crates/bluebellferry_edge/src/control/state/coordinators.rs
@@ -159,7 +159,9 @@
     /// Returns whether this VM reads a newer configuration from the store rather than from
     /// another VM, whose link a large configuration would saturate.
     pub fn reads_configuration_from_store(&self, other: heartbeat::StoreVersions) -> bool {
-        self.is_store_reachable && other.configuration_bytes > MAX_COPIED_CONFIGURATION_BYTES
+        self.is_store_reachable
+            && self.is_configuration_readable
+            && other.configuration_bytes > MAX_COPIED_CONFIGURATION_BYTES
     }
 
     /// Returns whether this VM reads the lists of databases and VMs from the store: as the
--- a/crates/bluebellferry_edge/tests/coordinators.rs
+++ b/crates/bluebellferry_edge/tests/coordinators.rs
@@ -475,6 +475,7 @@
     let now = clock::now();
     let mut control = control(ranked_vms()[3], now);
     control.is_store_reachable = true;
+    control.is_configuration_readable = true;
     let heartbeat_offering = |bytes: u32| heartbeat::FleetHeartbeat {
         versions: heartbeat::StoreVersions {
             configuration: 9,
@@ -492,6 +493,29 @@
     assert!(!control.reads_configuration_from_store(large.versions));
 }
 
+// Guards against a VM that refuses copies of a large configuration because the store answers its
+// other calls, while its own reads of the configuration fail.
+#[test]
+fn a_large_configuration_is_copied_while_only_its_own_reads_fail() {
+    let now = clock::now();
+    let mut control = control(ranked_vms()[3], now);
+    control.is_store_reachable = true;
+    control.is_configuration_readable = false;
+    let large = heartbeat::FleetHeartbeat {
+        versions: heartbeat::StoreVersions {
+            configuration: 9,
+            configuration_bytes: 1_000_000,
+            ..heartbeat::StoreVersions::default()
+        },
+        ..coordinator_heartbeat(ranked_vms()[0])
+    };
+    assert!(control.needs_store_copies(&large, now));
+    assert!(!control.reads_configuration_from_store(large.versions));
+    control.is_configuration_readable = true;
+    assert!(!control.needs_store_copies(&large, now));
+    assert!(control.reads_configuration_from_store(large.versions));
+}
+
 fn database(id: &str, centre_index: usize, is_draining: bool) -> database::DatabaseEntry {
     database::DatabaseEntry {
         id: name::DatabaseName::try_from(id).expect("a valid name"),
