Give up a transfer of store copies that makes no progress

What callers could see: a VM that the store turns away goes on with an older configuration, since it waits for a VM that has stopped answering and takes no copy from the others meanwhile: 5.5 s for 1 MB; the bound is 3 s.

Cause: one transfer at a time, with a timeout for the whole of it that grows with the size offered, also before the first byte arrives.

Change: each part of an answer must come within 1.5 s; the timeout of the whole stays, so slow links have as long as before.

Evidence: a_transfer_without_progress_is_given_up_in_time_for_another_one failed with 5.51 s, 1 of 1 run; both cases take 1.5 s now. a_slow_transfer_is_completed passes before and after.

--- a/crates/bluebellferry_edge/src/control/store_copies.rs
+++ b/crates/bluebellferry_edge/src/control/store_copies.rs
@@ -27,7 +27,8 @@
 use crate::control::configuration;
 use crate::control::state;
 
-/// The timeout for connecting, for reading a request and for a short answer.
+/// The timeout for connecting, for reading a request, for a short answer and for each further part
+/// of a long one.
 const BASE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The longest answer, in bytes; the store holds no larger value.
 const MAX_ANSWER_BYTES: u64 = 4 << 20;
@@ -36,6 +37,8 @@
 const MAX_CONCURRENT_TRANSFERS: usize = 4;
 /// The longest request, in bytes.
 const MAX_REQUEST_BYTES: u64 = 512;
+/// The initial size of the buffer for an answer, in bytes.
+const READ_BUFFER_BYTES: usize = 16 << 10;
 /// The bandwidth that a link has at least while others use it too, in bytes per second.
 const MIN_BANDWIDTH: u64 = 250_000;
 
@@ -183,9 +186,13 @@
     let mut stream = http::connect(from, BASE_TIMEOUT).await?;
     let request = serde_json::to_string(&known)? + "\n";
     stream.write_all(request.as_bytes()).await?;
-    let mut text = String::new();
-    let remaining = deadline.saturating_duration_since(clock::now());
     let mut limited = stream.take(MAX_ANSWER_BYTES);
-    tokio::time::timeout(remaining, limited.read_to_string(&mut text)).await??;
-    Ok(text)
+    let mut answer = Vec::with_capacity(READ_BUFFER_BYTES);
+    loop {
+        let remaining = deadline.saturating_duration_since(clock::now());
+        let reading = limited.read_buf(&mut answer);
+        if tokio::time::timeout(remaining.min(BASE_TIMEOUT), reading).await?? == 0 {
+            return String::from_utf8(answer).map_err(std::io::Error::other);
+        }
+    }
 }
