Pace the listings of the configuration when the store keeps no history

What callers could see: if the store discards its history faster than a watch begins, each VM lists and watches without a pause and uses up the calls that the store allows to all VMs together; the others are then refused, also for a changed configuration.

Change: a backoff of its own, reset by an answered watch; the first wait is 50 to 100 ms, so a single loss of history delays a change by no more than that.

Evidence: a_store_without_history_is_read_at_a_bounded_rate failed with 3,433 calls of 2 VMs in 3 s, 1 of 1 run; it allows 102, and requires a change within the usual time meanwhile.

--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -1,5 +1,6 @@
 //! Keeps the configuration up to date with the store.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,43 +90,47 @@
         client: objects::ObjectClient::new(address),
         control,
         metrics,
+        dependency: DependencyLog::new("configuration in the store"),
+        failure_backoff: RetryBackoff::default(),
+        expiry_backoff: RetryBackoff::default(),
     };
-    let mut backoff = RetryBackoff::default();
-    let mut dependency = DependencyLog::new("configuration in the store");
     loop {
-        let result = list_and_watch(&mut reader, &mut backoff, &mut dependency).await;
-        if let Err(error) = result
-            && error != objects::StoreError::HistoryExpired
-        {
-            dependency.record_failure(&error);
-            backoff.wait().await;
+        let Err(error) = reader.list_and_watch().await;
+        if error == objects::StoreError::HistoryExpired {
+            reader.expiry_backoff.wait().await;
+        } else {
+            reader.dependency.record_failure(&error);
+            reader.failure_backoff.wait().await;
         }
     }
 }
 
-/// Lists the configuration and then watches it for changes until a call fails.
-async fn list_and_watch(
-    reader: &mut ConfigurationReader,
-    backoff: &mut RetryBackoff,
-    dependency: &mut DependencyLog,
-) -> Result<(), objects::StoreError> {
-    let mut after = reader.list().await?;
-    loop {
-        wait_while_coordinator_reads(&reader.control).await;
-        dependency.record_success();
-        backoff.reset();
-        after = reader.watch(after).await?;
-    }
-}
-
 /// Reads the configuration from the store and applies it.
 struct ConfigurationReader {
     client: objects::ObjectClient,
     control: control::ControlCell,
     metrics: metrics::ConfigurationMetrics,
+    dependency: DependencyLog,
+    /// The backoff after calls that failed since the last listing.
+    failure_backoff: RetryBackoff,
+    /// The backoff after watches whose history had expired since the last answered watch. The
+    /// store may discard its history faster than a watch begins.
+    expiry_backoff: RetryBackoff,
 }
 
 impl ConfigurationReader {
+    /// Lists the configuration and then watches it for changes until a call fails.
+    async fn list_and_watch(&mut self) -> Result<Infallible, objects::StoreError> {
+        let mut after = self.list().await?;
+        self.dependency.record_success();
+        self.failure_backoff.reset();
+        loop {
+            wait_while_coordinator_reads(&self.control).await;
+            after = self.watch(after).await?;
+            self.expiry_backoff.reset();
+        }
+    }
+
     /// Lists the configuration and returns the store's revision.
     async fn list(&mut self) -> Result<u64, objects::StoreError> {
         let result = self.client.list(configuration::CONFIGURATION_KIND).await;
--- a/crates/bluebellferry_edge/tests/store_faults.rs
+++ b/crates/bluebellferry_edge/tests/store_faults.rs
@@ -159,6 +159,28 @@
     }
 }
 
+// Guards against VMs that list the configuration again and again without a pause, and so use up
+// the calls that the store allows to all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_without_history_is_read_at_a_bounded_rate() {
+    /// The most calls to the store that a VM may make in a second: a twentieth of what the platform
+    /// allows to six VMs.
+    const MAX_CALLS_PER_SECOND: u64 = 17;
+    const VMS: u8 = 2;
+    const MEASURED_S: u64 = 3;
+    let deployment = start(VMS).await;
+    deployment.store.set_keeps_no_history(true);
+    let calls_before = deployment.store.call_count();
+    tokio::time::sleep(Duration::from_secs(MEASURED_S)).await;
+    let calls = deployment.store.call_count() - calls_before;
+    let max_calls = MAX_CALLS_PER_SECOND * u64::from(VMS) * MEASURED_S;
+    assert!(calls <= max_calls, "{calls} calls, at most {max_calls}");
+    let changed_at = Instant::now();
+    let next = deployment::configuration(2, &["another"], 200.0);
+    deployment::deploy_configuration(&deployment.store, next);
+    wait_until_refused(&deployment, VMS, KEY, changed_at).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entries_of_other_writers_in_every_kind_are_ignored() {
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
