Read an announced configuration without waiting for another change

What callers could see in large fleets: a VM that goes on with an older configuration above 64 KB for 2.6 s after its coordinator has announced the new one, beside the 3 s that the coordinator may need; the bound is 5 s there.

Cause: the VM read the announced version by a watch that may wait 1.5 s for a change, and so noticed a lost answer only 1 s after that wait.

Change: the store has the announced version already, so that watch does not wait.

--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -125,8 +125,11 @@
         self.dependency.record_success();
         self.failure_backoff.reset();
         loop {
-            wait_while_coordinator_reads(&self.control).await;
-            after = self.watch(after).await?;
+            let wait = match wait_while_coordinator_reads(&self.control).await {
+                ReadReason::NewVersion => Duration::ZERO,
+                ReadReason::OwnWatch => WATCH_WAIT,
+            };
+            after = self.watch(after, wait).await?;
             self.expiry_backoff.reset();
         }
     }
@@ -147,13 +150,13 @@
         Ok(listing.revision)
     }
 
-    /// Waits for a change after a revision, and returns the revision from which the next watch
-    /// continues.
-    async fn watch(&mut self, after: u64) -> Result<u64, objects::StoreError> {
+    /// Waits up to `wait` for a change after a revision, and returns the revision from which the
+    /// next watch continues.
+    async fn watch(&mut self, after: u64, wait: Duration) -> Result<u64, objects::StoreError> {
         let started_at = clock::now();
         let result = self
             .client
-            .watch(configuration::CONFIGURATION_KIND, after, WATCH_WAIT)
+            .watch(configuration::CONFIGURATION_KIND, after, wait)
             .await;
         self.record_read("watch", &result);
         let elapsed_ms = clock::now()
@@ -186,16 +189,25 @@
     }
 }
 
+/// Why a VM reads the configuration from the store.
+enum ReadReason {
+    /// No coordinator reads it for this VM.
+    OwnWatch,
+    /// Another VM has announced a new version that is too large to be copied.
+    NewVersion,
+}
+
 /// Waits while the coordinator reads the configuration for this VM, or until the
 /// coordinator announces one that is too large to be copied from it.
-async fn wait_while_coordinator_reads(control: &control::ControlCell) {
+async fn wait_while_coordinator_reads(control: &control::ControlCell) -> ReadReason {
     let trigger = Arc::clone(&control.borrow().configuration_read_trigger);
     while control.borrow().is_store_read_by_coordinator(clock::now()) {
         let notified = tokio::time::timeout(READER_CHECK_INTERVAL, trigger.notified()).await;
         if notified.is_ok() {
-            return;
+            return ReadReason::NewVersion;
         }
     }
+    ReadReason::OwnWatch
 }
 
 fn apply_if_configuration(control: &control::ControlCell, object: &objects::StoredObject) {
--- a/crates/bluebellferry_edge/tests/store_faults.rs
+++ b/crates/bluebellferry_edge/tests/store_faults.rs
@@ -151,9 +151,11 @@
         // The previous change has ended all watches; each VM begins the next one at once.
         tokio::time::sleep(Duration::from_millis(200)).await;
         let lost_at = Instant::now();
-        deployment.store.lose_waiting_watches();
+        deployment.store.set_loses_watch_answers(true);
         let next = deployment::configuration(version, &[key], 200.0);
         deployment::deploy_configuration(&deployment.store, next);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        deployment.store.set_loses_watch_answers(false);
         wait_until_refused(&deployment, VMS, withdrawn, lost_at).await;
         withdrawn = key;
     }
