Draw silent connections separately from the other faults of a seed

The first drawing of silences changed the other faults of all seeds.

Silences have a generator of their own now, so each seed has the faults that it had before, and silences besides.

--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -50,11 +50,16 @@
 const LONG_FAULTS_MS: std::ops::Range<u64> = 2_000..6_000;
 /// The probability of a long fault.
 const LONG_FAULT_PROBABILITY: f64 = 0.35;
-/// The probability that a fault comes with silent connections to the store and a change of the
-/// configuration.
-const SILENT_CHANGE_PROBABILITY: f64 = 0.06;
-/// The time from the silence to that change, in milliseconds.
+/// The intervals between silences of open connections, in milliseconds.
+const SILENCE_INTERVALS_MS: std::ops::Range<u64> = 3_000..12_000;
+/// The probability that a silence affects all connections to the store, and that a key is
+/// withdrawn after it.
+const SILENT_CHANGE_PROBABILITY: f64 = 0.5;
+/// The time from such a silence to the change, in milliseconds.
 const SILENT_CHANGE_DELAYS_MS: std::ops::Range<u64> = 0..2_500;
+/// Added to the seed for the silences, which are drawn separately so that the other faults of a
+/// seed do not depend on them.
+const SILENCE_SEED_OFFSET: u64 = 1 << 32;
 /// The reduced rate limits, in operations per second.
 const RATE_LIMITS: std::ops::Range<u32> = 60..150;
 
@@ -107,9 +112,6 @@
             if random.random_bool(SUSPENSION_PROBABILITY) {
                 faults.extend(draw_suspension(&mut random, size, at_ms, fault_end_ms));
             }
-            if random.random_bool(SILENT_CHANGE_PROBABILITY) {
-                faults.extend(draw_silent_change(&mut random, size, at_ms, fault_end_ms));
-            }
             let kind = draw_kind(&mut random, size, &mut replacements);
             let lasts_ms = if random.random_bool(LONG_FAULT_PROBABILITY) {
                 random.random_range(LONG_FAULTS_MS)
@@ -134,6 +136,7 @@
                 at_ms += random.random_range(FAULT_INTERVALS_MS);
             }
         }
+        faults.extend(draw_silences(seed, size, fault_end_ms));
         faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
@@ -171,25 +174,31 @@
     ]
 }
 
-/// Draws the silence of all open connections from VMs to the store, and a withdrawn key soon
-/// after it. Watches that wait in the store then get no answer.
-fn draw_silent_change(
-    random: &mut StdRng,
-    size: SiteSize,
-    at_ms: u64,
-    fault_end_ms: u64,
-) -> [ScheduledFault; 2] {
-    let fault = |at_ms: u64, kind| ScheduledFault {
-        at_ms: at_ms.min(fault_end_ms),
-        lasts_ms: 0,
-        kind,
+/// Draws silences of open connections. Watches that wait in the store then get no answer.
+fn draw_silences(seed: u64, size: SiteSize, fault_end_ms: u64) -> Vec<ScheduledFault> {
+    let mut random = StdRng::seed_from_u64(seed.wrapping_add(SILENCE_SEED_OFFSET));
+    let mut faults = Vec::new();
+    let mut add_fault = |at_ms: u64, kind| {
+        faults.push(ScheduledFault {
+            at_ms: at_ms.min(fault_end_ms),
+            lasts_ms: 0,
+            kind,
+        });
     };
-    let links = (0..size.vms).map(LinkName::Store).collect();
-    let delay_ms = random.random_range(SILENT_CHANGE_DELAYS_MS);
-    [
-        fault(at_ms, FaultKind::Link(links, LinkFault::Silence)),
-        fault(at_ms + delay_ms, FaultKind::WithdrawKey),
-    ]
+    let mut at_ms = INITIAL_QUIET_MS + random.random_range(SILENCE_INTERVALS_MS);
+    while at_ms < fault_end_ms {
+        if random.random_bool(SILENT_CHANGE_PROBABILITY) {
+            let links = (0..size.vms).map(LinkName::Store).collect();
+            let delay_ms = random.random_range(SILENT_CHANGE_DELAYS_MS);
+            add_fault(at_ms, FaultKind::Link(links, LinkFault::Silence));
+            add_fault(at_ms + delay_ms, FaultKind::WithdrawKey);
+        } else {
+            let links = draw_links(&mut random, size);
+            add_fault(at_ms, FaultKind::Link(links, LinkFault::Silence));
+        }
+        at_ms += random.random_range(SILENCE_INTERVALS_MS);
+    }
+    faults
 }
 
 fn draw_kind(random: &mut StdRng, size: SiteSize, replacements: &mut u8) -> FaultKind {
@@ -247,12 +256,12 @@
     chosen
 }
 
-fn draw_link(random: &mut StdRng, size: SiteSize) -> FaultKind {
+fn draw_links(random: &mut StdRng, size: SiteSize) -> Vec<LinkName> {
     let vm = random.random_range(0..size.vms);
     let database = draw_database(random, size);
     let others = (0..size.vms).filter(|other| *other != vm);
     let peers = |vm: u8, other: u8| LinkName::Peers(vm, other);
-    let links: Vec<LinkName> = match random.random_range(0..7) {
+    match random.random_range(0..7) {
         0 => vec![LinkName::Callers(vm)],
         1 => vec![LinkName::Store(vm)],
         2 => vec![LinkName::Duty(vm)],
@@ -269,11 +278,14 @@
             links.push(LinkName::Duty(vm));
             links
         }
-    };
+    }
+}
+
+fn draw_link(random: &mut StdRng, size: SiteSize) -> FaultKind {
+    let links = draw_links(random, size);
     let delay = DirectionState::Delayed(random.random_range(5..800));
-    let fault = match random.random_range(0..8) {
+    let fault = match random.random_range(0..7) {
         0 => LinkFault::Reset,
-        7 => LinkFault::Silence,
         1 => LinkFault::Ways(delay, delay),
         2 => LinkFault::Ways(DirectionState::Open, delay),
         3 => LinkFault::Ways(DirectionState::Cut, DirectionState::Open),
