--- a/crates/bluebellferry_edge/tests/claims.rs
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -117,11 +117,10 @@
     let tasks = tokio::task::LocalSet::new();
     tasks
         .run_until(async {
-            let port = 21_000 + (std::process::id() % 10_000) as u16;
-            let address = SocketAddr::from(([127, 201, 0, 1], port));
+            let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
             let store = Arc::new(store::StandinStore::default());
-            let serving = Arc::clone(&store).serve(address).await;
-            serving.expect("the store listens");
+            let address = Arc::clone(&store).serve(any_port).await;
+            let address = address.expect("the store listens");
             let unresponsive = serve_without_answers().await;
             let databases = vec![
                 entry("i-a", unresponsive, database::DatabaseRole::Primary),
--- a/crates/bluebellferry_edge/tests/configuration_reader.rs
+++ b/crates/bluebellferry_edge/tests/configuration_reader.rs
@@ -24,7 +24,6 @@
 use bluebellferry_standin_platform::deployment;
 use bluebellferry_standin_platform::store;
 use bluebellferry_types::name;
-use tokio::net::TcpListener;
 
 /// The number of VMs, all in one data centre; too many for a full mesh.
 const VMS: u8 = 18;
@@ -97,15 +96,10 @@
 }
 
 async fn start_store() -> (Arc<store::StandinStore>, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("the listener binds");
-    let address = listener.local_addr().expect("the listener has an address");
-    drop(listener);
     let store = Arc::new(store::StandinStore::default());
-    let serving = Arc::clone(&store).serve(address).await;
-    serving.expect("the store address is free");
-    (store, address)
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = Arc::clone(&store).serve(any_port).await;
+    (store, address.expect("the store is served"))
 }
 
 // Guards against a VM that waits as long as for a change that has not happened yet when it reads a
--- a/crates/bluebellferry_edge/tests/coordinators.rs
+++ b/crates/bluebellferry_edge/tests/coordinators.rs
@@ -470,20 +470,24 @@
     assert!(available <= 1_000.0, "{available}");
 }
 
+/// Returns a coordinator's heartbeat that offers a new configuration of this size.
+fn heartbeat_offering(configuration_bytes: u32) -> heartbeat::FleetHeartbeat {
+    heartbeat::FleetHeartbeat {
+        versions: heartbeat::StoreVersions {
+            configuration: 9,
+            configuration_bytes,
+            ..heartbeat::StoreVersions::default()
+        },
+        ..coordinator_heartbeat(ranked_vms()[0])
+    }
+}
+
 #[test]
 fn a_large_configuration_is_read_from_the_store_and_copied_only_without_it() {
     let now = clock::now();
     let mut control = control(ranked_vms()[3], now);
     control.is_store_reachable = true;
     control.is_configuration_readable = true;
-    let heartbeat_offering = |bytes: u32| heartbeat::FleetHeartbeat {
-        versions: heartbeat::StoreVersions {
-            configuration: 9,
-            configuration_bytes: bytes,
-            ..heartbeat::StoreVersions::default()
-        },
-        ..coordinator_heartbeat(ranked_vms()[0])
-    };
     let (small, large) = (heartbeat_offering(10_000), heartbeat_offering(1_500_000));
     assert!(control.needs_store_copies(&small, now));
     assert!(!control.needs_store_copies(&large, now));
@@ -501,14 +505,7 @@
     let mut control = control(ranked_vms()[3], now);
     control.is_store_reachable = true;
     control.is_configuration_readable = false;
-    let large = heartbeat::FleetHeartbeat {
-        versions: heartbeat::StoreVersions {
-            configuration: 9,
-            configuration_bytes: 1_000_000,
-            ..heartbeat::StoreVersions::default()
-        },
-        ..coordinator_heartbeat(ranked_vms()[0])
-    };
+    let large = heartbeat_offering(1_000_000);
     assert!(control.needs_store_copies(&large, now));
     assert!(!control.reads_configuration_from_store(large.versions));
     control.is_configuration_readable = true;
