--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -9,7 +9,6 @@
 pub mod members;
 pub mod metrics;
 pub mod orders;
-pub mod owners;
 pub mod peers;
 pub mod probing;
 pub mod registry;
--- a/crates/bluebellferry_edge/src/control/allocation.rs
+++ b/crates/bluebellferry_edge/src/control/allocation.rs
@@ -9,7 +9,8 @@
 //! allocates the limits to the data centres. The other coordinators don't announce the
 //! demand of their data centres, so it leaves the allocations of those as they are. Each
 //! coordinator distributes its data centre's allocation to the VMs there. Rates then go to
-//! a few owners among these VMs (see [`owners`]).
+//! a few owners among these VMs, which every VM computes from the announced standings (see
+//! [`ownership`]).
 //!
 //! A smaller allocation takes effect at once, a larger one after a delay. An unresponsive
 //! VM keeps its allocation, since it can't be told of a new one.
@@ -17,14 +18,15 @@
 pub mod table;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_membership::heartbeat;
 use bluebellferry_membership::topology;
+use bluebellferry_shares::ownership;
 use bluebellferry_types::name;
 
-use crate::control::owners;
 use crate::control::state;
 
 /// The interval at which allocations are computed where rates have owners.
@@ -36,7 +38,7 @@
 pub const GROWTH_DELAY: Duration = Duration::from_secs(2);
 /// The delay before a larger allocation takes effect where rates have owners. An
 /// unresponsive owner has already reduced its allocation by itself (see
-/// [`owners::EQUAL_FALLBACK_DELAY`]); the others receive theirs within two heartbeats, or
+/// [`ownership::EQUAL_FALLBACK_DELAY`]); the others receive theirs within two heartbeats, or
 /// three if one is lost.
 pub const OWNER_GROWTH_DELAY: Duration = Duration::from_secs(1);
 /// The smallest change of a VM's allocation that is announced, as a fraction of the limit.
@@ -44,46 +46,48 @@
 /// The smallest change of a data centre's allocation that is announced. It is lower than
 /// for VMs, because the demand of data centres is averaged for longer.
 const MIN_CENTRE_CHANGE: f64 = 0.02;
-/// The most allocations of rates in a table: the number of VMs, or of data centres, times
-/// the number of workspaces. At four bytes each they fit into a datagram with the rest of a
-/// heartbeat.
-const MAX_RATE_ALLOCATIONS: usize = 2_048;
 /// The most allocations of rates in a table of a full mesh, where every VM sends
 /// heartbeats to all others, also to those in other regions.
 const MAX_MESH_RATE_ALLOCATIONS: usize = 256;
 /// The time constant in seconds over which a workspace's demand is averaged in a full
 /// mesh: ten heartbeats.
 const DEMAND_AVERAGING_S: f64 = 4.0;
-/// The time constant in seconds where limits are allocated first to data centres and then
-/// to VMs: long enough for a few operations of a small workspace in each data centre.
-const CENTRE_DEMAND_AVERAGING_S: f64 = 12.0;
 
 /// Tracks the operations per second that the callers of each workspace start on this VM.
 #[derive(Debug, Default)]
 pub struct DemandTracker {
     per_second: BTreeMap<name::WorkspaceName, f64>,
     measured_at: Option<Instant>,
+    /// Whether there are too many workspaces for allocations of their own.
+    is_too_large: bool,
 }
 
 impl DemandTracker {
-    /// Measures the demand of each workspace. Returns an empty list if there are too many
-    /// workspaces to announce allocations for each.
+    /// Measures the demand of each workspace. Returns an empty list where rates have owners,
+    /// and in a full mesh with too many workspaces to announce allocations for each.
     pub fn measure(
         &mut self,
         control: &state::ControlState,
         now: Instant,
     ) -> Vec<heartbeat::WorkspaceDemand> {
+        if control.has_owners() {
+            return Vec::new();
+        }
         let shares = control.shared.rate_limiter.workspace_shares();
-        let member_count = control
-            .group_members()
-            .count()
-            .max(control.centre_sizes().len());
-        let max_allocations = if control.topology.is_full_mesh() {
-            MAX_MESH_RATE_ALLOCATIONS
-        } else {
-            MAX_RATE_ALLOCATIONS
-        };
-        if shares.len() * member_count > max_allocations {
+        let is_too_large = shares.len() * control.members.len() > MAX_MESH_RATE_ALLOCATIONS;
+        if is_too_large != self.is_too_large {
+            self.is_too_large = is_too_large;
+            let status = &control.shared.fleet_status;
+            status
+                .exceeds_rate_table
+                .store(is_too_large, Ordering::Relaxed);
+            log::info!(
+                workspaces = shares.len() as u64, vms = control.members.len() as u64,
+                max = MAX_MESH_RATE_ALLOCATIONS as u64, exceeded = is_too_large;
+                "rates follow the demand of all workspaces together while the maximum is exceeded"
+            );
+        }
+        if is_too_large {
             return Vec::new();
         }
         let names = shares.iter().map(|(name, _)| name);
@@ -93,12 +97,7 @@
             now.saturating_duration_since(measured_at).as_secs_f64()
         });
         self.measured_at = Some(now);
-        let averaging_s = if control.has_owners() {
-            CENTRE_DEMAND_AVERAGING_S
-        } else {
-            DEMAND_AVERAGING_S
-        };
-        let weight = 1.0 - (-elapsed / averaging_s).exp();
+        let weight = 1.0 - (-elapsed / DEMAND_AVERAGING_S).exp();
         for (workspace, share) in &shares {
             let measured = share.demand_per_second(now);
             let average = self.per_second.entry(workspace.clone()).or_insert(0.0);
@@ -191,61 +190,10 @@
     }
 }
 
-/// Returns the allocations of rates to their owners among the VMs of this VM's data centre.
-fn owner_allocations<'a>(
-    control: &state::ControlState,
-    names: &'a [String],
-    now: Instant,
-) -> Vec<heartbeat::WorkspaceAllocations> {
-    let workspaces = &control.configuration.decoded.workspaces;
-    if workspaces.len() * names.len() > MAX_RATE_ALLOCATIONS {
-        return Vec::new();
-    }
-    let allocations = table::MemberAllocations::new(&control.allocation_table, names);
-    let own_name = control.own_name();
-    let unresponsive_time = |vm: &String| {
-        let unresponsive_for = (vm != own_name).then(|| control.time_without_heartbeat(vm, now));
-        counted_unresponsive_time(unresponsive_for, control.is_in_minority)
-    };
-    let unresponsive_times: Vec<_> = names.iter().map(unresponsive_time).collect();
-    let mut all = Vec::new();
-    let sorted: BTreeMap<_, _> = workspaces.iter().collect();
-    for (workspace, policy) in sorted {
-        let centre_allocation = control.centre_rate_allocation(workspace);
-        // An equal fraction for each VM of the fleet, relative to the data centre's allocation.
-        let equal_allocation = 1.0 / control.members.len().max(1) as f64;
-        let equal_allocation = equal_allocation / centre_allocation.max(equal_allocation);
-        let candidate = |(index, vm): (usize, &'a String)| owners::OwnerCandidate {
-            name: vm,
-            unresponsive_for: unresponsive_times[index],
-            previous_allocation: allocations.rate_allocation(index, workspace),
-            equal_allocation,
-        };
-        let candidates: Vec<_> = names.iter().enumerate().map(candidate).collect();
-        let count = owners::owner_count(policy.rate_per_second * centre_allocation);
-        all.push(heartbeat::WorkspaceAllocations {
-            workspace: workspace.clone(),
-            fractions: owners::allocate(workspace, count, &candidates),
-        });
-    }
-    all
-}
-
 /// Returns for how long another VM or data centre has been unresponsive, or `None` if that
 /// is too short to count.
-///
-/// For a VM in a minority the time counts as no longer than [`topology::HEARTBEAT_TIMEOUT`]: it
-/// must not assume that the others have fallen back to equal allocations.
-fn counted_unresponsive_time(
-    unresponsive_for: Option<Duration>,
-    is_in_minority: bool,
-) -> Option<Duration> {
-    let unresponsive_for = unresponsive_for.filter(|time| *time >= topology::HEARTBEAT_TIMEOUT)?;
-    Some(if is_in_minority {
-        topology::HEARTBEAT_TIMEOUT
-    } else {
-        unresponsive_for
-    })
+fn counted_unresponsive_time(unresponsive_for: Option<Duration>) -> Option<Duration> {
+    unresponsive_for.filter(|time| *time >= topology::HEARTBEAT_TIMEOUT)
 }
 
 fn allocate_in_group(control: &mut state::ControlState, own_demand: &LocalDemand, now: Instant) {
@@ -266,6 +214,12 @@
             number = number.max(record.heartbeat.allocation_number);
         }
     }
+    if has_owners
+        && !(control.has_group_majority(now)
+            && control.may_announce(&control.allocation_table, number, now))
+    {
+        return;
+    }
     let demand = table::MemberDemand {
         operations_per_second: own_demand.operations_per_second,
         workspaces: workspaces(&own_demand.demands),
@@ -285,7 +239,20 @@
     };
     let mut next = table::next_table(&control.allocation_table, &names, &live, &rules);
     if has_owners {
-        next.workspaces = owner_allocations(control, &names, now);
+        let own_name = control.own_name();
+        let members = control.allocation_table.allocations.len() as u32;
+        let observe = |vm: &str| {
+            let unresponsive_for =
+                (vm != own_name).then(|| control.time_without_heartbeat(vm, now));
+            let record = control.peers.get(vm);
+            ownership::MemberObservation {
+                unresponsive_for: counted_unresponsive_time(unresponsive_for),
+                acknowledged: record.map_or(0, |record| record.heartbeat.allocation_number),
+                previous: control.allocation_table.number,
+                members,
+            }
+        };
+        table::update_standings(&control.allocation_table, &mut next, observe);
     }
     if number > control.allocation_table.number
         || table::must_be_announced(&control.allocation_table, &next, MIN_CHANGE)
@@ -302,7 +269,8 @@
         .map(|&name| name.to_owned())
         .collect();
     let own_demand = centre_demand(control, own_demand, now);
-    let mut live = BTreeMap::new();
+    let own_centre = control.shared.settings.data_centre.as_str();
+    let mut demands = BTreeMap::from([(own_centre, own_demand.operations_per_second)]);
     let mut number = control.centre_allocation_table.number;
     for (name, record) in control.live_peers(now) {
         number = number.max(record.heartbeat.centre_allocation_number);
@@ -311,98 +279,67 @@
             .get(name)
             .filter(|_| record.heartbeat.is_coordinator);
         if let (Some(member), Some(announced)) = (member, &record.centre_demand) {
-            let demand = table::MemberDemand {
-                operations_per_second: announced.operations_per_second,
-                workspaces: &announced.workspaces,
-            };
-            live.insert(member.data_centre.as_str(), demand);
+            demands.insert(member.data_centre.as_str(), announced.operations_per_second);
         }
     }
-    let demand = table::MemberDemand {
-        operations_per_second: own_demand.operations_per_second,
-        workspaces: &own_demand.workspaces,
+    if control.is_isolated || !control.may_announce(&control.centre_allocation_table, number, now) {
+        return;
+    }
+    let centres = control.centre_sizes();
+    let unresponsive_time = |centre: &str| {
+        let unresponsive_for =
+            (centre != own_centre).then(|| control.centre_time_without_heartbeat(centre, now));
+        counted_unresponsive_time(unresponsive_for)
     };
-    live.insert(control.shared.settings.data_centre.as_str(), demand);
-    let rate_of = |workspace: &name::WorkspaceName| {
-        let policies = &control.configuration.decoded.workspaces;
-        policies
-            .get(workspace)
-            .map_or(0.0, |policy| policy.rate_per_second)
+    let responsive: Vec<&String> = names
+        .iter()
+        .filter(|centre| unresponsive_time(centre).is_none())
+        .collect();
+    // The VMs of a data centre predict its demand if it announces none.
+    let has_all_demands = responsive
+        .iter()
+        .all(|centre| demands.contains_key(centre.as_str()));
+    let size_of = |centre: &str| centres.get(centre).copied().unwrap_or(1) as f64;
+    let demand_of = |centre: &&String| table::MemberDemand {
+        operations_per_second: if has_all_demands {
+            demands[centre.as_str()]
+        } else {
+            size_of(centre)
+        },
+        workspaces: &[],
     };
-    let centres = control.centre_sizes();
+    let live: BTreeMap<&str, table::MemberDemand<'_>> = responsive
+        .iter()
+        .map(|centre| (centre.as_str(), demand_of(centre)))
+        .collect();
     let vm_count = control.members.len().max(1) as f64;
     let max_retained = |centre: &str| {
-        let unresponsive_for = control.centre_time_without_heartbeat(centre, now);
-        if control.is_isolated || unresponsive_for < owners::EQUAL_FALLBACK_DELAY {
-            return f64::INFINITY;
+        let has_fallen_back = unresponsive_time(centre)
+            .is_some_and(|unresponsive_for| unresponsive_for >= ownership::EQUAL_FALLBACK_DELAY);
+        if has_fallen_back {
+            size_of(centre) / vm_count
+        } else {
+            f64::INFINITY
         }
-        centres.get(centre).copied().unwrap_or(1) as f64 / vm_count
     };
     let rules = table::AllocationRules {
         number,
         min_change: MIN_CENTRE_CHANGE,
         max_retained,
-        rate_of,
+        rate_of: |_: &name::WorkspaceName| 0.0,
     };
     let mut next = table::next_table(&control.centre_allocation_table, &names, &live, &rules);
-    allocate_to_owning_centres(control, &names, &mut next, now);
+    let members = control.centre_allocation_table.allocations.len() as u32;
+    let observe = |centre: &str| ownership::MemberObservation {
+        unresponsive_for: unresponsive_time(centre),
+        acknowledged: control.centre_acknowledged_number(centre),
+        previous: control.centre_allocation_table.number,
+        members,
+    };
+    table::update_standings(&control.centre_allocation_table, &mut next, observe);
     let current = &control.centre_allocation_table;
     if number > current.number || table::must_be_announced(current, &next, MIN_CENTRE_CHANGE) {
         control.apply_centre_allocations(&next);
         control.heartbeat_trigger.notify_one();
     }
 }
-
-/// Allocates the rate of each workspace that is too small for all data centres to a few
-/// data centres that own it.
-fn allocate_to_owning_centres(
-    control: &state::ControlState,
-    names: &[String],
-    table: &mut heartbeat::AllocationTable,
-    now: Instant,
-) {
-    let workspaces = &control.configuration.decoded.workspaces;
-    if workspaces.len() * names.len() > MAX_RATE_ALLOCATIONS {
-        return;
-    }
-    let own_centre = control.shared.settings.data_centre.as_str();
-    let allocations = table::MemberAllocations::new(&control.centre_allocation_table, names);
-    let centres = control.centre_sizes();
-    let vm_count = control.members.len().max(1) as f64;
-    let small = workspaces.iter().filter(|(_, policy)| {
-        policy.rate_per_second < owners::MIN_CENTRE_RATE * names.len() as f64
-    });
-    let unresponsive_time = |name: &String| {
-        let unresponsive_for =
-            (name != own_centre).then(|| control.centre_time_without_heartbeat(name, now));
-        counted_unresponsive_time(unresponsive_for, control.is_isolated)
-    };
-    for (workspace, policy) in small {
-        let candidate = |(index, name): (usize, &String)| {
-            let count = centres.get(name.as_str()).copied().unwrap_or(1);
-            owners::OwnerCandidate {
-                name: names[index].as_str(),
-                unresponsive_for: unresponsive_time(name),
-                previous_allocation: allocations.rate_allocation(index, workspace),
-                equal_allocation: count as f64 / vm_count,
-            }
-        };
-        let candidates: Vec<_> = names.iter().enumerate().map(candidate).collect();
-        let allocation = heartbeat::WorkspaceAllocations {
-            workspace: workspace.clone(),
-            fractions: owners::allocate(
-                workspace,
-                owners::owner_count(policy.rate_per_second),
-                &candidates,
-            ),
-        };
-        match table
-            .workspaces
-            .iter_mut()
-            .find(|entry| entry.workspace == *workspace)
-        {
-            Some(entry) => *entry = allocation,
-            None => table.workspaces.push(allocation),
-        }
-    }
-}
--- a/crates/bluebellferry_edge/src/control/allocation/table.rs
+++ b/crates/bluebellferry_edge/src/control/allocation/table.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use bluebellferry_membership::heartbeat;
+use bluebellferry_shares::ownership;
 use bluebellferry_types::name;
 
 /// The demand that is added evenly over all members when connections are allocated, as a
@@ -27,10 +28,11 @@
 impl<'a> MemberAllocations<'a> {
     /// Creates a view of a table for the members with the given names.
     pub fn new<S: AsRef<str>>(table: &'a heartbeat::AllocationTable, names: &[S]) -> Self {
-        let table_index = |name: &S| {
-            let mut allocations = table.allocations.iter();
-            allocations.position(|allocation| allocation.vm == name.as_ref())
-        };
+        let names_in_table = table.allocations.iter().enumerate();
+        let by_name: BTreeMap<&str, usize> = names_in_table
+            .map(|(index, allocation)| (allocation.vm.as_str(), index))
+            .collect();
+        let table_index = |name: &S| by_name.get(name.as_ref()).copied();
         Self {
             table: (table.number > 0).then_some(table),
             indices: names.iter().map(table_index).collect(),
@@ -108,6 +110,7 @@
     let allocation = |(vm, fraction): (&String, &f64)| heartbeat::VmAllocation {
         vm: vm.clone(),
         fraction: *fraction,
+        standing: ownership::MemberStanding::Pending,
     };
     let allocations = names.iter().zip(&fractions).map(allocation).collect();
     let demanded = live.values().flat_map(|demand| demand.workspaces.iter());
@@ -151,6 +154,26 @@
     }
 }
 
+/// Sets the standings in the next table from those in the current one and from what the
+/// allocator has observed of each member.
+pub(super) fn update_standings(
+    current: &heartbeat::AllocationTable,
+    next: &mut heartbeat::AllocationTable,
+    observe: impl Fn(&str) -> ownership::MemberObservation,
+) {
+    let number = next.number;
+    let known: BTreeMap<&str, ownership::MemberStanding> = current
+        .allocations
+        .iter()
+        .map(|allocation| (allocation.vm.as_str(), allocation.standing))
+        .collect();
+    for allocation in &mut next.allocations {
+        let previous = known.get(allocation.vm.as_str()).copied();
+        let observed = observe(&allocation.vm);
+        allocation.standing = ownership::MemberStanding::next(previous, &observed, number);
+    }
+}
+
 /// Allocates a limit by demand; returns each member's fraction of it.
 ///
 /// `demand` returns `None` for an unresponsive member, which keeps its `retained` fraction.
@@ -219,7 +242,12 @@
         .iter()
         .map(|allocation| &allocation.vm)
         .eq(next.allocations.iter().map(|allocation| &allocation.vm));
+    let standings = |table: &heartbeat::AllocationTable| -> Vec<ownership::MemberStanding> {
+        let allocations = table.allocations.iter();
+        allocations.map(|allocation| allocation.standing).collect()
+    };
     !has_same_members
+        || standings(current) != standings(next)
         || current.workspaces != next.workspaces
         || have_changed(&fractions(current), &fractions(next), min_change)
 }
--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -228,8 +228,9 @@
     let lacks_centre_allocations = lacks(
         |heartbeat| heartbeat.centre_allocation_number,
         control.centre_allocation_table.number,
-    ) && common.is_coordinator
-        && !control.topology.is_full_mesh();
+    ) && control.has_owners()
+        && (common.is_coordinator
+            || (control.is_in_group(&target.vm) && control.may_relay_allocations(now)));
     heartbeat::FleetHeartbeat {
         expects_reply: target.expects_reply,
         table: lacks_table.then(|| control.leadership_table.clone()),
--- a/crates/bluebellferry_edge/src/control/metrics.rs
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the control thread.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bluebellferry_platform::objects;
 use bluebellferry_runtime::clock;
@@ -103,3 +104,69 @@
         families
     }
 }
+
+/// Counters and gauges that describe this VM's part in the fleet.
+pub struct FleetMetrics {
+    shared: Arc<shared::EdgeShared>,
+    status_changes: prometheus::IntGaugeVec,
+    owned_rates: prometheus::IntGauge,
+    exceeds_rate_table: prometheus::IntGauge,
+}
+
+impl FleetMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    /// Returns an error if a metric name is already registered.
+    pub fn register(
+        registry: &prometheus::Registry,
+        shared: &Arc<shared::EdgeShared>,
+    ) -> Result<(), prometheus::Error> {
+        let changes = prometheus::Opts::new(
+            "bluebellferry_fleet_status_changes",
+            "Times that this VM lost or regained its group's majority, or its data centre most \
+             others, since the process started.",
+        );
+        registry.register(Box::new(Self {
+            shared: Arc::clone(shared),
+            status_changes: prometheus::IntGaugeVec::new(changes, &["status"])?,
+            owned_rates: prometheus::IntGauge::new(
+                "bluebellferry_owned_rates",
+                "Workspaces whose rates this VM owns; 0 in a full mesh.",
+            )?,
+            exceeds_rate_table: prometheus::IntGauge::new(
+                "bluebellferry_rate_table_exceeded",
+                "1 if a full mesh has too many workspaces for rates to follow the demand of each.",
+            )?,
+        }))
+    }
+}
+
+impl core::Collector for FleetMetrics {
+    fn desc(&self) -> Vec<&core::Desc> {
+        let mut descriptions = self.status_changes.desc();
+        descriptions.extend(self.owned_rates.desc());
+        descriptions.extend(self.exceeds_rate_table.desc());
+        descriptions
+    }
+
+    fn collect(&self) -> Vec<proto::MetricFamily> {
+        let status = &self.shared.fleet_status;
+        let changes = [
+            ("majority", &status.majority_changes),
+            ("isolation", &status.isolation_changes),
+        ];
+        for (label, count) in changes {
+            let gauge = self.status_changes.with_label_values(&[label]);
+            gauge.set(count.load(Ordering::Relaxed) as i64);
+        }
+        self.owned_rates
+            .set(status.owned_rates.load(Ordering::Relaxed) as i64);
+        let exceeds = status.exceeds_rate_table.load(Ordering::Relaxed);
+        self.exceeds_rate_table.set(i64::from(exceeds));
+        let mut families = self.status_changes.collect();
+        families.extend(self.owned_rates.collect());
+        families.extend(self.exceeds_rate_table.collect());
+        families
+    }
+}
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -35,6 +35,10 @@
     port: u16,
     sequence: Cell<u64>,
     addresses: RefCell<BTreeMap<String, SocketAddr>>,
+    /// The VMs by address.
+    vms: RefCell<BTreeMap<SocketAddr, String>>,
+    /// The number of changes of the list of VMs to which the addresses belong.
+    member_changes: Cell<u64>,
 }
 
 impl PeerLinks {
@@ -51,6 +55,8 @@
             port: settings.peer_port,
             sequence: Cell::new(0),
             addresses: RefCell::default(),
+            vms: RefCell::default(),
+            member_changes: Cell::new(0),
         }
     }
 
@@ -79,12 +85,20 @@
 
     /// Replaces the addresses by those of the VMs that the store lists.
     pub fn apply_members(&self, control: &state::ControlState) {
+        if self.member_changes.replace(control.member_changes) == control.member_changes {
+            return;
+        }
         let own_name = control.own_name();
         let others = control.members.iter().filter(|(name, _)| *name != own_name);
         let address = |(name, record): (&String, &state::MemberRecord)| {
             (name.clone(), SocketAddr::new(record.address, self.port))
         };
-        *self.addresses.borrow_mut() = others.map(address).collect();
+        let addresses: BTreeMap<String, SocketAddr> = others.map(address).collect();
+        let by_address = addresses
+            .iter()
+            .map(|(name, address)| (*address, name.clone()));
+        *self.vms.borrow_mut() = by_address.collect();
+        *self.addresses.borrow_mut() = addresses;
     }
 }
 
@@ -160,9 +174,7 @@
 }
 
 fn find_sender(links: &PeerLinks, from: SocketAddr) -> Option<String> {
-    let addresses = links.addresses.borrow();
-    let found = addresses.iter().find(|(_, address)| **address == from);
-    found.map(|(name, _)| name.clone())
+    links.vms.borrow().get(&from).cloned()
 }
 
 /// Handles a heartbeat that was read from the socket at `now`.
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -146,6 +146,12 @@
     pub lease: lease::LeaseTracker,
     /// All VMs by name, this one included.
     pub members: BTreeMap<String, MemberRecord>,
+    /// How often the list of VMs has changed.
+    pub member_changes: u64,
+    /// The VMs of this VM's group in the order of their names, this one included.
+    group_names: Vec<String>,
+    /// A digest of the names of each data centre's VMs.
+    members_digests: BTreeMap<name::DataCentreName, u64>,
     /// The information received from other VMs, by name.
     pub peers: BTreeMap<String, PeerRecord>,
     /// The allocations to the VMs of this VM's group: the whole fleet, or this VM's data
@@ -153,6 +159,10 @@
     pub allocation_table: heartbeat::AllocationTable,
     /// The allocations to the data centres, if the fleet is too large for a full mesh.
     pub centre_allocation_table: heartbeat::AllocationTable,
+    /// This VM's allocation of fleet-wide limits once it has joined.
+    own_allocation: shared::FleetAllocation,
+    /// Who owns the rate of each workspace; empty in a full mesh.
+    rate_ownerships: BTreeMap<name::WorkspaceName, shares::RateOwnership>,
     /// The heartbeat topology.
     pub topology: topology::HeartbeatTopology,
     /// The versions of the objects that this VM has read from the store.
@@ -201,6 +211,8 @@
     /// Whether this VM is cut off from most of its group, so that it may not have learned that
     /// its allocation was reduced.
     pub is_in_minority: bool,
+    /// Whether this VM has belonged to the majority of its group since it started.
+    has_been_in_majority: bool,
     published_snapshot: shared::EdgeSnapshot,
 }
 
@@ -217,9 +229,14 @@
             leadership_table: leadership::LeadershipTable::default(),
             lease: lease::LeaseTracker::default(),
             members: BTreeMap::new(),
+            member_changes: 0,
+            group_names: Vec::new(),
+            members_digests: BTreeMap::new(),
             peers: BTreeMap::new(),
             allocation_table: heartbeat::AllocationTable::default(),
             centre_allocation_table: heartbeat::AllocationTable::default(),
+            own_allocation: shared::FleetAllocation::default(),
+            rate_ownerships: BTreeMap::new(),
             versions: heartbeat::StoreVersions::default(),
             active_claims: 0,
             suspicions: suspicion::SuspicionTracker::default(),
@@ -240,6 +257,7 @@
             is_isolated: false,
             allocator_since: None,
             is_in_minority: false,
+            has_been_in_majority: false,
             published_snapshot: shared::EdgeSnapshot::default(),
         }
     }
@@ -334,6 +352,14 @@
                 data_centres.map(|(name, record)| (name.as_str(), &record.data_centre));
             self.topology.apply_members(data_centres);
             self.members = members;
+            self.member_changes += 1;
+            self.update_members_digests();
+            self.group_names = self
+                .members
+                .iter()
+                .filter(|(_, record)| self.topology.is_in_group(&record.data_centre))
+                .map(|(name, _)| name.clone())
+                .collect();
             self.versions.members = revision;
             self.heartbeat_trigger.notify_one();
             self.apply_shares();
--- a/crates/bluebellferry_edge/src/control/state/coordinators.rs
+++ b/crates/bluebellferry_edge/src/control/state/coordinators.rs
@@ -2,6 +2,7 @@
 //! and belongs to the majority of its group.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -46,12 +47,47 @@
                 orphaned = is_in_minority, isolated = is_isolated;
                 "connection to the majority of VMs or data centres was lost or restored"
             );
+            let status = &self.shared.fleet_status;
+            let changes = [
+                (
+                    is_in_minority != self.is_in_minority,
+                    &status.majority_changes,
+                ),
+                (is_isolated != self.is_isolated, &status.isolation_changes),
+            ];
+            for (_, count) in changes.into_iter().filter(|(has_changed, _)| *has_changed) {
+                count.fetch_add(1, Ordering::Relaxed);
+            }
             self.is_in_minority = is_in_minority;
             self.is_isolated = is_isolated;
-            self.apply_shares();
+            if !is_in_minority && !std::mem::replace(&mut self.has_been_in_majority, true) {
+                // As for the first table that this process receives.
+                self.apply_shares_after(Duration::ZERO);
+            } else {
+                self.apply_shares();
+            }
         }
     }
 
+    /// Returns whether this VM may announce new allocations where rates have owners, given its
+    /// current table and the highest number of a table that another VM has announced.
+    ///
+    /// It first needs the latest table, which other VMs relay, since it says which unresponsive
+    /// members still use an allocation. A VM that takes over from another allocator also waits
+    /// until it knows which members are unresponsive.
+    pub fn may_announce(
+        &self,
+        current: &heartbeat::AllocationTable,
+        known_number: u64,
+        now: Instant,
+    ) -> bool {
+        let allocator_for = self
+            .allocator_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        let is_first = current.number == 0;
+        known_number <= current.number && (is_first || allocator_for >= topology::HEARTBEAT_TIMEOUT)
+    }
+
     /// Returns whether this VM and the VMs that answer it are a majority of the group.
     pub fn has_group_majority(&self, now: Instant) -> bool {
         let answering = self
@@ -126,6 +162,16 @@
         self.time_since_received(received, now)
     }
 
+    /// Returns the latest allocations of the data centres that a data centre's coordinators are
+    /// known to have received.
+    pub fn centre_acknowledged_number(&self, centre: &str) -> u64 {
+        let coordinators = self.peers.iter().filter(|(name, record)| {
+            record.heartbeat.is_coordinator && self.is_in_centre(name, centre)
+        });
+        let latest = coordinators.max_by_key(|(_, record)| record.received_at);
+        latest.map_or(0, |(_, record)| record.heartbeat.centre_allocation_number)
+    }
+
     fn is_in_centre(&self, vm: &str, centre: &str) -> bool {
         let member = self.members.get(vm);
         member.is_some_and(|member| member.data_centre.as_str() == centre)
--- a/crates/bluebellferry_edge/src/control/state/leases.rs
+++ b/crates/bluebellferry_edge/src/control/state/leases.rs
@@ -1,6 +1,8 @@
 //! Acknowledgements of the leadership table and probes of leaders, from which the leases of
 //! leaders follow.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use bluebellferry_membership::heartbeat;
@@ -19,38 +21,48 @@
         now: Instant,
     ) -> Option<heartbeat::CentreAcknowledgement> {
         let is_coordinator = !self.topology.is_full_mesh() && self.topology.is_coordinator(now);
-        let centre = &self.shared.settings.data_centre;
-        is_coordinator.then(|| self.centre_acknowledgement(centre, now))
+        is_coordinator.then(|| self.group_acknowledgement(now))
     }
 
-    /// Returns which revision of the leadership table the VMs of a data centre have
+    /// Returns which revision of the leadership table the VMs of this data centre have
     /// acknowledged in their heartbeats to this VM.
-    pub fn centre_acknowledgement(
-        &self,
-        centre: &name::DataCentreName,
-        now: Instant,
-    ) -> heartbeat::CentreAcknowledgement {
-        let of_centre = |record: &state::MemberRecord| record.data_centre == *centre;
-        let members = self.members.iter().filter(|(_, record)| of_centre(record));
-        let names: Vec<&str> = members.map(|(name, _)| name.as_str()).collect();
-        let acknowledged = |name: &&str| {
-            if *name == self.own_name() {
+    fn group_acknowledgement(&self, now: Instant) -> heartbeat::CentreAcknowledgement {
+        let acknowledged = |name: &String| {
+            if name == self.own_name() {
                 return if self.active_claims > 0 {
                     0
                 } else {
                     self.leadership_table.revision
                 };
             }
-            let record = self.peers.get(*name).filter(|record| record.is_live(now));
+            let record = self.peers.get(name).filter(|record| record.is_live(now));
             let record = record.filter(|record| !record.heartbeat.is_claiming);
             record.map_or(0, |record| record.heartbeat.table_revision)
         };
+        let centre = &self.shared.settings.data_centre;
         heartbeat::CentreAcknowledgement {
-            members: xxh3::xxh3_64(names.join("\0").as_bytes()),
-            revision: names.iter().map(acknowledged).min().unwrap_or(0),
+            members: self.members_digest(centre),
+            revision: self.group_members().map(acknowledged).min().unwrap_or(0),
         }
     }
 
+    /// Returns a digest of the names of a data centre's VMs.
+    fn members_digest(&self, centre: &name::DataCentreName) -> u64 {
+        self.members_digests.get(centre).copied().unwrap_or(0)
+    }
+
+    /// Computes the digests of the names of all data centres' VMs.
+    pub(super) fn update_members_digests(&mut self) {
+        let mut names: BTreeMap<&name::DataCentreName, Vec<&str>> = BTreeMap::new();
+        for (name, record) in &self.members {
+            names.entry(&record.data_centre).or_default().push(name);
+        }
+        let digest = |(centre, names): (&name::DataCentreName, Vec<&str>)| {
+            (centre.clone(), xxh3::xxh3_64(names.join("\0").as_bytes()))
+        };
+        self.members_digests = names.into_iter().map(digest).collect();
+    }
+
     /// Returns whether every VM has acknowledged this VM's revision of the leadership table,
     /// either itself or through its coordinator, which must list the same VMs.
     ///
@@ -69,23 +81,22 @@
                     record.heartbeat.table_revision >= revision && !record.heartbeat.is_claiming
                 })
         };
-        let is_acknowledged_by_coordinator = |member: &state::MemberRecord| {
-            let names_digest = self
-                .centre_acknowledgement(&member.data_centre, now)
-                .members;
-            let peers = self.live_peers(now);
-            let reported = peers.filter_map(|(name, record)| {
-                let coordinator = self.members.get(name)?;
-                (coordinator.data_centre == member.data_centre)
-                    .then_some(record.heartbeat.centre_acknowledgement?)
-            });
-            let mut reported = reported;
-            reported
-                .any(|reported| reported.members == names_digest && reported.revision >= revision)
-        };
-        self.members
-            .iter()
-            .all(|(name, member)| has_acknowledged(name) || is_acknowledged_by_coordinator(member))
+        let reported = self.live_peers(now).filter_map(|(name, record)| {
+            let coordinator = self.members.get(name)?;
+            Some((
+                &coordinator.data_centre,
+                record.heartbeat.centre_acknowledgement?,
+            ))
+        });
+        let acknowledging_centres: BTreeSet<&name::DataCentreName> = reported
+            .filter(|(centre, reported)| {
+                reported.members == self.members_digest(centre) && reported.revision >= revision
+            })
+            .map(|(centre, _)| centre)
+            .collect();
+        self.members.iter().all(|(name, member)| {
+            has_acknowledged(name) || acknowledging_centres.contains(&member.data_centre)
+        })
     }
 
     /// Records that a leader was probed at `requested_at` or later and was found leading, with
--- a/crates/bluebellferry_edge/src/server.rs
+++ b/crates/bluebellferry_edge/src/server.rs
@@ -152,6 +152,7 @@
         let metrics = TcpListener::bind((settings.address, settings.metrics_port)).await?;
         let configuration_metrics =
             control::metrics::ConfigurationMetrics::new(&registry, &shared)?;
+        control::metrics::FleetMetrics::register(&registry, &shared)?;
         tokio::task::spawn_local(serve_http(readiness, readiness_router(&shared)));
         let ready_check = readiness_check(&shared);
         let router = health::health_router(registry, ready_check);
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use std::time::Instant;
@@ -152,6 +153,19 @@
     ClosingAll,
 }
 
+/// What the control thread reports about this VM's part in the fleet, for metrics.
+#[derive(Debug, Default)]
+pub struct FleetStatus {
+    /// How often this VM has lost or regained the majority of its group.
+    pub majority_changes: AtomicU64,
+    /// How often this VM's data centre has lost or regained most other data centres.
+    pub isolation_changes: AtomicU64,
+    /// The number of workspaces whose rates this VM owns, alone or with others.
+    pub owned_rates: AtomicU64,
+    /// Whether a full mesh has too many workspaces for rates to follow the demand of each.
+    pub exceeds_rate_table: AtomicBool,
+}
+
 /// The state shared by the traffic thread and the control thread.
 #[derive(Debug)]
 pub struct EdgeShared {
@@ -167,6 +181,8 @@
     pub operation_count: AtomicU64,
     /// Sends evidence about leaders to the control thread.
     pub evidence_sender: mpsc::Sender<LeaderEvidence>,
+    /// This VM's part in the fleet.
+    pub fleet_status: FleetStatus,
     /// The current phase of the shutdown.
     pub drain_phase: watch::Sender<DrainPhase>,
     /// When the store last answered a read of the configuration.
@@ -194,6 +210,7 @@
             tokens_wanted: Notify::new(),
             operation_count: AtomicU64::new(0),
             evidence_sender,
+            fleet_status: FleetStatus::default(),
             drain_phase: watch::Sender::new(DrainPhase::Serving),
             configuration_read_at: Mutex::default(),
             snapshot: ArcSwap::default(),
--- a/crates/bluebellferry_edge/tests/coordinators.rs
+++ b/crates/bluebellferry_edge/tests/coordinators.rs
@@ -11,12 +11,12 @@
 use bluebellferry_catalog::database;
 use bluebellferry_edge::control::allocation;
 use bluebellferry_edge::control::allocation::table;
-use bluebellferry_edge::control::owners;
 use bluebellferry_edge::control::state;
 use bluebellferry_edge::shared;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_membership::topology;
 use bluebellferry_runtime::clock;
+use bluebellferry_shares::ownership;
 use bluebellferry_types::name;
 
 #[path = "fixtures/settings.rs"]
@@ -151,72 +151,6 @@
     assert_eq!(record.latest_sequence_before(now + step), None);
 }
 
-fn candidate(
-    name: &str,
-    unresponsive_for: Option<Duration>,
-    previous_allocation: f64,
-) -> owners::OwnerCandidate<'_> {
-    owners::OwnerCandidate {
-        name,
-        unresponsive_for,
-        previous_allocation,
-        equal_allocation: 0.02,
-    }
-}
-
-#[test]
-fn allocations_of_a_rate_never_exceed_the_rate() {
-    let short = Some(Duration::from_secs(2));
-    let long = Some(Duration::from_secs(9));
-    for unresponsive_for in [None, short, long] {
-        for previous in [0.0, 0.01, 0.5, 1.0] {
-            let candidates = [
-                candidate("a", unresponsive_for, previous),
-                candidate("b", None, 1.0 - previous),
-                candidate("c", None, 0.0),
-            ];
-            let allocations = owners::allocate(&workspace("w"), 1, &candidates);
-            let sum: f32 = allocations.iter().sum();
-            assert!(
-                (0.999..=1.001).contains(&sum),
-                "{unresponsive_for:?} {previous} {allocations:?}"
-            );
-            // An unresponsive VM may use its whole previous allocation until it has fallen back
-            // to an equal one by itself.
-            let retained = candidates[0].retained();
-            assert!(unresponsive_for.is_none() || f64::from(allocations[0]) >= retained - 1e-6);
-            if unresponsive_for == short {
-                assert!((retained - previous).abs() < 1e-9);
-            }
-            if unresponsive_for == long {
-                assert!(retained <= 0.02);
-            }
-        }
-    }
-}
-
-#[test]
-fn the_owner_of_a_rate_does_not_change_when_other_vms_join_or_leave() {
-    let owner_of = |names: &[&str]| {
-        let candidates: Vec<_> = names
-            .iter()
-            .map(|name| candidate(name, None, 0.0))
-            .collect();
-        let allocations = owners::allocate(&workspace("w"), 1, &candidates);
-        let index = allocations
-            .iter()
-            .position(|allocation| *allocation > 0.5)
-            .expect("an owner");
-        names[index].to_owned()
-    };
-    let owner = owner_of(&["a", "b", "c", "d", "e"]);
-    let remaining: Vec<&str> = ["a", "b", "c", "d", "e"]
-        .into_iter()
-        .filter(|name| *name == owner || *name > "b")
-        .collect();
-    assert_eq!(owner_of(&remaining), owner);
-}
-
 #[test]
 fn allocations_in_use_never_add_up_to_more_than_was_allocated() {
     let table = heartbeat::AllocationTable {
@@ -225,6 +159,7 @@
             .map(|vm| heartbeat::VmAllocation {
                 vm: vm.to_owned(),
                 fraction: 0.5,
+                standing: ownership::MemberStanding::Counted { since: 1 },
             })
             .to_vec(),
         workspaces: vec![heartbeat::WorkspaceAllocations {
@@ -291,7 +226,7 @@
     now: Instant,
 ) {
     let demand = heartbeat::CentreDemand {
-        operations_per_second: f64::from(per_second),
+        operations_per_second: demand(per_second).operations_per_second,
         workspaces: demand(per_second).demands,
     };
     let heartbeat = heartbeat::FleetHeartbeat {
@@ -434,6 +369,11 @@
     let allocation = |name: &String| heartbeat::VmAllocation {
         vm: name.clone(),
         fraction: f64::from(u8::from(*name == own)),
+        standing: if *name == own {
+            ownership::MemberStanding::Counted { since: 1 }
+        } else {
+            ownership::MemberStanding::Pending
+        },
     };
     let table = heartbeat::AllocationTable {
         number,
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/large_fleets.rs
@@ -0,0 +1,319 @@
+//! Decisions of VMs in a fleet of 195 VMs with 140 workspaces, tested without sockets.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_edge::control::allocation;
+use bluebellferry_edge::control::state;
+use bluebellferry_edge::shared;
+use bluebellferry_membership::envelope;
+use bluebellferry_membership::heartbeat;
+use bluebellferry_membership::message;
+use bluebellferry_membership::topology;
+use bluebellferry_runtime::clock;
+use bluebellferry_types::name;
+
+#[path = "fixtures/settings.rs"]
+mod fixtures;
+
+const VMS: usize = 195;
+const CENTRES: usize = 6;
+const WORKSPACES: usize = 140;
+/// The largest datagram that needs no fragments on most networks.
+const MAX_UNFRAGMENTED_BYTES: usize = 1_472;
+
+fn centre(index: usize) -> name::DataCentreName {
+    let text = format!("dc-{}", index % CENTRES);
+    name::DataCentreName::try_from(text.as_str()).expect("a valid name")
+}
+
+fn workspace(index: usize) -> name::WorkspaceName {
+    name::WorkspaceName::try_from(format!("workspace-{index}").as_str()).expect("a valid name")
+}
+
+fn vm(index: usize) -> String {
+    format!("edge-centre-{}-{index}", index % CENTRES)
+}
+
+fn members() -> BTreeMap<String, state::MemberRecord> {
+    let record = |index: usize| state::MemberRecord {
+        address: IpAddr::V4(Ipv4Addr::new(127, 0, 0, index as u8 + 1)),
+        data_centre: centre(index),
+    };
+    (0..VMS).map(|index| (vm(index), record(index))).collect()
+}
+
+/// Returns a configuration in which most workspaces are small and a few are large.
+fn configuration(workspaces: usize) -> configuration::Configuration {
+    let policy = |index: usize| {
+        let rate_per_second = if index.is_multiple_of(20) {
+            120.0
+        } else {
+            10.0
+        };
+        configuration::WorkspacePolicy {
+            rate_per_second,
+            burst: rate_per_second,
+        }
+    };
+    configuration::Configuration {
+        version: 1,
+        workspaces: (0..workspaces)
+            .map(|index| (workspace(index), policy(index)))
+            .collect(),
+        ..configuration::Configuration::default()
+    }
+}
+
+fn control(index: usize, workspaces: usize, now: Instant) -> state::ControlState {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = fixtures::settings(&vm(index), centre(index), address);
+    let (shared, _) = shared::EdgeShared::new(settings, 1);
+    let mut control = state::ControlState::new(shared);
+    control.apply_members(members(), 5, now);
+    control.apply_configuration(configuration(workspaces), String::new(), "test");
+    control.join_group("test");
+    control
+}
+
+fn ranked_vms(centre_index: usize) -> Vec<usize> {
+    let mut in_centre: Vec<usize> = (0..VMS)
+        .filter(|index| index % CENTRES == centre_index)
+        .collect();
+    in_centre.sort_by_key(|index| topology::rank(&vm(*index)).0);
+    in_centre
+}
+
+/// Returns the first coordinator, which allocates limits to the data centres.
+fn first_coordinator() -> usize {
+    let coordinators = (0..CENTRES).map(|centre| ranked_vms(centre)[0]);
+    let first = coordinators.min_by_key(|index| topology::rank(&vm(*index)).0);
+    first.expect("a coordinator")
+}
+
+fn receive(control: &mut state::ControlState, index: usize, is_coordinator: bool, now: Instant) {
+    let heartbeat = heartbeat::FleetHeartbeat {
+        vm: vm(index),
+        is_coordinator,
+        has_group_majority: is_coordinator,
+        ..heartbeat::FleetHeartbeat::default()
+    };
+    control
+        .topology
+        .record_heartbeat_from(&heartbeat.vm, true, false, now);
+    control.record_peer_heartbeat((1, 1), heartbeat, Some(now), now);
+}
+
+const NO_DEMAND: allocation::LocalDemand = allocation::LocalDemand {
+    operations_per_second: 0.0,
+    demands: Vec::new(),
+};
+
+/// Returns the state of a coordinator that has heard from all VMs of its data centre and from all
+/// other coordinators, and has allocated the limits.
+fn coordinator_control(
+    centre_index: usize,
+    workspaces: usize,
+    now: Instant,
+) -> state::ControlState {
+    let ranked = ranked_vms(centre_index);
+    let mut control = control(ranked[0], workspaces, now);
+    for index in &ranked[1..] {
+        receive(&mut control, *index, false, now);
+    }
+    for other in (0..CENTRES).filter(|other| *other != centre_index) {
+        receive(&mut control, ranked_vms(other)[0], true, now);
+    }
+    control.update_group_status(now);
+    allocation::update_allocations(&mut control, &NO_DEMAND, now);
+    control
+}
+
+/// Returns the tables of the data centres and of each group.
+fn tables(
+    workspaces: usize,
+    now: Instant,
+) -> (heartbeat::AllocationTable, Vec<heartbeat::AllocationTable>) {
+    let first = coordinator_control(first_coordinator() % CENTRES, workspaces, now);
+    let groups = (0..CENTRES).map(|centre| coordinator_control(centre, workspaces, now));
+    (
+        first.centre_allocation_table,
+        groups.map(|control| control.allocation_table).collect(),
+    )
+}
+
+// Guards against a fleet that refuses nearly everything because each VM has 1/195 of a rate, which
+// never adds up to a token, and nobody lends: the owners of rates were left out where workspaces
+// times VMs exceeded the size of a table.
+#[test]
+fn each_rate_has_a_few_owners_that_use_all_of_it() {
+    let now = clock::now();
+    let (centre_table, group_tables) = tables(WORKSPACES, now);
+    let mut totals = vec![0.0; WORKSPACES];
+    let mut owner_counts = vec![0; WORKSPACES];
+    for index in 0..VMS {
+        let coordinator = ranked_vms(index % CENTRES)[0];
+        let mut control = if index == coordinator {
+            coordinator_control(index % CENTRES, WORKSPACES, now)
+        } else {
+            control(index, WORKSPACES, now)
+        };
+        if index != coordinator {
+            receive(&mut control, coordinator, true, now);
+        }
+        control.apply_centre_allocations(&centre_table);
+        control.apply_allocations(&group_tables[index % CENTRES]);
+        control.update_group_status(now);
+        for number in 0..WORKSPACES {
+            totals[number] += control.own_rate_allocation(&workspace(number));
+            owner_counts[number] += usize::from(control.owns(&workspace(number)));
+        }
+    }
+    for (number, total) in totals.iter().enumerate() {
+        assert!((total - 1.0).abs() < 1e-6, "workspace {number}: {total}");
+        // A few VMs of a few data centres, or of all for a large workspace.
+        let most = if number.is_multiple_of(20) { 18 } else { 9 };
+        let count = owner_counts[number];
+        assert!(
+            (1..=most).contains(&count),
+            "workspace {number}: {count} owners"
+        );
+    }
+}
+
+#[test]
+fn a_vm_knows_whom_to_ask_for_each_rate() {
+    let now = clock::now();
+    let (centre_table, group_tables) = tables(WORKSPACES, now);
+    let mut control = control(ranked_vms(0)[7], WORKSPACES, now);
+    control.apply_centre_allocations(&centre_table);
+    control.apply_allocations(&group_tables[0]);
+    for number in 0..WORKSPACES {
+        let workspace = workspace(number);
+        let has_owner = control.owns(&workspace) || !control.owners_of(&workspace).is_empty();
+        let owning_centres = control.owning_centres(&workspace);
+        assert!((1..=CENTRES).contains(&owning_centres.len()), "{workspace}");
+        let is_owned_here = owning_centres.contains(&centre(0).to_string());
+        assert_eq!(control.is_owned_in_own_centre(&workspace), is_owned_here);
+        assert!(has_owner || !is_owned_here, "{workspace}");
+    }
+}
+
+// Guards against heartbeats of some 20 KB: the tables grew with workspaces times VMs.
+#[test]
+fn announced_allocations_do_not_grow_with_the_workspaces() {
+    let now = clock::now();
+    let size_with = |workspaces: usize| {
+        let control = coordinator_control(0, workspaces, now);
+        let heartbeat = heartbeat::FleetHeartbeat {
+            allocation_table: Some(control.allocation_table),
+            centre_allocation_table: Some(control.centre_allocation_table),
+            ..heartbeat::FleetHeartbeat::default()
+        };
+        let message = message::PeerMessage::Beat(Box::new(heartbeat));
+        let codec = envelope::EnvelopeCodec::new("edge", b"secret");
+        codec.seal(1, 1, &message).len()
+    };
+    assert!(size_with(WORKSPACES) <= MAX_UNFRAGMENTED_BYTES);
+    assert_eq!(size_with(WORKSPACES), size_with(1_000));
+}
+
+// Guards against a data centre that registers after the first allocation and is allocated nothing.
+#[test]
+fn a_data_centre_that_registers_late_gets_its_part() {
+    let start = clock::now();
+    let first = first_coordinator();
+    let late = (first + 1) % CENTRES;
+    let mut early_members = members();
+    early_members.retain(|_, record| record.data_centre != centre(late));
+    let mut control = control(first, WORKSPACES, start);
+    control.apply_members(early_members, 6, start);
+    let others = || (0..CENTRES).filter(move |other| *other != first % CENTRES);
+    for other in others().filter(|other| *other != late) {
+        receive(&mut control, ranked_vms(other)[0], true, start);
+    }
+    control.update_group_status(start);
+    allocation::update_allocations(&mut control, &NO_DEMAND, start);
+    assert_eq!(control.centre_allocations(None).len(), CENTRES - 1);
+    control.apply_members(members(), 7, start);
+    let later = start + topology::HEARTBEAT_TIMEOUT * 2;
+    for other in others() {
+        receive_again(&mut control, ranked_vms(other)[0], later);
+    }
+    control.update_group_status(later);
+    allocation::update_allocations(&mut control, &NO_DEMAND, later);
+    let allocations = control.centre_allocations(None);
+    let total: f64 = allocations.iter().map(|(_, fraction)| fraction).sum();
+    assert!((total - 1.0).abs() < 1e-6, "{total}");
+    let equal = 1.0 / CENTRES as f64;
+    for (name, fraction) in allocations {
+        assert!(fraction > equal / 2.0, "{name}: {fraction}");
+    }
+}
+
+fn receive_again(control: &mut state::ControlState, index: usize, now: Instant) {
+    let sequence = control
+        .peers
+        .get(&vm(index))
+        .map_or(1, |record| record.sequence + 1);
+    let heartbeat = heartbeat::FleetHeartbeat {
+        vm: vm(index),
+        is_coordinator: true,
+        has_group_majority: true,
+        centre_allocation_number: control.centre_allocation_table.number,
+        ..heartbeat::FleetHeartbeat::default()
+    };
+    control
+        .topology
+        .record_heartbeat_from(&heartbeat.vm, true, false, now);
+    control.record_peer_heartbeat((1, sequence), heartbeat, Some(now), now);
+}
+
+#[test]
+fn a_coordinator_without_a_majority_announces_nothing() {
+    let now = clock::now();
+    let ranked = ranked_vms(0);
+    let mut control = control(ranked[0], WORKSPACES, now);
+    for index in &ranked[1..ranked.len() / 2 - 1] {
+        receive(&mut control, *index, false, now);
+    }
+    control.update_group_status(now);
+    allocation::update_allocations(&mut control, &NO_DEMAND, now);
+    assert_eq!(control.allocation_table.number, 0);
+    for index in &ranked[ranked.len() / 2 - 1..] {
+        receive(&mut control, *index, false, now);
+    }
+    control.update_group_status(now);
+    allocation::update_allocations(&mut control, &NO_DEMAND, now);
+    assert_eq!(control.allocation_table.number, 1);
+}
+
+// Guards against a restarted coordinator whose table forgets what unresponsive VMs may still use.
+#[test]
+fn a_restarted_coordinator_first_adopts_the_table_that_other_vms_have() {
+    let now = clock::now();
+    let earlier = coordinator_control(0, WORKSPACES, now).allocation_table;
+    let ranked = ranked_vms(0);
+    let mut control = control(ranked[0], WORKSPACES, now);
+    for index in &ranked[1..] {
+        let heartbeat = heartbeat::FleetHeartbeat {
+            vm: vm(*index),
+            allocation_number: earlier.number,
+            ..heartbeat::FleetHeartbeat::default()
+        };
+        control
+            .topology
+            .record_heartbeat_from(&heartbeat.vm, true, false, now);
+        control.record_peer_heartbeat((1, 1), heartbeat, Some(now), now);
+    }
+    control.update_group_status(now);
+    allocation::update_allocations(&mut control, &NO_DEMAND, now);
+    assert_eq!(control.allocation_table.number, 0);
+    control.apply_allocations(&earlier);
+    allocation::update_allocations(&mut control, &NO_DEMAND, now);
+    assert_eq!(control.allocation_table, earlier);
+}
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -150,9 +150,7 @@
     /// Changes the size of the owned share. A smaller share takes effect at once, a larger
     /// one after `delay`, by when every other VM must have reduced its share.
     pub fn resize_after(&mut self, size: ShareSize, delay: Duration, now: Instant) {
-        self.refill(now);
-        self.size = self.size.smaller_of(size);
-        self.tokens = self.tokens.min(self.capacity());
+        self.reduce(size, now);
         // Pending growth still takes effect on time, limited to the new size: frequent
         // changes must not postpone growth for ever.
         for (_, pending_size) in &mut self.pending_sizes {
@@ -164,6 +162,18 @@
         self.pending_sizes.push((now + delay, size));
     }
 
+    /// Reduces the owned share to at most `size`, and drops growth that has not taken effect.
+    pub fn shrink(&mut self, size: ShareSize, now: Instant) {
+        self.reduce(size, now);
+        self.pending_sizes.clear();
+    }
+
+    fn reduce(&mut self, size: ShareSize, now: Instant) {
+        self.refill(now);
+        self.size = self.size.smaller_of(size);
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
     /// Records that the process is running. If that has not been recorded for
     /// [`SUSPENSION_THRESHOLD`], the bucket is emptied and stays closed for
     /// [`SUSPENSION_RECOVERY_DELAY`].
--- a/crates/bluebellferry_limits/tests/growth.rs
+++ b/crates/bluebellferry_limits/tests/growth.rs
@@ -44,3 +44,20 @@
     }
     assert!(share_bucket.available_tokens(now) <= 5.0);
 }
+
+#[test]
+fn a_share_that_may_only_shrink_drops_growth_that_waits() {
+    let start = Instant::now();
+    let mut bucket = bucket::ShareBucket::new_full(size(10.0), start);
+    let second = Duration::from_secs(1);
+    bucket.resize_after(size(100.0), second, start);
+    bucket.shrink(size(4.0), start + second / 2);
+    let later = start + second * 3;
+    for step in 1..30 {
+        bucket.record_running(start + second * step / 10);
+    }
+    assert!(bucket.available_tokens(later) <= 4.0);
+    bucket.resize_after(size(10.0), Duration::ZERO, later);
+    bucket.record_running(later + second / 2);
+    assert!(bucket.available_tokens(later + second / 2) > 4.0);
+}
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bluebellferry_catalog::leadership;
+use bluebellferry_shares::ownership;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use serde::Deserialize;
@@ -66,6 +67,8 @@
     /// The fraction, from 0 to 1.
     #[serde(rename = "part")]
     pub fraction: f64,
+    /// Whether the VM or the data centre may own rates of workspaces.
+    pub standing: ownership::MemberStanding,
 }
 
 /// How the rate of one workspace is allocated.
@@ -97,7 +100,8 @@
     /// listed in `workspaces`.
     #[serde(rename = "weights")]
     pub allocations: Vec<VmAllocation>,
-    /// The allocations of rates, for workspaces that have allocations of their own.
+    /// The allocations of rates in a full mesh, for workspaces that have allocations of their
+    /// own. In larger fleets, the owners of a rate follow from the standings.
     pub workspaces: Vec<WorkspaceAllocations>,
 }
 
--- a/crates/bluebellferry_shares/src/limiter.rs
+++ b/crates/bluebellferry_shares/src/limiter.rs
@@ -298,13 +298,28 @@
         &self,
         sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>,
         delay: Duration,
+    ) {
+        self.update_sizes(sizes, |bucket, size, now| {
+            bucket.resize_after(size, delay, now);
+        });
+    }
+
+    /// Reduces this VM's shares to at most the given sizes, one for each configured workspace.
+    pub fn shrink_to(&self, sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>) {
+        self.update_sizes(sizes, bucket::ShareBucket::shrink);
+    }
+
+    fn update_sizes(
+        &self,
+        sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>,
+        update: impl Fn(&mut bucket::ShareBucket, bucket::ShareSize, Instant),
     ) {
         let now = self.clock.now();
         let mut shares = self.shares.write().unwrap_or_else(PoisonError::into_inner);
         shares.retain(|workspace, _| sizes.contains_key(workspace));
         for (workspace, size) in sizes {
             match shares.get(workspace) {
-                Some(share) => share.lock().bucket.resize_after(*size, delay, now),
+                Some(share) => update(&mut share.lock().bucket, *size, now),
                 None => {
                     let bucket = (self.new_bucket)(*size, now);
                     let share = new_share(bucket, self.clock, now);
--- /dev/null
+++ b/crates/bluebellferry_shares/src/ownership.rs
@@ -0,0 +1,253 @@
+//! Decides which members of a group own a workspace's rate. The members are the VMs of a
+//! data centre, or the data centres of the fleet.
+//!
+//! With many VMs an equal share for each would be less than a token, and fractions that are
+//! lent expire before they add up to a whole token. So one to three members own a rate, and
+//! the others borrow whole tokens from them.
+//!
+//! An allocator announces only the [`MemberStanding`] of each member. Every member computes
+//! the owners of all rates from that list by rendezvous hashing, so what is sent does not
+//! grow with the number of workspaces.
+//!
+//! A member that is unresponsive may still spend what it owned by the last list that counted
+//! it. [`RateOwners::choose`] computes a bound of that, which the owners leave unused.
+
+use std::time::Duration;
+
+use bluebellferry_types::name;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3;
+
+/// How long a member must be unresponsive before it is known to have fallen back to an equal
+/// fraction. It does so once nobody has answered it for 1.3 s, which it notices within a
+/// heartbeat interval; the rest of the delay covers answers in transit.
+pub const EQUAL_FALLBACK_DELAY: Duration = Duration::from_millis(3_000);
+/// The most members that own a workspace's rate.
+pub const MAX_OWNERS: usize = 3;
+/// The rate, in operations per second, from which a workspace has a second owner; from
+/// twice that rate it has a third. At lower rates, another owner would leave each of them less
+/// than a few whole tokens of the burst. At higher rates, several owners are used because the
+/// loss of one then costs the workspace only some of its rate.
+const RATE_PER_ADDITIONAL_OWNER: f64 = 8.0;
+/// The smallest rate of each data centre, in operations per second, for which a workspace's
+/// rate is allocated to all data centres. Where an equal allocation would be less,
+/// [`owner_count`] data centres own the rate.
+pub const MIN_CENTRE_RATE: f64 = 8.0;
+
+/// Whether a member may own rates. The numbers are those of the allocator's lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberStanding {
+    /// The member has never been responsive, so it owns nothing.
+    Pending,
+    /// The member is responsive and may own rates.
+    Counted {
+        /// The first list of those in a row that count the member.
+        since: u64,
+    },
+    /// The member is unresponsive, and may still spend what it owned by the latest list that it
+    /// has received: one from `acknowledged` to `until`.
+    Excluded {
+        /// The first list of those in a row that counted the member.
+        since: u64,
+        /// The latest list that the member is known to have received.
+        acknowledged: u64,
+        /// The last list that counted the member.
+        until: u64,
+        /// The number of members in that list.
+        members: u32,
+        /// Whether the member has been unresponsive for [`EQUAL_FALLBACK_DELAY`].
+        has_fallen_back: bool,
+    },
+}
+
+impl MemberStanding {
+    /// Returns the standing in the list with number `next`.
+    #[must_use]
+    pub fn next(previous: Option<Self>, observed: &MemberObservation, next: u64) -> Self {
+        let Some(unresponsive_for) = observed.unresponsive_for else {
+            return match previous {
+                Some(Self::Counted { since }) => Self::Counted { since },
+                _ => Self::Counted { since: next },
+            };
+        };
+        let is_past_delay = unresponsive_for >= EQUAL_FALLBACK_DELAY;
+        match previous {
+            None | Some(Self::Pending) => Self::Pending,
+            Some(Self::Counted { since }) => Self::Excluded {
+                since,
+                acknowledged: observed.acknowledged,
+                until: observed.previous,
+                members: observed.members,
+                has_fallen_back: is_past_delay,
+            },
+            Some(Self::Excluded {
+                since,
+                acknowledged,
+                until,
+                members,
+                has_fallen_back,
+            }) => Self::Excluded {
+                since,
+                acknowledged,
+                until,
+                members,
+                has_fallen_back: has_fallen_back || is_past_delay,
+            },
+        }
+    }
+
+    /// Returns whether the member is responsive.
+    pub const fn is_counted(self) -> bool {
+        matches!(self, Self::Counted { .. })
+    }
+
+    /// Returns whether all lists from `first` to `last` counted the member.
+    fn was_counted_throughout(self, first: u64, last: u64) -> bool {
+        match self {
+            Self::Pending => false,
+            Self::Counted { since } => since <= first,
+            Self::Excluded { since, until, .. } => since <= first && last <= until,
+        }
+    }
+}
+
+/// What an allocator knows of a member when it makes a list.
+#[derive(Debug, Clone, Copy)]
+pub struct MemberObservation {
+    /// For how long the member has been unresponsive; `None` if it is responsive.
+    pub unresponsive_for: Option<Duration>,
+    /// The latest list that the member is known to have received.
+    pub acknowledged: u64,
+    /// The previous list.
+    pub previous: u64,
+    /// The number of members in the previous list.
+    pub members: u32,
+}
+
+/// A member of the group.
+#[derive(Debug, Clone, Copy)]
+pub struct GroupMember<'a> {
+    /// The member's name.
+    pub name: &'a str,
+    /// The member's standing.
+    pub standing: MemberStanding,
+}
+
+/// A fraction of a workspace's rate.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OwnedFraction {
+    /// The member's index in the group.
+    pub member: usize,
+    /// The fraction.
+    pub fraction: f64,
+}
+
+/// Who owns a workspace's rate.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RateOwners {
+    /// The responsive members that own the rate, the first by rank first.
+    pub owners: SmallVec<[OwnedFraction; MAX_OWNERS]>,
+    /// What unresponsive members may still spend.
+    pub retained: SmallVec<[OwnedFraction; MAX_OWNERS]>,
+}
+
+/// Returns the fraction of a rate that a member uses at most while no majority answers it.
+pub fn equal_fraction(members: usize) -> f64 {
+    1.0 / members.max(1) as f64
+}
+
+/// Returns how many members own a rate, given in operations per second.
+pub fn owner_count(rate_per_second: f64) -> usize {
+    let additional = (rate_per_second / RATE_PER_ADDITIONAL_OWNER).max(0.0) as usize;
+    (1 + additional).min(MAX_OWNERS)
+}
+
+impl RateOwners {
+    /// Chooses `count` owners of a workspace's rate. The fractions add up to at most 1.
+    pub fn choose(
+        workspace: &name::WorkspaceName,
+        count: usize,
+        members: &[GroupMember<'_>],
+    ) -> Self {
+        let seed = xxh3::xxh3_64(workspace.as_str().as_bytes());
+        let score =
+            |member: &GroupMember<'_>| xxh3::xxh3_64_with_seed(member.name.as_bytes(), seed);
+        let mut ranked: Vec<(u64, &str, usize)> = members
+            .iter()
+            .enumerate()
+            .filter(|(_, member)| member.standing != MemberStanding::Pending)
+            .map(|(index, member)| (score(member), member.name, index))
+            .collect();
+        ranked.sort_unstable();
+        let retained: SmallVec<[OwnedFraction; MAX_OWNERS]> = ranked
+            .iter()
+            .enumerate()
+            .filter_map(|(rank, (_, _, member))| {
+                let fraction = retained_fraction(rank, &ranked, count, members)?;
+                Some(OwnedFraction {
+                    member: *member,
+                    fraction,
+                })
+            })
+            .collect();
+        let total_retained: f64 = retained.iter().map(|owned| owned.fraction).sum();
+        let counted = ranked
+            .iter()
+            .map(|(_, _, member)| *member)
+            .filter(|member| members[*member].standing.is_counted())
+            .take(count);
+        let counted: SmallVec<[usize; MAX_OWNERS]> = counted.collect();
+        let fraction = (1.0 - total_retained).max(0.0) / counted.len().max(1) as f64;
+        let owned = |member: usize| OwnedFraction { member, fraction };
+        Self {
+            owners: counted.into_iter().map(owned).collect(),
+            retained,
+        }
+    }
+
+    /// Returns a member's fraction of the rate.
+    pub fn fraction_of(&self, member: usize) -> f64 {
+        let mut all = self.owners.iter().chain(&self.retained);
+        let found = all.find(|owned| owned.member == member);
+        found.map_or(0.0, |owned| owned.fraction)
+    }
+}
+
+/// Returns the fraction that the member at this rank may still spend although it is
+/// unresponsive, or `None` if it owned nothing.
+///
+/// Only members that were counted by every list that it may have received rank before it. A
+/// member that has been counted again since does not. That makes the others rank higher, so
+/// the result is never too small.
+fn retained_fraction(
+    rank: usize,
+    ranked: &[(u64, &str, usize)],
+    count: usize,
+    members: &[GroupMember<'_>],
+) -> Option<f64> {
+    let MemberStanding::Excluded {
+        acknowledged,
+        until,
+        members: member_count,
+        has_fallen_back,
+        ..
+    } = members[ranked[rank].2].standing
+    else {
+        return None;
+    };
+    let better = ranked[..rank].iter().filter(|(_, _, other)| {
+        let standing = members[*other].standing;
+        standing.was_counted_throughout(acknowledged, until)
+    });
+    if better.take(count).count() >= count {
+        return None;
+    }
+    let owned = 1.0 / count as f64;
+    Some(if has_fallen_back {
+        owned.min(equal_fraction(member_count as usize))
+    } else {
+        owned
+    })
+}
--- a/crates/bluebellferry_shares/tests/owned_limit.rs
+++ b/crates/bluebellferry_shares/tests/owned_limit.rs
@@ -11,6 +11,7 @@
 use bluebellferry_limits::bucket;
 use bluebellferry_shares::lending;
 use bluebellferry_shares::limiter;
+use bluebellferry_shares::ownership;
 use bluebellferry_types::name;
 use rand::Rng;
 use rand::SeedableRng;
@@ -227,16 +228,11 @@
 /// compared with one VM for all of them.
 const MAX_LOST_FRACTION: f64 = 0.03;
 
-/// Returns how many VMs own a rate, as `owners::owner_count` of the edge does.
-fn owner_count(rate: f64) -> usize {
-    (1 + (rate / 8.0) as usize).min(3)
-}
-
 #[test]
 fn owners_admit_nearly_all_operations_of_a_small_limit_below_its_rate() {
     for rate in [4.0, 8.0, 16.0, 40.0] {
         let demand = rate / 1.6;
-        let owners = Ownership::Owners(owner_count(rate));
+        let owners = Ownership::Owners(ownership::owner_count(rate));
         let equal = admitted_fraction(Ownership::Equal, rate, demand, MAX_EQUAL_WAIT);
         let owned = admitted_fraction(owners, rate, demand, MAX_OWNER_WAIT);
         let single = admitted_fraction(Ownership::Single, rate, demand, MAX_OWNER_WAIT);
@@ -254,7 +250,7 @@
     for rate in [4.0, 16.0, 40.0] {
         let demand = rate * 3.0;
         let owned = admitted_fraction(
-            Ownership::Owners(owner_count(rate)),
+            Ownership::Owners(ownership::owner_count(rate)),
             rate,
             demand,
             MAX_OWNER_WAIT,
