Send token requests between data centres to an owner at once

Cause: each request between data centres was forwarded by two coordinators, so 33 VMs depended on two links of 20 Mbit/s, and datagrams are lost while a link is full. Ruled out: the sizes of shares, which a configuration without new rates leaves as they are; the owners, which did not change.

Change: the borrower computes who owns the rate if all VMs of the owning data centre are responsive and asks there. A VM that does not own it forwards the request, and a request that was not answered is repeated through the coordinators, which know who is live.

Test: a_token_request_between_data_centres_goes_to_an_owner_at_once (did not exist as a choice before).

--- a/crates/bluebellferry_edge/src/control/state/shares.rs
+++ b/crates/bluebellferry_edge/src/control/state/shares.rs
@@ -226,6 +226,31 @@
         ownership.map_or(&[], |ownership| &ownership.owning_centres)
     }
 
+    /// Returns one of the VMs of another data centre that own a workspace's rate there if all
+    /// VMs of that data centre are responsive. `turn` selects among them.
+    pub fn probable_owner_in(
+        &self,
+        centre: &str,
+        workspace: &name::WorkspaceName,
+        turn: usize,
+    ) -> Option<String> {
+        let counted = ownership::MemberStanding::Counted { since: 0 };
+        let vms = self.topology.vms_of(centre);
+        let members: Vec<_> = vms
+            .iter()
+            .map(|vm| ownership::GroupMember {
+                name: vm,
+                standing: counted,
+            })
+            .collect();
+        let allocations = self.centre_allocations(Some(workspace));
+        let fraction = allocations.iter().find(|(name, _)| *name == centre)?.1;
+        let count = ownership::owner_count(self.rate_of(workspace) * fraction);
+        let owners = ownership::RateOwners::choose(workspace, count, &members).owners;
+        let owner = owners.get(turn % owners.len().max(1))?;
+        Some(members[owner.member].name.to_owned())
+    }
+
     /// Returns whether this VM owns enough of a workspace's rate to lend tokens.
     pub fn owns(&self, workspace: &name::WorkspaceName) -> bool {
         let ownership = self.rate_ownerships.get(workspace);
--- a/crates/bluebellferry_edge/src/control/tokens.rs
+++ b/crates/bluebellferry_edge/src/control/tokens.rs
@@ -18,8 +18,8 @@
 /// The longest interval between two checks whether to request tokens in advance. A loan is
 /// valid three times as long.
 const ADVANCE_REQUEST_INTERVAL: Duration = Duration::from_millis(80);
-/// The most hops of a token request: to the coordinator of the borrower's data centre, to
-/// the coordinator of an owning data centre, and to the owner.
+/// The most hops of a token request that goes through coordinators: to the one of the
+/// borrower's data centre, to the one of an owning data centre, and to the owner.
 const MAX_HOPS: u8 = 3;
 /// The shortest delay between two rounds of token requests.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(20);
@@ -56,7 +56,11 @@
                 number: request.number,
                 hops: MAX_HOPS,
             };
-            forward_token_request(control, links, &owner_request, now);
+            let probable = probable_owner(control, &owner_request).filter(|_| !request.is_retry);
+            match probable {
+                Some(owner) => send_owner_request(links, &owner, &owner_request),
+                None => forward_token_request(control, links, &owner_request, now),
+            }
         }
         return;
     }
@@ -124,9 +128,12 @@
     now: Instant,
 ) {
     let next = next_hop(control, request, now);
-    let Some(next) = next.filter(|next| *next != request.borrower) else {
-        return;
-    };
+    if let Some(next) = next.filter(|next| *next != request.borrower) {
+        send_owner_request(links, &next, request);
+    }
+}
+
+fn send_owner_request(links: &peers::PeerLinks, to: &str, request: &OwnerTokenRequest) {
     let message = message::PeerMessage::OwnerRequest {
         borrower: request.borrower.clone(),
         workspace: request.workspace.to_string(),
@@ -134,7 +141,25 @@
         number: request.number,
         hops: request.hops.saturating_sub(1),
     };
-    links.send(&next, &message);
+    links.send(to, &message);
+}
+
+/// Returns a VM in another data centre that owns the rate if all VMs there are responsive, or
+/// `None` if this data centre owns enough of the rate.
+///
+/// Requests between data centres go there at once, so that coordinators don't have to forward
+/// those of their whole data centre. A VM that doesn't own the rate forwards the request.
+pub fn probable_owner(
+    control: &state::ControlState,
+    request: &OwnerTokenRequest,
+) -> Option<String> {
+    if control.is_owned_in_own_centre(&request.workspace) {
+        return None;
+    }
+    let centres = control.owning_centres(&request.workspace);
+    let centre = centres.get(request.number as usize % centres.len().max(1))?;
+    let turn = request.number as usize / centres.len();
+    control.probable_owner_in(centre, &request.workspace, turn)
 }
 
 /// Returns the VM to forward a token request to: an owner in this data centre if the data
--- a/crates/bluebellferry_edge/tests/large_fleets.rs
+++ b/crates/bluebellferry_edge/tests/large_fleets.rs
@@ -9,6 +9,7 @@
 use bluebellferry_catalog::configuration;
 use bluebellferry_edge::control::allocation;
 use bluebellferry_edge::control::state;
+use bluebellferry_edge::control::tokens;
 use bluebellferry_edge::shared;
 use bluebellferry_membership::envelope;
 use bluebellferry_membership::heartbeat;
@@ -203,6 +204,47 @@
     }
 }
 
+// Guards against refusals while a coordinator's link is busy: each token request between data
+// centres went through two coordinators.
+#[test]
+fn a_token_request_between_data_centres_goes_to_an_owner_at_once() {
+    let now = clock::now();
+    let (centre_table, group_tables) = tables(WORKSPACES, now);
+    let with_tables = |index: usize| {
+        let mut control = control(index, WORKSPACES, now);
+        control.apply_centre_allocations(&centre_table);
+        control.apply_allocations(&group_tables[index % CENTRES]);
+        control
+    };
+    let borrower = with_tables(ranked_vms(0)[7]);
+    let mut owners: BTreeMap<String, state::ControlState> = BTreeMap::new();
+    for number in 0..WORKSPACES {
+        for turn in 0..6 {
+            let request = tokens::OwnerTokenRequest {
+                borrower: borrower.own_name().to_owned(),
+                workspace: workspace(number),
+                amount: 1.0,
+                number: turn,
+                hops: 3,
+            };
+            let Some(owner) = tokens::probable_owner(&borrower, &request) else {
+                assert!(borrower.is_owned_in_own_centre(&request.workspace));
+                continue;
+            };
+            let index = (0..VMS)
+                .find(|index| vm(*index) == owner)
+                .expect("a listed VM");
+            let owner = owners.entry(owner).or_insert_with(|| with_tables(index));
+            assert!(owner.owns(&request.workspace), "{}", request.workspace);
+        }
+    }
+    assert!(
+        owners.len() > VMS / 4,
+        "the requests are spread over VMs: {}",
+        owners.len()
+    );
+}
+
 // Guards against heartbeats of some 20 KB: the tables grew with workspaces times VMs.
 #[test]
 fn announced_allocations_do_not_grow_with_the_workspaces() {
--- a/crates/bluebellferry_membership/src/topology.rs
+++ b/crates/bluebellferry_membership/src/topology.rs
@@ -143,6 +143,13 @@
         self.is_full_mesh() || self.own_centre.as_ref() == Some(centre)
     }
 
+    /// Returns the VMs of a data centre in the order of their ranks.
+    pub fn vms_of(&self, centre: &str) -> &[String] {
+        let mut centres = self.centres.iter();
+        let found = centres.find(|(name, _)| name.as_str() == centre);
+        found.map_or(&[], |(_, ranked)| ranked)
+    }
+
     /// Returns whether this VM is the coordinator of its data centre as far as it knows.
     /// In a full mesh, every VM is a coordinator.
     pub fn is_coordinator(&self, now: Instant) -> bool {
--- a/crates/bluebellferry_shares/src/lending.rs
+++ b/crates/bluebellferry_shares/src/lending.rs
@@ -37,6 +37,8 @@
     pub amount: f64,
     /// The request's number, which the answers repeat.
     pub number: u64,
+    /// Whether an earlier request for the workspace was not answered.
+    pub is_retry: bool,
 }
 
 /// Tracks the token requests that this VM has sent; `A` identifies another VM.
@@ -120,6 +122,11 @@
     ) -> OutgoingTokenRequest {
         let number = self.next_number;
         self.next_number += 1;
+        let latest = self.open_requests.values().rev();
+        let mut latest = latest.filter(|request| request.workspace == workspace);
+        let is_retry = latest
+            .next()
+            .is_some_and(|request| request.answered_by.is_empty());
         let request = OpenRequest {
             workspace: workspace.clone(),
             requested_at: now,
@@ -130,6 +137,7 @@
             workspace,
             amount,
             number,
+            is_retry,
         }
     }
 
