Delay growth whenever the majority is regained, not only the second time

Seen: by reading the change of the owners; no caller has seen it. A VM that was connected to the majority from its first heartbeat on used its full allocation at once when it first regained the majority, although another VM may own the rate by then.

Cause: "has been in the majority" was recorded only when the status changed. It is now recorded with each update, and counts the connection to the other data centres as well, since an isolated data centre uses at most an equal part. The status is updated before allocations are made from it.

Test: a_vm_that_regains_the_majority_uses_its_allocation_after_the_delay (before: 2.1 tokens of a workspace with 10 operations a second after 0.4 s).

--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -101,11 +101,11 @@
             } else {
                 allocation::ALLOCATION_INTERVAL
             };
+            control.update_group_status(now);
             if now.saturating_duration_since(times.allocated) >= allocation_interval {
                 times.allocated = now;
                 allocation::update_allocations(&mut control, &demand, now);
             }
-            control.update_group_status(now);
             links.apply_members(&control);
             send_round(&mut control, &links, demand, &mut times, was_triggered, now);
             control.publish_snapshot();
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -211,8 +211,9 @@
     /// Whether this VM is cut off from most of its group, so that it may not have learned that
     /// its allocation was reduced.
     pub is_in_minority: bool,
-    /// Whether this VM has belonged to the majority of its group since it started.
-    has_been_in_majority: bool,
+    /// Whether this VM has been connected to the majority of its group, and its data centre to
+    /// most others, since it started.
+    has_been_connected: bool,
     published_snapshot: shared::EdgeSnapshot,
 }
 
@@ -257,7 +258,7 @@
             is_isolated: false,
             allocator_since: None,
             is_in_minority: false,
-            has_been_in_majority: false,
+            has_been_connected: false,
             published_snapshot: shared::EdgeSnapshot::default(),
         }
     }
--- a/crates/bluebellferry_edge/src/control/state/coordinators.rs
+++ b/crates/bluebellferry_edge/src/control/state/coordinators.rs
@@ -42,6 +42,7 @@
         }
         let is_in_minority = self.has_owners() && !self.is_in_majority(now);
         let is_isolated = !self.topology.is_full_mesh() && self.is_centre_isolated(now);
+        let is_connected = !is_in_minority && !is_isolated;
         if (is_in_minority, is_isolated) != (self.is_in_minority, self.is_isolated) {
             log::info!(
                 orphaned = is_in_minority, isolated = is_isolated;
@@ -60,13 +61,15 @@
             }
             self.is_in_minority = is_in_minority;
             self.is_isolated = is_isolated;
-            if !is_in_minority && !std::mem::replace(&mut self.has_been_in_majority, true) {
-                // As for the first table that this process receives.
-                self.apply_shares_after(Duration::ZERO);
+            if is_connected && !self.has_been_connected {
+                // As for the first table that this process receives, which it may not have used
+                // in full before.
+                self.apply_new_allocation(true, self.allocation_table.number);
             } else {
                 self.apply_shares();
             }
         }
+        self.has_been_connected |= is_connected;
     }
 
     /// Returns whether this VM may announce new allocations where rates have owners, given its
--- a/crates/bluebellferry_edge/tests/large_fleets.rs
+++ b/crates/bluebellferry_edge/tests/large_fleets.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
@@ -359,3 +360,37 @@
     allocation::update_allocations(&mut control, &NO_DEMAND, now);
     assert_eq!(control.allocation_table, earlier);
 }
+
+// Guards against a VM that uses its allocation at once after it was cut off, since it had been
+// connected from its first heartbeat on.
+#[test]
+fn a_vm_that_regains_the_majority_uses_its_allocation_after_the_delay() {
+    let start = clock::now();
+    let (centre_table, group_tables) = tables(WORKSPACES, start);
+    let coordinator = ranked_vms(0)[0];
+    let mut control = control(ranked_vms(0)[7], WORKSPACES, start);
+    receive(&mut control, coordinator, true, start);
+    control.update_group_status(start);
+    assert!(!control.is_in_minority);
+    control.apply_centre_allocations(&centre_table);
+    control.apply_allocations(&group_tables[0]);
+    let owned = (0..WORKSPACES).map(workspace);
+    let owned = owned.max_by(|one, other| {
+        let fraction_of = |workspace| control.own_rate_allocation(workspace);
+        fraction_of(one).total_cmp(&fraction_of(other))
+    });
+    let owned = owned.expect("a workspace");
+    assert!(control.owns(&owned));
+    let cut_off = start + topology::HEARTBEAT_TIMEOUT * 2;
+    control.update_group_status(cut_off);
+    assert!(control.is_in_minority);
+    receive_again(&mut control, coordinator, cut_off);
+    control.update_group_status(cut_off);
+    assert!(!control.is_in_minority);
+    std::thread::sleep(Duration::from_millis(400));
+    let share = control.shared.rate_limiter.find(&owned);
+    let available = share
+        .expect("a known workspace")
+        .available_tokens(clock::now());
+    assert!(available < 1.0, "{owned}: {available}");
+}
