Let one VM read the store in place of a rejected coordinator, and start with fewer calls

Cause: when the store rejected a coordinator, each of its 33 VMs read the configuration and both lists itself, so calls grew with VMs. At a start each VM listed the VMs twice and began to watch the configuration before its coordinator's first heartbeat. Ruled out: retries of rejected VMs whose coordinator works.

Change: the first live VM by rank that the store answers reads for the others, and a VM relies on any that it hears. The list of VMs is read once, then by the coordinator; the first watch begins after two heartbeats.

Test: one_vm_reads_the_store_in_place_of_a_rejected_coordinator (before: every VM of the data centre). Where both first VMs of a data centre are rejected, the others still read the store themselves.

--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -19,6 +19,8 @@
 /// so this and [`objects::WATCH_RESPONSE_TIMEOUT`] together are shorter than the 3 s in which a
 /// configuration has to be in use.
 const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+/// The delay between the first listing of the configuration and the first watch: two heartbeats.
+const FIRST_WATCH_DELAY: Duration = Duration::from_millis(400);
 /// The backoff after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest backoff.
@@ -93,6 +95,7 @@
         dependency: DependencyLog::new("configuration in the store"),
         failure_backoff: RetryBackoff::default(),
         expiry_backoff: RetryBackoff::default(),
+        has_listed: false,
     };
     loop {
         let Err(error) = reader.list_and_watch().await;
@@ -116,6 +119,8 @@
     /// The backoff after watches whose history had expired since the last answered watch. The
     /// store may discard its history faster than a watch begins.
     expiry_backoff: RetryBackoff,
+    /// Whether the configuration has been listed since the process started.
+    has_listed: bool,
 }
 
 impl ConfigurationReader {
@@ -124,6 +129,10 @@
         let mut after = self.list().await?;
         self.dependency.record_success();
         self.failure_backoff.reset();
+        if !std::mem::replace(&mut self.has_listed, true) {
+            // The coordinator's first heartbeat usually arrives meanwhile, so that only it watches.
+            tokio::time::sleep(FIRST_WATCH_DELAY).await;
+        }
         loop {
             let wait = match wait_while_coordinator_reads(&self.control).await {
                 ReadReason::NewVersion => Duration::ZERO,
--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -150,7 +150,7 @@
 /// heartbeat from its coordinator.
 fn lists_members(control: &state::ControlState, listings: u32, now: Instant) -> bool {
     if listings <= INITIAL_LISTINGS {
-        return listings < 2 || !control.is_store_read_by_coordinator(now);
+        return listings == 0 || !control.is_store_read_by_coordinator(now);
     }
     control.topology.is_full_mesh() || control.reads_store_lists(now)
 }
--- a/crates/bluebellferry_edge/src/control/state/coordinators.rs
+++ b/crates/bluebellferry_edge/src/control/state/coordinators.rs
@@ -214,18 +214,24 @@
     }
 
     /// Returns whether this VM reads the lists of databases and VMs from the store: as the
-    /// coordinator or the leadership table's holder, or because the coordinator cannot.
+    /// leadership table's holder, as the coordinator, or in its place because it cannot.
     pub fn reads_store_lists(&self, now: Instant) -> bool {
         self.leadership_table.holder == self.own_name()
             || self.topology.is_first_in_centre(now)
-            || !self.has_coordinator_with_store(now)
+            || !self.is_store_read_in_centre(now)
     }
 
-    /// Returns whether the coordinator of this data centre is live and the store answers it.
-    pub(super) fn has_coordinator_with_store(&self, now: Instant) -> bool {
-        let coordinator = self.topology.own_coordinator(now);
-        let record = coordinator.and_then(|coordinator| self.peers.get(coordinator));
-        record.is_some_and(|record| record.is_live(now) && record.heartbeat.is_store_reachable)
+    /// Returns whether a live VM of this data centre that ranks before this one, or is a target
+    /// of its heartbeats, can read the store. The first of these does so for the others: where
+    /// the store rejects the coordinator, the next VM by rank replaces it rather than all VMs.
+    fn is_store_read_in_centre(&self, now: Instant) -> bool {
+        let own_rank = topology::rank(self.own_name());
+        self.live_peers(now).any(|(name, record)| {
+            self.is_in_group(name)
+                && record.heartbeat.is_store_reachable
+                && !record.heartbeat.is_draining
+                && topology::rank(name) < own_rank
+        })
     }
 
     /// Returns whether the other VMs of this data centre rely on this VM to confirm the
--- a/crates/bluebellferry_edge/tests/large_fleets.rs
+++ b/crates/bluebellferry_edge/tests/large_fleets.rs
@@ -265,6 +265,53 @@
     assert_eq!(size_with(WORKSPACES), size_with(1_000));
 }
 
+// Guards against calls to the store by all VMs of a data centre whose coordinator the store
+// rejects, while it serves others.
+#[test]
+fn one_vm_reads_the_store_in_place_of_a_rejected_coordinator() {
+    let now = clock::now();
+    let ranked = ranked_vms(0);
+    let versions = heartbeat::StoreVersions {
+        configuration: 4,
+        configuration_bytes: 900,
+        databases: 4,
+        members: 5,
+    };
+    let reads = |own: usize, rejected: usize| {
+        let mut control = control(own, WORKSPACES, now);
+        control.versions = versions;
+        // Each VM hears the first two by rank, and these hear all.
+        let is_head = ranked[..2].contains(&own);
+        let heard = if is_head { &ranked[..] } else { &ranked[..2] };
+        for index in heard.iter().filter(|index| **index != own) {
+            let position = ranked.iter().position(|other| other == index);
+            let heartbeat = heartbeat::FleetHeartbeat {
+                vm: vm(*index),
+                is_coordinator: *index == ranked[0],
+                is_store_reachable: position >= Some(rejected),
+                versions,
+                ..heartbeat::FleetHeartbeat::default()
+            };
+            control
+                .topology
+                .record_heartbeat_from(&heartbeat.vm, true, false, now);
+            control.record_peer_heartbeat((1, 1), heartbeat, Some(now), now);
+        }
+        control.reads_store_lists(now)
+    };
+    let readers = |rejected: usize| -> Vec<usize> {
+        let own = (0..ranked.len()).filter(|rank| reads(ranked[*rank], rejected));
+        own.collect()
+    };
+    assert_eq!(readers(0), [0]);
+    // The rejected coordinator goes on trying, and the next VM by rank replaces it.
+    assert_eq!(readers(1), [0, 1]);
+    assert!(
+        readers(2).len() > 2,
+        "nobody is known to read for the others"
+    );
+}
+
 // Guards against a data centre that registers after the first allocation and is allocated nothing.
 #[test]
 fn a_data_centre_that_registers_late_gets_its_part() {
