Move the owners of rates to a file of their own, and document the size

The functions and types are moved as they are, from state/shares.rs to state/rate_owners.rs. Two comments say how limits are allocated to data centres now.

--- a/crates/bluebellferry_edge/src/control/allocation.rs
+++ b/crates/bluebellferry_edge/src/control/allocation.rs
@@ -6,9 +6,8 @@
 //! So one VM, the allocator, allocates the limits by demand and announces the allocations
 //! to the others. Where all VMs send heartbeats to each other (a full mesh), that is the
 //! first live VM. Otherwise each data centre has a coordinator. The first coordinator
-//! allocates the limits to the data centres. The other coordinators don't announce the
-//! demand of their data centres, so it leaves the allocations of those as they are. Each
-//! coordinator distributes its data centre's allocation to the VMs there. Rates then go to
+//! allocates the limits to the data centres by their numbers of VMs, since the other
+//! coordinators don't announce the demand of their data centres. Each coordinator distributes its data centre's allocation to the VMs there. Rates then go to
 //! a few owners among these VMs, which every VM computes from the announced standings (see
 //! [`ownership`]).
 //!
@@ -295,7 +294,7 @@
         .iter()
         .filter(|centre| unresponsive_time(centre).is_none())
         .collect();
-    // The VMs of a data centre predict its demand if it announces none.
+    // Where a data centre announces no demand, the numbers of VMs stand in for it.
     let has_all_demands = responsive
         .iter()
         .all(|centre| demands.contains_key(centre.as_str()));
--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -187,9 +187,8 @@
         is_claiming: control.active_claims > 0,
         centre_acknowledgement: control.own_centre_acknowledgement(now),
         operations_per_second: demand.operations_per_second,
-        // Outside a full mesh, the rates of workspaces are allocated to owners, and data
-        // centres keep the allocations that they have, so the demand by workspace is not
-        // needed.
+        // Outside a full mesh, the rates of workspaces are allocated to owners, so the demand by
+        // workspace is not needed.
         demands: is_full_mesh.then_some(demand.demands),
         allocation_number: control.allocation_table.number,
         centre_allocation_number: control.centre_allocation_table.number,
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -3,6 +3,7 @@
 mod coordinators;
 pub mod databases;
 mod leases;
+mod rate_owners;
 mod shares;
 
 use std::collections::BTreeMap;
@@ -162,7 +163,7 @@
     /// This VM's allocation of fleet-wide limits once it has joined.
     own_allocation: shared::FleetAllocation,
     /// Who owns the rate of each workspace; empty in a full mesh.
-    rate_ownerships: BTreeMap<name::WorkspaceName, shares::RateOwnership>,
+    rate_ownerships: BTreeMap<name::WorkspaceName, rate_owners::RateOwnership>,
     /// The heartbeat topology.
     pub topology: topology::HeartbeatTopology,
     /// The versions of the objects that this VM has read from the store.
