--- a/crates/bluebellferry_edge/src/control/metrics.rs
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -110,6 +110,7 @@
     shared: Arc<shared::EdgeShared>,
     status_changes: prometheus::IntGaugeVec,
     owned_rates: prometheus::IntGauge,
+    published_snapshots: prometheus::IntGauge,
     exceeds_rate_table: prometheus::IntGauge,
 }
 
@@ -134,6 +135,10 @@
                 "bluebellferry_owned_rates",
                 "Workspaces whose rates this VM owns; 0 in a full mesh.",
             )?,
+            published_snapshots: prometheus::IntGauge::new(
+                "bluebellferry_published_snapshots",
+                "Snapshots of the control state published to the traffic thread since the start.",
+            )?,
             exceeds_rate_table: prometheus::IntGauge::new(
                 "bluebellferry_rate_table_exceeded",
                 "1 if a full mesh has too many workspaces for rates to follow the demand of each.",
@@ -146,6 +151,7 @@
     fn desc(&self) -> Vec<&core::Desc> {
         let mut descriptions = self.status_changes.desc();
         descriptions.extend(self.owned_rates.desc());
+        descriptions.extend(self.published_snapshots.desc());
         descriptions.extend(self.exceeds_rate_table.desc());
         descriptions
     }
@@ -162,10 +168,13 @@
         }
         self.owned_rates
             .set(status.owned_rates.load(Ordering::Relaxed) as i64);
+        self.published_snapshots
+            .set(status.published_snapshots.load(Ordering::Relaxed) as i64);
         let exceeds = status.exceeds_rate_table.load(Ordering::Relaxed);
         self.exceeds_rate_table.set(i64::from(exceeds));
         let mut families = self.status_changes.collect();
         families.extend(self.owned_rates.collect());
+        families.extend(self.published_snapshots.collect());
         families.extend(self.exceeds_rate_table.collect());
         families
     }
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -193,7 +193,8 @@
     if is_outdated || heartbeat.vm == control.own_name() {
         return;
     }
-    if previous.is_none_or(|previous| previous.incarnation != incarnation) {
+    let is_first = previous.is_none_or(|previous| previous.incarnation != incarnation);
+    if is_first {
         log::info!(
             vm = heartbeat.vm.as_str(), incarnation = incarnation;
             "received the first heartbeat of another VM since it started or was unresponsive"
@@ -224,7 +225,11 @@
         store_copies::fetch(&mut control, cell, from.ip(), heartbeat.versions);
     }
     control.record_peer_heartbeat((incarnation, sequence), heartbeat, answered_sent, now);
-    control.publish_snapshot();
+    if is_first {
+        control.publish_snapshot();
+    } else {
+        control.publish_snapshot_if_due(now);
+    }
 }
 
 fn apply_received_allocations(
@@ -267,7 +272,7 @@
     }
     for probed in &heartbeat.probed {
         if let Some(sent) = control.lease.heartbeat_sent_at(probed.sequence) {
-            control.record_leader_probe(&probed.service, &probed.database, sent);
+            control.add_leader_probe(&probed.service, &probed.database, sent);
         }
     }
     control.lease.heartbeat_sent_at(echo.sequence)
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -35,6 +35,9 @@
 /// The maximum age of a leader's answer to another VM for callers of this VM to be told to try
 /// another one: a heartbeat interval and the time between two statements.
 const MAX_LEADER_ANSWER_AGE: Duration = Duration::from_millis(700);
+/// The shortest interval between two snapshots because of heartbeats that bring no new tables:
+/// they renew leases, which are valid many times as long.
+const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 /// The transit time from which a heartbeat counts as late: longer than links delay
 /// messages.
 const MAX_PROMPT_TRANSIT: Duration = Duration::from_millis(500);
@@ -216,6 +219,8 @@
     /// most others, since it started.
     has_been_connected: bool,
     published_snapshot: shared::EdgeSnapshot,
+    /// When a snapshot was last published because of a heartbeat.
+    published_for_heartbeat: Option<Instant>,
 }
 
 impl ControlState {
@@ -261,6 +266,7 @@
             is_in_minority: false,
             has_been_connected: false,
             published_snapshot: shared::EdgeSnapshot::default(),
+            published_for_heartbeat: None,
         }
     }
 
@@ -454,11 +460,20 @@
     /// leader.
     fn served_elsewhere(&self, now: Instant) -> BTreeSet<name::ServiceName> {
         let services = self.configuration.decoded.services.keys();
+        let fresh_positions = self.live_peers(now).flat_map(|(_, record)| {
+            let since_heartbeat = now.saturating_duration_since(record.received_at);
+            let is_fresh = move |sample: &&heartbeat::PositionSample| {
+                let age = Duration::from_millis(u64::from(sample.age_ms)) + since_heartbeat;
+                age < MAX_LEADER_ANSWER_AGE
+            };
+            record.heartbeat.positions.iter().filter(is_fresh)
+        });
+        let used_by_others: BTreeSet<&name::ServiceName> =
+            fresh_positions.map(|sample| &sample.service).collect();
         let has_no_peers = self.members.len() > 1 && self.live_peers(now).next().is_none();
         let is_cut_off = has_no_peers && !self.is_store_reachable;
-        let is_served = |service: &&name::ServiceName| {
-            is_cut_off || self.is_used_by_others(service, MAX_LEADER_ANSWER_AGE, now)
-        };
+        let is_served =
+            |service: &&name::ServiceName| is_cut_off || used_by_others.contains(service);
         services.filter(is_served).cloned().collect()
     }
 
@@ -479,12 +494,28 @@
         self.live_peers(now).any(|(_, record)| is_fresh(record))
     }
 
+    /// Publishes a snapshot because of a heartbeat, unless the last such one was published within
+    /// [`MIN_PUBLISH_INTERVAL`]. A coordinator receives heartbeats from all VMs of its data centre.
+    pub fn publish_snapshot_if_due(&mut self, now: Instant) {
+        let is_recent = |published_at: Instant| {
+            now.saturating_duration_since(published_at) < MIN_PUBLISH_INTERVAL
+        };
+        if !self.published_for_heartbeat.is_some_and(is_recent) {
+            self.published_for_heartbeat = Some(now);
+            self.publish_snapshot();
+        }
+    }
+
     /// Publishes a snapshot of this state to the traffic threads.
     pub fn publish_snapshot(&mut self) {
+        let primaries = self.sole_primaries();
         let mut leaders = BTreeMap::new();
         let mut leases = BTreeMap::new();
         for service in self.configuration.decoded.services.keys() {
-            if let Some(leader) = self.known_leader(service) {
+            let registered = || primaries.get(service).cloned().flatten();
+            let leader = self.leader_in_table(service).or_else(registered);
+            let known = || self.published_snapshot.leaders.get(service).cloned();
+            if let Some(leader) = leader.or_else(known) {
                 let until = self.leased_until(service, &leader);
                 leases.extend(until.map(|until| (service.clone(), until)));
                 leaders.insert(service.clone(), leader);
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -1,5 +1,6 @@
 //! The registered databases, the leaders, and the databases whose registrations expired.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -139,25 +140,42 @@
 
     /// Returns the leader of a service, from the leadership table or the registrations.
     pub fn leader_of(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
-        if let Some(entry) = self.leadership_table.leaders.get(service) {
-            return Some(shared::LeaderView {
-                database: entry.database.clone(),
-                log_end_when_chosen: entry.log_end_when_chosen,
-                is_being_replaced: entry.phase == leadership::LeaderPhase::Replacing,
-            });
-        }
-        // Until a leader is replaced for the first time, the leader is the only database that
-        // is registered as primary.
-        let mut primaries = self.databases.iter().filter(|entry| {
-            entry.service == *service && entry.role == database::DatabaseRole::Primary
-        });
-        let first = primaries.next()?;
-        let view = shared::LeaderView {
-            database: first.id.clone(),
-            log_end_when_chosen: None,
-            is_being_replaced: false,
+        let registered = || {
+            let of_service =
+                |entry: &&database::DatabaseEntry| entry.service == *service && is_primary(entry);
+            let mut primaries = self.databases.iter().filter(of_service);
+            let first = primaries.next()?;
+            primaries.next().is_none().then(|| view_of(first))
         };
-        primaries.next().is_none().then_some(view)
+        self.leader_in_table(service).or_else(registered)
+    }
+
+    pub(super) fn leader_in_table(
+        &self,
+        service: &name::ServiceName,
+    ) -> Option<shared::LeaderView> {
+        let entry = self.leadership_table.leaders.get(service)?;
+        Some(shared::LeaderView {
+            database: entry.database.clone(),
+            log_end_when_chosen: entry.log_end_when_chosen,
+            is_being_replaced: entry.phase == leadership::LeaderPhase::Replacing,
+        })
+    }
+
+    /// Returns the registered primary of each service that has one; `None` if it has several.
+    /// Until a leader is replaced for the first time, the leader is the only database that is
+    /// registered as primary.
+    pub(super) fn sole_primaries(
+        &self,
+    ) -> BTreeMap<&name::ServiceName, Option<shared::LeaderView>> {
+        let mut primaries = BTreeMap::new();
+        for entry in self.databases.iter().filter(|entry| is_primary(entry)) {
+            primaries
+                .entry(&entry.service)
+                .and_modify(|primary| *primary = None)
+                .or_insert_with(|| Some(view_of(entry)));
+        }
+        primaries
     }
 
     /// Returns the leader of a service. If the leader was never replaced and its registration
@@ -181,6 +199,19 @@
     }
 }
 
+fn is_primary(entry: &database::DatabaseEntry) -> bool {
+    entry.role == database::DatabaseRole::Primary
+}
+
+/// Returns the view of a leader that was never replaced.
+fn view_of(entry: &database::DatabaseEntry) -> shared::LeaderView {
+    shared::LeaderView {
+        database: entry.id.clone(),
+        log_end_when_chosen: None,
+        is_being_replaced: false,
+    }
+}
+
 /// Returns whether a database has restarted under another identity: a database of the same
 /// service with a later start is registered at its address. It is assumed to have kept its
 /// log.
--- a/crates/bluebellferry_edge/src/control/state/leases.rs
+++ b/crates/bluebellferry_edge/src/control/state/leases.rs
@@ -100,12 +100,24 @@
     }
 
     /// Records that a leader was probed at `requested_at` or later and was found leading, with
-    /// at least one replica that was not fenced.
+    /// at least one replica that was not fenced, and publishes that.
     pub fn record_leader_probe(
         &mut self,
         service: &name::ServiceName,
         leader: &name::DatabaseName,
         requested_at: Instant,
+    ) {
+        self.add_leader_probe(service, leader, requested_at);
+        self.publish_snapshot();
+    }
+
+    /// Records a probe as [`Self::record_leader_probe`] does, without publishing it: a heartbeat
+    /// may report the leaders of all services.
+    pub(in crate::control) fn add_leader_probe(
+        &mut self,
+        service: &name::ServiceName,
+        leader: &name::DatabaseName,
+        requested_at: Instant,
     ) {
         let previous = self.leader_probes.get(service);
         let is_older =
@@ -113,7 +125,6 @@
         if !is_older {
             self.leader_probes
                 .insert(service.clone(), (leader.clone(), requested_at));
-            self.publish_snapshot();
         }
     }
 
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -162,6 +163,8 @@
     pub isolation_changes: AtomicU64,
     /// The number of workspaces whose rates this VM owns, alone or with others.
     pub owned_rates: AtomicU64,
+    /// The number of snapshots that the control thread has published.
+    pub published_snapshots: AtomicU64,
     /// Whether a full mesh has too many workspaces for rates to follow the demand of each.
     pub exceeds_rate_table: AtomicBool,
 }
@@ -229,6 +232,8 @@
     /// it is not set when only leases were renewed.
     pub fn replace_snapshot(&self, snapshot: EdgeSnapshot, has_changed: bool) {
         self.snapshot.store(Arc::new(snapshot));
+        let published = &self.fleet_status.published_snapshots;
+        published.fetch_add(1, Ordering::Relaxed);
         if has_changed {
             self.snapshot_number.send_modify(|count| *count += 1);
         }
--- a/crates/bluebellferry_edge/tests/large_fleets.rs
+++ b/crates/bluebellferry_edge/tests/large_fleets.rs
@@ -1,14 +1,19 @@
 //! Decisions of VMs in a fleet of 195 VMs with 140 workspaces, tested without sockets.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
 use bluebellferry_edge::control::allocation;
+use bluebellferry_edge::control::peers;
 use bluebellferry_edge::control::state;
 use bluebellferry_edge::control::tokens;
 use bluebellferry_edge::shared;
@@ -441,3 +446,67 @@
         .available_tokens(clock::now());
     assert!(available < 1.0, "{owned}: {available}");
 }
+
+/// The heartbeats that each VM sends to its coordinator in a second.
+const HEARTBEATS_PER_SECOND: u32 = 5;
+/// The leaders that a heartbeat reports as probed.
+const PROBED_LEADERS: usize = 100;
+/// The most snapshots that a coordinator publishes in a second because of heartbeats, whatever the
+/// numbers of VMs and services: one each 50 ms.
+const MAX_SNAPSHOTS_PER_SECOND: u64 = 20;
+
+// Guards against a coordinator that spends all its processor time on snapshots: each heartbeat
+// published one for every probed leader, and each of them looked through all databases and VMs.
+#[test]
+fn snapshots_of_a_coordinator_do_not_grow_with_vms_and_services() {
+    let start = clock::now();
+    let ranked = ranked_vms(0);
+    let cell = RefCell::new(control(ranked[0], WORKSPACES, start));
+    let cell = Rc::new(cell);
+    let shared = Arc::clone(&cell.borrow().shared);
+    let from = SocketAddr::from(([127, 0, 0, 1], 1));
+    let probed = |index: usize| heartbeat::ProbedLeader {
+        service: name::ServiceName::try_from(format!("s{index}").as_str()).expect("a valid name"),
+        database: name::DatabaseName::try_from(format!("d{index}").as_str()).expect("a valid name"),
+        sequence: 1,
+    };
+    let probed: Vec<_> = (0..PROBED_LEADERS).map(probed).collect();
+    let incarnation = shared.incarnation;
+    cell.borrow_mut().lease.record_sent_heartbeat(1, start);
+    let published = || {
+        shared
+            .fleet_status
+            .published_snapshots
+            .load(Ordering::Relaxed)
+    };
+    let mut published_at_start = 0;
+    for round in 0..=HEARTBEATS_PER_SECOND {
+        if round == 1 {
+            // Each VM's first heartbeat is published at once.
+            published_at_start = published();
+        }
+        let vms = &ranked[1..];
+        for (position, index) in vms.iter().enumerate() {
+            let since_start = f64::from(round) + position as f64 / vms.len() as f64;
+            let now =
+                start + Duration::from_secs_f64(since_start / f64::from(HEARTBEATS_PER_SECOND));
+            let heartbeat = heartbeat::FleetHeartbeat {
+                vm: vm(*index),
+                echo: Some(heartbeat::HeartbeatEcho {
+                    incarnation,
+                    sequence: 1,
+                    delay_ms: 0,
+                    confirmed: None,
+                }),
+                probed: probed.clone(),
+                ..heartbeat::FleetHeartbeat::default()
+            };
+            peers::handle_heartbeat(&cell, from, (1, u64::from(round) + 1), heartbeat, now);
+        }
+    }
+    let in_a_second = published() - published_at_start;
+    assert!(
+        in_a_second <= MAX_SNAPSHOTS_PER_SECOND,
+        "{in_a_second} snapshots"
+    );
+}
