--- a/crates/bluebellferry_catalog/src/configuration.rs
+++ b/crates/bluebellferry_catalog/src/configuration.rs
@@ -7,6 +7,8 @@
 use bluebellferry_keys::table;
 use bluebellferry_types::name;
 
+use crate::homes;
+
 /// The data that the reads of a route are guaranteed to see.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadGuarantee {
@@ -39,25 +41,32 @@
     pub priority: u8,
     /// Whether callers may use the route without a key.
     pub is_public: bool,
+    /// The regions that the route's requests must not leave.
+    pub homes: homes::HomeRegions,
 }
 
 /// The settings of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServicePolicy {
     /// The maximum number of connections that all VMs together open to one database.
     pub max_connections: u32,
     /// Whether replication is synchronous: a commit is acknowledged only after a replica
     /// has received it.
     pub is_synchronous: bool,
+    /// How many statements per second a cold database may receive from all VMs together; `None`
+    /// if that is not limited.
+    pub cold_pace: Option<f64>,
 }
 
-/// The rate limit of a workspace.
+/// The rate limit and the homes of a workspace.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WorkspacePolicy {
     /// The maximum rate over all VMs, in operations per second.
     pub rate_per_second: f64,
     /// The maximum number of operations at once over all VMs.
     pub burst: f64,
+    /// The regions that the workspace's requests must not leave.
+    pub homes: homes::HomeRegions,
 }
 
 /// One version of the configuration.
--- a/crates/bluebellferry_catalog/src/database.rs
+++ b/crates/bluebellferry_catalog/src/database.rs
@@ -40,4 +40,7 @@
     pub is_draining: bool,
     /// The role that the database reports.
     pub role: DatabaseRole,
+    /// Whether the database says that it is still slow after its start.
+    #[serde(default)]
+    pub is_cold: bool,
 }
--- a/crates/bluebellferry_catalog/src/lib.rs
+++ b/crates/bluebellferry_catalog/src/lib.rs
@@ -14,4 +14,5 @@
 
 pub mod configuration;
 pub mod database;
+pub mod homes;
 pub mod leadership;
--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -5,6 +5,7 @@
 
 pub mod allocation;
 pub mod configuration;
+pub mod evacuations;
 pub mod heartbeats;
 pub mod members;
 pub mod metrics;
@@ -55,6 +56,7 @@
             Rc::clone(&control),
             configuration_metrics,
         )),
+        tokio::task::spawn_local(evacuations::keep_up_to_date(Rc::clone(&control))),
         tokio::task::spawn_local(registry::keep_up_to_date(Rc::clone(&control))),
         tokio::task::spawn_local(members::keep_up_to_date(Rc::clone(&control))),
         tokio::task::spawn_local(members::wait_to_join_group(Rc::clone(&control))),
--- a/crates/bluebellferry_edge/src/control/allocation.rs
+++ b/crates/bluebellferry_edge/src/control/allocation.rs
@@ -17,13 +17,16 @@
 pub mod table;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_membership::heartbeat;
 use bluebellferry_membership::topology;
+use bluebellferry_shares::limiter;
 use bluebellferry_shares::ownership;
+use bluebellferry_types::limit;
 use bluebellferry_types::name;
 
 use crate::control::state;
@@ -72,7 +75,11 @@
         if control.has_owners() {
             return Vec::new();
         }
-        let shares = control.shared.rate_limiter.workspace_shares();
+        let shares = control.shared.rate_limiter.all_shares();
+        let of_workspace = |(key, share): (limit::LimitKey, Arc<limiter::RateShare>)| {
+            Some((key.workspace()?.clone(), share))
+        };
+        let shares: Vec<_> = shares.into_iter().filter_map(of_workspace).collect();
         let is_too_large = shares.len() * control.members.len() > MAX_MESH_RATE_ALLOCATIONS;
         if is_too_large != self.is_too_large {
             self.is_too_large = is_too_large;
@@ -228,7 +235,7 @@
         let policies = &control.configuration.decoded.workspaces;
         let rate = policies.get(workspace);
         let rate = rate.map_or(0.0, |policy| policy.rate_per_second);
-        rate * control.centre_rate_allocation(workspace)
+        rate * control.centre_rate_allocation(&workspace.into())
     };
     let rules = table::AllocationRules {
         number,
--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -230,7 +230,12 @@
     ) && control.has_owners()
         && (common.is_coordinator
             || (control.is_in_group(&target.vm) && control.may_relay_allocations(now)));
+    let lacks_evacuations = lacks(
+        |heartbeat| heartbeat.versions.evacuations,
+        control.versions.evacuations,
+    );
     heartbeat::FleetHeartbeat {
+        evacuations: lacks_evacuations.then(|| control.evacuation_list()),
         expects_reply: target.expects_reply,
         table: lacks_table.then(|| control.leadership_table.clone()),
         echo: peer.map(|record| echo_of(control, record, now)),
--- a/crates/bluebellferry_edge/src/control/metrics.rs
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -110,6 +110,7 @@
     shared: Arc<shared::EdgeShared>,
     status_changes: prometheus::IntGaugeVec,
     owned_rates: prometheus::IntGauge,
+    evacuated_centres: prometheus::IntGauge,
     published_snapshots: prometheus::IntGauge,
     exceeds_rate_table: prometheus::IntGauge,
 }
@@ -133,7 +134,11 @@
             status_changes: prometheus::IntGaugeVec::new(changes, &["status"])?,
             owned_rates: prometheus::IntGauge::new(
                 "bluebellferry_owned_rates",
-                "Workspaces whose rates this VM owns; 0 in a full mesh.",
+                "Fleet-wide rates that this VM owns; 0 in a full mesh.",
+            )?,
+            evacuated_centres: prometheus::IntGauge::new(
+                "bluebellferry_evacuated_data_centres",
+                "Data centres that this VM knows to be in evacuation.",
             )?,
             published_snapshots: prometheus::IntGauge::new(
                 "bluebellferry_published_snapshots",
@@ -151,6 +156,7 @@
     fn desc(&self) -> Vec<&core::Desc> {
         let mut descriptions = self.status_changes.desc();
         descriptions.extend(self.owned_rates.desc());
+        descriptions.extend(self.evacuated_centres.desc());
         descriptions.extend(self.published_snapshots.desc());
         descriptions.extend(self.exceeds_rate_table.desc());
         descriptions
@@ -168,12 +174,15 @@
         }
         self.owned_rates
             .set(status.owned_rates.load(Ordering::Relaxed) as i64);
+        self.evacuated_centres
+            .set(status.evacuated_centres.load(Ordering::Relaxed) as i64);
         self.published_snapshots
             .set(status.published_snapshots.load(Ordering::Relaxed) as i64);
         let exceeds = status.exceeds_rate_table.load(Ordering::Relaxed);
         self.exceeds_rate_table.set(i64::from(exceeds));
         let mut families = self.status_changes.collect();
         families.extend(self.owned_rates.collect());
+        families.extend(self.evacuated_centres.collect());
         families.extend(self.published_snapshots.collect());
         families.extend(self.exceeds_rate_table.collect());
         families
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -14,7 +14,6 @@
 use bluebellferry_membership::message;
 use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
-use bluebellferry_types::name;
 use tokio::net::UdpSocket;
 
 use crate::control;
@@ -134,26 +133,23 @@
             handle_heartbeat(control, from, order, *heartbeat, now);
         }
         message::PeerMessage::TokenRequest {
-            workspace,
+            key,
             amount,
             number,
         } => {
             let sender = find_sender(links, from);
-            tokens::lend_tokens(&control.borrow(), links, sender, workspace, amount, number);
+            tokens::lend_tokens(&control.borrow(), links, sender, key, amount, number);
         }
         message::PeerMessage::OwnerRequest {
             borrower,
-            workspace,
+            key,
             amount,
             number,
             hops,
         } => {
-            let Ok(workspace) = name::WorkspaceName::try_from(workspace.as_str()) else {
-                return log::debug!("ignored a token request with an invalid workspace name");
-            };
             let request = tokens::OwnerTokenRequest {
                 borrower,
-                workspace,
+                key,
                 amount,
                 number,
                 hops,
@@ -213,6 +209,9 @@
     if let Some(table) = &heartbeat.table {
         control.apply_leadership_table(table);
     }
+    if let Some(evacuations) = &heartbeat.evacuations {
+        control.apply_announced_evacuations(evacuations);
+    }
     apply_received_allocations(&mut control, &heartbeat);
     let answered_sent = process_echo(&mut control, incarnation, &heartbeat);
     let composed_after = answered_sent.map(|sent| sent + heartbeat.echo_delay());
--- a/crates/bluebellferry_edge/src/control/probing.rs
+++ b/crates/bluebellferry_edge/src/control/probing.rs
@@ -90,7 +90,10 @@
         let leader = control
             .leader_of(service)
             .filter(|leader| !leader.is_being_replaced)?;
-        let entries = control.databases_of(service).into_iter();
+        // Evacuated replicas receive nothing more, not even probes.
+        let entries = control.databases_of(service).into_iter().filter(|entry| {
+            entry.id == leader.database || !control.is_evacuated(&entry.data_centre)
+        });
         let (leaders, replicas): (Vec<_>, Vec<_>) =
             entries.partition(|entry| entry.id == leader.database);
         Some(LeaderGroup {
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -1,4 +1,4 @@
-//! Replacement of a leader that is lost or draining.
+//! Replacement of a leader that is lost, draining or in the wrong place.
 //!
 //! One VM at a time holds the promotion duty: it alone chooses leaders. The leadership table
 //! names this holder and its fencing token, by which the platform rejects promotions that any
@@ -109,21 +109,21 @@
     }
 }
 
-/// Waits for the cooldown after a replacement. If the successor is itself draining, waits only
+/// Waits for the cooldown after a replacement. If the successor is itself to depart, waits only
 /// until it leads, since it must then be replaced without delay.
 async fn wait_cooldown(control: &control::ControlCell, service: &name::ServiceName) {
     let cooldown_end = clock::now() + REPLACEMENT_COOLDOWN;
     while clock::now() < cooldown_end {
         tokio::time::sleep(SUSPECT_PROBE_INTERVAL).await;
-        let (draining, workspace) = {
+        let (departing, workspace) = {
             let control = control.borrow();
-            (control.draining_leader(service), control.any_workspace())
+            (control.departing_leader(service), control.any_workspace())
         };
-        let (Some(draining), Some(workspace)) = (draining, workspace) else {
+        let (Some(departing), Some(workspace)) = (departing, workspace) else {
             continue;
         };
         let order = database::DatabaseOrder::Status;
-        let status = orders::send_order(&draining, &workspace, order).await;
+        let status = orders::send_order(&departing, &workspace, order).await;
         if status.is_ok_and(|status| status.is_primary) {
             return;
         }
@@ -181,7 +181,7 @@
 ) {
     loop {
         fence::fence_databases(control, &mut replacement).await;
-        let awaits_step_down = replacement.cause == cause::ReplacementCause::Draining
+        let awaits_step_down = replacement.cause.is_orderly()
             && !replacement
                 .fenced_positions
                 .contains_key(&replacement.leader);
@@ -189,7 +189,7 @@
         if awaits_step_down && elapsed >= STEP_DOWN_TIMEOUT {
             log::warn!(
                 database = replacement.leader.as_str(), asked_for_ms = elapsed.as_millis() as u64;
-                "a draining leader has not stepped down in time and is treated as lost"
+                "a departing leader has not stepped down in time and is treated as lost"
             );
             replacement.cause = cause::ReplacementCause::Lost;
         }
--- a/crates/bluebellferry_edge/src/control/replacement/cause.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/cause.rs
@@ -6,6 +6,7 @@
 use bluebellferry_catalog::database as catalog;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_platform::database;
+use bluebellferry_promotion::relocation;
 use bluebellferry_promotion::suspect;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
@@ -32,6 +33,8 @@
     Lost,
     /// No replica receives its log, so it cannot acknowledge commits.
     CannotCommit,
+    /// It works, but must not lead where it is.
+    Misplaced(relocation::Misplacement),
 }
 
 impl ReplacementCause {
@@ -40,8 +43,16 @@
             Self::Draining => "leaving",
             Self::Lost => "lost",
             Self::CannotCommit => "cannot commit",
+            Self::Misplaced(relocation::Misplacement::Evacuated) => "evacuated",
+            Self::Misplaced(relocation::Misplacement::OutsideHomes) => "outside the home regions",
         }
     }
+
+    /// Returns whether the leader works, so that it can step down and send its replicas the rest
+    /// of its log.
+    pub(super) const fn is_orderly(self) -> bool {
+        matches!(self, Self::Draining | Self::Misplaced(_))
+    }
 }
 
 /// Returns whether this VM is to replace leaders: it holds the promotion duty, or the holder
@@ -112,6 +123,12 @@
     if entry.as_ref().is_some_and(|entry| entry.is_draining) {
         return Some((leader, ReplacementCause::Draining));
     }
+    let misplacement = entry
+        .as_ref()
+        .and_then(|entry| control.borrow().relocation_of(entry));
+    if let Some(misplacement) = misplacement {
+        return Some((leader, ReplacementCause::Misplaced(misplacement)));
+    }
     if !is_suspected {
         return None;
     }
@@ -167,7 +184,10 @@
     const REPLICATION_TIMEOUT: Duration = Duration::from_millis(250);
     tokio::time::sleep(REPLICATION_TIMEOUT).await;
     let mut replicas = control.borrow().databases_of(service);
-    replicas.retain(|entry| entry.id != leader.id);
+    let is_usable = |entry: &catalog::DatabaseEntry| {
+        entry.id != leader.id && !control.borrow().is_evacuated(&entry.data_centre)
+    };
+    replicas.retain(is_usable);
     let mut has_answer = false;
     for replica in &replicas {
         let order = database::DatabaseOrder::Status;
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -85,7 +85,7 @@
         let is_leader = entry.id == replacement.leader;
         // A draining leader sends its replicas the rest of its log before it steps down.
         let is_needed = is_leader
-            || replacement.cause != cause::ReplacementCause::Draining
+            || !replacement.cause.is_orderly()
             || replacement
                 .fenced_positions
                 .contains_key(&replacement.leader);
@@ -97,9 +97,7 @@
         let order = match successor::fence_order(&evidence, replacement.leader_term) {
             successor::FenceOrder::StepDown => database::DatabaseOrder::StepDown { term },
             // The draining leader has stepped down by now, and its replicas need not be fenced.
-            successor::FenceOrder::StopReceiving
-                if replacement.cause == cause::ReplacementCause::Draining =>
-            {
+            successor::FenceOrder::StopReceiving if replacement.cause.is_orderly() => {
                 database::DatabaseOrder::Status
             }
             successor::FenceOrder::StopReceiving => database::DatabaseOrder::Fence { term },
@@ -227,7 +225,7 @@
             (orders::send_order(&entry, &workspace, order).await, entry)
         });
     }
-    let replicas_must_not_receive = replacement.cause != cause::ReplacementCause::Draining;
+    let replicas_must_not_receive = !replacement.cause.is_orderly();
     while let Some(finished) = probes.join_next().await {
         let Ok((Ok(status), entry)) = finished else {
             continue;
@@ -324,7 +322,16 @@
     let entries = control.possible_commit_holders(&replacement.service, clock::now());
     let mut databases: Vec<_> = entries
         .iter()
-        .map(|entry| member_evidence(replacement, entry))
+        .map(|entry| {
+            let evidence = member_evidence(replacement, entry);
+            // A database that must not lead where it is would have to be replaced at once, like a
+            // draining one.
+            let is_misplaced = control.misplacement_of(entry).is_some();
+            successor::DatabaseEvidence {
+                is_draining: evidence.is_draining || is_misplaced,
+                ..evidence
+            }
+        })
         .collect();
     for id in replacement.lost_logs.keys() {
         let is_known = databases.iter().any(|database| database.id == *id);
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -3,6 +3,7 @@
 mod coordinators;
 pub mod databases;
 mod leases;
+pub mod places;
 mod rate_owners;
 mod shares;
 
@@ -23,6 +24,7 @@
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::lending;
 use bluebellferry_shares::limiter;
+use bluebellferry_types::limit;
 use bluebellferry_types::name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -144,6 +146,8 @@
     pub configuration: ConfigurationRecord,
     /// The registered databases.
     pub databases: Arc<Vec<database::DatabaseEntry>>,
+    /// The data centres that are being evacuated, with the times when this VM learned of it.
+    evacuations: Arc<BTreeMap<name::DataCentreName, Instant>>,
     /// The leadership table.
     pub leadership_table: leadership::LeadershipTable,
     /// The lease that limits how long the leadership table may be relied on.
@@ -165,8 +169,8 @@
     pub centre_allocation_table: heartbeat::AllocationTable,
     /// This VM's allocation of fleet-wide limits once it has joined.
     own_allocation: shared::FleetAllocation,
-    /// Who owns the rate of each workspace; empty in a full mesh.
-    rate_ownerships: BTreeMap<name::WorkspaceName, rate_owners::RateOwnership>,
+    /// Who owns each fleet-wide rate; empty in a full mesh.
+    rate_ownerships: BTreeMap<limit::LimitKey, rate_owners::RateOwnership>,
     /// The heartbeat topology.
     pub topology: topology::HeartbeatTopology,
     /// The versions of the objects that this VM has read from the store.
@@ -233,6 +237,7 @@
             topology,
             configuration: ConfigurationRecord::default(),
             databases: Arc::default(),
+            evacuations: Arc::default(),
             leadership_table: leadership::LeadershipTable::default(),
             lease: lease::LeaseTracker::default(),
             members: BTreeMap::new(),
@@ -524,6 +529,8 @@
         let next = shared::EdgeSnapshot {
             configuration: Arc::clone(&self.configuration.decoded),
             databases: Arc::clone(&self.databases),
+            evacuations: Arc::clone(&self.evacuations),
+            awaits_evacuations: !self.has_evacuations(),
             leaders: Arc::new(leaders),
             leases,
             served_elsewhere: Arc::new(self.served_elsewhere(clock::now())),
@@ -550,6 +557,8 @@
         let has_relevant_change = leased_next > leased_previous
             || !Arc::ptr_eq(&next.configuration, &previous.configuration)
             || !Arc::ptr_eq(&next.databases, &previous.databases)
+            || !Arc::ptr_eq(&next.evacuations, &previous.evacuations)
+            || next.awaits_evacuations != previous.awaits_evacuations
             || next.leaders != previous.leaders
             || next.allocation != previous.allocation;
         self.published_snapshot = next.clone();
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -31,6 +31,9 @@
             self.record_expired_entries(&databases, clock::now());
             self.databases = Arc::new(databases);
             self.versions.databases = revision;
+            if self.has_cold_paces() {
+                self.apply_shares();
+            }
             self.publish_snapshot();
             self.heartbeat_trigger.notify_one();
         }
@@ -185,11 +188,20 @@
         self.leader_of(service).or_else(|| known.cloned())
     }
 
-    /// Returns the leader of a service if it is draining.
-    pub fn draining_leader(&self, service: &name::ServiceName) -> Option<database::DatabaseEntry> {
+    /// Returns whether a service limits what its cold databases receive.
+    fn has_cold_paces(&self) -> bool {
+        let mut services = self.configuration.decoded.services.values();
+        services.any(|policy| policy.cold_pace.is_some())
+    }
+
+    /// Returns the leader of a service if it is draining or is to move elsewhere.
+    pub fn departing_leader(&self, service: &name::ServiceName) -> Option<database::DatabaseEntry> {
         let leader = self.known_leader(service)?;
         let mut entries = self.databases_of(service).into_iter();
-        entries.find(|entry| entry.id == leader.database && entry.is_draining)
+        entries.find(|entry| {
+            let is_leader = entry.id == leader.database;
+            is_leader && (entry.is_draining || self.relocation_of(entry).is_some())
+        })
     }
 
     /// Returns whether a database is the known leader of a service.
--- a/crates/bluebellferry_edge/src/control/state/rate_owners.rs
+++ b/crates/bluebellferry_edge/src/control/state/rate_owners.rs
@@ -1,4 +1,4 @@
-//! The owners of workspaces' rates, which follow from the allocation tables in use; see
+//! The owners of fleet-wide rates, which follow from the allocation tables in use; see
 //! [`ownership`].
 
 use std::collections::BTreeMap;
@@ -6,17 +6,17 @@
 
 use bluebellferry_membership::heartbeat;
 use bluebellferry_shares::ownership;
-use bluebellferry_types::name;
+use bluebellferry_types::limit;
 use smallvec::SmallVec;
 
 use crate::control::state;
 
-/// The minimum allocation of a workspace's rate for a data centre to count as an owner of
+/// The minimum allocation of a rate for a data centre to count as an owner of
 /// the rate, as a fraction of an equal allocation. Smaller allocations are only remainders
 /// that a lost data centre has left.
 const MIN_OWNED_FRACTION: f64 = 0.5;
 
-/// Who owns a workspace's rate according to the allocations in use, computed once for each
+/// Who owns a rate according to the allocations in use, computed once for each
 /// change of them.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RateOwnership {
@@ -33,28 +33,27 @@
 }
 
 impl state::ControlState {
-    /// Returns the allocations of a workspace's rate to the data centres, or those of the other
-    /// limits if no workspace is given.
-    pub fn centre_allocations(&self, workspace: Option<&name::WorkspaceName>) -> Vec<(&str, f64)> {
+    /// Returns the allocations of a rate to the data centres, or those of the other limits if no
+    /// key is given.
+    pub fn centre_allocations(&self, key: Option<&limit::LimitKey>) -> Vec<(&str, f64)> {
         let centres = GroupView::of_centres(self);
-        let rate = workspace.map(|workspace| (workspace, self.rate_of(workspace)));
+        let rate = key.map(|key| (key, self.rate_of(key)));
         let fractions = centres.centre_fractions(rate);
         let names = centres.members.iter().map(|member| member.name);
         names.zip(fractions).collect()
     }
 
-    fn rate_of(&self, workspace: &name::WorkspaceName) -> f64 {
-        let policy = self.configuration.decoded.workspaces.get(workspace);
-        policy.map_or(0.0, |policy| policy.rate_per_second)
+    fn rate_of(&self, key: &limit::LimitKey) -> f64 {
+        let size = self.fleet_limit(key);
+        size.map_or(0.0, |size| size.rate_per_second)
     }
 
-    /// Returns the allocation of a workspace's rate to this VM's data centre; in a full mesh, the
-    /// whole rate.
-    pub fn centre_rate_allocation(&self, workspace: &name::WorkspaceName) -> f64 {
+    /// Returns the allocation of a rate to this VM's data centre; in a full mesh, the whole rate.
+    pub fn centre_rate_allocation(&self, key: &limit::LimitKey) -> f64 {
         if self.topology.is_full_mesh() {
             return 1.0;
         }
-        let allocations = self.centre_allocations(Some(workspace));
+        let allocations = self.centre_allocations(Some(key));
         self.own_centre_fraction(allocations.into_iter())
     }
 
@@ -73,30 +72,30 @@
         }
     }
 
-    /// Returns the other VMs of this data centre that own a workspace's rate.
-    pub fn owners_of(&self, workspace: &name::WorkspaceName) -> &[String] {
-        let ownership = self.rate_ownerships.get(workspace);
+    /// Returns the other VMs of this data centre that own a rate.
+    pub fn owners_of(&self, key: &limit::LimitKey) -> &[String] {
+        let ownership = self.rate_ownerships.get(key);
         ownership.map_or(&[], |ownership| &ownership.other_owners)
     }
 
-    /// Returns whether this VM's data centre owns enough of a workspace's rate to lend tokens.
-    pub fn is_owned_in_own_centre(&self, workspace: &name::WorkspaceName) -> bool {
-        let ownership = self.rate_ownerships.get(workspace);
+    /// Returns whether this VM's data centre owns enough of a rate to lend tokens.
+    pub fn is_owned_in_own_centre(&self, key: &limit::LimitKey) -> bool {
+        let ownership = self.rate_ownerships.get(key);
         ownership.is_some_and(|ownership| ownership.is_owned_in_own_centre)
     }
 
-    /// Returns the data centres that own enough of a workspace's rate to lend tokens.
-    pub fn owning_centres(&self, workspace: &name::WorkspaceName) -> &[String] {
-        let ownership = self.rate_ownerships.get(workspace);
+    /// Returns the data centres that own enough of a rate to lend tokens.
+    pub fn owning_centres(&self, key: &limit::LimitKey) -> &[String] {
+        let ownership = self.rate_ownerships.get(key);
         ownership.map_or(&[], |ownership| &ownership.owning_centres)
     }
 
-    /// Returns one of the VMs of another data centre that own a workspace's rate there if all
+    /// Returns one of the VMs of another data centre that own a rate there if all
     /// VMs of that data centre are responsive. `turn` selects among them.
     pub fn probable_owner_in(
         &self,
         centre: &str,
-        workspace: &name::WorkspaceName,
+        key: &limit::LimitKey,
         turn: usize,
     ) -> Option<String> {
         let counted = ownership::MemberStanding::Counted { since: 0 };
@@ -108,28 +107,33 @@
                 standing: counted,
             })
             .collect();
-        let allocations = self.centre_allocations(Some(workspace));
+        let allocations = self.centre_allocations(Some(key));
         let fraction = allocations.iter().find(|(name, _)| *name == centre)?.1;
-        let count = ownership::owner_count(self.rate_of(workspace) * fraction);
-        let owners = ownership::RateOwners::choose(workspace, count, &members).owners;
+        let count = ownership::owner_count_of(key, self.rate_of(key) * fraction);
+        let owners = ownership::RateOwners::choose(key, count, &members).owners;
         let owner = owners.get(turn % owners.len().max(1))?;
         Some(members[owner.member].name.to_owned())
     }
 
-    /// Returns whether this VM owns enough of a workspace's rate to lend tokens.
-    pub fn owns(&self, workspace: &name::WorkspaceName) -> bool {
-        let ownership = self.rate_ownerships.get(workspace);
+    /// Returns whether this VM owns enough of a rate to lend tokens.
+    pub fn owns(&self, key: &limit::LimitKey) -> bool {
+        let ownership = self.rate_ownerships.get(key);
         ownership.is_some_and(|ownership| ownership.is_own && ownership.is_owned_in_own_centre)
     }
 
-    /// Returns this VM's allocation of a workspace's rate, as a fraction of the whole rate.
-    pub fn own_rate_allocation(&self, workspace: &name::WorkspaceName) -> f64 {
+    /// Returns this VM's allocation of a rate, as a fraction of the whole rate.
+    pub fn own_rate_allocation(&self, key: &limit::LimitKey) -> f64 {
         if !self.has_owners() {
             let (names, allocations) = self.group_allocations();
             let index = names.iter().position(|name| *name == self.own_name());
-            return index.map_or(0.0, |index| allocations.rate_allocation(index, workspace));
+            return index.map_or(0.0, |index| match key {
+                limit::LimitKey::Workspace(workspace) => {
+                    allocations.rate_allocation(index, workspace)
+                }
+                limit::LimitKey::Database(_) => allocations.allocation(index),
+            });
         }
-        let ownership = self.rate_ownerships.get(workspace);
+        let ownership = self.rate_ownerships.get(key);
         ownership.map_or(0.0, |ownership| ownership.own_fraction)
     }
 
@@ -141,16 +145,14 @@
         if self.has_owners() {
             let centres = GroupView::of_centres(self);
             let group = GroupView::of_table(&self.allocation_table);
-            for (workspace, policy) in &self.configuration.decoded.workspaces {
-                let rate = (workspace, policy.rate_per_second);
-                ownerships.insert(workspace.clone(), self.ownership_of(rate, &centres, &group));
+            for (key, size) in self.fleet_limits() {
+                let rate = (&key, size.rate_per_second);
+                let ownership = self.ownership_of(rate, &centres, &group);
+                ownerships.insert(key, ownership);
             }
         }
         self.rate_ownerships = ownerships;
-        let owned = self
-            .rate_ownerships
-            .keys()
-            .filter(|workspace| self.owns(workspace));
+        let owned = self.rate_ownerships.keys().filter(|key| self.owns(key));
         let status = &self.shared.fleet_status;
         status
             .owned_rates
@@ -159,7 +161,7 @@
 
     fn ownership_of(
         &self,
-        (workspace, rate): (&name::WorkspaceName, f64),
+        (key, rate): (&limit::LimitKey, f64),
         centres: &GroupView<'_>,
         group: &GroupView<'_>,
     ) -> RateOwnership {
@@ -170,13 +172,13 @@
                 ..RateOwnership::default()
             };
         }
-        let fractions = centres.centre_fractions(Some((workspace, rate)));
+        let fractions = centres.centre_fractions(Some((key, rate)));
         let names = centres.members.iter().map(|member| member.name);
         let fractions: SmallVec<[(&str, f64); 8]> = names.zip(fractions).collect();
         let centre_fraction = self.own_centre_fraction(fractions.iter().copied());
         let min_owned = ownership::equal_fraction(fractions.len()) * MIN_OWNED_FRACTION;
-        let count = ownership::owner_count(rate * centre_fraction);
-        let owners = ownership::RateOwners::choose(workspace, count, &group.members);
+        let count = ownership::owner_count_of(key, rate * centre_fraction);
+        let owners = ownership::RateOwners::choose(key, count, &group.members);
         let own_name = self.own_name();
         let mut members = group.members.iter();
         let own_index = members.position(|member| member.name == own_name);
@@ -249,17 +251,20 @@
         }
     }
 
-    /// Returns the fractions of a workspace's rate, or of the other limits if none is given.
+    /// Returns the fractions of a rate, or of the other limits if none is given.
     /// Small rates have a few data centres as owners once there is a table.
-    fn centre_fractions(&self, rate: Option<(&name::WorkspaceName, f64)>) -> Vec<f64> {
+    fn centre_fractions(&self, rate: Option<(&limit::LimitKey, f64)>) -> Vec<f64> {
         let min_rate = ownership::MIN_CENTRE_RATE * self.members.len() as f64;
         let pending = ownership::MemberStanding::Pending;
         let has_table = self.members.iter().any(|member| member.standing != pending);
-        let Some((workspace, rate)) = rate.filter(|(_, rate)| has_table && *rate < min_rate) else {
+        let has_few_owners = |(key, rate): &(&limit::LimitKey, f64)| {
+            has_table && (*rate < min_rate || key.workspace().is_none())
+        };
+        let Some((key, rate)) = rate.filter(has_few_owners) else {
             return self.fractions.clone();
         };
-        let count = ownership::owner_count(rate);
-        let owners = ownership::RateOwners::choose(workspace, count, &self.members);
+        let count = ownership::owner_count_of(key, rate);
+        let owners = ownership::RateOwners::choose(key, count, &self.members);
         let indices = 0..self.members.len();
         indices.map(|index| owners.fraction_of(index)).collect()
     }
--- a/crates/bluebellferry_edge/src/control/state/shares.rs
+++ b/crates/bluebellferry_edge/src/control/state/shares.rs
@@ -1,15 +1,15 @@
-//! The allocations of fleet-wide limits that this VM uses, and the shares of workspaces'
-//! rates that follow from them; see [`allocation`].
+//! The allocations of fleet-wide limits that this VM uses, and the shares of rates that follow
+//! from them; see [`allocation`].
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
-use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::database;
 use bluebellferry_limits::bucket;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_runtime::clock;
-use bluebellferry_types::name;
+use bluebellferry_types::limit;
 
 use crate::control::allocation;
 use crate::control::allocation::table;
@@ -186,18 +186,51 @@
         shares.set_owners(self.has_owners());
     }
 
-    pub(super) fn own_share_sizes(&self) -> BTreeMap<name::WorkspaceName, bucket::ShareSize> {
-        let size =
-            |(workspace, policy): (&name::WorkspaceName, &configuration::WorkspacePolicy)| {
-                let allocation = self.own_rate_allocation(workspace);
-                let size = bucket::ShareSize {
-                    rate_per_second: policy.rate_per_second * allocation,
-                    burst: policy.burst * allocation,
-                };
-                (workspace.clone(), size)
+    pub(super) fn own_share_sizes(&self) -> BTreeMap<limit::LimitKey, bucket::ShareSize> {
+        let own_size = |(key, size): (limit::LimitKey, bucket::ShareSize)| {
+            let allocation = self.own_rate_allocation(&key);
+            let own_size = bucket::ShareSize {
+                rate_per_second: size.rate_per_second * allocation,
+                burst: size.burst * allocation,
             };
-        let workspaces = &self.configuration.decoded.workspaces;
-        workspaces.iter().map(size).collect()
+            (key, own_size)
+        };
+        self.fleet_limits().into_iter().map(own_size).collect()
+    }
+
+    /// Returns the rates that hold over all VMs together: those of workspaces, and the paces of
+    /// databases that may be cold.
+    pub(super) fn fleet_limits(&self) -> Vec<(limit::LimitKey, bucket::ShareSize)> {
+        let workspaces = self.configuration.decoded.workspaces.keys();
+        let databases = self.databases.iter();
+        let keys = workspaces
+            .map(limit::LimitKey::from)
+            .chain(databases.map(|entry| (&entry.id).into()));
+        let with_size = |key: limit::LimitKey| {
+            let size = self.fleet_limit(&key)?;
+            Some((key, size))
+        };
+        keys.filter_map(with_size).collect()
+    }
+
+    /// Returns the rate and burst over all VMs together; `None` if there is no such limit.
+    pub(super) fn fleet_limit(&self, key: &limit::LimitKey) -> Option<bucket::ShareSize> {
+        match key {
+            limit::LimitKey::Workspace(workspace) => {
+                let policy = self.configuration.decoded.workspaces.get(workspace)?;
+                Some(bucket::ShareSize {
+                    rate_per_second: policy.rate_per_second,
+                    burst: policy.burst,
+                })
+            }
+            limit::LimitKey::Database(database) => {
+                let has_id = |entry: &&database::DatabaseEntry| entry.id == *database;
+                let entry = self.databases.iter().find(has_id)?;
+                let policy = self.configuration.decoded.services.get(&entry.service)?;
+                let tolerance = self.shared.settings.pace_tolerance;
+                Some(tolerance.pace_of(policy.cold_pace?))
+            }
+        }
     }
 
     /// Lets this VM use its allocation of fleet-wide limits. The other VMs must have reduced
--- a/crates/bluebellferry_edge/src/control/tokens.rs
+++ b/crates/bluebellferry_edge/src/control/tokens.rs
@@ -9,7 +9,7 @@
 use bluebellferry_membership::message;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::lending;
-use bluebellferry_types::name;
+use bluebellferry_types::limit;
 
 use crate::control;
 use crate::control::peers;
@@ -51,7 +51,7 @@
         {
             let owner_request = OwnerTokenRequest {
                 borrower: control.own_name().to_owned(),
-                workspace: request.workspace,
+                key: request.key,
                 amount: request.amount,
                 number: request.number,
                 hops: MAX_HOPS,
@@ -73,7 +73,7 @@
         .open_token_requests(&shared.rate_limiter, live.len(), now)
     {
         let message = message::PeerMessage::TokenRequest {
-            workspace: request.workspace.to_string(),
+            key: request.key,
             amount: request.amount,
             number: request.number,
         };
@@ -88,8 +88,8 @@
 pub struct OwnerTokenRequest {
     /// The VM that requests the tokens.
     pub borrower: String,
-    /// The workspace whose tokens are requested.
-    pub workspace: name::WorkspaceName,
+    /// The limit whose tokens are requested.
+    pub key: limit::LimitKey,
     /// The number of tokens requested.
     pub amount: f64,
     /// The borrower's number for this request, which the answer repeats.
@@ -98,24 +98,17 @@
     pub hops: u8,
 }
 
-/// Answers a token request if this VM owns the workspace's rate, and forwards it otherwise.
+/// Answers a token request if this VM owns the rate, and forwards it otherwise.
 pub fn serve_owner_request(
     control: &state::ControlState,
     links: &peers::PeerLinks,
     request: &OwnerTokenRequest,
     now: Instant,
 ) {
-    if control.owns(&request.workspace) {
+    if control.owns(&request.key) {
         let to = Some(request.borrower.clone());
-        let workspace = request.workspace.to_string();
-        lend_tokens(
-            control,
-            links,
-            to,
-            workspace,
-            request.amount,
-            request.number,
-        );
+        let key = request.key.clone();
+        lend_tokens(control, links, to, key, request.amount, request.number);
     } else if request.hops > 0 {
         forward_token_request(control, links, request, now);
     }
@@ -136,7 +129,7 @@
 fn send_owner_request(links: &peers::PeerLinks, to: &str, request: &OwnerTokenRequest) {
     let message = message::PeerMessage::OwnerRequest {
         borrower: request.borrower.clone(),
-        workspace: request.workspace.to_string(),
+        key: request.key.clone(),
         amount: request.amount,
         number: request.number,
         hops: request.hops.saturating_sub(1),
@@ -153,13 +146,13 @@
     control: &state::ControlState,
     request: &OwnerTokenRequest,
 ) -> Option<String> {
-    if control.is_owned_in_own_centre(&request.workspace) {
+    if control.is_owned_in_own_centre(&request.key) {
         return None;
     }
-    let centres = control.owning_centres(&request.workspace);
+    let centres = control.owning_centres(&request.key);
     let centre = centres.get(request.number as usize % centres.len().max(1))?;
     let turn = request.number as usize / centres.len();
-    control.probable_owner_in(centre, &request.workspace, turn)
+    control.probable_owner_in(centre, &request.key, turn)
 }
 
 /// Returns the VM to forward a token request to: an owner in this data centre if the data
@@ -170,39 +163,34 @@
     request: &OwnerTokenRequest,
     now: Instant,
 ) -> Option<String> {
-    if control.is_owned_in_own_centre(&request.workspace) {
-        let owners = control.owners_of(&request.workspace);
+    if control.is_owned_in_own_centre(&request.key) {
+        let owners = control.owners_of(&request.key);
         let index = request.number as usize % owners.len().max(1);
         return owners.get(index).cloned();
     }
     if control.topology.is_coordinator(now) {
-        let centres = control.owning_centres(&request.workspace);
+        let centres = control.owning_centres(&request.key);
         let index = request.number as usize % centres.len().max(1);
         return control.coordinator_of(centres.get(index)?, now);
     }
     control.topology.own_coordinator(now).map(str::to_owned)
 }
 
-/// Lends up to `amount` tokens of a workspace to the VM `to`, and sends them in answer to
+/// Lends up to `amount` tokens of a limit to the VM `to`, and sends them in answer to
 /// its token request `number`. Does nothing if the VM is unknown or no tokens are to spare.
 pub fn lend_tokens(
     control: &state::ControlState,
     links: &peers::PeerLinks,
     to: Option<String>,
-    workspace: String,
+    key: limit::LimitKey,
     amount: f64,
     number: u64,
 ) {
     let Some(to) = to else { return };
-    let amount = lending::lend(
-        &control.shared.rate_limiter,
-        &workspace,
-        amount,
-        clock::now(),
-    );
+    let amount = lending::lend(&control.shared.rate_limiter, &key, amount, clock::now());
     if amount > 0.0 {
         let transfer = message::PeerMessage::TokenTransfer {
-            workspace,
+            key,
             amount,
             number,
         };
--- a/crates/bluebellferry_edge/src/server.rs
+++ b/crates/bluebellferry_edge/src/server.rs
@@ -186,6 +186,8 @@
         Some("the process is stopping")
     } else if snapshot.configuration.version == 0 {
         Some("no configuration is in force")
+    } else if snapshot.awaits_evacuations {
+        Some("it is not known which data centres are being evacuated")
     } else if snapshot.databases.is_empty() {
         Some("no database is known")
     } else if snapshot.allocation.fraction() <= 0.0 {
--- a/crates/bluebellferry_edge/src/settings.rs
+++ b/crates/bluebellferry_edge/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use bluebellferry_limits::pace;
 use bluebellferry_runtime::settings;
 use bluebellferry_types::name;
 use serde::Deserialize;
@@ -29,6 +30,38 @@
     store_address: String,
     duty_address: String,
     grace_s: f64,
+    /// By when an evacuated data centre must receive nothing more; absent where data centres are
+    /// not evacuated.
+    #[serde(default)]
+    evacuation_ms: Option<f64>,
+    #[serde(default)]
+    cold_tolerance: Option<ToleranceFile>,
+}
+
+/// How far a cold database's statements of one second may exceed its pace.
+#[derive(Debug, Deserialize)]
+struct ToleranceFile {
+    factor: f64,
+    statements: f64,
+}
+
+impl TryFrom<ToleranceFile> for pace::PaceTolerance {
+    type Error = settings::FieldError;
+
+    fn try_from(file: ToleranceFile) -> Result<Self, settings::FieldError> {
+        if !(file.factor >= 1.0 && file.factor.is_finite()) {
+            let path = "cold_tolerance.factor";
+            return Err(settings::FieldError::new(path, "must be at least 1"));
+        }
+        if !(file.statements >= 0.0 && file.statements.is_finite()) {
+            let path = "cold_tolerance.statements";
+            return Err(settings::FieldError::new(path, "must be at least 0"));
+        }
+        Ok(Self {
+            factor: file.factor,
+            statements: file.statements,
+        })
+    }
 }
 
 /// The validated settings of the process.
@@ -62,6 +95,11 @@
     pub promotion_api_address: SocketAddr,
     /// How long the platform waits between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Within what time an evacuated data centre must receive nothing more; `None` where data
+    /// centres are not evacuated.
+    pub evacuation_limit: Option<Duration>,
+    /// How far the statements of one second at a cold database may exceed its pace.
+    pub pace_tolerance: pace::PaceTolerance,
 }
 
 /// File descriptors reserved for connections to databases, other VMs and the platform; callers
@@ -97,6 +135,11 @@
         if !(file.grace_s > 0.0 && file.grace_s.is_finite()) {
             return Err(settings::FieldError::new("grace_s", "must be above 0"));
         }
+        let evacuation_limit = file.evacuation_ms.map(|milliseconds| {
+            Duration::try_from_secs_f64(milliseconds / 1_000.0)
+                .map_err(|error| settings::FieldError::new("evacuation_ms", error))
+        });
+        let pace_tolerance = file.cold_tolerance.map(pace::PaceTolerance::try_from);
         Ok(Self {
             vm: file.vm,
             address: ip,
@@ -115,6 +158,8 @@
             store_address: parse_address("store_address", &file.store_address)?,
             promotion_api_address: parse_address("duty_address", &file.duty_address)?,
             grace: Duration::from_secs_f64(file.grace_s),
+            evacuation_limit: evacuation_limit.transpose()?,
+            pace_tolerance: pace_tolerance.transpose()?.unwrap_or_default(),
         })
     }
 }
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -66,6 +66,10 @@
     pub configuration: Arc<configuration::Configuration>,
     /// The databases that are registered.
     pub databases: Arc<Vec<database::DatabaseEntry>>,
+    /// The data centres that are being evacuated, with the times when this VM learned of it.
+    pub evacuations: Arc<BTreeMap<name::DataCentreName, Instant>>,
+    /// Whether the evacuations are not known yet.
+    pub awaits_evacuations: bool,
     /// The leader of each service.
     pub leaders: Arc<BTreeMap<name::ServiceName, LeaderView>>,
     /// When the lease of each service's leader expires.
@@ -161,7 +165,9 @@
     pub majority_changes: AtomicU64,
     /// How often this VM's data centre has lost or regained most other data centres.
     pub isolation_changes: AtomicU64,
-    /// The number of workspaces whose rates this VM owns, alone or with others.
+    /// The number of data centres that are being evacuated.
+    pub evacuated_centres: AtomicU64,
+    /// The number of fleet-wide rates that this VM owns, alone or with others.
     pub owned_rates: AtomicU64,
     /// The number of snapshots that the control thread has published.
     pub published_snapshots: AtomicU64,
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -11,9 +11,12 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::database;
+use bluebellferry_catalog::homes;
+use bluebellferry_limits::pace;
 use bluebellferry_pool::estimate;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
+use bluebellferry_shares::limiter;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -63,6 +66,14 @@
 /// The maximum time that a read or BEGIN waits for a database before it is retried at another.
 const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// When a caller is told to come back after an evacuation or its home regions left no database:
+/// operators end neither sooner than that.
+const PLACE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// How long open transactions may go on at an evacuated database after this VM has learned of the
+/// evacuation, as a fraction of the time limit. The rest of it may have passed by then.
+const EVACUATION_GRACE_FRACTION: f64 = 0.2;
+
 /// A connection to a database that the pool manages.
 pub type PoolConnection = connection::DatabaseConnection;
 
@@ -85,6 +96,8 @@
     pub pool_request: pool::ConnectionRequest,
     /// What the statement requires of the database.
     pub requirement: placement::PlacementRequirement,
+    /// The regions that the statement must not leave.
+    pub homes: homes::HomeRegions,
     /// The databases at which the statement has just failed.
     pub excluded: Vec<pool::DatabaseIndex>,
     /// When the statement is refused.
@@ -142,6 +155,9 @@
         for entry in snapshot.databases.iter() {
             let index = self.update_record(state, entry);
             let service = snapshot.configuration.services.get(&entry.service);
+            let has_pace = service.is_some_and(|service| service.cold_pace.is_some());
+            let pace_share = || self.shared.rate_limiter.find(&entry.id);
+            state.records[index].pace_share = has_pace.then(pace_share).flatten();
             let limit = service.map_or(0, |service| service.max_connections);
             let allocated = snapshot
                 .allocation
@@ -149,9 +165,13 @@
             let borrowed = MIN_CONNECTION_LIMIT.saturating_sub(allocated);
             drop(state.pool.set_connection_limit(index, allocated, borrowed));
         }
-        for (index, record) in state.records.iter().enumerate() {
-            if !record.is_registered || record.entry.is_draining {
+        for (index, record) in state.records.iter_mut().enumerate() {
+            let is_evacuated = snapshot.evacuations.contains_key(&record.entry.data_centre);
+            if !record.is_registered || record.entry.is_draining || is_evacuated {
                 drop(state.pool.drain_idle(index));
+                if state.pool.connection_count(index) == 0 {
+                    record.contact.record_interrupted();
+                }
             }
         }
         drop(state.pool.drain_unused(IDLE_TIMEOUT, now));
@@ -176,6 +196,8 @@
                 latency: estimate::LatencyEstimate::new(latency),
                 unreachable_backoff: ranking::AvoidanceBackoff::default(),
                 lag_backoff: ranking::AvoidanceBackoff::default(),
+                pace_share: None,
+                contact: pace::ContactRecord::default(),
             });
             let index = state.records.len() - 1;
             state.indexes.insert(entry.id.clone(), index);
@@ -189,6 +211,7 @@
                 drop(state.pool.drain_idle(index));
                 record.unreachable_backoff.reset();
                 record.lag_backoff.reset();
+                record.contact.record_interrupted();
             }
             record.entry = Arc::new(entry.clone());
         }
@@ -230,14 +253,14 @@
             match self.try_acquire(request, now) {
                 AcquireStep::Granted(connection) => {
                     if let Some(placed) = self.check_placement(connection, request) {
-                        return Ok(placed);
+                        return self.keep_pace_of(placed, request.deadline).await;
                     }
                 }
                 AcquireStep::Wait(waiter, granted) => {
                     match tokio::time::timeout(time_left.min(RERANK_INTERVAL), granted).await {
                         Ok(Ok(connection)) => {
                             if let Some(placed) = self.check_placement(connection, request) {
-                                return Ok(placed);
+                                return self.keep_pace_of(placed, request.deadline).await;
                             }
                         }
                         // Opening the connection failed; another database may be available.
@@ -250,6 +273,9 @@
                     }
                 }
                 AcquireStep::NoDatabase => {
+                    if let Some(refusal) = self.refuse_conflict(request) {
+                        return Err(refusal);
+                    }
                     // A database at which the statement failed may be the only one that can run it.
                     request.excluded.clear();
                     self.wait_for_database(request, time_left, &mut changes)
@@ -269,6 +295,41 @@
         }
     }
 
+    fn place_rules<'a>(&'a self, request: &'a PlacementRequest) -> placement::PlaceRules<'a> {
+        placement::PlaceRules {
+            regions: &self.shared.settings.regions,
+            homes: &request.homes,
+        }
+    }
+
+    /// Returns the refusal of a statement that no database may run because of its place.
+    fn refuse_conflict(&self, request: &PlacementRequest) -> Option<refusal::RequestRefusal> {
+        let snapshot = self.shared.snapshot();
+        let conflict = self
+            .place_rules(request)
+            .find_conflict(&snapshot, &request.service)?;
+        let (reason, message) = match conflict {
+            placement::PlaceConflict::NoCommonHome => (
+                refusal::RefusalReason::OutsideHomes,
+                "the route and the workspace have no home region in common",
+            ),
+            placement::PlaceConflict::OutsideHomes => (
+                refusal::RefusalReason::OutsideHomes,
+                "no database of the service is in a home region",
+            ),
+            placement::PlaceConflict::AllEvacuated => (
+                refusal::RefusalReason::Evacuated,
+                "all data centres that could serve the request are being evacuated",
+            ),
+        };
+        let refusal = refuse_not_run(reason, message);
+        Some(match conflict {
+            // Only a new configuration resolves these.
+            placement::PlaceConflict::NoCommonHome => refusal,
+            _ => refusal.retry_after(PLACE_RETRY_DELAY),
+        })
+    }
+
     /// Returns the connection if its database may still run the statement. The snapshot may have
     /// changed while the statement waited.
     fn check_placement(
@@ -277,13 +338,15 @@
         request: &PlacementRequest,
     ) -> Option<PlacedConnection> {
         if !connection.is_usable() {
+            self.record_interrupted(connection.database);
             self.discard(connection);
             return None;
         }
         let entry = self.registry_entry(connection.database);
         let snapshot = self.shared.snapshot();
-        let Some(role) = placement::role_of(&snapshot, &entry, request.requirement, clock::now())
-        else {
+        let role = placement::role_of(&snapshot, &entry, request.requirement, clock::now());
+        let is_allowed = self.place_rules(request).allow(&snapshot, &entry);
+        let Some(role) = role.filter(|_| is_allowed) else {
             self.metrics.count_connection("no_longer_suitable");
             self.release(connection);
             return None;
@@ -296,6 +359,63 @@
         })
     }
 
+    /// Waits until the database of a connection may receive another statement, and returns the
+    /// connection.
+    async fn keep_pace_of(
+        self: &Rc<Self>,
+        placed: PlacedConnection,
+        deadline: Instant,
+    ) -> Result<PlacedConnection, refusal::RequestRefusal> {
+        match self.keep_pace(placed.connection.database, deadline).await {
+            Ok(()) => Ok(placed),
+            Err(refusal) => {
+                self.release(placed.connection);
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Waits until a cold database may receive another statement. Does not wait for a warm one.
+    ///
+    /// # Errors
+    /// Returns a refusal if it may not before `deadline`.
+    pub async fn keep_pace(
+        &self,
+        database: pool::DatabaseIndex,
+        deadline: Instant,
+    ) -> Result<(), refusal::RequestRefusal> {
+        let now = clock::now();
+        let share = {
+            let state = self.state.borrow();
+            state.records[database].pace_in_force(now).cloned()
+        };
+        let Some(share) = share else { return Ok(()) };
+        let max_wait = deadline
+            .saturating_duration_since(now)
+            .min(limiter::MAX_TRANSACTION_WAIT);
+        let admitted = share.admit(max_wait, &self.shared.tokens_wanted).await;
+        let result = if admitted.is_ok() {
+            "granted"
+        } else {
+            "refused"
+        };
+        self.metrics.count_paced(result);
+        admitted.map_err(|refilled_in| {
+            let reason = refusal::RefusalReason::DatabaseWarmingUp;
+            refuse_not_run(
+                reason,
+                "the database takes only a few statements after its start",
+            )
+            .retry_after(refilled_in)
+        })
+    }
+
+    /// Records that a database ended a connection: it may have started again.
+    fn record_interrupted(&self, database: pool::DatabaseIndex) {
+        let record = &mut self.state.borrow_mut().records[database];
+        record.contact.record_interrupted();
+    }
+
     /// Waits a short time for a change of the snapshot.
     ///
     /// # Errors
@@ -333,7 +453,9 @@
         let snapshot = self.shared.snapshot();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let ranked = ranking::rank_databases(&state.records, &state.pool, &snapshot, request, now);
+        let rules = self.place_rules(request);
+        let ranked =
+            ranking::rank_databases(&state.records, &state.pool, &snapshot, request, rules, now);
         let Some((best, _)) = ranked.first().copied() else {
             return AcquireStep::NoDatabase;
         };
@@ -385,9 +507,9 @@
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        state.records[connection.database]
-            .unreachable_backoff
-            .reset();
+        let record = &mut state.records[connection.database];
+        record.unreachable_backoff.reset();
+        record.contact.record_opened(now);
         let (database, workspace) = (connection.database, connection.workspace.clone());
         let action = state.pool.finish_open(database, workspace, connection, now);
         self.perform_actions(state, action, now);
@@ -488,7 +610,9 @@
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let record = &state.records[connection.database];
-        if !record.is_registered || record.entry.is_draining {
+        let snapshot = self.shared.snapshot();
+        let is_evacuated = snapshot.evacuations.contains_key(&record.entry.data_centre);
+        if !record.is_registered || record.entry.is_draining || is_evacuated {
             drop(state);
             self.discard(connection);
             return;
@@ -515,6 +639,7 @@
                     .pool
                     .drain_borrowed(database, BORROWED_IDLE_TIMEOUT, now),
             );
+            record_contact(&mut state, database);
         });
     }
 
@@ -526,6 +651,7 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let action = state.pool.release_lost(database, now);
+        record_contact(state, database);
         self.perform_actions(state, action, now);
     }
 
@@ -534,6 +660,17 @@
         self.state.borrow().pool.waiting_count()
     }
 
+    /// Returns whether no statement may reach a database any more, not even in an open
+    /// transaction, since its data centre is being evacuated.
+    pub fn is_past_evacuation(&self, database: pool::DatabaseIndex, now: Instant) -> bool {
+        let entry = self.registry_entry(database);
+        let snapshot = self.shared.snapshot();
+        let learned_at = snapshot.evacuations.get(&entry.data_centre);
+        let limit = self.shared.settings.evacuation_limit.unwrap_or_default();
+        let grace = limit.mul_f64(EVACUATION_GRACE_FRACTION);
+        learned_at.is_some_and(|learned_at| now.saturating_duration_since(*learned_at) >= grace)
+    }
+
     /// Returns the registry entry of a database.
     pub fn registry_entry(&self, database: pool::DatabaseIndex) -> Arc<database::DatabaseEntry> {
         Arc::clone(&self.state.borrow().records[database].entry)
@@ -568,9 +705,13 @@
     /// Records that a database did not answer.
     pub fn record_unresponsive(&self, database: pool::DatabaseIndex) {
         let now = clock::now();
-        self.state.borrow_mut().records[database]
-            .unreachable_backoff
-            .back_off(INITIAL_UNREACHABLE_BACKOFF, MAX_UNREACHABLE_BACKOFF, now);
+        let record = &mut self.state.borrow_mut().records[database];
+        record.contact.record_interrupted();
+        record.unreachable_backoff.back_off(
+            INITIAL_UNREACHABLE_BACKOFF,
+            MAX_UNREACHABLE_BACKOFF,
+            now,
+        );
     }
 
     /// Returns how long a read or BEGIN waits for a database before it is retried at another.
@@ -598,6 +739,13 @@
     }
 }
 
+/// Records that this VM has no connection to a database any more, if that is so.
+fn record_contact(state: &mut DispatchState, database: pool::DatabaseIndex) {
+    if state.pool.connection_count(database) == 0 {
+        state.records[database].contact.record_interrupted();
+    }
+}
+
 fn refuse_not_run(reason: refusal::RefusalReason, message: &str) -> refusal::RequestRefusal {
     refusal::RequestRefusal::not_run(reason, message)
 }
--- a/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
@@ -5,8 +5,10 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::database;
+use bluebellferry_limits::pace;
 use bluebellferry_pool::estimate;
 use bluebellferry_pool::pool;
+use bluebellferry_shares::limiter;
 
 use crate::shared;
 use crate::traffic::dispatch;
@@ -18,6 +20,10 @@
 /// serve too. Only the leader can serve writes, so its capacity is spared.
 const LEADER_READ_PENALTY: Duration = Duration::from_millis(15);
 
+/// Added to the expected latency of a cold database for which this VM has no token: the time to
+/// borrow one from another VM.
+const PACE_PENALTY: Duration = Duration::from_millis(100);
+
 /// An exponential backoff during which a database is not chosen.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct AvoidanceBackoff {
@@ -49,6 +55,20 @@
     pub(super) latency: estimate::LatencyEstimate,
     pub(super) unreachable_backoff: AvoidanceBackoff,
     pub(super) lag_backoff: AvoidanceBackoff,
+    /// This VM's share of the pace at which the database may receive statements while it is
+    /// cold; `None` if its service does not limit that.
+    pub(super) pace_share: Option<Arc<limiter::RateShare>>,
+    pub(super) contact: pace::ContactRecord,
+}
+
+impl DatabaseRecord {
+    /// Returns this VM's share of the database's pace if statements must keep to it.
+    pub(super) fn pace_in_force(&self, now: Instant) -> Option<&Arc<limiter::RateShare>> {
+        let share = self.pace_share.as_ref()?;
+        self.contact
+            .is_paced(self.entry.is_cold, now)
+            .then_some(share)
+    }
 }
 
 /// Returns the databases that may run a statement with their expected time to the answer, the
@@ -58,6 +78,7 @@
     pool: &DatabasePool,
     snapshot: &shared::EdgeSnapshot,
     request: &dispatch::PlacementRequest,
+    rules: placement::PlaceRules<'_>,
     now: Instant,
 ) -> Vec<(pool::DatabaseIndex, Duration)> {
     let cost = |(index, record): (pool::DatabaseIndex, &DatabaseRecord)| {
@@ -67,6 +88,7 @@
         let is_usable = is_leader || !record.lag_backoff.is_active(now);
         let is_candidate = entry.service == request.service
             && record.is_registered
+            && rules.allow(snapshot, entry)
             && !request.excluded.contains(&index)
             && !record.unreachable_backoff.is_active(now);
         if !is_usable || !is_candidate {
@@ -81,7 +103,14 @@
         } else {
             Duration::ZERO
         };
-        Some((index, latency + connection_cost + leader_penalty))
+        let lacks_token = |share: &Arc<limiter::RateShare>| share.available_tokens(now) < 1.0;
+        let pace_penalty = if record.pace_in_force(now).is_some_and(lacks_token) {
+            PACE_PENALTY
+        } else {
+            Duration::ZERO
+        };
+        let cost = latency + connection_cost + leader_penalty + pace_penalty;
+        Some((index, cost))
     };
     let mut ranked: Vec<_> = records.iter().enumerate().filter_map(cost).collect();
     ranked.sort_by_key(|(_, cost)| *cost);
--- a/crates/bluebellferry_edge/src/traffic/metrics.rs
+++ b/crates/bluebellferry_edge/src/traffic/metrics.rs
@@ -15,6 +15,7 @@
     refusals: prometheus::IntCounterVec,
     retries: prometheus::IntCounterVec,
     connections: prometheus::IntCounterVec,
+    paced: prometheus::IntCounterVec,
     latency: prometheus::HistogramVec,
 }
 
@@ -54,12 +55,18 @@
                 "Attempts to open a connection to a database, by result.",
                 "result",
             )?,
+            paced: counter(
+                "bluebellferry_paced_statements_total",
+                "Statements for databases that may be cold, by result.",
+                "result",
+            )?,
             latency: prometheus::HistogramVec::new(latency, &["kind"])?,
         };
         registry.register(Box::new(metrics.statements.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.paced.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         Ok(metrics)
     }
@@ -82,6 +89,11 @@
         self.retries.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a statement that had to keep the pace of a cold database, by its result.
+    pub fn count_paced(&self, result: &'static str) {
+        self.paced.with_label_values(&[result]).inc();
+    }
+
     /// Counts an attempt to obtain a connection, by its result.
     pub fn count_connection(&self, result: &'static str) {
         self.connections.with_label_values(&[result]).inc();
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::homes;
 use bluebellferry_keys::digest;
 use bluebellferry_platform::caller;
 use bluebellferry_platform::line;
@@ -50,6 +51,8 @@
     pub policy: configuration::RoutePolicy,
     /// The workspace of the caller.
     pub workspace: name::WorkspaceName,
+    /// The regions that the transaction must not leave.
+    pub homes: homes::HomeRegions,
     /// When the first byte of the transaction was received.
     pub arrived: Instant,
 }
@@ -140,6 +143,11 @@
     };
     wait_for_configuration(context).await;
     let snapshot = context.shared.snapshot();
+    if snapshot.awaits_evacuations {
+        let message = "it is not known which data centres are being evacuated";
+        let refusal = refusal::RequestRefusal::not_run(refusal::RefusalReason::NotReady, message);
+        return reject(caller, context, refusal).await;
+    }
     if let Err(refusal) = check_caller(&snapshot.configuration, &identity) {
         return reject(caller, context, refusal).await;
     }
@@ -158,7 +166,10 @@
 async fn wait_for_configuration(context: &traffic::TrafficContext) {
     let mut changes = context.shared.subscribe_to_snapshots();
     let deadline = clock::now() + CONFIGURATION_TIMEOUT;
-    while context.shared.snapshot().configuration.version == 0 {
+    let is_incomplete = |snapshot: &shared::EdgeSnapshot| {
+        snapshot.configuration.version == 0 || snapshot.awaits_evacuations
+    };
+    while is_incomplete(&context.shared.snapshot()) {
         let time_left = deadline.saturating_duration_since(clock::now());
         if tokio::time::timeout(time_left, changes.changed())
             .await
@@ -211,6 +222,19 @@
     }
 }
 
+/// Returns the regions that a request of a workspace over a route must not leave.
+pub fn effective_homes(
+    configuration: &configuration::Configuration,
+    policy: &configuration::RoutePolicy,
+    workspace: &name::WorkspaceName,
+) -> homes::HomeRegions {
+    let workspace_policy = configuration.workspaces.get(workspace);
+    workspace_policy.map_or_else(
+        || policy.homes.clone(),
+        |workspace_policy| policy.homes.intersect(&workspace_policy.homes),
+    )
+}
+
 impl CallerStream {
     async fn send(&mut self, text: &str) -> bool {
         let writing = self.stream.write_all(text.as_bytes());
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::homes;
 use bluebellferry_platform::caller;
 use bluebellferry_platform::database;
 use bluebellferry_pool::pool;
@@ -30,6 +31,8 @@
 struct StatementScope {
     policy: configuration::RoutePolicy,
     workspace: name::WorkspaceName,
+    /// The regions that the statement must not leave.
+    homes: homes::HomeRegions,
     /// When the first byte of the statement, or of its transaction, was received.
     arrived: Instant,
     deadline: Instant,
@@ -90,6 +93,7 @@
             self.transaction = Some(session::TransactionContext {
                 policy: scope.policy.clone(),
                 workspace: scope.workspace.clone(),
+                homes: scope.homes.clone(),
                 arrived,
             });
         }
@@ -145,6 +149,7 @@
                 deadline: arrived + transaction.policy.statement_timeout,
                 policy: transaction.policy,
                 workspace: transaction.workspace,
+                homes: transaction.homes,
                 arrived: transaction.arrived,
             });
         }
@@ -156,10 +161,12 @@
                 .fetch_add(1, Ordering::Relaxed);
             self.take_token(&workspace).await?;
         }
+        let homes = session::effective_homes(&snapshot.configuration, &policy, &workspace);
         Ok(StatementScope {
             deadline: arrived + policy.statement_timeout,
             policy,
             workspace,
+            homes,
             arrived,
         })
     }
@@ -199,6 +206,24 @@
                 "the transaction has no connection",
             ));
         };
+        let dispatcher = &self.context.dispatcher;
+        if dispatcher.is_past_evacuation(connection.database, clock::now()) {
+            dispatcher.discard(connection);
+            self.state.record_outcome(plan, state::RunOutcome::Lost);
+            self.transaction = None;
+            return Err(outcomes::refuse_aborted_transaction(
+                "the data centre of the transaction's database is being evacuated",
+            ));
+        }
+        let paced = dispatcher
+            .keep_pace(connection.database, scope.deadline)
+            .await;
+        if let Err(refusal) = paced {
+            self.context.dispatcher.discard(connection);
+            self.state.record_outcome(plan, state::RunOutcome::Lost);
+            self.transaction = None;
+            return Err(refusal);
+        }
         let sent = self.record_send(&connection);
         let result = self
             .send_and_receive(&mut connection, plan, scope.deadline, |out| {
@@ -522,6 +547,7 @@
                 replica_min_position: None,
                 requires_lease,
             },
+            homes: scope.homes.clone(),
             excluded: Vec::new(),
             deadline: scope.deadline,
             served_elsewhere_deadline: clock::now() + dispatch::SERVED_ELSEWHERE_TIMEOUT,
--- a/crates/bluebellferry_edge/tests/claims.rs
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -9,6 +9,7 @@
 
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::database;
+use bluebellferry_catalog::homes;
 use bluebellferry_catalog::leadership;
 use bluebellferry_edge::control;
 use bluebellferry_edge::control::members;
@@ -48,6 +49,7 @@
         max_running_statements: 3,
         is_draining: false,
         role,
+        is_cold: false,
     }
 }
 
@@ -78,11 +80,13 @@
     let policy = configuration::ServicePolicy {
         max_connections: 12,
         is_synchronous: true,
+        cold_pace: None,
     };
     let workspace = name::WorkspaceName::try_from("families").expect("a valid name");
     let limits = configuration::WorkspacePolicy {
         rate_per_second: 100.0,
         burst: 100.0,
+        homes: homes::HomeRegions::Anywhere,
     };
     control.configuration.decoded = Arc::new(configuration::Configuration {
         version: 1,
--- a/crates/bluebellferry_edge/tests/coordinators.rs
+++ b/crates/bluebellferry_edge/tests/coordinators.rs
@@ -9,6 +9,7 @@
 
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::database;
+use bluebellferry_catalog::homes;
 use bluebellferry_edge::control::allocation;
 use bluebellferry_edge::control::allocation::table;
 use bluebellferry_edge::control::state;
@@ -100,6 +101,7 @@
         configuration_bytes: 900,
         databases: 4,
         members: 5,
+        evacuations: 0,
     };
     // Until a coordinator's heartbeat arrives, every VM reads the store.
     assert!(!control.is_store_read_by_coordinator(now));
@@ -197,6 +199,7 @@
     let policy = |rate: f64| configuration::WorkspacePolicy {
         rate_per_second: rate,
         burst: rate,
+        homes: homes::HomeRegions::Anywhere,
     };
     let small = SMALL.map(|name| (workspace(name), policy(6.0)));
     let large = (workspace("large"), policy(300.0));
@@ -244,7 +247,7 @@
 }
 
 fn rate_allocation_of(control: &state::ControlState, name: &str, coordinator: usize) -> f64 {
-    let allocations = control.centre_allocations(Some(&workspace(name)));
+    let allocations = control.centre_allocations(Some(&(&workspace(name)).into()));
     let own = allocations
         .iter()
         .find(|(name, _)| *name == centre(coordinator).as_str());
@@ -358,6 +361,7 @@
     let large = configuration::WorkspacePolicy {
         rate_per_second: 3_000.0,
         burst: 3_000.0,
+        homes: homes::HomeRegions::Anywhere,
     };
     let configuration = configuration::Configuration {
         version: 1,
@@ -463,6 +467,7 @@
         max_running_statements: 3,
         is_draining,
         role: database::DatabaseRole::Replica,
+        is_cold: false,
     }
 }
 
--- a/crates/bluebellferry_edge/tests/large_fleets.rs
+++ b/crates/bluebellferry_edge/tests/large_fleets.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::homes;
 use bluebellferry_edge::control::allocation;
 use bluebellferry_edge::control::peers;
 use bluebellferry_edge::control::state;
@@ -22,6 +23,7 @@
 use bluebellferry_membership::message;
 use bluebellferry_membership::topology;
 use bluebellferry_runtime::clock;
+use bluebellferry_types::limit;
 use bluebellferry_types::name;
 
 #[path = "fixtures/settings.rs"]
@@ -54,6 +56,10 @@
     (0..VMS).map(|index| (vm(index), record(index))).collect()
 }
 
+fn limit_key(index: usize) -> limit::LimitKey {
+    limit::LimitKey::Workspace(workspace(index))
+}
+
 /// Returns a configuration in which most workspaces are small and a few are large.
 fn configuration(workspaces: usize) -> configuration::Configuration {
     let policy = |index: usize| {
@@ -65,6 +71,7 @@
         configuration::WorkspacePolicy {
             rate_per_second,
             burst: rate_per_second,
+            homes: homes::HomeRegions::Anywhere,
         }
     };
     configuration::Configuration {
@@ -176,8 +183,8 @@
         control.apply_allocations(&group_tables[index % CENTRES]);
         control.update_group_status(now);
         for number in 0..WORKSPACES {
-            totals[number] += control.own_rate_allocation(&workspace(number));
-            owner_counts[number] += usize::from(control.owns(&workspace(number)));
+            totals[number] += control.own_rate_allocation(&limit_key(number));
+            owner_counts[number] += usize::from(control.owns(&limit_key(number)));
         }
     }
     for (number, total) in totals.iter().enumerate() {
@@ -200,13 +207,16 @@
     control.apply_centre_allocations(&centre_table);
     control.apply_allocations(&group_tables[0]);
     for number in 0..WORKSPACES {
-        let workspace = workspace(number);
+        let workspace = limit_key(number);
         let has_owner = control.owns(&workspace) || !control.owners_of(&workspace).is_empty();
         let owning_centres = control.owning_centres(&workspace);
-        assert!((1..=CENTRES).contains(&owning_centres.len()), "{workspace}");
+        assert!(
+            (1..=CENTRES).contains(&owning_centres.len()),
+            "{workspace:?}"
+        );
         let is_owned_here = owning_centres.contains(&centre(0).to_string());
         assert_eq!(control.is_owned_in_own_centre(&workspace), is_owned_here);
-        assert!(has_owner || !is_owned_here, "{workspace}");
+        assert!(has_owner || !is_owned_here, "{workspace:?}");
     }
 }
 
@@ -228,20 +238,20 @@
         for turn in 0..6 {
             let request = tokens::OwnerTokenRequest {
                 borrower: borrower.own_name().to_owned(),
-                workspace: workspace(number),
+                key: limit_key(number),
                 amount: 1.0,
                 number: turn,
                 hops: 3,
             };
             let Some(owner) = tokens::probable_owner(&borrower, &request) else {
-                assert!(borrower.is_owned_in_own_centre(&request.workspace));
+                assert!(borrower.is_owned_in_own_centre(&request.key));
                 continue;
             };
             let index = (0..VMS)
                 .find(|index| vm(*index) == owner)
                 .expect("a listed VM");
             let owner = owners.entry(owner).or_insert_with(|| with_tables(index));
-            assert!(owner.owns(&request.workspace), "{}", request.workspace);
+            assert!(owner.owns(&request.key), "{:?}", request.key);
         }
     }
     assert!(
@@ -281,6 +291,7 @@
         configuration_bytes: 900,
         databases: 4,
         members: 5,
+        evacuations: 0,
     };
     let reads = |own: usize, rejected: usize| {
         let mut control = control(own, WORKSPACES, now);
@@ -426,7 +437,7 @@
     assert!(!control.is_in_minority);
     control.apply_centre_allocations(&centre_table);
     control.apply_allocations(&group_tables[0]);
-    let owned = (0..WORKSPACES).map(workspace);
+    let owned = (0..WORKSPACES).map(limit_key);
     let owned = owned.max_by(|one, other| {
         let fraction_of = |workspace| control.own_rate_allocation(workspace);
         fraction_of(one).total_cmp(&fraction_of(other))
@@ -440,11 +451,11 @@
     control.update_group_status(cut_off);
     assert!(!control.is_in_minority);
     std::thread::sleep(Duration::from_millis(400));
-    let share = control.shared.rate_limiter.find(&owned);
+    let share = control.shared.rate_limiter.find(owned.clone());
     let available = share
         .expect("a known workspace")
         .available_tokens(clock::now());
-    assert!(available < 1.0, "{owned}: {available}");
+    assert!(available < 1.0, "{owned:?}: {available}");
 }
 
 /// The heartbeats that each VM sends to its coordinator in a second.
--- a/crates/bluebellferry_edge/tests/leaders_and_registrations.rs
+++ b/crates/bluebellferry_edge/tests/leaders_and_registrations.rs
@@ -40,6 +40,7 @@
         max_running_statements: 3,
         is_draining: false,
         role: database::DatabaseRole::Replica,
+        is_cold: false,
     }
 }
 
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -9,6 +9,7 @@
 
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::database;
+use bluebellferry_catalog::homes;
 use bluebellferry_edge::shared;
 use bluebellferry_edge::traffic;
 use bluebellferry_edge::traffic::dispatch;
@@ -54,6 +55,7 @@
         max_running_statements: 3,
         is_draining: false,
         role: database::DatabaseRole::Replica,
+        is_cold: false,
     }
 }
 
@@ -76,6 +78,7 @@
     let policy = configuration::ServicePolicy {
         max_connections: 12,
         is_synchronous: true,
+        cold_pace: None,
     };
     let configuration = configuration::Configuration {
         version: 1,
@@ -112,6 +115,7 @@
             slo_deadline: now + Duration::from_millis(200),
         },
         requirement,
+        homes: homes::HomeRegions::Anywhere,
         excluded: Vec::new(),
         deadline: now + Duration::from_millis(400),
         served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
@@ -293,6 +297,7 @@
         latency_objective: Duration::from_millis(200),
         priority: 0,
         is_public: true,
+        homes: homes::HomeRegions::Anywhere,
     };
     let mut configuration = configuration::Configuration::clone(&snapshot.configuration);
     configuration.routes.insert("browse".to_owned(), policy);
--- a/crates/bluebellferry_limits/src/lib.rs
+++ b/crates/bluebellferry_limits/src/lib.rs
@@ -22,4 +22,5 @@
 
 pub mod bucket;
 pub mod demand;
+pub mod pace;
 pub mod share;
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -117,6 +117,18 @@
     pub databases: u64,
     /// The store's revision when the list of VMs last changed.
     pub members: u64,
+    /// The store's revision when the evacuations last changed.
+    #[serde(default)]
+    pub evacuations: u64,
+}
+
+/// The data centres that are being evacuated.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationList {
+    /// The store's revision when the list last changed.
+    pub revision: u64,
+    /// The data centres.
+    pub data_centres: Vec<name::DataCentreName>,
 }
 
 /// The demand of all callers in a data centre, as its coordinator has measured it.
@@ -205,6 +217,8 @@
     pub suspicions: Vec<LeaderSuspicion>,
     /// The latest positions that leaders reported.
     pub positions: Vec<PositionSample>,
+    /// The evacuated data centres, if the receiver may not know them.
+    pub evacuations: Option<EvacuationList>,
 }
 
 impl FleetHeartbeat {
--- a/crates/bluebellferry_membership/src/message.rs
+++ b/crates/bluebellferry_membership/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages between VMs.
 
 use bluebellferry_limits::share;
+use bluebellferry_types::limit;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,22 +16,22 @@
     Goodbye,
     /// A heartbeat of a VM that finds the other VMs in the store.
     Beat(Box<heartbeat::FleetHeartbeat>),
-    /// The sender requests rate tokens of a workspace from the receiver.
+    /// The sender requests rate tokens from the receiver.
     TokenRequest {
-        /// The workspace.
-        workspace: String,
+        /// The limit that the tokens belong to.
+        key: limit::LimitKey,
         /// The number of tokens.
         amount: f64,
         /// The number that the sender gave this request.
         number: u64,
     },
-    /// A VM requests rate tokens of a workspace. The receiver owns such tokens or forwards
+    /// A VM requests rate tokens. The receiver owns such tokens or forwards
     /// the request to an owner, which answers the requesting VM directly.
     OwnerRequest {
         /// The VM that requests the tokens.
         borrower: String,
-        /// The workspace.
-        workspace: String,
+        /// The limit that the tokens belong to.
+        key: limit::LimitKey,
         /// The number of tokens.
         amount: f64,
         /// The number that the requesting VM gave this request.
@@ -40,8 +41,8 @@
     },
     /// The sender has transferred rate tokens to the receiver.
     TokenTransfer {
-        /// The workspace.
-        workspace: String,
+        /// The limit that the tokens belong to.
+        key: limit::LimitKey,
         /// The number of tokens.
         amount: f64,
         /// The number of the request that this transfer answers.
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -11,6 +11,8 @@
 //! leader is lost, [`successor`] chooses the database that replaces it, and [`lease`] tells
 //! how long the other VMs may rely on the old leader.
 //!
+//! Where a leader works but is in the wrong place, [`relocation`] decides whether it moves.
+//!
 //! This crate does no I/O.
 //!
 //! ```
@@ -25,5 +27,6 @@
 pub mod lease;
 pub mod observation;
 pub mod promoter;
+pub mod relocation;
 pub mod successor;
 pub mod suspect;
--- a/crates/bluebellferry_proxy/src/control/objects.rs
+++ b/crates/bluebellferry_proxy/src/control/objects.rs
@@ -13,6 +13,7 @@
 use bluebellferry_limits::bucket;
 use bluebellferry_limits::share;
 use bluebellferry_store::wire;
+use bluebellferry_types::limit;
 use bluebellferry_types::name;
 use serde::Deserialize;
 use serde::Serialize;
@@ -327,7 +328,7 @@
 fn share_sizes(
     document: &model::EnvironmentDocument,
     place: &share::VmPlace,
-) -> BTreeMap<name::WorkspaceName, bucket::ShareSize> {
+) -> BTreeMap<limit::LimitKey, bucket::ShareSize> {
     let data_centres: Vec<(name::DataCentreName, u32)> = document
         .data_centres
         .iter()
@@ -339,7 +340,7 @@
             burst: spec.burst,
         };
         let own_share = share::owned_share(workspace, total, place, &data_centres);
-        (workspace.clone(), own_share)
+        (workspace.into(), own_share)
     };
     document.workspaces.iter().map(size_of_workspace).collect()
 }
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -267,12 +267,12 @@
             message::PeerMessage::Beat(_) => self.shared.metrics.count_peer_message("refused"),
             message::PeerMessage::Goodbye => self.roster.record_goodbye(opened.incarnation),
             message::PeerMessage::TokenRequest {
-                workspace,
+                key,
                 amount,
                 number,
             } => {
                 self.shared.metrics.count_peer_message("token_request");
-                self.lend_tokens(from, workspace, amount, number, now);
+                self.lend_tokens(from, key, amount, number, now);
             }
             message::PeerMessage::TokenTransfer { amount, number, .. } => {
                 self.shared.metrics.count_peer_message("token_transfer");
--- a/crates/bluebellferry_proxy/src/control/peers/tokens.rs
+++ b/crates/bluebellferry_proxy/src/control/peers/tokens.rs
@@ -6,6 +6,7 @@
 
 use bluebellferry_membership::message;
 use bluebellferry_shares::lending;
+use bluebellferry_types::limit;
 
 use super::super::ControlState;
 use super::PEER_FANOUT;
@@ -30,7 +31,7 @@
             .open_token_requests(rate_limiter, peer_count, now)
         {
             let request = message::PeerMessage::TokenRequest {
-                workspace: outgoing.workspace.into(),
+                key: outgoing.key,
                 amount: outgoing.amount,
                 number: outgoing.number,
             };
@@ -43,7 +44,7 @@
     pub(super) fn lend_tokens(
         &mut self,
         to: SocketAddr,
-        workspace: String,
+        key: limit::LimitKey,
         requested: f64,
         number: u64,
         now: Instant,
@@ -51,10 +52,10 @@
         if self.is_superseded {
             return;
         }
-        let amount = lending::lend(&self.shared.rate_limiter, &workspace, requested, now);
+        let amount = lending::lend(&self.shared.rate_limiter, &key, requested, now);
         if amount > 0.0 {
             let transfer = message::PeerMessage::TokenTransfer {
-                workspace,
+                key,
                 amount,
                 number,
             };
--- a/crates/bluebellferry_proxy/src/control/status.rs
+++ b/crates/bluebellferry_proxy/src/control/status.rs
@@ -188,16 +188,16 @@
     }
 
     fn share_statuses(&self, now: Instant) -> Vec<ShareStatus> {
-        let to_status = |(workspace, share): (
-            bluebellferry_types::name::WorkspaceName,
-            std::sync::Arc<bluebellferry_shares::limiter::WorkspaceShare>,
+        let to_status = |(key, share): (
+            bluebellferry_types::limit::LimitKey,
+            std::sync::Arc<bluebellferry_shares::limiter::RateShare>,
         )| ShareStatus {
-            workspace: workspace.to_string(),
+            workspace: key.as_str().to_owned(),
             available: share.available_tokens(now),
         };
         self.shared
             .rate_limiter
-            .workspace_shares()
+            .all_shares()
             .into_iter()
             .map(to_status)
             .collect()
--- a/crates/bluebellferry_shares/src/lending.rs
+++ b/crates/bluebellferry_shares/src/lending.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bluebellferry_limits::bucket;
-use bluebellferry_types::name;
+use bluebellferry_types::limit;
 
 use crate::limiter;
 
@@ -23,7 +23,7 @@
 
 #[derive(Debug)]
 struct OpenRequest<A> {
-    workspace: name::WorkspaceName,
+    key: limit::LimitKey,
     requested_at: Instant,
     answered_by: Vec<A>,
 }
@@ -31,13 +31,13 @@
 /// A token request to send to other VMs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OutgoingTokenRequest {
-    /// The workspace whose tokens are requested.
-    pub workspace: name::WorkspaceName,
+    /// The limit whose tokens are requested.
+    pub key: limit::LimitKey,
     /// The number of tokens requested of each VM that receives the request.
     pub amount: f64,
     /// The request's number, which the answers repeat.
     pub number: u64,
-    /// Whether an earlier request for the workspace was not answered.
+    /// Whether an earlier request for the limit was not answered.
     pub is_retry: bool,
 }
 
@@ -59,7 +59,7 @@
 
 impl<A: PartialEq> TokenRequestTracker<A> {
     /// Returns the token requests to send to each of `others` other VMs, one for each
-    /// workspace whose callers need more tokens than are available.
+    /// limit of which more tokens are needed than are available.
     pub fn open_token_requests(
         &mut self,
         limiter: &limiter::RateLimiter,
@@ -74,18 +74,18 @@
             return Vec::new();
         }
         let mut requests = Vec::new();
-        for (workspace, share) in limiter.workspace_shares() {
+        for (key, share) in limiter.all_shares() {
             if let Some(shortfall) = share.start_token_request(now) {
                 let amount =
                     (shortfall * TOKEN_REQUEST_SURPLUS / others as f64).max(MIN_REQUEST_TOKENS);
-                requests.push(self.open_request(workspace, amount, now));
+                requests.push(self.open_request(key, amount, now));
             }
         }
         requests
     }
 
-    /// Returns the token requests to send to one owner each, one for each workspace whose
-    /// callers need more tokens than are available.
+    /// Returns the token requests to send to one owner each, one for each limit of
+    /// which more tokens are needed than are available.
     ///
     /// Owners are asked for whole tokens, and not again before they have had time to
     /// answer, since tokens that are requested twice expire unused.
@@ -98,17 +98,17 @@
         self.open_requests
             .retain(|_, request| age(request) < TOKEN_REQUEST_LIFETIME);
         let mut requests = Vec::new();
-        for (workspace, share) in limiter.workspace_shares() {
+        for (key, share) in limiter.all_shares() {
             let is_open = |request: &OpenRequest<A>| {
                 let is_unanswered =
                     request.answered_by.is_empty() && age(request) < OWNER_ANSWER_TIMEOUT;
-                is_unanswered && request.workspace == workspace
+                is_unanswered && request.key == key
             };
             if self.open_requests.values().any(is_open) {
                 continue;
             }
             if let Some(shortfall) = share.start_owner_token_request(now) {
-                requests.push(self.open_request(workspace, shortfall, now));
+                requests.push(self.open_request(key, shortfall, now));
             }
         }
         requests
@@ -116,25 +116,25 @@
 
     fn open_request(
         &mut self,
-        workspace: name::WorkspaceName,
+        key: limit::LimitKey,
         amount: f64,
         now: Instant,
     ) -> OutgoingTokenRequest {
         let number = self.next_number;
         self.next_number += 1;
         let latest = self.open_requests.values().rev();
-        let mut latest = latest.filter(|request| request.workspace == workspace);
+        let mut latest = latest.filter(|request| request.key == key);
         let is_retry = latest
             .next()
             .is_some_and(|request| request.answered_by.is_empty());
         let request = OpenRequest {
-            workspace: workspace.clone(),
+            key: key.clone(),
             requested_at: now,
             answered_by: Vec::new(),
         };
         self.open_requests.insert(number, request);
         OutgoingTokenRequest {
-            workspace,
+            key,
             amount,
             number,
             is_retry,
@@ -158,16 +158,20 @@
             return;
         }
         request.answered_by.push(lender);
-        if let Some(share) = limiter.find(&request.workspace) {
+        if let Some(share) = limiter.find(request.key.clone()) {
             share.accept_loan(amount, request.requested_at, now);
         }
     }
 }
 
-/// Takes up to `requested` tokens out of a workspace's bucket to lend them to another VM.
-/// Returns how many were taken: none if the workspace is unknown.
-pub fn lend(limiter: &limiter::RateLimiter, workspace: &str, requested: f64, now: Instant) -> f64 {
-    let valid_name = name::WorkspaceName::try_from(workspace).ok();
-    let share = valid_name.and_then(|name| limiter.find(&name));
+/// Takes up to `requested` tokens out of a limit's bucket to lend them to another VM.
+/// Returns how many were taken: none if the limit is unknown.
+pub fn lend(
+    limiter: &limiter::RateLimiter,
+    key: &limit::LimitKey,
+    requested: f64,
+    now: Instant,
+) -> f64 {
+    let share = limiter.find(key.clone());
     share.map_or(0.0, |share| share.lend(requested, now))
 }
--- a/crates/bluebellferry_shares/src/limiter.rs
+++ b/crates/bluebellferry_shares/src/limiter.rs
@@ -1,4 +1,4 @@
-//! Limits the rates of all workspaces on this VM, each by a token bucket.
+//! Keeps this VM within its shares of the rates that hold over all VMs, each by a token bucket.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 
 use bluebellferry_limits::bucket;
 use bluebellferry_limits::demand;
-use bluebellferry_types::name;
+use bluebellferry_types::limit;
 use tokio::sync::Notify;
 
 /// How long an operation waits for tokens that were requested from other VMs: a round trip
@@ -24,7 +24,7 @@
 /// The longest round trip to a lender: between regions, forwarded by a VM on the way. An
 /// operation that stops waiting sooner than that does not count when tokens are requested.
 pub const MAX_ROUND_TRIP: Duration = Duration::from_millis(60);
-/// The shortest time between two token requests for one workspace.
+/// The shortest time between two token requests for one limit.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 /// How often a waiting operation triggers another token request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(6);
@@ -47,7 +47,7 @@
 }
 
 #[derive(Debug)]
-struct WorkspaceBucket {
+struct LimitBucket {
     bucket: bucket::ShareBucket,
     demand: demand::DemandMeter,
     requested_at: Instant,
@@ -82,21 +82,21 @@
     }
 }
 
-/// This VM's share of one workspace's rate.
+/// This VM's share of one rate.
 #[derive(Debug)]
-pub struct WorkspaceShare {
-    state: Mutex<WorkspaceBucket>,
+pub struct RateShare {
+    state: Mutex<LimitBucket>,
     waiting: AtomicUsize,
     tokens_arrived: Notify,
     clock: LimiterClock,
 }
 
-impl WorkspaceShare {
-    fn lock(&self) -> std::sync::MutexGuard<'_, WorkspaceBucket> {
+impl RateShare {
+    fn lock(&self) -> std::sync::MutexGuard<'_, LimitBucket> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Counts an operation of a caller towards the workspace's demand.
+    /// Counts an operation towards the demand for this rate.
     pub fn count_operation(&self, now: Instant) {
         self.lock().demand.count_operation(now);
     }
@@ -217,7 +217,7 @@
     }
 }
 
-type ShareMap = BTreeMap<name::WorkspaceName, Arc<WorkspaceShare>>;
+type ShareMap = BTreeMap<limit::LimitKey, Arc<RateShare>>;
 
 /// The clock that the buckets read.
 #[derive(Debug, Clone, Copy)]
@@ -229,12 +229,12 @@
     }
 }
 
-/// This VM's shares of the rates of all workspaces.
+/// This VM's shares of all rates.
 #[derive(Debug)]
 pub struct RateLimiter {
     shares: RwLock<ShareMap>,
     clock: LimiterClock,
-    /// Creates the bucket of a workspace that is new to this process. By default it is
+    /// Creates the bucket of a limit that is new to this process. By default it is
     /// empty: a process that this one replaces may just have spent its tokens.
     new_bucket: fn(bucket::ShareSize, Instant) -> bucket::ShareBucket,
 }
@@ -246,7 +246,7 @@
 }
 
 impl RateLimiter {
-    /// Creates a limiter without workspaces, which reads the time from `clock`.
+    /// Creates a limiter without limits, which reads the time from `clock`.
     pub fn with_clock(clock: LimiterClock) -> Self {
         Self {
             new_bucket: bucket::ShareBucket::new_empty,
@@ -264,16 +264,16 @@
         self
     }
 
-    /// Returns this VM's share of a workspace's rate.
-    pub fn find(&self, workspace: &name::WorkspaceName) -> Option<Arc<WorkspaceShare>> {
-        self.read().get(workspace).cloned()
+    /// Returns this VM's share of a rate.
+    pub fn find(&self, key: impl Into<limit::LimitKey>) -> Option<Arc<RateShare>> {
+        self.read().get(&key.into()).cloned()
     }
 
-    /// Returns all workspaces with this VM's shares of their rates.
-    pub fn workspace_shares(&self) -> Vec<(name::WorkspaceName, Arc<WorkspaceShare>)> {
+    /// Returns this VM's shares of all rates.
+    pub fn all_shares(&self) -> Vec<(limit::LimitKey, Arc<RateShare>)> {
         self.read()
             .iter()
-            .map(|(name, share)| (name.clone(), Arc::clone(share)))
+            .map(|(key, share)| (key.clone(), Arc::clone(share)))
             .collect()
     }
 
@@ -292,11 +292,11 @@
         }
     }
 
-    /// Applies the sizes of this VM's shares, one for each configured workspace. Smaller
+    /// Applies the sizes of this VM's shares, one for each limit. Smaller
     /// shares take effect at once, larger ones after `delay`.
     pub fn apply_sizes(
         &self,
-        sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>,
+        sizes: &BTreeMap<limit::LimitKey, bucket::ShareSize>,
         delay: Duration,
     ) {
         self.update_sizes(sizes, |bucket, size, now| {
@@ -304,26 +304,26 @@
         });
     }
 
-    /// Reduces this VM's shares to at most the given sizes, one for each configured workspace.
-    pub fn shrink_to(&self, sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>) {
+    /// Reduces this VM's shares to at most the given sizes, one for each limit.
+    pub fn shrink_to(&self, sizes: &BTreeMap<limit::LimitKey, bucket::ShareSize>) {
         self.update_sizes(sizes, bucket::ShareBucket::shrink);
     }
 
     fn update_sizes(
         &self,
-        sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>,
+        sizes: &BTreeMap<limit::LimitKey, bucket::ShareSize>,
         update: impl Fn(&mut bucket::ShareBucket, bucket::ShareSize, Instant),
     ) {
         let now = self.clock.now();
         let mut shares = self.shares.write().unwrap_or_else(PoisonError::into_inner);
-        shares.retain(|workspace, _| sizes.contains_key(workspace));
-        for (workspace, size) in sizes {
-            match shares.get(workspace) {
+        shares.retain(|key, _| sizes.contains_key(key));
+        for (key, size) in sizes {
+            match shares.get(key) {
                 Some(share) => update(&mut share.lock().bucket, *size, now),
                 None => {
                     let bucket = (self.new_bucket)(*size, now);
                     let share = new_share(bucket, self.clock, now);
-                    shares.insert(workspace.clone(), Arc::new(share));
+                    shares.insert(key.clone(), Arc::new(share));
                 }
             }
         }
@@ -331,10 +331,10 @@
 
     /// Replaces each bucket by a new one of the given size, for the first allocation after
     /// all VMs of a fleet were restarted.
-    pub fn restart(&self, sizes: &BTreeMap<name::WorkspaceName, bucket::ShareSize>) {
+    pub fn restart(&self, sizes: &BTreeMap<limit::LimitKey, bucket::ShareSize>) {
         let now = self.clock.now();
-        for (workspace, share) in self.read().iter() {
-            if let Some(size) = sizes.get(workspace) {
+        for (key, share) in self.read().iter() {
+            if let Some(size) = sizes.get(key) {
                 share.lock().bucket = (self.new_bucket)(*size, now);
             }
         }
@@ -356,9 +356,9 @@
     }
 }
 
-fn new_share(bucket: bucket::ShareBucket, clock: LimiterClock, now: Instant) -> WorkspaceShare {
-    WorkspaceShare {
-        state: Mutex::new(WorkspaceBucket {
+fn new_share(bucket: bucket::ShareBucket, clock: LimiterClock, now: Instant) -> RateShare {
+    RateShare {
+        state: Mutex::new(LimitBucket {
             bucket,
             demand: demand::DemandMeter::new(now),
             requested_at: now,
--- a/crates/bluebellferry_shares/src/ownership.rs
+++ b/crates/bluebellferry_shares/src/ownership.rs
@@ -1,4 +1,4 @@
-//! Decides which members of a group own a workspace's rate. The members are the VMs of a
+//! Decides which members of a group own a rate. The members are the VMs of a
 //! data centre, or the data centres of the fleet.
 //!
 //! With many VMs an equal share for each would be less than a token, and fractions that are
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use bluebellferry_types::name;
+use bluebellferry_types::limit;
 use serde::Deserialize;
 use serde::Serialize;
 use smallvec::SmallVec;
@@ -164,14 +164,21 @@
     (1 + additional).min(MAX_OWNERS)
 }
 
+/// Returns how many members own the rate of a limit, given in operations per second.
+///
+/// The pace of a database has one owner: its burst is too small to be divided, and it is used
+/// only for seconds, so that the loss of the owner costs little.
+pub fn owner_count_of(key: &limit::LimitKey, rate_per_second: f64) -> usize {
+    match key {
+        limit::LimitKey::Workspace(_) => owner_count(rate_per_second),
+        limit::LimitKey::Database(_) => 1,
+    }
+}
+
 impl RateOwners {
-    /// Chooses `count` owners of a workspace's rate. The fractions add up to at most 1.
-    pub fn choose(
-        workspace: &name::WorkspaceName,
-        count: usize,
-        members: &[GroupMember<'_>],
-    ) -> Self {
-        let seed = xxh3::xxh3_64(workspace.as_str().as_bytes());
+    /// Chooses `count` owners of a rate. The fractions add up to at most 1.
+    pub fn choose(key: &limit::LimitKey, count: usize, members: &[GroupMember<'_>]) -> Self {
+        let seed = xxh3::xxh3_64(key.as_str().as_bytes());
         let score =
             |member: &GroupMember<'_>| xxh3::xxh3_64_with_seed(member.name.as_bytes(), seed);
         let mut ranked: Vec<(u64, &str, usize)> = members
--- a/crates/bluebellferry_shares/tests/exceeded_limit.rs
+++ b/crates/bluebellferry_shares/tests/exceeded_limit.rs
@@ -49,7 +49,7 @@
             rate_per_second: rate * fraction,
             burst: rate * fraction,
         };
-        let sizes = BTreeMap::from([(workspace.clone(), size)]);
+        let sizes = BTreeMap::from([((&workspace).into(), size)]);
         limiter.apply_sizes(&sizes, Duration::ZERO);
         limiter.record_running(now);
         SimulatedVm {
@@ -123,7 +123,7 @@
             match message {
                 Message::Request { amount, number } => {
                     let vm = &self.vms[to];
-                    let amount = lending::lend(&vm.limiter, "exceeded", amount, now);
+                    let amount = lending::lend(&vm.limiter, &(&self.workspace).into(), amount, now);
                     if amount > 0.0 {
                         let transfer = Message::Transfer { amount, number };
                         self.messages.push((now + LATENCY, to, from, transfer));
--- a/crates/bluebellferry_shares/tests/owned_limit.rs
+++ b/crates/bluebellferry_shares/tests/owned_limit.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use bluebellferry_limits::bucket;
+use bluebellferry_limits::pace;
 use bluebellferry_shares::lending;
 use bluebellferry_shares::limiter;
 use bluebellferry_shares::ownership;
@@ -57,6 +58,8 @@
     messages: Vec<(Instant, usize, usize, Message)>,
     arrived: u32,
     admitted: u32,
+    /// When each operation was admitted.
+    admitted_at: Vec<Instant>,
 }
 
 fn latency(from: usize, to: usize) -> Duration {
@@ -69,6 +72,14 @@
 
 impl Fleet {
     fn new(ownership: Ownership, rate: f64, now: Instant) -> Self {
+        let size = bucket::ShareSize {
+            rate_per_second: rate,
+            burst: rate,
+        };
+        Self::with_burst(ownership, size, now)
+    }
+
+    fn with_burst(ownership: Ownership, total: bucket::ShareSize, now: Instant) -> Self {
         let workspace = name::WorkspaceName::try_from("small").expect("a valid name");
         let vm = |index: usize| {
             let limiter = limiter::RateLimiter::default();
@@ -79,10 +90,10 @@
                 Ownership::Owners(_) | Ownership::Single => 0.0,
             };
             let size = bucket::ShareSize {
-                rate_per_second: rate * fraction,
-                burst: rate * fraction,
+                rate_per_second: total.rate_per_second * fraction,
+                burst: total.burst * fraction,
             };
-            let sizes = BTreeMap::from([(workspace.clone(), size)]);
+            let sizes = BTreeMap::from([((&workspace).into(), size)]);
             limiter.apply_sizes(&sizes, Duration::ZERO);
             limiter.set_owners(ownership != Ownership::Equal);
             limiter.record_running(now);
@@ -100,6 +111,7 @@
             messages: Vec::new(),
             arrived: 0,
             admitted: 0,
+            admitted_at: Vec::new(),
         }
     }
 
@@ -142,6 +154,7 @@
         while !vm.waiting.is_empty() && share.try_take(now) {
             vm.waiting.remove(0);
             self.admitted += 1;
+            self.admitted_at.push(now);
         }
         vm.waiting.retain(|arrived| now - *arrived < max_wait);
         // For the other callers an answer would come too late.
@@ -189,7 +202,7 @@
             let vm = &mut self.vms[to];
             match message {
                 Message::Request { amount, number } => {
-                    let amount = lending::lend(&vm.limiter, "small", amount, now);
+                    let amount = lending::lend(&vm.limiter, &(&self.workspace).into(), amount, now);
                     if amount > 0.0 {
                         let transfer = Message::Transfer { amount, number };
                         let at = now + latency(to, from);
@@ -278,3 +291,37 @@
     // The workspace's rate is zero.
     assert_eq!(limiter::caller_retry_delay(long_refill, 0.0), long_refill);
 }
+
+/// The load is a cold database to which the callers of all VMs turn at the same moment: it must
+/// receive its pace, and no more in any second.
+#[test]
+fn a_cold_database_receives_its_pace_and_no_more() {
+    let tolerance = pace::PaceTolerance {
+        factor: 1.5,
+        statements: 5.0,
+    };
+    for per_second in [4.0, 20.0, 60.0] {
+        let size = tolerance.pace_of(per_second);
+        let start = Instant::now();
+        let database = name::DatabaseName::try_from("i-a").expect("a valid name");
+        let count = ownership::owner_count_of(&(&database).into(), size.rate_per_second);
+        let mut fleet = Fleet::with_burst(Ownership::Owners(count), size, start);
+        let mut now = start;
+        for number in 0..2_000 {
+            now += STEP;
+            fleet.step(number, per_second * 10.0, MAX_OWNER_WAIT, now);
+        }
+        let tolerated = per_second * tolerance.factor + tolerance.statements;
+        let most = fleet.admitted_at.iter().map(|from| {
+            let end = *from + Duration::from_secs(1);
+            let window = fleet.admitted_at.iter();
+            window.filter(|at| (*from..end).contains(*at)).count()
+        });
+        let most = most.max().unwrap_or_default() as f64;
+        let received = f64::from(fleet.admitted) / 10.0;
+        println!("{per_second} a second: {received:.1} received, at most {most} in a second");
+        assert!(most <= tolerated, "{per_second}: {most} of {tolerated}");
+        let paced = size.rate_per_second;
+        assert!(received >= paced * 0.9, "{paced}: {received}");
+    }
+}
--- a/crates/bluebellferry_shares/tests/rate_ownership.rs
+++ b/crates/bluebellferry_shares/tests/rate_ownership.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bluebellferry_shares::ownership;
+use bluebellferry_types::limit;
 use bluebellferry_types::name;
 use rand::Rng;
 use rand::SeedableRng;
@@ -103,7 +104,7 @@
 struct Fleet {
     random: StdRng,
     names: Vec<String>,
-    workspaces: Vec<name::WorkspaceName>,
+    workspaces: Vec<limit::LimitKey>,
     counts: Vec<usize>,
     vms: Vec<Vm>,
     heard: Vec<Vec<Heard>>,
@@ -138,11 +139,14 @@
     }
 }
 
+fn limit_key(workspace: &str) -> limit::LimitKey {
+    let workspace = name::WorkspaceName::try_from(workspace).expect("a valid name");
+    limit::LimitKey::Workspace(workspace)
+}
+
 impl Fleet {
     fn new(size: usize, seed: u64, loss: f64) -> Self {
-        let workspace = |index: usize| {
-            name::WorkspaceName::try_from(format!("w{index}").as_str()).expect("a valid name")
-        };
+        let workspace = |index: usize| limit_key(&format!("w{index}"));
         Self {
             random: StdRng::seed_from_u64(seed),
             names: (0..size).map(|index| format!("edge-{index}")).collect(),
@@ -441,7 +445,7 @@
 
 #[test]
 fn owners_do_not_change_when_others_join_or_leave() {
-    let workspace = name::WorkspaceName::try_from("w").expect("a valid name");
+    let workspace = limit_key("w");
     let owner_among = |names: &[&str]| {
         let counted = ownership::MemberStanding::Counted { since: 1 };
         let members: Vec<_> = names
@@ -465,9 +469,7 @@
 #[test]
 fn an_unresponsive_owner_keeps_its_fraction_until_it_has_fallen_back() {
     let workspaces: Vec<_> = (0..WORKSPACES)
-        .map(|index| {
-            name::WorkspaceName::try_from(format!("w{index}").as_str()).expect("a valid name")
-        })
+        .map(|index| limit_key(&format!("w{index}")))
         .collect();
     let names: Vec<String> = (0..35).map(|index| format!("edge-{index}")).collect();
     let counted = ownership::MemberStanding::Counted { since: 1 };
--- a/crates/bluebellferry_types/src/lib.rs
+++ b/crates/bluebellferry_types/src/lib.rs
@@ -15,6 +15,7 @@
 //! # Ok::<(), position::PositionError>(())
 //! ```
 
+pub mod limit;
 pub mod name;
 pub mod position;
 pub mod refusal;
--- a/crates/bluebellferry_types/src/refusal.rs
+++ b/crates/bluebellferry_types/src/refusal.rs
@@ -133,6 +133,15 @@
     /// A setting in the request has an invalid value.
     InvalidSetting => "invalid_setting", "22023",
         "The request carried a setting with a value that is not valid.";
+    /// The route and the workspace allow no database that could run the request.
+    OutsideHomes => "outside_homes", "57P03",
+        "The request must stay in its home regions, and no database there could serve it.";
+    /// Every database that could run the request is in a data centre that is being evacuated.
+    Evacuated => "evacuated", "57P03",
+        "The data centres that could serve the request are being emptied by their operators.";
+    /// A database that has just started or recovered takes only a limited number of requests.
+    DatabaseWarmingUp => "database_warming_up", "53300",
+        "The database has just started and takes only a few requests until it is up to speed.";
     /// The VM reached its limit of connected callers.
     TooManyCallers => "too_many_callers", "53300",
         "This server already has as many callers as it can hold.";
