Share what VMs see of databases, and refuse at once only what is hopeless

Cause: a VM of a large fleet sends a database less than a statement a second, so its own averages never notice a slow one, and a database that started was used like any other at once.

--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -156,12 +156,17 @@
         times.remote_sent = now;
     }
     let common = common_heartbeat(control, demand, now);
+    let observations = control.assess_databases(now);
     let sequence = links.next_sequence();
     control.lease.record_sent_heartbeat(sequence, clock::now());
     let targets = control.topology.next_targets(now);
     for target in targets {
         if target.is_in_own_centre || is_remote_due {
-            let heartbeat = heartbeat_for(control, &common, &target, now);
+            let mut heartbeat = heartbeat_for(control, &common, &target, now);
+            if target.is_in_own_centre {
+                heartbeat.observations.clone_from(&observations);
+                heartbeat.verdicts = control.verdicts_for_centre(now);
+            }
             let message = message::PeerMessage::Beat(Box::new(heartbeat));
             links.send_numbered(&target.vm, sequence, &message);
         }
--- a/crates/bluebellferry_edge/src/control/metrics.rs
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -111,6 +111,7 @@
     status_changes: prometheus::IntGaugeVec,
     owned_rates: prometheus::IntGauge,
     evacuated_centres: prometheus::IntGauge,
+    assessed_databases: prometheus::IntGauge,
     published_snapshots: prometheus::IntGauge,
     exceeds_rate_table: prometheus::IntGauge,
 }
@@ -140,6 +141,10 @@
                 "bluebellferry_evacuated_data_centres",
                 "Data centres that this VM knows to be in evacuation.",
             )?,
+            assessed_databases: prometheus::IntGauge::new(
+                "bluebellferry_assessed_databases",
+                "Databases with a penalty, or a reduced share of reads after a start.",
+            )?,
             published_snapshots: prometheus::IntGauge::new(
                 "bluebellferry_published_snapshots",
                 "Snapshots of the control state published to the traffic thread since the start.",
@@ -157,6 +162,7 @@
         let mut descriptions = self.status_changes.desc();
         descriptions.extend(self.owned_rates.desc());
         descriptions.extend(self.evacuated_centres.desc());
+        descriptions.extend(self.assessed_databases.desc());
         descriptions.extend(self.published_snapshots.desc());
         descriptions.extend(self.exceeds_rate_table.desc());
         descriptions
@@ -176,6 +182,8 @@
             .set(status.owned_rates.load(Ordering::Relaxed) as i64);
         self.evacuated_centres
             .set(status.evacuated_centres.load(Ordering::Relaxed) as i64);
+        self.assessed_databases
+            .set(status.assessed_databases.load(Ordering::Relaxed) as i64);
         self.published_snapshots
             .set(status.published_snapshots.load(Ordering::Relaxed) as i64);
         let exceeds = status.exceeds_rate_table.load(Ordering::Relaxed);
@@ -183,6 +191,7 @@
         let mut families = self.status_changes.collect();
         families.extend(self.owned_rates.collect());
         families.extend(self.evacuated_centres.collect());
+        families.extend(self.assessed_databases.collect());
         families.extend(self.published_snapshots.collect());
         families.extend(self.exceeds_rate_table.collect());
         families
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -227,6 +227,7 @@
     if let Some(evacuations) = &heartbeat.evacuations {
         control.apply_announced_evacuations(evacuations);
     }
+    control.record_received_evidence(&heartbeat, now);
     apply_received_allocations(&mut control, &heartbeat);
     let answered_sent = process_echo(&mut control, incarnation, &heartbeat);
     let composed_after = answered_sent.map(|sent| sent + heartbeat.echo_delay());
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -6,6 +6,7 @@
 pub mod places;
 mod rate_owners;
 mod shares;
+pub mod verdicts;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -21,6 +22,7 @@
 use bluebellferry_membership::heartbeat;
 use bluebellferry_membership::topology;
 use bluebellferry_promotion::lease;
+use bluebellferry_routing::assessment;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::lending;
 use bluebellferry_shares::limiter;
@@ -148,6 +150,11 @@
     pub databases: Arc<Vec<database::DatabaseEntry>>,
     /// The data centres that are being evacuated, with the times when this VM learned of it.
     evacuations: Arc<BTreeMap<name::DataCentreName, Instant>>,
+    /// Assesses databases from the observations of this data centre's VMs, if this VM is its
+    /// coordinator.
+    assessor: assessment::DatabaseAssessor,
+    /// The verdicts on databases in use, and when they were received or computed.
+    verdicts: verdicts::VerdictsInUse,
     /// The leadership table.
     pub leadership_table: leadership::LeadershipTable,
     /// The lease that limits how long the leadership table may be relied on.
@@ -240,6 +247,8 @@
             configuration: ConfigurationRecord::default(),
             databases: Arc::default(),
             evacuations: Arc::default(),
+            assessor: assessment::DatabaseAssessor::default(),
+            verdicts: verdicts::VerdictsInUse::default(),
             leadership_table: leadership::LeadershipTable::default(),
             lease: lease::LeaseTracker::default(),
             members: BTreeMap::new(),
@@ -533,6 +542,7 @@
             configuration: Arc::clone(&self.configuration.decoded),
             databases: Arc::clone(&self.databases),
             cut_off_since: self.cut_off_since,
+            verdicts: self.verdicts.current(clock::now()),
             evacuations: Arc::clone(&self.evacuations),
             awaits_evacuations: !self.has_evacuations(),
             leaders: Arc::new(leaders),
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -29,6 +29,7 @@
         if *self.databases != databases || self.versions.databases == 0 {
             self.log_databases(&databases);
             self.record_expired_entries(&databases, clock::now());
+            self.start_paces(&databases, clock::now());
             self.databases = Arc::new(databases);
             self.versions.databases = revision;
             if self.has_cold_paces() {
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -15,6 +15,7 @@
 use arc_swap::ArcSwap;
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::database;
+use bluebellferry_routing::assessment;
 use bluebellferry_routing::history;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::limiter;
@@ -80,6 +81,8 @@
     /// This VM's allocation of the fleet-wide limits. Allocations adjoin each other in the
     /// order of the VMs' names.
     pub allocation: FleetAllocation,
+    /// The databases that are not to be used like any other.
+    pub verdicts: Arc<BTreeMap<name::DatabaseName, assessment::DatabaseVerdict>>,
     /// How long a request waits for a token requested from another VM.
     pub loan_timeout: Duration,
     /// Since when this VM has been cut off from the other VMs, so that it can borrow no tokens;
@@ -182,6 +185,8 @@
     pub majority_changes: AtomicU64,
     /// How often this VM's data centre has lost or regained most other data centres.
     pub isolation_changes: AtomicU64,
+    /// The number of databases with a penalty or a reduced share of reads.
+    pub assessed_databases: AtomicU64,
     /// The number of data centres that are being evacuated.
     pub evacuated_centres: AtomicU64,
     /// The number of fleet-wide rates that this VM owns, alone or with others.
@@ -211,6 +216,8 @@
     pub fleet_status: FleetStatus,
     /// Whether idle sessions are to be closed, so that their callers connect to another VM.
     pub hand_over: watch::Sender<bool>,
+    /// What this VM saw of databases since the control thread last took it.
+    observations: Mutex<ObservationMap>,
     /// The current phase of the shutdown.
     pub drain_phase: watch::Sender<DrainPhase>,
     /// When the store last answered a read of the configuration.
@@ -220,6 +227,10 @@
     positions: Mutex<BTreeMap<name::ServiceName, history::PositionHistory>>,
 }
 
+/// What a VM saw of each database, with the database's service.
+pub type ObservationMap =
+    BTreeMap<name::DatabaseName, (name::ServiceName, assessment::DatabaseObservation)>;
+
 /// The capacity of the evidence queue to the control thread; further evidence is dropped.
 const MAX_QUEUED_EVIDENCE: usize = 256;
 
@@ -240,6 +251,7 @@
             evidence_sender,
             fleet_status: FleetStatus::default(),
             hand_over: watch::Sender::new(false),
+            observations: Mutex::default(),
             drain_phase: watch::Sender::new(DrainPhase::Serving),
             configuration_read_at: Mutex::default(),
             snapshot: ArcSwap::default(),
@@ -312,6 +324,31 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records what a statement showed of a database.
+    pub fn observe_database(
+        &self,
+        entry: &database::DatabaseEntry,
+        observe: impl FnOnce(&mut assessment::DatabaseObservation),
+    ) {
+        let observations = self.observations.lock();
+        let mut observations = observations.unwrap_or_else(PoisonError::into_inner);
+        match observations.get_mut(&entry.id) {
+            Some((_, observation)) => observe(observation),
+            None => {
+                let mut observation = assessment::DatabaseObservation::default();
+                observe(&mut observation);
+                let key = entry.id.clone();
+                observations.insert(key, (entry.service.clone(), observation));
+            }
+        }
+    }
+
+    /// Takes what this VM saw of databases since the last call.
+    pub fn take_observations(&self) -> ObservationMap {
+        let observations = self.observations.lock();
+        std::mem::take(&mut *observations.unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Returns the latest position observed at any leader of a service.
     pub fn latest_position(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
         let positions = self.lock_positions();
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -15,6 +15,7 @@
 use bluebellferry_limits::pace;
 use bluebellferry_pool::estimate;
 use bluebellferry_pool::pool;
+use bluebellferry_routing::assessment;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::limiter;
 use bluebellferry_types::name;
@@ -194,6 +195,8 @@
                 entry: Arc::new(entry.clone()),
                 is_registered: true,
                 latency: estimate::LatencyEstimate::new(latency),
+                initial_latency: latency,
+                busy_at: None,
                 unreachable_backoff: ranking::AvoidanceBackoff::default(),
                 lag_backoff: ranking::AvoidanceBackoff::default(),
                 pace_share: None,
@@ -497,7 +500,14 @@
             return;
         };
         let workspace = &request.pool_request.workspace;
-        let is_needed = state.pool.waiting_count_for(best) == 0
+        let is_assessed = {
+            let entry = &state.records[best].entry;
+            snapshot.verdicts.contains_key(&entry.id)
+        };
+        // A handshake costs a busy database as much as a statement.
+        let is_needed = !is_assessed
+            && state.records[best].has_room(now)
+            && state.pool.waiting_count_for(best) == 0
             && !state.pool.has_connection_for(workspace, best);
         if let Some(opening) = is_needed
             .then(|| state.pool.begin_open(workspace, best, now))
@@ -595,10 +605,12 @@
         let entry = Arc::clone(&record.entry);
         let result = match error {
             connection::OpenError::ConnectionLimit => {
+                record.busy_at = Some(now);
                 state.pool.record_limit_refusal(database, now);
                 "limit"
             }
             connection::OpenError::Busy => {
+                record.busy_at = Some(now);
                 state.pool.record_limit_refusal(database, now);
                 "busy"
             }
@@ -626,6 +638,7 @@
             error,
             connection::OpenError::Unreachable | connection::OpenError::Misrouted
         ) {
+            self.record_statement_failure(database);
             self.report_evidence(database, shared::EvidenceKind::Unresponsive);
         }
     }
@@ -706,12 +719,23 @@
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let record = &mut state.records[database];
+        let entry = Arc::clone(&record.entry);
+        self.shared
+            .observe_database(&entry, |observation| observation.add_answer(latency));
         record.latency.record(latency, now);
         record.unreachable_backoff.reset();
         let expected = record.latency.expected(now);
         state.pool.set_expected_latency(database, expected);
     }
 
+    /// Records that a database failed a statement or did not answer it.
+    pub fn record_statement_failure(&self, database: pool::DatabaseIndex) {
+        self.state.borrow_mut().records[database].busy_at = Some(clock::now());
+        let entry = self.registry_entry(database);
+        self.shared
+            .observe_database(&entry, assessment::DatabaseObservation::add_failure);
+    }
+
     /// Records that a replica served a read that required a position.
     pub fn record_caught_up(&self, database: pool::DatabaseIndex) {
         self.state.borrow_mut().records[database]
--- a/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
@@ -8,6 +8,7 @@
 use bluebellferry_limits::pace;
 use bluebellferry_pool::estimate;
 use bluebellferry_pool::pool;
+use bluebellferry_routing::assessment;
 use bluebellferry_shares::limiter;
 
 use crate::shared;
@@ -24,6 +25,16 @@
 /// borrow one from another VM.
 const PACE_PENALTY: Duration = Duration::from_millis(100);
 
+/// Added to the expected latency of a database for the reads that it is spared while it recovers.
+/// They still run there if all others are busier than that.
+const SPARED_PENALTY: Duration = Duration::from_millis(60);
+
+/// For how long a database that refused a connection or failed a statement counts as busy.
+const BUSY_MEMORY: Duration = Duration::from_secs(3);
+/// The expected latency, as a multiple of that without load, up to which a database has room for
+/// handshakes that no statement waits for.
+const MAX_ROOM_LATENCY: f64 = 1.3;
+
 /// An exponential backoff during which a database is not chosen.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct AvoidanceBackoff {
@@ -53,6 +64,10 @@
     pub(super) entry: Arc<database::DatabaseEntry>,
     pub(super) is_registered: bool,
     pub(super) latency: estimate::LatencyEstimate,
+    /// The expected latency before the first measurement.
+    pub(super) initial_latency: Duration,
+    /// When the database last refused a connection or failed a statement.
+    pub(super) busy_at: Option<Instant>,
     pub(super) unreachable_backoff: AvoidanceBackoff,
     pub(super) lag_backoff: AvoidanceBackoff,
     /// This VM's share of the pace at which the database may receive statements while it is
@@ -62,6 +77,14 @@
 }
 
 impl DatabaseRecord {
+    /// Returns whether the database is likely to have room for a handshake that no statement
+    /// waits for.
+    pub(super) fn has_room(&self, now: Instant) -> bool {
+        let was_busy = |at: Instant| now.saturating_duration_since(at) < BUSY_MEMORY;
+        let is_slow = self.latency.expected(now) > self.initial_latency.mul_f64(MAX_ROOM_LATENCY);
+        !self.busy_at.is_some_and(was_busy) && !is_slow
+    }
+
     /// Returns this VM's share of the database's pace if statements must keep to it.
     pub(super) fn pace_in_force(&self, now: Instant) -> Option<&Arc<limiter::RateShare>> {
         let share = self.pace_share.as_ref()?;
@@ -81,6 +104,8 @@
     rules: placement::PlaceRules<'_>,
     now: Instant,
 ) -> Vec<(pool::DatabaseIndex, Duration)> {
+    // One draw for all databases: a read is spared from at most those whose share is smaller.
+    let draw: f64 = rand::random();
     let cost = |(index, record): (pool::DatabaseIndex, &DatabaseRecord)| {
         let entry = &record.entry;
         let role = placement::role_of(snapshot, entry, request.requirement, now)?;
@@ -109,7 +134,18 @@
         } else {
             Duration::ZERO
         };
-        let cost = latency + connection_cost + leader_penalty + pace_penalty;
+        let verdict = snapshot.verdicts.get(&entry.id);
+        let has_alternatives = request.requirement.replica_min_position.is_some();
+        let is_spared =
+            |verdict: &assessment::DatabaseVerdict| has_alternatives && draw >= verdict.share;
+        let assessed_penalty = verdict.map_or(Duration::ZERO, |verdict| verdict.penalty);
+        let spared_penalty = if verdict.is_some_and(is_spared) {
+            SPARED_PENALTY
+        } else {
+            Duration::ZERO
+        };
+        let penalties = leader_penalty + pace_penalty + assessed_penalty + spared_penalty;
+        let cost = latency + connection_cost + penalties;
         Some((index, cost))
     };
     let mut ranked: Vec<_> = records.iter().enumerate().filter_map(cost).collect();
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -14,6 +14,7 @@
 use bluebellferry_runtime::clock;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
+use bluebellferry_shares::limiter;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -170,8 +171,7 @@
                 .operation_count
                 .fetch_add(1, Ordering::Relaxed);
             self.prepare_connection(statement, &scope);
-            self.take_token(&scope.workspace, scope.policy.priority)
-                .await?;
+            self.take_token(&scope).await?;
         }
         Ok(scope)
     }
@@ -195,23 +195,19 @@
     }
 
     /// Takes a token from the workspace's token bucket, and waits for one for a limited time.
-    async fn take_token(
-        &self,
-        workspace: &name::WorkspaceName,
-        priority: u8,
-    ) -> Result<(), refusal::RequestRefusal> {
+    async fn take_token(&self, scope: &StatementScope) -> Result<(), refusal::RequestRefusal> {
         let shared = &self.context.shared;
+        let workspace = &scope.workspace;
         let Some(share) = shared.rate_limiter.find(workspace) else {
             return Ok(());
         };
         let snapshot = shared.snapshot();
-        let admitted = share
-            .admit_urgent(
-                priority.into(),
-                snapshot.loan_timeout,
-                &shared.tokens_wanted,
-            )
-            .await;
+        let level = scope.policy.priority.into();
+        let wait = limiter::TokenWait {
+            longest: snapshot.loan_timeout,
+            hopeless_after: scope.policy.latency_objective,
+        };
+        let admitted = share.admit_urgent(level, wait, &shared.tokens_wanted).await;
         admitted.map_err(|shortage| {
             let reason = refusal::RefusalReason::RateExceeded;
             let text = format!("the workspace {workspace} has used up its rate");
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -48,6 +48,16 @@
     }
 }
 
+/// Returns whether an error says that the database does not work as it should, rather than that it
+/// was not the right one for the statement.
+const fn is_database_fault(error: database::DatabaseError) -> bool {
+    use database::DatabaseError as Error;
+    matches!(
+        error,
+        Error::Busy | Error::Failed | Error::TimedOut | Error::Other
+    )
+}
+
 impl session::CallerSession {
     /// Logs a refusal, with the fields of the snapshot that explain it.
     pub(super) fn log_refusal(
@@ -189,6 +199,9 @@
         if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
             dispatcher.record_latency(connection.database, latency);
         }
+        if answer.error.is_some_and(is_database_fault) {
+            dispatcher.record_statement_failure(connection.database);
+        }
         let entry = dispatcher.registry_entry(connection.database);
         let snapshot = self.context.shared.snapshot();
         let leader = snapshot.leaders.get(&entry.service);
@@ -235,6 +248,7 @@
         }
         if error != connection::ExchangeError::Malformed {
             dispatcher.record_unresponsive(database);
+            dispatcher.record_statement_failure(database);
             let kind = if is_commit {
                 shared::EvidenceKind::CommitUnanswered
             } else {
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bluebellferry_catalog::leadership;
+use bluebellferry_routing::assessment;
 use bluebellferry_shares::ownership;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
@@ -122,6 +123,17 @@
     pub evacuations: u64,
 }
 
+/// What the sender saw of a database.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObservedDatabase {
+    /// The service of the database.
+    pub service: name::ServiceName,
+    /// The database.
+    pub database: name::DatabaseName,
+    /// What the sender saw.
+    pub observation: assessment::DatabaseObservation,
+}
+
 /// The data centres that are being evacuated.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationList {
@@ -219,6 +231,11 @@
     pub positions: Vec<PositionSample>,
     /// The evacuated data centres, if the receiver may not know them.
     pub evacuations: Option<EvacuationList>,
+    /// What the sender saw of databases since its last heartbeat to the coordinator of its data
+    /// centre; empty for other receivers.
+    pub observations: Vec<ObservedDatabase>,
+    /// The verdicts on databases, if the sender is the coordinator of the receiver's data centre.
+    pub verdicts: Vec<assessment::DatabaseVerdict>,
 }
 
 impl FleetHeartbeat {
--- a/crates/bluebellferry_routing/src/lib.rs
+++ b/crates/bluebellferry_routing/src/lib.rs
@@ -20,5 +20,6 @@
 //! assert_eq!(history.max_age_at(LogPosition::new(1, 20), now), Some(Duration::from_secs(1)));
 //! ```
 
+pub mod assessment;
 pub mod choice;
 pub mod history;
--- a/crates/bluebellferry_shares/src/lending.rs
+++ b/crates/bluebellferry_shares/src/lending.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 struct OpenRequest<A> {
     key: limit::LimitKey,
+    /// The most urgent level that the request wants tokens for.
+    level: urgency::UrgencyLevel,
     requested_at: Instant,
     answered_by: Vec<A>,
 }
@@ -103,15 +105,19 @@
             .retain(|_, request| age(request) < TOKEN_REQUEST_LIFETIME);
         let mut requests = Vec::new();
         for (key, share) in limiter.all_shares() {
-            let is_open = |request: &OpenRequest<A>| {
+            let is_open = |request: &&OpenRequest<A>| {
                 let is_unanswered =
                     request.answered_by.is_empty() && age(request) < OWNER_ANSWER_TIMEOUT;
                 is_unanswered && request.key == key
             };
-            if self.open_requests.values().any(is_open) {
+            let open = self.open_requests.values().filter(is_open);
+            let open_level = open.map(|request| request.level).min();
+            // An urgent operation does not wait for the answer to a less urgent one.
+            if open_level.is_some_and(|open| !share.waits_for_more_urgent(open)) {
                 continue;
             }
             if let Some(wanted) = share.start_owner_token_request(now) {
+                let wanted = open_level.map_or(wanted, |open| wanted.more_urgent_than(open));
                 requests.push(self.open_request(key, wanted.total(), wanted, now));
             }
         }
@@ -134,6 +140,7 @@
             .is_some_and(|request| request.answered_by.is_empty());
         let request = OpenRequest {
             key: key.clone(),
+            level: wanted.most_urgent(),
             requested_at: now,
             answered_by: Vec::new(),
         };
--- a/crates/bluebellferry_shares/src/limiter.rs
+++ b/crates/bluebellferry_shares/src/limiter.rs
@@ -99,6 +99,16 @@
     }
 }
 
+/// How long an operation waits for a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenWait {
+    /// The longest wait.
+    pub longest: Duration,
+    /// The operation is refused at once if its token is not expected before this time after its
+    /// start. It is longer than `longest`, as a token may come sooner than expected.
+    pub hopeless_after: Duration,
+}
+
 /// Why an operation got no token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenShortage {
@@ -223,11 +233,15 @@
     /// available in time.
     pub async fn admit(&self, max_wait: Duration, tokens_wanted: &Notify) -> Result<(), Duration> {
         let level = urgency::UrgencyLevel::default();
-        let admitted = self.admit_urgent(level, max_wait, tokens_wanted).await;
+        let wait = TokenWait {
+            longest: max_wait,
+            hopeless_after: max_wait,
+        };
+        let admitted = self.admit_urgent(level, wait, tokens_wanted).await;
         admitted.map_err(|shortage| shortage.wait)
     }
 
-    /// Takes a token for an operation of an urgency level, waiting at most `max_wait` for one.
+    /// Takes a token for an operation of an urgency level, and waits for one within `wait`.
     /// `tokens_wanted` is notified when tokens should be requested from other VMs.
     ///
     /// # Errors
@@ -236,7 +250,7 @@
     pub async fn admit_urgent(
         &self,
         level: urgency::UrgencyLevel,
-        max_wait: Duration,
+        wait: TokenWait,
         tokens_wanted: &Notify,
     ) -> Result<(), TokenShortage> {
         let started = self.clock.now();
@@ -244,7 +258,7 @@
             return Ok(());
         }
         let mut operation = WaitingOperation::new(&self.waiting, level);
-        self.wait_for_token(started, max_wait, tokens_wanted, &mut operation)
+        self.wait_for_token(started, wait, tokens_wanted, &mut operation)
             .await
     }
 
@@ -256,6 +270,12 @@
         self.lock().take_ordered(level, urgent_waiting, now)
     }
 
+    /// Returns whether an operation that is more urgent than `level` waits for a token.
+    pub fn waits_for_more_urgent(&self, level: urgency::UrgencyLevel) -> bool {
+        let mut more_urgent = self.waiting[..level.index()].iter();
+        more_urgent.any(|waiting| waiting.load(Ordering::Relaxed) > 0)
+    }
+
     /// Returns when tokens are expected, if an owner has denied them to operations of this level.
     pub fn denial_of(&self, level: urgency::UrgencyLevel, now: Instant) -> Option<Instant> {
         let denial = self.lock().denial?;
@@ -282,7 +302,7 @@
     async fn wait_for_token(
         &self,
         started: Instant,
-        max_wait: Duration,
+        wait: TokenWait,
         tokens_wanted: &Notify,
         operation: &mut WaitingOperation<'_>,
     ) -> Result<(), TokenShortage> {
@@ -293,9 +313,10 @@
             let bucket::TakeOutcome::Empty { refill_delay } = outcome else {
                 return Ok(());
             };
+            let max_wait = wait.longest;
             let remaining = max_wait.saturating_sub(now - started);
             if let Some(available_at) = self.denial_of(operation.level, now)
-                && available_at > now + remaining
+                && available_at > started + wait.hopeless_after
             {
                 return Err(TokenShortage {
                     wait: available_at - now,
@@ -312,8 +333,8 @@
                 operation.stop_counting();
             }
             tokens_wanted.notify_one();
-            let wait = refill_delay.min(remaining).min(RETRY_INTERVAL);
-            tokio::time::timeout(wait, arrival).await.ok();
+            let pause = refill_delay.min(remaining).min(RETRY_INTERVAL);
+            tokio::time::timeout(pause, arrival).await.ok();
         }
     }
 
@@ -443,6 +464,20 @@
         wanted
     }
 
+    /// Returns the most urgent level that wants tokens; the least urgent one if none does.
+    pub fn most_urgent(&self) -> urgency::UrgencyLevel {
+        let mut levels = urgency::UrgencyLevel::all();
+        let found = levels.find(|level| self.0[level.index()] > 0.0);
+        found.unwrap_or(urgency::UrgencyLevel::from(u8::MAX))
+    }
+
+    /// Returns what more urgent levels than `level` want.
+    #[must_use]
+    pub fn more_urgent_than(mut self, level: urgency::UrgencyLevel) -> Self {
+        self.0[level.index()..].fill(0.0);
+        self
+    }
+
     /// Returns the tokens of all levels.
     pub fn total(&self) -> f64 {
         self.0.iter().sum()
