--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -170,11 +170,15 @@
             level,
             wait_ms,
         } => {
+            let Some(sender) = find_sender(links, from) else {
+                return;
+            };
             let mut control = control.borrow_mut();
             let shared = Arc::clone(&control.shared);
             let wait = Duration::from_millis(u64::from(wait_ms));
             control.token_requests.record_denial(
                 &shared.rate_limiter,
+                sender,
                 number,
                 (level.into(), wait),
                 now,
--- a/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/ranking.rs
@@ -135,22 +135,53 @@
             Duration::ZERO
         };
         let verdict = snapshot.verdicts.get(&entry.id);
-        let has_alternatives = request.requirement.replica_min_position.is_some();
-        let is_spared =
-            |verdict: &assessment::DatabaseVerdict| has_alternatives && draw >= verdict.share;
-        let assessed_penalty = verdict.map_or(Duration::ZERO, |verdict| verdict.penalty);
-        let spared_penalty = if verdict.is_some_and(is_spared) {
-            SPARED_PENALTY
+        Some(RankedDatabase {
+            index,
+            cost: latency + connection_cost + leader_penalty + pace_penalty,
+            is_leader,
+            verdict_penalty: verdict
+                .map_or(Duration::ZERO, |verdict| verdict_penalty(verdict, draw)),
+        })
+    };
+    let mut ranked: Vec<RankedDatabase> = records.iter().enumerate().filter_map(cost).collect();
+    add_verdict_penalties(&mut ranked);
+    ranked.sort_by_key(|ranked| ranked.cost);
+    let indexed = ranked.iter().map(|ranked| (ranked.index, ranked.cost));
+    indexed.collect()
+}
+
+/// A database that may run a statement.
+struct RankedDatabase {
+    index: pool::DatabaseIndex,
+    /// The expected time to the answer.
+    cost: Duration,
+    is_leader: bool,
+    verdict_penalty: Duration,
+}
+
+/// Returns the penalty that a verdict gives a database for a read; `draw` decides, from 0 to 1,
+/// whether the read is spared from a database that recovers.
+fn verdict_penalty(verdict: &assessment::DatabaseVerdict, draw: f64) -> Duration {
+    if draw < verdict.share {
+        verdict.penalty
+    } else {
+        verdict.penalty + SPARED_PENALTY
+    }
+}
+
+/// Adds the penalties of the verdicts to the costs of replicas. The leader gets the lowest penalty
+/// of any replica: bad replicas move reads to better replicas, but not to the leader, whose
+/// capacity is needed for what only it can run.
+fn add_verdict_penalties(ranked: &mut [RankedDatabase]) {
+    let replicas = ranked.iter().filter(|ranked| !ranked.is_leader);
+    let lowest = replicas.map(|ranked| ranked.verdict_penalty).min();
+    for ranked in ranked {
+        ranked.cost += if ranked.is_leader {
+            lowest.unwrap_or_default()
         } else {
-            Duration::ZERO
+            ranked.verdict_penalty
         };
-        let penalties = leader_penalty + pace_penalty + assessed_penalty + spared_penalty;
-        let cost = latency + connection_cost + penalties;
-        Some((index, cost))
-    };
-    let mut ranked: Vec<_> = records.iter().enumerate().filter_map(cost).collect();
-    ranked.sort_by_key(|(_, cost)| *cost);
-    ranked
+    }
 }
 
 /// Estimates how long a statement waits until one of a database's connections is released.
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -205,7 +205,7 @@
         let level = scope.policy.priority.into();
         let wait = limiter::TokenWait {
             longest: snapshot.loan_timeout,
-            hopeless_after: scope.policy.latency_objective,
+            hopeless_after: snapshot.loan_timeout,
         };
         let admitted = share.admit_urgent(level, wait, &shared.tokens_wanted).await;
         admitted.map_err(|shortage| {
--- a/crates/bluebellferry_routing/src/assessment.rs
+++ b/crates/bluebellferry_routing/src/assessment.rs
@@ -24,16 +24,16 @@
 /// The time constant of a database's usual latency.
 const USUAL: Duration = Duration::from_secs(10);
 /// The fewest recent answers that count as evidence.
-const MIN_EVIDENCE: f64 = 3.0;
+const MIN_EVIDENCE: f64 = 4.0;
 /// A database is slow if its recent latency exceeds its usual one by this factor.
-const SLOW_FACTOR: f64 = 2.0;
+const SLOW_FACTOR: f64 = 2.5;
 /// The latency above the usual one that never counts as slow, in milliseconds.
 const MIN_EXCESS_MS: f64 = 15.0;
 /// The fraction of failed statements from which a database counts as failing.
-const FAILING_FRACTION: f64 = 0.15;
+const FAILING_FRACTION: f64 = 0.3;
 /// What a failed read costs its caller, in milliseconds: the wait for an answer that does not
 /// come, and a second attempt elsewhere.
-const FAILURE_COST_MS: f64 = 400.0;
+const FAILURE_COST_MS: f64 = 250.0;
 /// How long without evidence until a penalty has halved, so that the database is tried again.
 const PENALTY_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// Smaller penalties are dropped, in milliseconds.
--- a/crates/bluebellferry_shares/src/lending.rs
+++ b/crates/bluebellferry_shares/src/lending.rs
@@ -158,13 +158,16 @@
     pub fn record_denial(
         &mut self,
         limiter: &limiter::RateLimiter,
+        lender: A,
         number: u64,
         (level, wait): (urgency::UrgencyLevel, Duration),
         now: Instant,
     ) {
-        let Some(request) = self.open_requests.get(&number) else {
+        let Some(request) = self.open_requests.get_mut(&number) else {
             return;
         };
+        // The next request goes to another owner.
+        request.answered_by.push(lender);
         if let Some(share) = limiter.find(request.key.clone()) {
             share.record_denial(level, wait, now);
         }
--- a/crates/bluebellferry_shares/src/limiter.rs
+++ b/crates/bluebellferry_shares/src/limiter.rs
@@ -29,7 +29,10 @@
 pub const MAX_ROUND_TRIP: Duration = Duration::from_millis(60);
 /// How long a denial holds for operations that have not asked yet. Later ones ask again, so that
 /// tokens that were added meanwhile are used.
-const DENIAL_VALIDITY: Duration = Duration::from_millis(50);
+const DENIAL_VALIDITY: Duration = Duration::from_millis(90);
+/// How many owners in a row must deny tokens before operations are refused: another one may have
+/// some.
+const MIN_DENIALS: u32 = 2;
 /// The shortest time between two token requests for one limit.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 /// How often a waiting operation triggers another token request.
@@ -140,11 +143,13 @@
     available_at: Instant,
     /// Until when the denial holds for operations that have not asked.
     valid_until: Instant,
+    /// How many owners in a row have denied tokens.
+    count: u32,
 }
 
 impl TokenDenial {
     fn applies_to(&self, level: urgency::UrgencyLevel, now: Instant) -> bool {
-        level >= self.level && now < self.valid_until
+        level >= self.level && now < self.valid_until && self.count >= MIN_DENIALS
     }
 }
 
@@ -291,11 +296,16 @@
     /// Records an owner's answer that operations of a level, and less urgent ones, get no token
     /// before `wait` has passed. Wakes the operations that wait.
     pub fn record_denial(&self, level: urgency::UrgencyLevel, wait: Duration, now: Instant) {
-        self.lock().denial = Some(TokenDenial {
+        let mut state = self.lock();
+        let previous = state.denial.filter(|denial| now < denial.valid_until);
+        let count = previous.map_or(1, |denial| denial.count + 1);
+        state.denial = Some(TokenDenial {
+            count,
             level,
             available_at: now + wait.min(bucket::MAX_REFILL_DELAY),
             valid_until: now + wait.min(DENIAL_VALIDITY),
         });
+        drop(state);
         self.tokens_arrived.notify_waiters();
     }
 
@@ -396,7 +406,10 @@
     /// Adds tokens that another VM lent and wakes the operations that wait for one.
     /// `requested_at` is an instant before the token request was sent.
     pub fn accept_loan(&self, amount: f64, requested_at: Instant, now: Instant) {
-        self.lock().bucket.accept_loan(amount, requested_at, now);
+        let mut state = self.lock();
+        state.bucket.accept_loan(amount, requested_at, now);
+        state.denial = None;
+        drop(state);
         self.tokens_arrived.notify_waiters();
     }
 
--- a/crates/bluebellferry_shares/tests/urgent_first.rs
+++ b/crates/bluebellferry_shares/tests/urgent_first.rs
@@ -188,7 +188,7 @@
                 Message::Denial(level, wait, number) => {
                     let vm = &mut self.vms[to];
                     vm.tracker
-                        .record_denial(&vm.limiter, number, (level, wait), now);
+                        .record_denial(&vm.limiter, from, number, (level, wait), now);
                 }
             }
         }
