Split the dispatcher and the limiter, and let the soak evacuate data centres

The dispatcher's files are one job each again: placing a statement, pacing, places, connections opened early; the limiter's shortages and loans have their own.

The soak's databases stand in three data centres. Half of the schedules evacuate one, drawn from random numbers of their own so that seeds keep their other faults; the checker finds statements that reach an evacuated database after 5 s.

--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -1,5 +1,8 @@
 //! Obtains a database connection for each statement, from the pool or by opening a new one.
 
+mod pacing;
+mod places;
+mod preparation;
 mod ranking;
 
 use std::cell::RefCell;
@@ -17,7 +20,6 @@
 use bluebellferry_pool::pool;
 use bluebellferry_routing::assessment;
 use bluebellferry_runtime::clock;
-use bluebellferry_shares::limiter;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -67,14 +69,6 @@
 /// The maximum time that a read or BEGIN waits for a database before it is retried at another.
 const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// When a caller is told to come back after an evacuation or its home regions left no database:
-/// operators end neither sooner than that.
-const PLACE_RETRY_DELAY: Duration = Duration::from_secs(1);
-
-/// How long open transactions may go on at an evacuated database after this VM has learned of the
-/// evacuation, as a fraction of the time limit. The rest of it may have passed by then.
-const EVACUATION_GRACE_FRACTION: f64 = 0.2;
-
 /// A connection to a database that the pool manages.
 pub type PoolConnection = connection::DatabaseConnection;
 
@@ -298,41 +292,6 @@
         }
     }
 
-    fn place_rules<'a>(&'a self, request: &'a PlacementRequest) -> placement::PlaceRules<'a> {
-        placement::PlaceRules {
-            regions: &self.shared.settings.regions,
-            homes: &request.homes,
-        }
-    }
-
-    /// Returns the refusal of a statement that no database may run because of its place.
-    fn refuse_conflict(&self, request: &PlacementRequest) -> Option<refusal::RequestRefusal> {
-        let snapshot = self.shared.snapshot();
-        let conflict = self
-            .place_rules(request)
-            .find_conflict(&snapshot, &request.service)?;
-        let (reason, message) = match conflict {
-            placement::PlaceConflict::NoCommonHome => (
-                refusal::RefusalReason::OutsideHomes,
-                "the route and the workspace have no home region in common",
-            ),
-            placement::PlaceConflict::OutsideHomes => (
-                refusal::RefusalReason::OutsideHomes,
-                "no database of the service is in a home region",
-            ),
-            placement::PlaceConflict::AllEvacuated => (
-                refusal::RefusalReason::Evacuated,
-                "all data centres that could serve the request are being evacuated",
-            ),
-        };
-        let refusal = refuse_not_run(reason, message);
-        Some(match conflict {
-            // Only a new configuration resolves these.
-            placement::PlaceConflict::NoCommonHome => refusal,
-            _ => refusal.retry_after(PLACE_RETRY_DELAY),
-        })
-    }
-
     /// Returns the connection if its database may still run the statement. The snapshot may have
     /// changed while the statement waited.
     fn check_placement(
@@ -362,63 +321,6 @@
         })
     }
 
-    /// Waits until the database of a connection may receive another statement, and returns the
-    /// connection.
-    async fn keep_pace_of(
-        self: &Rc<Self>,
-        placed: PlacedConnection,
-        deadline: Instant,
-    ) -> Result<PlacedConnection, refusal::RequestRefusal> {
-        match self.keep_pace(placed.connection.database, deadline).await {
-            Ok(()) => Ok(placed),
-            Err(refusal) => {
-                self.release(placed.connection);
-                Err(refusal)
-            }
-        }
-    }
-
-    /// Waits until a cold database may receive another statement. Does not wait for a warm one.
-    ///
-    /// # Errors
-    /// Returns a refusal if it may not before `deadline`.
-    pub async fn keep_pace(
-        &self,
-        database: pool::DatabaseIndex,
-        deadline: Instant,
-    ) -> Result<(), refusal::RequestRefusal> {
-        let now = clock::now();
-        let share = {
-            let state = self.state.borrow();
-            state.records[database].pace_in_force(now).cloned()
-        };
-        let Some(share) = share else { return Ok(()) };
-        let max_wait = deadline
-            .saturating_duration_since(now)
-            .min(limiter::MAX_TRANSACTION_WAIT);
-        let admitted = share.admit(max_wait, &self.shared.tokens_wanted).await;
-        let result = if admitted.is_ok() {
-            "granted"
-        } else {
-            "refused"
-        };
-        self.metrics.count_paced(result);
-        admitted.map_err(|refilled_in| {
-            let reason = refusal::RefusalReason::DatabaseWarmingUp;
-            refuse_not_run(
-                reason,
-                "the database takes only a few statements after its start",
-            )
-            .retry_after(refilled_in)
-        })
-    }
-
-    /// Records that a database ended a connection: it may have started again.
-    fn record_interrupted(&self, database: pool::DatabaseIndex) {
-        let record = &mut self.state.borrow_mut().records[database];
-        record.contact.record_interrupted();
-    }
-
     /// Waits a short time for a change of the snapshot.
     ///
     /// # Errors
@@ -486,38 +388,6 @@
         AcquireStep::Wait(waiter, granted)
     }
 
-    /// Starts to open a connection to the first-ranked database for a statement that is expected
-    /// soon, unless the workspace has an idle one there or statements wait for one.
-    pub fn prepare_connection(self: &Rc<Self>, request: &PlacementRequest) {
-        let now = clock::now();
-        let snapshot = self.shared.snapshot();
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        let rules = self.place_rules(request);
-        let ranked =
-            ranking::rank_databases(&state.records, &state.pool, &snapshot, request, rules, now);
-        let Some((best, _)) = ranked.first().copied() else {
-            return;
-        };
-        let workspace = &request.pool_request.workspace;
-        let is_assessed = {
-            let entry = &state.records[best].entry;
-            snapshot.verdicts.contains_key(&entry.id)
-        };
-        // A handshake costs a busy database as much as a statement.
-        let is_needed = !is_assessed
-            && state.records[best].has_room(now)
-            && state.pool.waiting_count_for(best) == 0
-            && !state.pool.has_connection_for(workspace, best);
-        if let Some(opening) = is_needed
-            .then(|| state.pool.begin_open(workspace, best, now))
-            .flatten()
-        {
-            self.metrics.count_connection("prepared");
-            self.open(opening);
-        }
-    }
-
     /// Opens a connection in a task of its own. The task goes on if the waiting statement is
     /// cancelled, so that the handshake, which costs the database time, isn't wasted.
     fn open(self: &Rc<Self>, opening: pool::ConnectionOpening<PoolConnection>) {
@@ -677,7 +547,7 @@
                     .pool
                     .drain_borrowed(database, BORROWED_IDLE_TIMEOUT, now),
             );
-            record_contact(&mut state, database);
+            pacing::record_contact(&mut state, database);
         });
     }
 
@@ -689,7 +559,7 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let action = state.pool.release_lost(database, now);
-        record_contact(state, database);
+        pacing::record_contact(state, database);
         self.perform_actions(state, action, now);
     }
 
@@ -698,17 +568,6 @@
         self.state.borrow().pool.waiting_count()
     }
 
-    /// Returns whether no statement may reach a database any more, not even in an open
-    /// transaction, since its data centre is being evacuated.
-    pub fn is_past_evacuation(&self, database: pool::DatabaseIndex, now: Instant) -> bool {
-        let entry = self.registry_entry(database);
-        let snapshot = self.shared.snapshot();
-        let learned_at = snapshot.evacuations.get(&entry.data_centre);
-        let limit = self.shared.settings.evacuation_limit.unwrap_or_default();
-        let grace = limit.mul_f64(EVACUATION_GRACE_FRACTION);
-        learned_at.is_some_and(|learned_at| now.saturating_duration_since(*learned_at) >= grace)
-    }
-
     /// Returns the registry entry of a database.
     pub fn registry_entry(&self, database: pool::DatabaseIndex) -> Arc<database::DatabaseEntry> {
         Arc::clone(&self.state.borrow().records[database].entry)
@@ -788,13 +647,6 @@
     }
 }
 
-/// Records that this VM has no connection to a database any more, if that is so.
-fn record_contact(state: &mut DispatchState, database: pool::DatabaseIndex) {
-    if state.pool.connection_count(database) == 0 {
-        state.records[database].contact.record_interrupted();
-    }
-}
-
 fn refuse_not_run(reason: refusal::RefusalReason, message: &str) -> refusal::RequestRefusal {
     refusal::RequestRefusal::not_run(reason, message)
 }
--- a/crates/bluebellferry_edge/tests/evacuations.rs
+++ b/crates/bluebellferry_edge/tests/evacuations.rs
@@ -8,13 +8,13 @@
 use bluebellferry_standin_platform::deployment;
 use serde_json::json;
 
-const EVACUATION_KIND: &str = "evacuations";
-const CENTRES: [&str; 3] = ["amman-a", "amman-b", "amman-c"];
-
 async fn start() -> deployment::StandinDeployment {
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
     let mut deployment = deployment::StandinDeployment::prepare(program).await;
-    for (id, centre) in deployment::DATABASE_IDS.iter().zip(CENTRES) {
+    for (id, centre) in deployment::DATABASE_IDS
+        .iter()
+        .zip(deployment::DATA_CENTRES)
+    {
         let registered = deployment
             .store
             .object_value(contents::REGISTRATION_KIND, id);
@@ -52,7 +52,11 @@
     deployment::run_successfully(&mut transaction, "BEGIN").await;
     deployment::run_successfully(&mut transaction, "READ boots").await;
 
-    deployment.store.put(EVACUATION_KIND, CENTRES[0], json!({}));
+    deployment.store.put(
+        contents::EVACUATION_KIND,
+        deployment::DATA_CENTRES[0],
+        json!({}),
+    );
     tokio::time::sleep(Duration::from_millis(200)).await;
     write_within(&mut caller, deployment::EVACUATION_LIMIT).await;
     tokio::time::sleep(deployment::EVACUATION_LIMIT).await;
@@ -69,9 +73,13 @@
     assert!(late.is_empty(), "{late:?}");
 
     // Once the order is taken back, the database leads again if it is the only one left.
-    deployment.store.remove(EVACUATION_KIND, CENTRES[0]);
-    for centre in &CENTRES[1..] {
-        deployment.store.put(EVACUATION_KIND, centre, json!({}));
+    deployment
+        .store
+        .remove(contents::EVACUATION_KIND, deployment::DATA_CENTRES[0]);
+    for centre in &deployment::DATA_CENTRES[1..] {
+        deployment
+            .store
+            .put(contents::EVACUATION_KIND, centre, json!({}));
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
     write_within(&mut caller, deployment::EVACUATION_LIMIT).await;
@@ -86,16 +94,18 @@
     let caller = deployment.open_caller(0, "booking", deployment::KEY);
     let mut caller = caller.await.expect("the caller connects");
     deployment::run_successfully(&mut caller, "READ boots").await;
-    for centre in CENTRES {
-        deployment.store.put(EVACUATION_KIND, centre, json!({}));
+    for centre in deployment::DATA_CENTRES {
+        deployment
+            .store
+            .put(contents::EVACUATION_KIND, centre, json!({}));
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
     let started = Instant::now();
     let answer = deployment::run(&mut caller, "READ boots").await;
     assert!(answer.refusal.is_some(), "{answer:?}");
     assert!(started.elapsed() < Duration::from_millis(300));
-    for centre in CENTRES {
-        deployment.store.remove(EVACUATION_KIND, centre);
+    for centre in deployment::DATA_CENTRES {
+        deployment.store.remove(contents::EVACUATION_KIND, centre);
     }
     write_within(&mut caller, deployment::EVACUATION_LIMIT).await;
 }
--- a/crates/bluebellferry_history/src/statement.rs
+++ b/crates/bluebellferry_history/src/statement.rs
@@ -312,6 +312,17 @@
     pub confirmed_us: u64,
 }
 
+/// A database whose data centre was evacuated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedDatabase {
+    /// The database's identity.
+    pub database: String,
+    /// When the store confirmed the evacuation.
+    pub confirmed_us: u64,
+    /// When the evacuation was taken back; `u64::MAX` if it was not.
+    pub ended_us: u64,
+}
+
 /// Everything that was recorded in a test.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct StatementHistory {
@@ -337,6 +348,9 @@
     /// Databases that are registered as draining.
     #[serde(rename = "leaving")]
     pub draining_databases: Vec<DrainingDatabase>,
+    /// Databases whose data centres were evacuated.
+    #[serde(default)]
+    pub evacuated_databases: Vec<EvacuatedDatabase>,
 }
 
 /// Checks a history and returns every guarantee that it violates.
@@ -345,7 +359,7 @@
     bounds: &HistoryBounds,
 ) -> Vec<StatementViolation> {
     let index = index::HistoryIndex::new(history, bounds);
-    let checks: [fn(&index::HistoryIndex<'_>) -> Vec<StatementViolation>; 20] = [
+    let checks: [fn(&index::HistoryIndex<'_>) -> Vec<StatementViolation>; 21] = [
         reads::find_stale_reads,
         commits::find_lost_commits,
         commits::find_shared_terms,
@@ -366,6 +380,7 @@
         service::find_interrupted_requests,
         service::find_missing_recoveries,
         service::find_draining_database_uses,
+        service::find_evacuated_database_uses,
     ];
     checks.iter().flat_map(|check| check(&index)).collect()
 }
--- a/crates/bluebellferry_history/src/statement/bounds.rs
+++ b/crates/bluebellferry_history/src/statement/bounds.rs
@@ -11,6 +11,8 @@
 const VERSION_OVERLAP_MS: u64 = 250;
 /// Maximum time until no VM sends new statements to a draining database.
 const DRAIN_MS: u64 = 7_000;
+/// Maximum time until no VM sends statements to an evacuated data centre.
+const EVACUATION_MS: u64 = 5_000;
 /// Time from the signal to stop until a VM has to have ended.
 const SHUTDOWN_GRACE_MS: u64 = 6_000;
 /// Maximum time for which a request may stay unread on a connection being closed.
@@ -44,6 +46,8 @@
     pub version_overlap_us: u64,
     /// Maximum time until no VM sends new statements to a draining database.
     pub drain_us: u64,
+    /// Maximum time until no VM sends statements to an evacuated data centre.
+    pub evacuation_us: u64,
     /// Time from the signal to stop until a VM has to have ended.
     pub shutdown_grace_us: u64,
     /// Maximum time for which a request may stay unread on a connection that a VM
@@ -76,6 +80,7 @@
             impaired_store_extra_us: IMPAIRED_STORE_EXTRA_MS * 1_000,
             version_overlap_us: VERSION_OVERLAP_MS * 1_000,
             drain_us: DRAIN_MS * 1_000,
+            evacuation_us: EVACUATION_MS * 1_000,
             shutdown_grace_us: SHUTDOWN_GRACE_MS * 1_000,
             unread_request_us: UNREAD_REQUEST_MS * 1_000,
             recovery_us: RECOVERY_MS * 1_000,
--- a/crates/bluebellferry_history/src/statement/service.rs
+++ b/crates/bluebellferry_history/src/statement/service.rs
@@ -197,3 +197,29 @@
     }
     violations
 }
+
+/// Finds statements that VMs sent to a database after they had to have stopped using its evacuated
+/// data centre, also in open transactions.
+pub(super) fn find_evacuated_database_uses(
+    index: &index::HistoryIndex<'_>,
+) -> Vec<StatementViolation> {
+    let mut violations = Vec::new();
+    for evacuated in &index.history.evacuated_databases {
+        let forbidden = evacuated.confirmed_us + index.bounds.evacuation_us..evacuated.ended_us;
+        for run in &index.history.runs {
+            if run.database != evacuated.database || !forbidden.contains(&run.started_us) {
+                continue;
+            }
+            let Some(statement) = index.find_statement(&run.request) else {
+                continue;
+            };
+            if index.must_meet_deadlines(&statement.vm, statement.sent_us, run.started_us) {
+                violations.push(StatementViolation::EvacuatedDatabaseUsed {
+                    request: run.request.clone(),
+                    database: run.database.clone(),
+                });
+            }
+        }
+    }
+    violations
+}
--- a/crates/bluebellferry_history/src/statement/violation.rs
+++ b/crates/bluebellferry_history/src/statement/violation.rs
@@ -157,4 +157,12 @@
         /// The database's identity.
         database: String,
     },
+    /// A statement was sent to a database after the time at which VMs had to have stopped using
+    /// its evacuated data centre.
+    EvacuatedDatabaseUsed {
+        /// The statement's id.
+        request: String,
+        /// The database's identity.
+        database: String,
+    },
 }
--- a/crates/bluebellferry_history/tests/statements/service.rs
+++ b/crates/bluebellferry_history/tests/statements/service.rs
@@ -286,3 +286,34 @@
     });
     assert_eq!(check(&open), []);
 }
+
+#[test]
+fn evacuated_database_gets_no_statements_between_the_limit_and_the_end() {
+    let mut history = new_history();
+    let due_us = BASE + 5_000 * MS;
+    history
+        .evacuated_databases
+        .push(statement::EvacuatedDatabase {
+            database: "a".to_owned(),
+            confirmed_us: BASE,
+            ended_us: due_us + 1_000 * MS,
+        });
+    push_with_run(
+        &mut history,
+        successful_statement("r", Action::Read, due_us - MS),
+        0,
+    );
+    assert_eq!(check(&history), []);
+    let at = |offset_us: u64| {
+        modified(&history, |history| {
+            history.statements[0].sent_us += offset_us;
+            history.runs[0].started_us += offset_us;
+        })
+    };
+    let used = [Violation::EvacuatedDatabaseUsed {
+        request: "r".to_owned(),
+        database: "a".to_owned(),
+    }];
+    assert_eq!(check(&at(MS)), used);
+    assert_eq!(check(&at(1_001 * MS)), []);
+}
--- a/crates/bluebellferry_shares/src/limiter.rs
+++ b/crates/bluebellferry_shares/src/limiter.rs
@@ -14,10 +14,17 @@
 use bluebellferry_limits::demand;
 use bluebellferry_limits::urgency;
 use bluebellferry_types::limit;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::Notify;
 
+mod loans;
+mod shortage;
+
+pub use loans::LoanAnswer;
+pub use loans::WantedTokens;
+pub use shortage::TokenShortage;
+pub use shortage::TokenWait;
+pub use shortage::caller_retry_delay;
+
 /// How long an operation waits for tokens that were requested from other VMs: a round trip
 /// between regions.
 pub const MAX_LOAN_WAIT: Duration = Duration::from_millis(40);
@@ -27,12 +34,6 @@
 /// The longest round trip to a lender: between regions, forwarded by a VM on the way. An
 /// operation that stops waiting sooner than that does not count when tokens are requested.
 pub const MAX_ROUND_TRIP: Duration = Duration::from_millis(60);
-/// How long a denial holds for operations that have not asked yet. Later ones ask again, so that
-/// tokens that were added meanwhile are used.
-const DENIAL_VALIDITY: Duration = Duration::from_millis(90);
-/// How many owners in a row must deny tokens before operations are refused: another one may have
-/// some.
-const MIN_DENIALS: u32 = 2;
 /// The shortest time between two token requests for one limit.
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 /// How often a waiting operation triggers another token request.
@@ -41,27 +42,13 @@
 /// roll back the whole transaction.
 pub const MAX_TRANSACTION_WAIT: Duration = Duration::from_secs(2);
 
-/// How many tokens must be added over all VMs before a refused caller retries; other
-/// callers are waiting for the first ones.
-const RETRY_AFTER_TOKENS: f64 = 4.0;
-
-/// Returns after what time a refused caller should retry.
-///
-/// `refill_delay` is the time until this VM's own share, which may be small or zero, has
-/// refilled to one token; `fleet_rate` is the workspace's rate over all VMs, in tokens per
-/// second, since other VMs lend tokens too.
-pub fn caller_retry_delay(refill_delay: Duration, fleet_rate: f64) -> Duration {
-    let fleet_delay = Duration::try_from_secs_f64(RETRY_AFTER_TOKENS / fleet_rate);
-    refill_delay.min(fleet_delay.unwrap_or(bucket::MAX_REFILL_DELAY))
-}
-
 #[derive(Debug)]
 struct LimitBucket {
     bucket: bucket::ShareBucket,
     demand: demand::DemandMeter,
     urgency: urgency::UrgencyMeter,
     requested_at: Instant,
-    denial: Option<TokenDenial>,
+    denial: Option<shortage::TokenDenial>,
     /// Whether more urgent operations get tokens first.
     is_ordered: bool,
 }
@@ -102,57 +89,6 @@
     }
 }
 
-/// How long an operation waits for a token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TokenWait {
-    /// The longest wait.
-    pub longest: Duration,
-    /// The operation is refused at once if its token is not expected before this time after its
-    /// start. It is longer than `longest`, as a token may come sooner than expected.
-    pub hopeless_after: Duration,
-}
-
-/// Why an operation got no token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TokenShortage {
-    /// The time until a token is expected to be available.
-    pub wait: Duration,
-    /// Whether an owner of the rate denied the token. Otherwise, `wait` only counts this VM's own
-    /// share.
-    pub is_denied: bool,
-}
-
-impl TokenShortage {
-    /// Returns after what time the refused caller should retry, for a rate of `fleet_rate` tokens
-    /// per second over all VMs.
-    pub fn caller_retry_delay(&self, fleet_rate: f64) -> Duration {
-        if self.is_denied {
-            self.wait
-        } else {
-            caller_retry_delay(self.wait, fleet_rate)
-        }
-    }
-}
-
-/// An owner's answer that tokens will not be available in time.
-#[derive(Debug, Clone, Copy)]
-struct TokenDenial {
-    /// The most urgent level that is denied.
-    level: urgency::UrgencyLevel,
-    /// When the denied operations are expected to get tokens.
-    available_at: Instant,
-    /// Until when the denial holds for operations that have not asked.
-    valid_until: Instant,
-    /// How many owners in a row have denied tokens.
-    count: u32,
-}
-
-impl TokenDenial {
-    fn applies_to(&self, level: urgency::UrgencyLevel, now: Instant) -> bool {
-        level >= self.level && now < self.valid_until && self.count >= MIN_DENIALS
-    }
-}
-
 /// Counts a waiting operation, for which tokens are requested from other VMs, until it is
 /// dropped.
 struct WaitingOperation<'a> {
@@ -297,14 +233,7 @@
     /// before `wait` has passed. Wakes the operations that wait.
     pub fn record_denial(&self, level: urgency::UrgencyLevel, wait: Duration, now: Instant) {
         let mut state = self.lock();
-        let previous = state.denial.filter(|denial| now < denial.valid_until);
-        let count = previous.map_or(1, |denial| denial.count + 1);
-        state.denial = Some(TokenDenial {
-            count,
-            level,
-            available_at: now + wait.min(bucket::MAX_REFILL_DELAY),
-            valid_until: now + wait.min(DENIAL_VALIDITY),
-        });
+        state.denial = Some(shortage::TokenDenial::new(state.denial, level, wait, now));
         drop(state);
         self.tokens_arrived.notify_waiters();
     }
@@ -459,53 +388,6 @@
     }
 }
 
-/// The tokens that operations of each urgency level want.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct WantedTokens(pub [f64; urgency::LEVELS]);
-
-impl WantedTokens {
-    /// Divides a shortfall among the levels whose operations wait. What exceeds them is wanted in
-    /// advance, with the lowest urgency.
-    fn from_shortfall(shortfall: f64, waiting: impl Iterator<Item = f64>) -> Self {
-        let mut wanted = Self::default();
-        let mut left = shortfall;
-        for (level, waiting) in wanted.0.iter_mut().zip(waiting) {
-            *level = waiting.min(left);
-            left -= *level;
-        }
-        wanted.0[urgency::LEVELS - 1] += left;
-        wanted
-    }
-
-    /// Returns the most urgent level that wants tokens; the least urgent one if none does.
-    pub fn most_urgent(&self) -> urgency::UrgencyLevel {
-        let mut levels = urgency::UrgencyLevel::all();
-        let found = levels.find(|level| self.0[level.index()] > 0.0);
-        found.unwrap_or(urgency::UrgencyLevel::from(u8::MAX))
-    }
-
-    /// Returns what more urgent levels than `level` want.
-    #[must_use]
-    pub fn more_urgent_than(mut self, level: urgency::UrgencyLevel) -> Self {
-        self.0[level.index()..].fill(0.0);
-        self
-    }
-
-    /// Returns the tokens of all levels.
-    pub fn total(&self) -> f64 {
-        self.0.iter().sum()
-    }
-}
-
-/// An owner's answer to a request for tokens.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct LoanAnswer {
-    /// The number of tokens that were lent.
-    pub lent: f64,
-    /// The most urgent level that gets no token in time, and when one is expected.
-    pub denied: Option<(urgency::UrgencyLevel, Duration)>,
-}
-
 type ShareMap = BTreeMap<limit::LimitKey, Arc<RateShare>>;
 
 /// The clock that the buckets read.
--- a/crates/bluebellferry_soak/src/fault.rs
+++ b/crates/bluebellferry_soak/src/fault.rs
@@ -89,11 +89,13 @@
     Rebirth(u8),
     /// Makes a database execute the next statement without answering it.
     LoseAnswer,
+    /// Evacuates the data centre of a database, until the end of the fault.
+    Evacuate(u8),
 }
 
 impl FaultKind {
     /// The names and descriptions of all kinds of faults.
-    pub const KINDS: [(&'static str, &'static str); 21] = [
+    pub const KINDS: [(&'static str, &'static str); 22] = [
         ("stop", "SIGTERM to VMs, then a restart"),
         ("reload", "SIGHUP to a VM"),
         ("freeze", "SIGSTOP to VMs, later SIGCONT"),
@@ -130,6 +132,7 @@
             "a database crashes and restarts under another identity",
         ),
         ("lose-answer", "a statement is executed but not answered"),
+        ("evacuate", "the data centre of a database is evacuated"),
     ];
 
     /// Returns whether the fault has no duration.
@@ -167,6 +170,7 @@
             Self::Silence(database) => Self::Silence(resolve(*database)),
             Self::Crash(database) => Self::Crash(resolve(*database)),
             Self::Rebirth(database) => Self::Rebirth(resolve(*database)),
+            Self::Evacuate(database) => Self::Evacuate(resolve(*database)),
             other => other.clone(),
         }
     }
@@ -195,6 +199,7 @@
             Self::Crash(_) => 18,
             Self::Rebirth(_) => 19,
             Self::LoseAnswer => 20,
+            Self::Evacuate(_) => 21,
         }
     }
 
--- a/crates/bluebellferry_soak/src/runner.rs
+++ b/crates/bluebellferry_soak/src/runner.rs
@@ -78,6 +78,9 @@
         self.history
             .draining_databases
             .clone_from(&recorded.draining_databases);
+        self.history
+            .evacuated_databases
+            .clone_from(&recorded.evacuated_databases);
         Ok(())
     }
 
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -37,6 +37,12 @@
 /// The minimum outage of a database, in milliseconds; long enough to replace most
 /// leaders.
 const MIN_OUTAGE_MS: u64 = 2_000;
+/// The probability that a schedule has an evacuation.
+const EVACUATION_PROBABILITY: f64 = 0.5;
+/// The durations of evacuations, in milliseconds: some end before VMs must have heeded them.
+const EVACUATIONS_MS: std::ops::Range<u64> = 500..15_000;
+/// Separates the random numbers of evacuations from those of other faults.
+const EVACUATION_SEED: u64 = 0x0e7a_c0a7;
 /// The probability that a fault comes with a suspended VM and a lagging replica.
 const SUSPENSION_PROBABILITY: f64 = 0.06;
 /// The lag of that replica, in milliseconds; more than the maximum staleness of routes.
@@ -137,6 +143,7 @@
             }
         }
         faults.extend(draw_silences(seed, size, fault_end_ms));
+        faults.extend(draw_evacuations(seed, size, fault_end_ms));
         faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
@@ -201,6 +208,24 @@
     faults
 }
 
+/// Draws evacuations from random numbers of their own, so that a seed draws the same other faults
+/// as before there were evacuations.
+fn draw_evacuations(seed: u64, size: SiteSize, fault_end_ms: u64) -> Vec<ScheduledFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
+    if !random.random_bool(EVACUATION_PROBABILITY) || fault_end_ms <= INITIAL_QUIET_MS {
+        return Vec::new();
+    }
+    let at_ms = random.random_range(INITIAL_QUIET_MS..fault_end_ms);
+    let lasts_ms = random
+        .random_range(EVACUATIONS_MS)
+        .min(fault_end_ms - at_ms);
+    vec![ScheduledFault {
+        at_ms,
+        lasts_ms,
+        kind: FaultKind::Evacuate(draw_database(&mut random, size)),
+    }]
+}
+
 fn draw_kind(random: &mut StdRng, size: SiteSize, replacements: &mut u8) -> FaultKind {
     let vm = random.random_range(0..size.vms);
     let database = draw_database(random, size);
--- a/crates/bluebellferry_soak/src/site.rs
+++ b/crates/bluebellferry_soak/src/site.rs
@@ -238,6 +238,7 @@
         let address = self.layout.database_address(database);
         let mut registration = contents::registration(commands::SERVICE, address, is_primary);
         registration["State"] = json!(state);
+        registration["Zone"] = json!(database_centre(database));
         let name = self.identities[usize::from(database)].clone();
         let kind = contents::REGISTRATION_KIND.to_owned();
         self.store
@@ -284,6 +285,12 @@
     }
 }
 
+/// Returns the data centre of a database.
+pub(crate) fn database_centre(database: u8) -> &'static str {
+    let centres = bluebellferry_standin_platform::deployment::DATA_CENTRES;
+    centres[usize::from(database) % centres.len()]
+}
+
 /// Returns the slot that a VM's name contains.
 pub fn slot_of(name: &str) -> Option<u8> {
     commands::slot_from_name(name)
--- a/crates/bluebellferry_soak/src/site/injection.rs
+++ b/crates/bluebellferry_soak/src/site/injection.rs
@@ -13,6 +13,7 @@
 use super::ActiveFault;
 use super::DEFAULT_RATE;
 use super::RunningSite;
+use super::database_centre;
 use crate::SoakError;
 use crate::commands;
 use crate::commands::GroupCommand;
@@ -64,7 +65,8 @@
             | FaultKind::Deafen(database)
             | FaultKind::Silence(database)
             | FaultKind::Crash(database)
-            | FaultKind::Rebirth(database) => vec![self.database_target(*database)],
+            | FaultKind::Rebirth(database)
+            | FaultKind::Evacuate(database) => vec![self.database_target(*database)],
             FaultKind::LoseAnswer => {
                 let databases = 0..self.layout.databases;
                 databases
@@ -170,6 +172,7 @@
                 let member = usize::from(*database);
                 self.group.send(&GroupCommand::Crash(member)).await?;
             }
+            FaultKind::Evacuate(database) => self.evacuate(*database).await?,
             other => self.set_standin_fault(other, true).await?,
         }
         Ok(())
@@ -212,6 +215,7 @@
                 });
             }
             FaultKind::Rebirth(database) => self.restart_with_new_identity(*database).await?,
+            FaultKind::Evacuate(database) => self.end_evacuation(*database).await?,
             other => self.set_standin_fault(other, false).await?,
         }
         self.monitor_processes()?;
@@ -222,6 +226,36 @@
         Ok(())
     }
 
+    async fn evacuate(&mut self, database: u8) -> Result<(), SoakError> {
+        let centre = database_centre(database).to_owned();
+        let kind = contents::EVACUATION_KIND.to_owned();
+        self.store
+            .send(&StoreCommand::Put(kind, centre, serde_json::json!({})))
+            .await?;
+        self.recorded
+            .evacuated_databases
+            .push(statement::EvacuatedDatabase {
+                database: self.identities[usize::from(database)].clone(),
+                confirmed_us: recorder::now_us(),
+                ended_us: u64::MAX,
+            });
+        Ok(())
+    }
+
+    async fn end_evacuation(&mut self, database: u8) -> Result<(), SoakError> {
+        let ended_us = recorder::now_us();
+        let id = &self.identities[usize::from(database)];
+        for evacuated in &mut self.recorded.evacuated_databases {
+            if evacuated.database == *id {
+                evacuated.ended_us = evacuated.ended_us.min(ended_us);
+            }
+        }
+        let centre = database_centre(database).to_owned();
+        let kind = contents::EVACUATION_KIND.to_owned();
+        self.store.send(&StoreCommand::Remove(kind, centre)).await?;
+        Ok(())
+    }
+
     /// Begins or ends a fault that a single command to a stand-in controls; does
     /// nothing for other faults.
     async fn set_standin_fault(
