--- a/crates/bluebellferry_catalog/src/lib.rs
+++ b/crates/bluebellferry_catalog/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod database;
 pub mod homes;
 pub mod leadership;
+pub mod review;
--- a/crates/bluebellferry_ctl/src/main.rs
+++ b/crates/bluebellferry_ctl/src/main.rs
@@ -4,6 +4,7 @@
 
 use bluebellferry_ctl::api;
 use bluebellferry_ctl::command;
+use bluebellferry_ctl::review;
 
 mod flags {
     #![allow(missing_docs, unreachable_pub, reason = "xflags writes these items")]
@@ -26,6 +27,15 @@
             cmd check {
                 required file: PathBuf
             }
+            /// Reviews a configuration for the users' platform before it is sent: errors, entries
+            /// that can never match, limits that contradict each other, and changes.
+            cmd review {
+                required file: PathBuf
+                /// The configuration in force, to show what would change.
+                optional --against against: PathBuf
+                /// Prints the findings as JSON.
+                optional --json
+            }
             /// Applies a document file to the VM's environment and waits until every VM uses it.
             cmd try {
                 required file: PathBuf
@@ -110,6 +120,15 @@
             command::check_file(&check.file)?;
             Ok(format!("{} is valid.", check.file.display()))
         }
+        flags::BluebellferryCtlCmd::Review(flags) => {
+            let findings = review::review_file(&flags.file, flags.against.as_deref())?;
+            let text = review::render(&findings, flags.json)
+                .map_err(|error| command::CtlError::PreconditionFailed(error.to_string()))?;
+            if review::has_errors(&findings) {
+                return Err(command::CtlError::PreconditionFailed(text));
+            }
+            Ok(text)
+        }
         flags::BluebellferryCtlCmd::Try(apply) => command::apply_file(&client, &apply.file).await,
         flags::BluebellferryCtlCmd::Promote(promote) => {
             let token = promote.to_token.unwrap_or(token);
