--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -352,15 +352,24 @@
         )
     }
 
+    /// Returns the databases that may run a statement, the best first.
+    fn rank(
+        &self,
+        state: &DispatchState,
+        request: &PlacementRequest,
+        now: Instant,
+    ) -> Vec<(pool::DatabaseIndex, Duration)> {
+        let snapshot = self.shared.snapshot();
+        let rules = self.place_rules(request);
+        ranking::rank_databases(&state.records, &state.pool, &snapshot, request, rules, now)
+    }
+
     /// Returns an idle connection to the first-ranked database. If there is none, queues the
     /// statement and starts to open a connection there.
     fn try_acquire(self: &Rc<Self>, request: &PlacementRequest, now: Instant) -> AcquireStep {
-        let snapshot = self.shared.snapshot();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let rules = self.place_rules(request);
-        let ranked =
-            ranking::rank_databases(&state.records, &state.pool, &snapshot, request, rules, now);
+        let ranked = self.rank(state, request, now);
         let Some((best, _)) = ranked.first().copied() else {
             return AcquireStep::NoDatabase;
         };
--- a/crates/bluebellferry_edge/src/traffic/dispatch/preparation.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/preparation.rs
@@ -5,7 +5,6 @@
 use bluebellferry_runtime::clock;
 
 use crate::traffic::dispatch;
-use crate::traffic::dispatch::ranking;
 
 impl dispatch::Dispatcher {
     /// Starts to open a connection to the first-ranked database for a statement that is expected
@@ -15,9 +14,7 @@
         let snapshot = self.shared.snapshot();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let rules = self.place_rules(request);
-        let ranked =
-            ranking::rank_databases(&state.records, &state.pool, &snapshot, request, rules, now);
+        let ranked = self.rank(state, request, now);
         let Some((best, _)) = ranked.first().copied() else {
             return;
         };
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -14,7 +14,6 @@
 use bluebellferry_runtime::clock;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
-use bluebellferry_shares::limiter;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -203,11 +202,9 @@
         };
         let snapshot = shared.snapshot();
         let level = scope.policy.priority.into();
-        let wait = limiter::TokenWait {
-            longest: snapshot.loan_timeout,
-            hopeless_after: snapshot.loan_timeout,
-        };
-        let admitted = share.admit_urgent(level, wait, &shared.tokens_wanted).await;
+        let admitted = share
+            .admit_urgent(level, snapshot.loan_timeout, &shared.tokens_wanted)
+            .await;
         admitted.map_err(|shortage| {
             let reason = refusal::RefusalReason::RateExceeded;
             let text = format!("the workspace {workspace} has used up its rate");
--- a/crates/bluebellferry_shares/src/limiter.rs
+++ b/crates/bluebellferry_shares/src/limiter.rs
@@ -22,7 +22,6 @@
 pub use loans::LoanAnswer;
 pub use loans::WantedTokens;
 pub use shortage::TokenShortage;
-pub use shortage::TokenWait;
 pub use shortage::caller_retry_delay;
 
 /// How long an operation waits for tokens that were requested from other VMs: a round trip
@@ -87,6 +86,45 @@
         }
         outcome
     }
+
+    /// Returns the tokens to keep for this VM's own callers.
+    fn own_reserve(&mut self, now: Instant) -> f64 {
+        if self.bucket.can_hold_whole_token() {
+            self.demand.own_reserve(now)
+        } else {
+            // Less than a whole token never admits an operation by itself.
+            0.0
+        }
+    }
+
+    /// Takes up to `requested` tokens for operations of a level on another VM. Returns how many
+    /// were taken, and when the next one is expected if some are missing.
+    fn lend_at(
+        &mut self,
+        level: urgency::UrgencyLevel,
+        requested: f64,
+        own_reserve: f64,
+        now: Instant,
+    ) -> (f64, Option<Duration>) {
+        self.urgency.record_wanted(level, requested, now);
+        let spare = self.bucket.max_tokens() - own_reserve;
+        let reserve = self.urgency.reserve_for(level, spare, now) + own_reserve;
+        let mut lent = self.bucket.lend(requested, reserve, now);
+        let has_token = self.bucket.available_tokens(now) >= 1.0;
+        if lent < 1.0 && has_token && self.urgency.take_credit(level) {
+            lent += self.bucket.lend(1.0, 0.0, now);
+        }
+        self.urgency.record_granted(lent);
+        let missing = requested - lent;
+        if missing < 1.0 {
+            return (lent, None);
+        }
+        let needed = (1.0 + reserve - self.bucket.available_tokens(now)).max(0.0);
+        let rate = self.bucket.rate_per_second();
+        let wait = self.urgency.expected_wait(level, needed, rate, now);
+        self.urgency.record_denied(level, missing, now);
+        (lent, Some(wait))
+    }
 }
 
 /// Counts a waiting operation, for which tokens are requested from other VMs, until it is
@@ -174,15 +212,11 @@
     /// available in time.
     pub async fn admit(&self, max_wait: Duration, tokens_wanted: &Notify) -> Result<(), Duration> {
         let level = urgency::UrgencyLevel::default();
-        let wait = TokenWait {
-            longest: max_wait,
-            hopeless_after: max_wait,
-        };
-        let admitted = self.admit_urgent(level, wait, tokens_wanted).await;
+        let admitted = self.admit_urgent(level, max_wait, tokens_wanted).await;
         admitted.map_err(|shortage| shortage.wait)
     }
 
-    /// Takes a token for an operation of an urgency level, and waits for one within `wait`.
+    /// Takes a token for an operation of an urgency level, waiting at most `max_wait` for one.
     /// `tokens_wanted` is notified when tokens should be requested from other VMs.
     ///
     /// # Errors
@@ -191,7 +225,7 @@
     pub async fn admit_urgent(
         &self,
         level: urgency::UrgencyLevel,
-        wait: TokenWait,
+        max_wait: Duration,
         tokens_wanted: &Notify,
     ) -> Result<(), TokenShortage> {
         let started = self.clock.now();
@@ -199,7 +233,7 @@
             return Ok(());
         }
         let mut operation = WaitingOperation::new(&self.waiting, level);
-        self.wait_for_token(started, wait, tokens_wanted, &mut operation)
+        self.wait_for_token(started, max_wait, tokens_wanted, &mut operation)
             .await
     }
 
@@ -241,7 +275,7 @@
     async fn wait_for_token(
         &self,
         started: Instant,
-        wait: TokenWait,
+        max_wait: Duration,
         tokens_wanted: &Notify,
         operation: &mut WaitingOperation<'_>,
     ) -> Result<(), TokenShortage> {
@@ -252,10 +286,9 @@
             let bucket::TakeOutcome::Empty { refill_delay } = outcome else {
                 return Ok(());
             };
-            let max_wait = wait.longest;
             let remaining = max_wait.saturating_sub(now - started);
             if let Some(available_at) = self.denial_of(operation.level, now)
-                && available_at > started + wait.hopeless_after
+                && available_at > started + max_wait
             {
                 return Err(TokenShortage {
                     wait: available_at - now,
@@ -282,38 +315,18 @@
     /// many were taken, and the most urgent level that gets none in time, with its wait.
     pub fn lend_ordered(&self, wanted: &WantedTokens, now: Instant) -> LoanAnswer {
         let mut state = self.lock();
-        let state = &mut *state;
-        let own_reserve = if state.bucket.can_hold_whole_token() {
-            state.demand.own_reserve(now)
-        } else {
-            0.0
-        };
-        let spare = state.bucket.max_tokens() - own_reserve;
+        let own_reserve = state.own_reserve(now);
         let mut answer = LoanAnswer::default();
         for level in urgency::UrgencyLevel::all() {
             let requested = wanted.0[level.index()];
             if requested <= 0.0 {
                 continue;
             }
-            state.urgency.record_wanted(level, requested, now);
-            let reserve = state.urgency.reserve_for(level, spare, now) + own_reserve;
-            let mut lent = state.bucket.lend(requested, reserve, now);
-            let has_token = state.bucket.available_tokens(now) >= 1.0;
-            if lent < 1.0 && has_token && state.urgency.take_credit(level) {
-                lent += state.bucket.lend(1.0, 0.0, now);
-            }
-            state.urgency.record_granted(lent);
+            let (lent, wait) = state.lend_at(level, requested, own_reserve, now);
             answer.lent += lent;
-            let missing = requested - lent;
-            if missing >= 1.0 {
-                let tokens = state.bucket.available_tokens(now);
-                let needed = (1.0 + reserve - tokens).max(0.0);
-                let rate = state.bucket.rate_per_second();
-                let wait = state.urgency.expected_wait(level, needed, rate, now);
-                state.urgency.record_denied(level, missing, now);
-                if lent < 1.0 && wait > MAX_OWNER_LOAN_WAIT && answer.denied.is_none() {
-                    answer.denied = Some((level, wait));
-                }
+            let is_denied = wait.is_some_and(|wait| wait > MAX_OWNER_LOAN_WAIT);
+            if lent < 1.0 && is_denied && answer.denied.is_none() {
+                answer.denied = wait.map(|wait| (level, wait));
             }
         }
         answer
@@ -323,12 +336,7 @@
     /// returns how many were taken.
     pub fn lend(&self, requested: f64, now: Instant) -> f64 {
         let mut state = self.lock();
-        let reserve = if state.bucket.can_hold_whole_token() {
-            state.demand.own_reserve(now)
-        } else {
-            // Less than a whole token never admits an operation by itself.
-            0.0
-        };
+        let reserve = state.own_reserve(now);
         state.bucket.lend(requested, reserve, now)
     }
 
--- a/crates/bluebellferry_shares/src/limiter/shortage.rs
+++ b/crates/bluebellferry_shares/src/limiter/shortage.rs
@@ -26,16 +26,6 @@
     refill_delay.min(fleet_delay.unwrap_or(bucket::MAX_REFILL_DELAY))
 }
 
-/// How long an operation waits for a token.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TokenWait {
-    /// The longest wait.
-    pub longest: Duration,
-    /// The operation is refused at once if its token is not expected before this time after its
-    /// start. It is longer than `longest`, as a token may come sooner than expected.
-    pub hopeless_after: Duration,
-}
-
 /// Why an operation got no token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenShortage {
