Pace a database again once the last unused connection to it was closed

Cause: a VM takes a cold database for warm as long as one of its connections to it stays open. That record was reset where single paths closed connections, and one was missing: connections unused for 45 s. A database that then started again was sent statements without its pace until its registration arrived, for up to 4 s. Change: one check for all databases after both drains, in place of the copy in the first of them. Test: a_database_is_paced_again_after_the_last_unused_connection_to_it_was_closed failed before at its last assertion, passes now.

--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -160,16 +160,14 @@
             let borrowed = MIN_CONNECTION_LIMIT.saturating_sub(allocated);
             drop(state.pool.set_connection_limit(index, allocated, borrowed));
         }
-        for (index, record) in state.records.iter_mut().enumerate() {
+        for (index, record) in state.records.iter().enumerate() {
             if record.is_departing(&snapshot) {
                 drop(state.pool.drain_idle(index));
-                if state.pool.connection_count(index) == 0 {
-                    record.contact.record_interrupted();
-                }
             }
         }
         drop(state.pool.drain_unused(IDLE_TIMEOUT, now));
         for index in 0..state.records.len() {
+            pacing::record_contact(state, index);
             let action = state.pool.serve_waiting(index, now);
             self.perform_actions(state, action, now);
         }
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -16,11 +16,14 @@
 use bluebellferry_edge::traffic::metrics;
 use bluebellferry_edge::traffic::placement;
 use bluebellferry_edge::traffic::session;
+use bluebellferry_limits::bucket;
+use bluebellferry_limits::pace;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
 use bluebellferry_standin_platform::contents;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
+use bluebellferry_types::refusal;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::io::BufReader;
@@ -210,6 +213,53 @@
         .await;
 }
 
+/// Longer than any connection stays open unused.
+const UNUSED_TIME: Duration = Duration::from_secs(60);
+
+#[tokio::test]
+async fn a_database_is_paced_again_after_the_last_unused_connection_to_it_was_closed() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let databases = [entry("i-a", serve_slow_handshake().await)];
+            let shared = edge_shared();
+            let until = clock::now() + UNUSED_TIME;
+            let mut snapshot = snapshot_with_leader(&databases, leader("i-a"), until);
+            let policies = &mut Arc::make_mut(&mut snapshot.configuration).services;
+            policies
+                .values_mut()
+                .for_each(|policy| policy.cold_pace = Some(5.0));
+            // This VM has no part of the pace, so it sends nothing to a database that may be cold.
+            let none = bucket::ShareSize {
+                rate_per_second: 0.0,
+                burst: 0.0,
+            };
+            let paces = [((&databases[0].id).into(), none)].into();
+            shared.rate_limiter.apply_sizes(&paces, Duration::ZERO);
+            shared.replace_snapshot(snapshot, true);
+            let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
+            let metrics = metrics.expect("the metric names are unique");
+            let dispatcher = Rc::new(dispatch::Dispatcher::new(shared, metrics));
+            dispatcher.apply_snapshot(clock::now());
+            let acquire = async || {
+                let mut request = placement_request(LEADER_ONLY, clock::now());
+                dispatcher.acquire(&mut request).await
+            };
+            let is_paced = |result: &Result<_, refusal::RequestRefusal>| {
+                let refusal = result.as_ref().err();
+                refusal.map(|refusal| refusal.reason)
+                    == Some(refusal::RefusalReason::DatabaseWarmingUp)
+            };
+            assert!(is_paced(&acquire().await));
+            tokio::time::sleep(pace::REGISTRATION_DELAY).await;
+            let placed = acquire().await.expect("the database is known to be warm");
+            dispatcher.release(placed.connection);
+            dispatcher.apply_snapshot(clock::now() + UNUSED_TIME);
+            assert!(is_paced(&acquire().await));
+        })
+        .await;
+}
+
 #[test]
 fn the_required_position_depends_on_the_role_of_the_database() {
     let now = Instant::now();
