Let a fleet that comes back use its rates at once, and limit calls to a store that is away

Survivors shrank to equal shares as soon as a restarted coordinator said that it had no majority yet. The store was called 3,700 times in an outage of 2 s, by each task of each VM.

Changed: heartbeats of VMs that have not met are answered at once; a VM goes by the last answer of a coordinator with a majority; larger shares take effect a second after their table was announced; a returned process starts with half a second of a share that was in force for as long; first tables are announced and passed on at once; a size that takes effect sooner replaces those that wait (limits/bucket). After two failures one call at a time probes the store, and the VMs of a data centre replace their coordinator's readings one after the other; an entry that names the same place is not written again. Coordinators log verdicts on databases, other VMs only at debug level.

Ruled out: what buckets hold (trial of the issue).

A coordinator's loss of the majority and of the store are followed within stated times instead of in the same instant.

--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -16,6 +16,7 @@
 pub mod replacement;
 pub mod state;
 pub mod store_copies;
+pub mod store_gate;
 pub mod suspicion;
 pub mod tokens;
 pub mod transfer_slots;
--- a/crates/bluebellferry_edge/src/control/allocation.rs
+++ b/crates/bluebellferry_edge/src/control/allocation.rs
@@ -120,7 +120,7 @@
 }
 
 /// The demand of this VM's own callers.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct LocalDemand {
     /// The operations that the callers start per second.
     pub operations_per_second: f64,
@@ -239,7 +239,7 @@
         rate * control.centre_rate_allocation(&workspace.into())
     };
     let rules = table::AllocationRules {
-        number,
+        number: control.shared.list_allocator().next_number(number),
         min_change: MIN_CHANGE,
         max_retained: |_: &str| f64::INFINITY,
         rate_of,
@@ -247,16 +247,13 @@
     let mut next = table::next_table(&control.allocation_table, &names, &live, &rules);
     if has_owners {
         let own_name = control.own_name();
-        let members = control.allocation_table.allocations.len() as u32;
         let observe = |vm: &str| {
             let unresponsive_for =
                 (vm != own_name).then(|| control.time_without_heartbeat(vm, now));
             let record = control.peers.get(vm);
-            ownership::MemberObservation {
+            table::MemberActivity {
                 unresponsive_for: counted_unresponsive_time(unresponsive_for),
-                acknowledged: record.map_or(0, |record| record.heartbeat.allocation_number),
-                previous: control.allocation_table.number,
-                members,
+                acknowledged_number: record.map_or(0, |record| record.heartbeat.allocation_number),
             }
         };
         table::update_standings(&control.allocation_table, &mut next, observe);
@@ -264,7 +261,7 @@
     if number > control.allocation_table.number
         || table::must_be_announced(&control.allocation_table, &next, MIN_CHANGE)
     {
-        control.apply_allocations(&next);
+        control.apply_allocations(&next, Duration::ZERO);
         control.heartbeat_trigger.notify_one();
     }
 }
@@ -330,23 +327,20 @@
         }
     };
     let rules = table::AllocationRules {
-        number,
+        number: control.shared.list_allocator().next_number(number),
         min_change: MIN_CENTRE_CHANGE,
         max_retained,
         rate_of: |_: &name::WorkspaceName| 0.0,
     };
     let mut next = table::next_table(&control.centre_allocation_table, &names, &live, &rules);
-    let members = control.centre_allocation_table.allocations.len() as u32;
-    let observe = |centre: &str| ownership::MemberObservation {
+    let observe = |centre: &str| table::MemberActivity {
         unresponsive_for: unresponsive_time(centre),
-        acknowledged: control.centre_acknowledged_number(centre),
-        previous: control.centre_allocation_table.number,
-        members,
+        acknowledged_number: control.centre_acknowledged_number(centre),
     };
     table::update_standings(&control.centre_allocation_table, &mut next, observe);
     let current = &control.centre_allocation_table;
     if number > current.number || table::must_be_announced(current, &next, MIN_CENTRE_CHANGE) {
-        control.apply_centre_allocations(&next);
+        control.apply_centre_allocations(&next, Duration::ZERO);
         control.heartbeat_trigger.notify_one();
     }
 }
--- a/crates/bluebellferry_edge/src/control/allocation/table.rs
+++ b/crates/bluebellferry_edge/src/control/allocation/table.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bluebellferry_membership::heartbeat;
 use bluebellferry_shares::growth;
 use bluebellferry_shares::ownership;
+use bluebellferry_shares::ownership::numbering;
 use bluebellferry_types::name;
 
 /// The demand that is added evenly over all members when connections are allocated, as a
@@ -79,9 +81,17 @@
     pub(super) workspaces: &'a [heartbeat::WorkspaceDemand],
 }
 
+/// What an allocator has heard of a member.
+pub(super) struct MemberActivity {
+    /// For how long the member has been unresponsive; `None` if it is responsive.
+    pub(super) unresponsive_for: Option<Duration>,
+    /// The number of the latest table that the member is known to have received.
+    pub(super) acknowledged_number: u64,
+}
+
 /// The rules for computing the next table of allocations.
 pub(super) struct AllocationRules<K, R> {
-    /// The highest known number of a table.
+    /// The number of the next table.
     pub(super) number: u64,
     /// The smallest change of an allocation that is announced.
     pub(super) min_change: f64,
@@ -152,7 +162,7 @@
         }
     };
     heartbeat::AllocationTable {
-        number: rules.number + 1,
+        number: rules.number,
         allocations,
         workspaces: demanded.iter().map(next_entry).collect(),
     }
@@ -185,7 +195,7 @@
             || workspaces.iter().any(is_rate_reduced)
     };
     // A table that this VM has not received may have given a member more than both of these.
-    let has_gap = next.number != current.number + 1;
+    let has_gap = !numbering::are_consecutive(current.number, next.number);
     let members = names.iter().enumerate();
     let reduced = members.filter(|(index, _)| has_gap || is_reduced(*index));
     growth::AllocationReduction {
@@ -199,9 +209,11 @@
 pub(super) fn update_standings(
     current: &heartbeat::AllocationTable,
     next: &mut heartbeat::AllocationTable,
-    observe: impl Fn(&str) -> ownership::MemberObservation,
+    observe: impl Fn(&str) -> MemberActivity,
 ) {
-    let number = next.number;
+    let index = numbering::index_in_series(next.number);
+    let known_members = current.allocations.len() as u32;
+    let next_members = next.allocations.len() as u32;
     let known: BTreeMap<&str, ownership::MemberStanding> = current
         .allocations
         .iter()
@@ -209,8 +221,24 @@
         .collect();
     for allocation in &mut next.allocations {
         let previous = known.get(allocation.vm.as_str()).copied();
-        let observed = observe(&allocation.vm);
-        allocation.standing = ownership::MemberStanding::next(previous, &observed, number);
+        let activity = observe(&allocation.vm);
+        let acknowledged = activity.acknowledged_number;
+        let is_same_series = numbering::are_in_same_series(acknowledged, next.number);
+        let observed = ownership::MemberObservation {
+            unresponsive_for: activity.unresponsive_for,
+            acknowledged: if is_same_series {
+                numbering::index_in_series(acknowledged)
+            } else {
+                0
+            },
+            previous: numbering::index_in_series(current.number),
+            members: if current.number > 0 {
+                known_members
+            } else {
+                next_members
+            },
+        };
+        allocation.standing = ownership::MemberStanding::next(previous, &observed, index);
     }
 }
 
--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -11,6 +11,8 @@
 
 use crate::control;
 use crate::control::metrics;
+use crate::control::state;
+use crate::control::store_gate;
 
 /// How often a VM checks whether the coordinator of its data centre still reads the store
 /// for it.
@@ -96,6 +98,7 @@
         failure_backoff: RetryBackoff::default(),
         expiry_backoff: RetryBackoff::default(),
         has_listed: false,
+        awaits_version: false,
     };
     loop {
         let Err(error) = reader.list_and_watch().await;
@@ -121,6 +124,8 @@
     expiry_backoff: RetryBackoff,
     /// Whether the configuration has been listed since the process started.
     has_listed: bool,
+    /// Whether another VM has announced a version, to be read here, since the last answer.
+    awaits_version: bool,
 }
 
 impl ConfigurationReader {
@@ -134,7 +139,7 @@
             tokio::time::sleep(FIRST_WATCH_DELAY).await;
         }
         loop {
-            let wait = match wait_while_coordinator_reads(&self.control).await {
+            let wait = match self.enter_store().await {
                 ReadReason::NewVersion => Duration::ZERO,
                 ReadReason::OwnWatch => WATCH_WAIT,
             };
@@ -143,9 +148,36 @@
         }
     }
 
+    /// Waits until this VM has to read the configuration itself and the store may be called.
+    async fn enter_store(&mut self) -> ReadReason {
+        loop {
+            if !self.awaits_version {
+                let reason = wait_while_coordinator_reads(&self.control).await;
+                self.awaits_version = reason == ReadReason::NewVersion;
+            }
+            let awaits_version = self.awaits_version;
+            let is_needed = |control: &state::ControlState, now| {
+                awaits_version || !control.is_store_read_by_coordinator(now)
+            };
+            if store_gate::enter(&self.control, is_needed).await {
+                return if awaits_version {
+                    ReadReason::NewVersion
+                } else {
+                    ReadReason::OwnWatch
+                };
+            }
+        }
+    }
+
     /// Lists the configuration and returns the store's revision.
     async fn list(&mut self) -> Result<u64, objects::StoreError> {
+        if self.has_listed {
+            self.enter_store().await;
+        } else {
+            store_gate::enter(&self.control, |_, _| true).await;
+        }
         let result = self.client.list(configuration::CONFIGURATION_KIND).await;
+        store_gate::record(&self.control, &result);
         self.record_read("list", &result);
         let listing = result?;
         for object in &listing.objects {
@@ -167,6 +199,7 @@
             .client
             .watch(configuration::CONFIGURATION_KIND, after, wait)
             .await;
+        store_gate::record(&self.control, &result);
         self.record_read("watch", &result);
         let elapsed_ms = clock::now()
             .saturating_duration_since(started_at)
@@ -187,18 +220,20 @@
         Ok(next.max(after))
     }
 
-    fn record_read<T>(&self, call: &'static str, result: &Result<T, objects::StoreError>) {
+    fn record_read<T>(&mut self, call: &'static str, result: &Result<T, objects::StoreError>) {
         self.metrics.count_read(call, result);
         let is_answered = matches!(result, Ok(_) | Err(objects::StoreError::HistoryExpired));
         let mut control = self.control.borrow_mut();
         control.is_configuration_readable = is_answered;
         if result.is_ok() {
+            self.awaits_version = false;
             control.shared.record_configuration_read(clock::now());
         }
     }
 }
 
 /// Why a VM reads the configuration from the store.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum ReadReason {
     /// No coordinator reads it for this VM.
     OwnWatch,
--- a/crates/bluebellferry_edge/src/control/evacuations.rs
+++ b/crates/bluebellferry_edge/src/control/evacuations.rs
@@ -13,6 +13,7 @@
 
 use crate::control;
 use crate::control::configuration;
+use crate::control::store_gate;
 
 /// How long one watch waits in the store. With [`objects::WATCH_RESPONSE_TIMEOUT`], limits the
 /// time for which a lost answer hides an evacuation.
@@ -59,10 +60,12 @@
             let mut after = self.list().await?;
             self.dependency.record_success();
             loop {
+                store_gate::enter(&self.control, |_, _| true).await;
                 let watched = self
                     .client
                     .watch(evacuations::EVACUATION_KIND, after, WATCH_WAIT)
                     .await;
+                store_gate::record(&self.control, &watched);
                 let (changes, next) = watched?;
                 self.backoff.reset();
                 if !changes.is_empty() {
@@ -77,7 +80,10 @@
     }
 
     async fn list(&mut self) -> Result<u64, objects::StoreError> {
-        let listing = self.client.list(evacuations::EVACUATION_KIND).await?;
+        store_gate::enter(&self.control, |_, _| true).await;
+        let listed = self.client.list(evacuations::EVACUATION_KIND).await;
+        store_gate::record(&self.control, &listed);
+        let listing = listed?;
         let centres = evacuations::decode_evacuations(&listing);
         let mut control = self.control.borrow_mut();
         control.apply_evacuations(centres, listing.revision, clock::now());
--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -102,12 +102,16 @@
                 allocation::ALLOCATION_INTERVAL
             };
             control.update_group_status(now);
-            if now.saturating_duration_since(times.allocated) >= allocation_interval {
+            // The first allocation is not delayed.
+            let is_allocation_due = control.awaits_first_allocation()
+                || now.saturating_duration_since(times.allocated) >= allocation_interval;
+            if is_allocation_due {
                 times.allocated = now;
                 allocation::update_allocations(&mut control, &demand, now);
             }
             links.apply_members(&control);
-            send_round(&mut control, &links, demand, &mut times, was_triggered, now);
+            control.local_demand = demand;
+            send_round(&mut control, &links, &mut times, was_triggered, now);
             control.publish_snapshot();
             control.shared.update_hand_over(now);
             if control.topology.is_full_mesh() {
@@ -138,7 +142,6 @@
 fn send_round(
     control: &mut state::ControlState,
     links: &peers::PeerLinks,
-    demand: allocation::LocalDemand,
     times: &mut HeartbeatTimes,
     was_triggered: bool,
     now: Instant,
@@ -151,11 +154,13 @@
         FLEET_HEARTBEAT_INTERVAL
     };
     let since_remote = now.saturating_duration_since(times.remote_sent);
-    let is_remote_due = is_full_mesh || since_remote + MIN_HEARTBEAT_INTERVAL >= remote_interval;
+    let is_remote_due = is_full_mesh
+        || control.take_centre_news()
+        || since_remote + MIN_HEARTBEAT_INTERVAL >= remote_interval;
     if is_remote_due {
         times.remote_sent = now;
     }
-    let common = common_heartbeat(control, demand, now);
+    let common = common_heartbeat(control, now);
     let observations = control.assess_databases(now);
     let sequence = links.next_sequence();
     control.lease.record_sent_heartbeat(sequence, clock::now());
@@ -167,18 +172,41 @@
                 heartbeat.observations.clone_from(&observations);
                 heartbeat.verdicts = control.verdicts_for_centre(now);
             }
+            control.record_sent_heartbeat(&target.vm, heartbeat.is_follower, now);
             let message = message::PeerMessage::Beat(Box::new(heartbeat));
             links.send_numbered(&target.vm, sequence, &message);
         }
     }
 }
 
-/// Returns the contents that the heartbeats to all VMs have in common.
-pub fn common_heartbeat(
-    control: &state::ControlState,
-    demand: allocation::LocalDemand,
+/// Sends a heartbeat to a VM that waits for one, without waiting for the next round. Two processes
+/// that meet thus know within two round trips that they hear each other.
+pub fn send_reply(
+    control: &mut state::ControlState,
+    links: &peers::PeerLinks,
+    vm: &str,
     now: Instant,
-) -> heartbeat::FleetHeartbeat {
+) {
+    let Some(member) = control.members.get(vm) else {
+        return;
+    };
+    let target = topology::HeartbeatTarget {
+        vm: vm.to_owned(),
+        expects_reply: false,
+        is_in_own_centre: member.data_centre == control.shared.settings.data_centre,
+    };
+    let common = common_heartbeat(control, now);
+    let heartbeat = heartbeat_for(control, &common, &target, now);
+    let sequence = links.next_sequence();
+    control.lease.record_sent_heartbeat(sequence, clock::now());
+    control.record_sent_heartbeat(vm, heartbeat.is_follower, now);
+    let message = message::PeerMessage::Beat(Box::new(heartbeat));
+    links.send_numbered(vm, sequence, &message);
+}
+
+/// Returns the contents that the heartbeats to all VMs have in common.
+pub fn common_heartbeat(control: &state::ControlState, now: Instant) -> heartbeat::FleetHeartbeat {
+    let demand = &control.local_demand;
     let is_coordinator = control.topology.is_coordinator(now);
     let is_full_mesh = control.topology.is_full_mesh();
     heartbeat::FleetHeartbeat {
@@ -195,9 +223,11 @@
         operations_per_second: demand.operations_per_second,
         // Outside a full mesh, the rates of workspaces are allocated to owners, so the demand by
         // workspace is not needed.
-        demands: is_full_mesh.then_some(demand.demands),
+        demands: is_full_mesh.then(|| demand.demands.clone()),
         allocation_number: control.allocation_table.number,
+        allocation_age_ms: elapsed_ms(control.allocations_announced(), now),
         centre_allocation_number: control.centre_allocation_table.number,
+        centre_allocation_age_ms: elapsed_ms(control.centre_allocations_announced(), now),
         suspicions: control.known_suspicions(now),
         positions: position_samples(control, now),
         ..heartbeat::FleetHeartbeat::default()
@@ -242,6 +272,7 @@
     );
     heartbeat::FleetHeartbeat {
         evacuations: lacks_evacuations.then(|| control.evacuation_list()),
+        is_follower: control.follows(&target.vm, now),
         expects_reply: target.expects_reply,
         table: lacks_table.then(|| control.leadership_table.clone()),
         echo: peer.map(|record| echo_of(control, record, now)),
@@ -268,6 +299,11 @@
     }
 }
 
+fn elapsed_ms(since: Instant, now: Instant) -> u32 {
+    let elapsed = now.saturating_duration_since(since);
+    u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn position_samples(control: &state::ControlState, now: Instant) -> Vec<heartbeat::PositionSample> {
     let positions = control.shared.lock_positions();
     let sample = |(service, history): (&_, &bluebellferry_routing::history::PositionHistory)| {
--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -19,6 +19,7 @@
 use crate::control;
 use crate::control::configuration;
 use crate::control::state;
+use crate::control::store_gate;
 
 /// The kind of the VMs' entries in the store.
 const VM_KIND: &str = "bluebellferry-vms";
@@ -84,8 +85,17 @@
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        if !store_gate::enter(&control, |control, now| {
+            lists_members(control, listings, now)
+        })
+        .await
+        {
+            continue;
+        }
         let requested_at = clock::now();
-        match client.list(VM_KIND).await {
+        let listed = client.list(VM_KIND).await;
+        store_gate::record(&control, &listed);
+        match listed {
             Ok(listing) => {
                 dependency.record_success();
                 control.borrow_mut().is_store_reachable = true;
@@ -183,7 +193,8 @@
     listing.objects.iter().filter_map(decode).collect()
 }
 
-/// Writes this VM's entry to the store unless `listed`, the entry that the store lists, is equal.
+/// Writes this VM's entry to the store unless `listed`, the entry that the store lists, names the
+/// same address and data centre. An earlier process of this VM may have written that entry.
 async fn write_own_entry(
     client: &mut objects::ObjectClient,
     name: &str,
@@ -194,13 +205,20 @@
         |error: serde_json::Error| objects::StoreError::Undecodable(error.to_string());
     let value = serde_json::to_value(entry).map_err(undecodable)?;
     let written = match listed {
-        Some(listed) if listed.value == value => return Ok(()),
+        Some(listed) if is_same_place(listed, entry) => return Ok(()),
         Some(listed) => client.replace(VM_KIND, name, listed.revision, value).await,
         None => client.create(VM_KIND, name, value).await,
     };
     written.map(|_| ())
 }
 
+/// Returns whether the store lists a VM at the place that its entry names.
+fn is_same_place(listed: &objects::StoredObject, entry: &VmEntryWire) -> bool {
+    VmEntryWire::deserialize(&listed.value).is_ok_and(|listed| {
+        listed.address == entry.address && listed.data_centre == entry.data_centre
+    })
+}
+
 /// Reads the leadership table from the store. A missing table counts as an empty one.
 ///
 /// # Errors
@@ -240,11 +258,13 @@
     let mut dependency = configuration::DependencyLog::new("table of leaders in the store");
     loop {
         tokio::time::sleep(RENEWAL_CHECK_INTERVAL).await;
-        let requested_at = clock::now();
-        if !is_confirmation_due(&control.borrow(), requested_at) {
+        if !store_gate::enter(&control, is_confirmation_due).await {
             continue;
         }
-        match read_leadership_table(&mut client).await {
+        let requested_at = clock::now();
+        let read = read_leadership_table(&mut client).await;
+        store_gate::record(&control, &read);
+        match read {
             Ok(table) => {
                 dependency.record_success();
                 backoff.reset();
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -17,6 +17,7 @@
 use tokio::net::UdpSocket;
 
 use crate::control;
+use crate::control::heartbeats;
 use crate::control::state;
 use crate::control::store_copies;
 use crate::control::tokens;
@@ -130,7 +131,10 @@
     match opened.message {
         message::PeerMessage::Beat(heartbeat) => {
             let order = (opened.incarnation, opened.sequence);
-            handle_heartbeat(control, from, order, *heartbeat, now);
+            let vm = heartbeat.vm.clone();
+            if handle_heartbeat(control, from, order, *heartbeat, now) {
+                heartbeats::send_reply(&mut control.borrow_mut(), links, &vm, now);
+            }
         }
         message::PeerMessage::TokenRequest {
             key,
@@ -192,21 +196,22 @@
     links.vms.borrow().get(&from).cloned()
 }
 
-/// Handles a heartbeat that was read from the socket at `now`.
+/// Handles a heartbeat that was read from the socket at `now`. Returns whether the sender needs
+/// a reply at once: it has not heard from this process yet, or this process not from it.
 pub fn handle_heartbeat(
     cell: &control::ControlCell,
     from: SocketAddr,
     (incarnation, sequence): (u64, u64),
     heartbeat: heartbeat::FleetHeartbeat,
     now: Instant,
-) {
+) -> bool {
     let mut control = cell.borrow_mut();
     let previous = control.peers.get(&heartbeat.vm);
     let is_outdated = previous.is_some_and(|previous| {
         (previous.incarnation, previous.sequence) >= (incarnation, sequence)
     });
     if is_outdated || heartbeat.vm == control.own_name() {
-        return;
+        return false;
     }
     let is_first = previous.is_none_or(|previous| previous.incarnation != incarnation);
     if is_first {
@@ -243,12 +248,19 @@
     if control.needs_store_copies(&heartbeat, now) {
         store_copies::fetch(&mut control, cell, from.ip(), heartbeat.versions);
     }
+    let own_incarnation = control.shared.incarnation;
+    let echo = heartbeat.echo.as_ref();
+    let is_unanswered = echo.is_none_or(|echo| echo.incarnation != own_incarnation);
     control.record_peer_heartbeat((incarnation, sequence), heartbeat, answered_sent, now);
+    if control.is_in_minority || control.is_isolated {
+        control.update_group_status(now);
+    }
     if is_first {
         control.publish_snapshot();
     } else {
         control.publish_snapshot_if_due(now);
     }
+    is_first || is_unanswered
 }
 
 fn apply_received_allocations(
@@ -258,10 +270,12 @@
     if let Some(table) = &heartbeat.allocation_table
         && control.is_in_group(&heartbeat.vm)
     {
-        control.apply_allocations(table);
+        let age = Duration::from_millis(u64::from(heartbeat.allocation_age_ms));
+        control.apply_allocations(table, age);
     }
     if let Some(table) = &heartbeat.centre_allocation_table {
-        control.apply_centre_allocations(table);
+        let age = Duration::from_millis(u64::from(heartbeat.centre_allocation_age_ms));
+        control.apply_centre_allocations(table, age);
     }
 }
 
--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -13,6 +13,7 @@
 use crate::control;
 use crate::control::configuration;
 use crate::control::state;
+use crate::control::store_gate;
 
 /// The interval at which the registrations are listed. Every database renews its
 /// registration more often than that, so a watch would cost a store call for each renewal.
@@ -97,7 +98,12 @@
         if retained.had_outage() {
             retained.add_databases_in_use(&control.borrow().databases);
         }
-        match client.list(registry::REGISTRATION_KIND).await {
+        if !store_gate::enter(&control, lists_registrations).await {
+            continue;
+        }
+        let listed = client.list(registry::REGISTRATION_KIND).await;
+        store_gate::record(&control, &listed);
+        match listed {
             Ok(listing) => {
                 dependency.record_success();
                 backoff.reset();
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -34,6 +34,8 @@
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
+use crate::control::allocation;
+use crate::control::store_gate;
 use crate::control::suspicion;
 use crate::shared;
 
@@ -193,6 +195,14 @@
     /// Notified to send heartbeats without waiting for the interval, when other VMs should
     /// learn of a change at once.
     pub heartbeat_trigger: Arc<Notify>,
+    /// The demand of this VM's own callers at the last round of heartbeats.
+    pub local_demand: allocation::LocalDemand,
+    /// Limits the calls to the store while it does not answer.
+    pub store_gate: store_gate::StoreGate,
+    /// Whether another VM has read the store for this VM's data centre.
+    has_had_reader: bool,
+    /// Since when no VM is known to read the store for this data centre any more.
+    unread_since: Option<Instant>,
     /// Whether the store answered the last request for anything but the configuration.
     pub is_store_reachable: bool,
     /// Whether the store answered the last request for the configuration; true before the first.
@@ -219,6 +229,15 @@
     pub is_fetching_store_copies: bool,
     /// When this VM received the allocations of its group.
     allocations_since: Instant,
+    /// When the allocations of this VM's group were announced, at the latest.
+    allocations_announced: Instant,
+    /// When the allocations of the data centres were announced, at the latest.
+    centre_allocations_announced: Instant,
+    /// Whether allocations of the data centres were received since heartbeats were sent to other
+    /// data centres.
+    has_centre_news: bool,
+    /// Whether this process has put shares of rates into use that have owners.
+    has_started_shares: bool,
     /// When this VM may use the larger shares of the latest allocations of its group.
     growth_gate: growth::GrowthGate,
     /// Whether this data centre's coordinator is cut off from most data centres, so that it
@@ -229,6 +248,14 @@
     /// Whether this VM is cut off from most of its group, so that it may not have learned that
     /// its allocation was reduced.
     pub is_in_minority: bool,
+    /// The coordinator that this VM last followed, and when it last told that one so.
+    followed: Option<(String, Instant)>,
+    /// When this VM sent the latest heartbeat that a coordinator of its group with a majority has
+    /// answered.
+    majority_answered: Option<Instant>,
+    /// When this VM sent the latest heartbeat that a coordinator of its data centre has answered
+    /// while most data centres answered that coordinator.
+    connection_answered: Option<Instant>,
     /// Since when this VM has been cut off from most of its group after it had been connected.
     pub(super) cut_off_since: Option<Instant>,
     /// Whether this VM has been connected to the majority of its group, and its data centre to
@@ -267,6 +294,10 @@
             active_claims: 0,
             suspicions: suspicion::SuspicionTracker::default(),
             token_requests: lending::TokenRequestTracker::default(),
+            local_demand: allocation::LocalDemand::default(),
+            store_gate: store_gate::StoreGate::default(),
+            has_had_reader: false,
+            unread_since: None,
             is_store_reachable: false,
             is_configuration_readable: true,
             has_joined: false,
@@ -280,10 +311,17 @@
             replaced_databases: VecDeque::new(),
             is_fetching_store_copies: false,
             allocations_since: clock::now(),
+            allocations_announced: clock::now(),
+            centre_allocations_announced: clock::now(),
+            has_centre_news: false,
+            has_started_shares: false,
             growth_gate: growth::GrowthGate::default(),
             is_isolated: false,
             allocator_since: None,
             is_in_minority: false,
+            followed: None,
+            majority_answered: None,
+            connection_answered: None,
             cut_off_since: None,
             has_been_connected: false,
             published_snapshot: shared::EdgeSnapshot::default(),
@@ -432,7 +470,9 @@
             arrivals,
             heartbeat,
         };
+        self.record_majority_answer(&record.heartbeat, answered_sent);
         self.peers.insert(record.heartbeat.vm.clone(), record);
+        self.update_unread_time(now);
         self.grow_shares(now);
         // A VM that replaces a leader waits for this acknowledgement.
         let acknowledgement = self.own_centre_acknowledgement(now);
--- a/crates/bluebellferry_edge/src/control/state/coordinators.rs
+++ b/crates/bluebellferry_edge/src/control/state/coordinators.rs
@@ -18,6 +18,10 @@
 /// 10 Mbit/s.
 const MAX_COPIED_CONFIGURATION_BYTES: u32 = 64 << 10;
 
+/// The time within which all VMs of a data centre whose coordinator cannot read the store begin to
+/// read it themselves, unless one of the first by rank does so for them.
+const READER_TAKEOVER_TIME: Duration = Duration::from_millis(2_500);
+
 /// The time after a VM's latest heartbeat during which older incarnations and sequence
 /// numbers of that VM are rejected: longer than a datagram is in transit. The limit is
 /// needed because a VM that restarts after its system clock was set back has a lower
@@ -35,6 +39,7 @@
                 (record.incarnation, record.sequence) = (0, 0);
             }
         }
+        self.update_unread_time(now);
         if allocation::is_group_allocator(self, now) {
             self.allocator_since.get_or_insert(now);
         } else {
@@ -61,15 +66,14 @@
             }
             self.is_in_minority = is_in_minority;
             self.is_isolated = is_isolated;
-            if is_connected && !self.has_been_connected {
-                // As for the first table that this process receives, which it may not have used
-                // in full before.
-                self.apply_new_allocation(true, self.allocation_table.number);
-            } else {
-                self.apply_shares();
+            self.apply_allocated_shares(now);
+            if self.topology.is_coordinator(now) {
+                // The other VMs of the data centre rely on this one's connections.
+                self.heartbeat_trigger.notify_one();
             }
         }
-        self.has_been_connected |= is_connected;
+        // Before the list of VMs is known, this VM seems to be alone.
+        self.has_been_connected |= is_connected && !self.members.is_empty();
         // A data centre that is cut off as a whole still serves its callers.
         if is_in_minority && self.has_been_connected {
             self.cut_off_since.get_or_insert(now);
@@ -97,43 +101,110 @@
         known_number <= current.number && (is_first || allocator_for >= topology::HEARTBEAT_TIMEOUT)
     }
 
-    /// Returns whether this VM and the VMs that answer it are a majority of the group.
+    /// Returns whether this VM and the VMs that answer it are a majority of the group. Where
+    /// rates have owners, only VMs that follow this one as their coordinator count, so that no two
+    /// VMs have a majority at once, and none that answers may have later allocations.
     pub fn has_group_majority(&self, now: Instant) -> bool {
-        let answering = self
-            .peers
-            .iter()
-            .filter(|(name, record)| record.is_answering(now) && self.is_in_group(name));
-        (answering.count() + 1) * 2 > self.group_members().count()
+        let own_number = self.allocation_table.number;
+        let mut followers = 0;
+        for (name, record) in &self.peers {
+            if !record.is_answering(now) || !self.is_in_group(name) {
+                continue;
+            }
+            if self.has_owners() && record.heartbeat.allocation_number > own_number {
+                return false;
+            }
+            if !self.has_owners() || record.heartbeat.is_follower {
+                followers += 1;
+            }
+        }
+        (followers + 1) * 2 > self.group_members().count()
+    }
+
+    /// Returns whether this VM follows another one as the coordinator of its data centre, which
+    /// then may count on it for [`topology::HEARTBEAT_TIMEOUT`]. It follows no other one meanwhile,
+    /// unless the former has stepped down.
+    pub fn follows(&self, vm: &str, now: Instant) -> bool {
+        let is_bound = self.followed.as_ref().is_some_and(|(other, told_at)| {
+            let has_stepped_down = self
+                .peers
+                .get(other)
+                .is_some_and(|record| record.is_live(now) && !record.heartbeat.is_coordinator);
+            other != vm && is_recent(Some(*told_at), now) && !has_stepped_down
+        });
+        self.topology.own_coordinator(now) == Some(vm) && !is_bound
+    }
+
+    /// Records that this VM has told another one whether it follows it.
+    pub fn record_sent_heartbeat(&mut self, vm: &str, is_follower: bool, now: Instant) {
+        if is_follower {
+            self.followed = Some((vm.to_owned(), now));
+        }
+    }
+
+    /// Records what a heartbeat that answers one of this VM's tells about the coordinator of the
+    /// own data centre. A coordinator whose allocations this VM lacks counts only once it has
+    /// received them.
+    pub(super) fn record_majority_answer(
+        &mut self,
+        heartbeat: &heartbeat::FleetHeartbeat,
+        answered_sent: Option<Instant>,
+    ) {
+        if !heartbeat.is_coordinator || !self.is_in_group(&heartbeat.vm) {
+            return;
+        }
+        let has_group_table = heartbeat.allocation_number <= self.allocation_table.number;
+        if heartbeat.has_group_majority && has_group_table {
+            self.majority_answered = self.majority_answered.max(answered_sent);
+        }
+        let own_number = self.centre_allocation_table.number;
+        if !heartbeat.is_isolated && heartbeat.centre_allocation_number <= own_number {
+            self.connection_answered = self.connection_answered.max(answered_sent);
+        }
     }
 
     /// Returns whether this VM belongs to the majority of its group: it is a coordinator with
-    /// a majority, or is answered by one.
-    pub(super) fn is_in_majority(&self, now: Instant) -> bool {
+    /// a majority, or one has answered it within [`topology::HEARTBEAT_TIMEOUT`]. A coordinator
+    /// that has just started has no majority for a moment, which loses nothing.
+    fn is_in_majority(&mut self, now: Instant) -> bool {
         if self.topology.is_coordinator(now) {
-            return self.has_group_majority(now);
+            let has_majority = self.has_group_majority(now);
+            if has_majority {
+                self.majority_answered = Some(now);
+            }
+            return has_majority;
         }
-        let has_majority = |record: &state::PeerRecord| {
-            record.heartbeat.is_coordinator && record.heartbeat.has_group_majority
-        };
-        let mut peers = self.peers.iter();
-        peers.any(|(name, record)| {
-            has_majority(record) && record.is_answering(now) && self.is_in_group(name)
-        })
+        is_recent(self.majority_answered, now)
     }
 
     /// Returns whether this data centre is cut off from most others, so that its allocation
     /// may have been reduced without its knowledge. Only its coordinator receives heartbeats
     /// from other data centres, so that other VMs rely on what the coordinator reports.
-    pub(super) fn is_centre_isolated(&self, now: Instant) -> bool {
+    fn is_centre_isolated(&mut self, now: Instant) -> bool {
         if !self.topology.is_coordinator(now) {
-            let coordinator = self.topology.own_coordinator(now);
-            let record = coordinator.and_then(|coordinator| self.peers.get(coordinator));
-            return record.is_some_and(|record| record.heartbeat.is_isolated);
+            return !is_recent(self.connection_answered, now);
+        }
+        let is_isolated = self.is_cut_off_from_centres(now);
+        if !is_isolated {
+            self.connection_answered = Some(now);
         }
+        is_isolated
+    }
+
+    /// Returns whether most other data centres do not answer this coordinator, or one of those
+    /// that do has later allocations.
+    fn is_cut_off_from_centres(&self, now: Instant) -> bool {
         let answering = self
             .peers
             .iter()
             .filter(|(_, record)| record.heartbeat.is_coordinator && record.is_answering(now));
+        let own_number = self.centre_allocation_table.number;
+        let mut numbers = answering
+            .clone()
+            .map(|(_, record)| record.heartbeat.centre_allocation_number);
+        if numbers.any(|number| number > own_number) {
+            return true;
+        }
         let centre = |(name, _): (&String, &state::PeerRecord)| {
             let member = self.members.get(name)?;
             Some(member.data_centre.clone())
@@ -220,11 +291,39 @@
     }
 
     /// Returns whether this VM reads the lists of databases and VMs from the store: as the
-    /// leadership table's holder, as the coordinator, or in its place because it cannot.
+    /// leadership table's holder, as the coordinator, or in its place because it cannot. The VMs of
+    /// a data centre replace their coordinator one after the other by rank, since the store may
+    /// be unavailable to all of them.
     pub fn reads_store_lists(&self, now: Instant) -> bool {
-        self.leadership_table.holder == self.own_name()
-            || self.topology.is_first_in_centre(now)
-            || !self.is_store_read_in_centre(now)
+        self.reads_for_others(now)
+            || (!self.is_store_read_in_centre(now) && self.has_waited_for_reader(now))
+    }
+
+    /// Returns whether other VMs rely on this one's calls to the store.
+    pub fn reads_for_others(&self, now: Instant) -> bool {
+        self.leadership_table.holder == self.own_name() || self.topology.is_first_in_centre(now)
+    }
+
+    /// Records since when no VM is known to read the store for this data centre.
+    pub(super) fn update_unread_time(&mut self, now: Instant) {
+        if self.is_store_read_in_centre(now) {
+            self.has_had_reader = true;
+            self.unread_since = None;
+        } else if self.has_had_reader {
+            self.unread_since.get_or_insert(now);
+        }
+    }
+
+    fn has_waited_for_reader(&self, now: Instant) -> bool {
+        let ranked = self
+            .topology
+            .vms_of(self.shared.settings.data_centre.as_str());
+        let position = ranked.iter().position(|vm| vm == self.own_name());
+        // The first two receive heartbeats from all others, which then rely on them.
+        let position = position.unwrap_or_default().saturating_sub(1);
+        let wait = READER_TAKEOVER_TIME.mul_f64(position as f64 / ranked.len().max(1) as f64);
+        self.unread_since
+            .is_none_or(|since| now.saturating_duration_since(since) >= wait)
     }
 
     /// Returns whether a live VM of this data centre that ranks before this one, or is a target
@@ -301,3 +400,7 @@
         others.all(|(name, _)| topology::rank(name) > own_rank)
     }
 }
+
+fn is_recent(sent: Option<Instant>, now: Instant) -> bool {
+    sent.is_some_and(|sent| now.saturating_duration_since(sent) < topology::HEARTBEAT_TIMEOUT)
+}
--- a/crates/bluebellferry_edge/src/control/state/shares.rs
+++ b/crates/bluebellferry_edge/src/control/state/shares.rs
@@ -10,6 +10,8 @@
 use bluebellferry_limits::bucket;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_runtime::clock;
+use bluebellferry_shares::ownership;
+use bluebellferry_shares::ownership::numbering;
 use bluebellferry_types::limit;
 
 use crate::control::allocation;
@@ -17,25 +19,23 @@
 use crate::control::state;
 use crate::shared;
 
-/// The version of the first allocation table, which an allocator publishes if no VM of the
-/// fleet has an earlier one.
-const INITIAL_TABLE_NUMBER: u64 = 1;
 /// The time after which VMs other than the allocator send the allocation table to a VM of
 /// the group that lacks it: enough for two heartbeats and a lost one.
 const ALLOCATION_RELAY_DELAY: Duration = Duration::from_millis(1_000);
 
 impl state::ControlState {
-    /// Puts the allocations in this VM's group into use unless newer ones are in use.
-    pub fn apply_allocations(&mut self, table: &heartbeat::AllocationTable) {
+    /// Puts the allocations in this VM's group, which were announced `age` ago, into use unless
+    /// newer ones are in use.
+    pub fn apply_allocations(&mut self, table: &heartbeat::AllocationTable, age: Duration) {
         if table.number > self.allocation_table.number {
-            let is_first = self.allocation_table.number == 0;
             let now = clock::now();
             let reduction = table::reduction_between(&self.allocation_table, table);
             self.growth_gate
                 .record_table(table.number, reduction, allocation::GROWTH_DELAY, now);
             self.allocation_table = table.clone();
             self.allocations_since = now;
-            self.apply_new_allocation(is_first, table.number);
+            self.allocations_announced = now.checked_sub(age).unwrap_or(now);
+            self.apply_allocated_shares(now);
             self.log_allocation(
                 "the VMs' allocations of fleet-wide limits have changed",
                 table.number,
@@ -77,12 +77,16 @@
         log::info!(number = number, own_part = size; "{message}");
     }
 
-    /// Puts the allocations of the data centres into use unless newer ones are in use.
-    pub fn apply_centre_allocations(&mut self, table: &heartbeat::AllocationTable) {
+    /// Puts the allocations of the data centres, which were announced `age` ago, into use unless
+    /// newer ones are in use.
+    pub fn apply_centre_allocations(&mut self, table: &heartbeat::AllocationTable, age: Duration) {
         if table.number > self.centre_allocation_table.number {
-            let is_first = self.centre_allocation_table.number == 0;
+            let now = clock::now();
             self.centre_allocation_table = table.clone();
-            self.apply_new_allocation(is_first, table.number);
+            self.centre_allocations_announced = now.checked_sub(age).unwrap_or(now);
+            self.has_centre_news = true;
+            self.heartbeat_trigger.notify_one();
+            self.apply_allocated_shares(now);
             self.log_allocation(
                 "the data centres' allocations of fleet-wide limits have changed",
                 table.number,
@@ -91,6 +95,28 @@
         }
     }
 
+    /// Returns whether limits have not been allocated since this process started, as far as it
+    /// knows.
+    pub const fn awaits_first_allocation(&self) -> bool {
+        self.allocation_table.number == 0 || self.centre_allocation_table.number == 0
+    }
+
+    /// Returns whether other data centres' coordinators may lack the allocations of the data
+    /// centres that this VM has received since the last call.
+    pub fn take_centre_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_centre_news)
+    }
+
+    /// Returns when the allocations of this VM's group were announced, at the latest.
+    pub const fn allocations_announced(&self) -> Instant {
+        self.allocations_announced
+    }
+
+    /// Returns when the allocations of the data centres were announced, at the latest.
+    pub const fn centre_allocations_announced(&self) -> Instant {
+        self.centre_allocations_announced
+    }
+
     /// Returns whether every VM of the group may send the allocation table to VMs that lack it,
     /// since the allocator has had time to send it to all of them.
     pub fn may_relay_allocations(&self, now: Instant) -> bool {
@@ -178,19 +204,82 @@
         shared::FleetAllocation { from: 0.0, to: 1.0 }
     }
 
-    /// Applies a new allocation table. Where rates have owners, a process may use the first
-    /// allocation that it receives at once: either this VM had it before the process restarted,
-    /// or its previous owner restarted as well or is in the minority, which has fallen back to
-    /// equal allocations.
-    pub(super) fn apply_new_allocation(&mut self, is_first: bool, number: u64) {
-        if !is_first || !self.has_owners() {
+    /// Applies the shares that follow from the allocation tables and from the connection to the
+    /// other VMs.
+    ///
+    /// Where rates have owners, larger shares take effect [`allocation::OWNER_GROWTH_DELAY`] after
+    /// their tables were announced, whenever this VM learned of them: by then all other VMs have
+    /// reduced theirs or have been counted as unresponsive. So a process that restarts, or regains
+    /// the majority, uses at once what an older table gives it.
+    pub(super) fn apply_allocated_shares(&mut self, now: Instant) {
+        if !self.has_owners() {
             return self.apply_shares();
         }
-        if number == INITIAL_TABLE_NUMBER && self.has_joined {
+        if self.has_joined {
+            self.start_shares(now);
+        }
+        let delay = self.shares_in_force(now).err().unwrap_or_default();
+        self.apply_shares_after(delay);
+    }
+
+    /// Returns whether the allocation tables count this VM and its data centre as responsive, as
+    /// far as they have owners.
+    fn is_counted(&self) -> bool {
+        let is_excluded = |table: &heartbeat::AllocationTable, member: &str| {
+            let mut allocations = table.allocations.iter();
+            let own = allocations.find(|allocation| allocation.vm == member);
+            own.is_some_and(|own| {
+                matches!(own.standing, ownership::MemberStanding::Excluded { .. })
+            })
+        };
+        let own_centre = self.shared.settings.data_centre.as_str();
+        !is_excluded(&self.allocation_table, self.own_name())
+            && !is_excluded(&self.centre_allocation_table, own_centre)
+    }
+
+    /// Returns for how long the larger shares of both tables have been in force.
+    ///
+    /// # Errors
+    /// Returns the time until they are.
+    fn shares_in_force(&self, now: Instant) -> Result<Duration, Duration> {
+        let delay_of = |table: &heartbeat::AllocationTable| {
+            // Before the first table, nobody had more than an equal allocation.
+            if table.number == 0 || numbering::is_first(table.number) {
+                Duration::ZERO
+            } else {
+                allocation::OWNER_GROWTH_DELAY
+            }
+        };
+        let in_force_from = |table, announced: Instant| announced + delay_of(table);
+        let from =
+            in_force_from(&self.allocation_table, self.allocations_announced).max(in_force_from(
+                &self.centre_allocation_table,
+                self.centre_allocations_announced,
+            ));
+        match from.checked_duration_since(now) {
+            Some(wait) if !wait.is_zero() => Err(wait),
+            _ => Ok(now.saturating_duration_since(from)),
+        }
+    }
+
+    /// Fills the buckets of a process that has restarted with what was added to its shares while
+    /// it was down, once it knows them.
+    fn start_shares(&mut self, now: Instant) {
+        let is_connected = !self.is_in_minority && !self.is_isolated;
+        let is_initial = numbering::is_first(self.allocation_table.number);
+        let has_tables = is_initial
+            || (self.allocation_table.number > 0 && self.centre_allocation_table.number > 0);
+        if self.has_started_shares || !is_connected || !has_tables || !self.is_counted() {
+            return;
+        }
+        self.has_started_shares = true;
+        let is_unspent = self
+            .shares_in_force(now)
+            .is_ok_and(|in_force| in_force >= bucket::MIN_RESTART_DOWNTIME);
+        if is_initial || is_unspent {
             self.update_own_allocations();
             self.shared.rate_limiter.restart(&self.own_share_sizes());
         }
-        self.apply_shares_after(Duration::ZERO);
     }
 
     pub(super) fn apply_shares(&mut self) {
@@ -211,8 +300,9 @@
         }
         let sizes = self.own_share_sizes();
         let shares = &self.shared.rate_limiter;
-        if self.is_in_minority {
-            // The allocation may have changed meanwhile without this VM's knowledge.
+        if self.is_in_minority || !self.is_counted() {
+            // The allocation may have changed meanwhile without this VM's knowledge. What a table
+            // leaves to an unresponsive VM is an upper bound for the others.
             shares.shrink_to(&sizes);
         } else {
             shares.apply_sizes(&sizes, delay);
@@ -272,7 +362,9 @@
                 "this VM starts to use its allocation of fleet-wide limits"
             );
             self.has_joined = true;
-            self.apply_shares();
+            let now = clock::now();
+            self.update_group_status(now);
+            self.apply_allocated_shares(now);
             self.publish_snapshot();
         }
     }
--- a/crates/bluebellferry_edge/src/control/state/verdicts.rs
+++ b/crates/bluebellferry_edge/src/control/state/verdicts.rs
@@ -62,7 +62,7 @@
             self.assessor.add(&service, &database, observation, now);
         }
         let verdicts = self.assessor.update(now);
-        self.apply_verdicts(verdicts, now);
+        self.apply_verdicts(verdicts, now, log::Level::Info);
         Vec::new()
     }
 
@@ -90,15 +90,21 @@
                     .add(&observed.service, database, observed.observation, now);
             }
         } else if heartbeat.is_coordinator {
-            self.apply_verdicts(heartbeat.verdicts.clone(), now);
+            // The coordinator has logged them.
+            self.apply_verdicts(heartbeat.verdicts.clone(), now, log::Level::Debug);
         }
     }
 
-    fn apply_verdicts(&mut self, verdicts: Vec<assessment::DatabaseVerdict>, now: Instant) {
+    fn apply_verdicts(
+        &mut self,
+        verdicts: Vec<assessment::DatabaseVerdict>,
+        now: Instant,
+        level: log::Level,
+    ) {
         let by_database =
             |verdict: assessment::DatabaseVerdict| (verdict.database.clone(), verdict);
         let verdicts: VerdictMap = verdicts.into_iter().map(by_database).collect();
-        self.log_verdicts(&verdicts);
+        self.log_verdicts(&verdicts, level);
         let status = &self.shared.fleet_status;
         let count = verdicts.len() as u64;
         status.assessed_databases.store(count, Ordering::Relaxed);
@@ -109,12 +115,12 @@
     }
 
     /// Logs the databases that get a verdict or lose it.
-    fn log_verdicts(&self, next: &VerdictMap) {
+    fn log_verdicts(&self, next: &VerdictMap, level: log::Level) {
         let known = &self.verdicts.verdicts;
         for (database, verdict) in next {
             if !known.contains_key(database) {
-                log::info!(
-                    database = database.as_str(), penalty_ms = verdict.penalty.as_millis() as u64,
+                log::log!(
+                    level, database = database.as_str(), penalty_ms = verdict.penalty.as_millis() as u64,
                     share = verdict.share;
                     "a database is used less than others"
                 );
@@ -124,7 +130,7 @@
             .keys()
             .filter(|database| !next.contains_key(*database))
         {
-            log::info!(database = database.as_str(); "a database is used like any other again");
+            log::log!(level, database = database.as_str(); "a database is used like any other again");
         }
     }
 
--- a/crates/bluebellferry_edge/src/server.rs
+++ b/crates/bluebellferry_edge/src/server.rs
@@ -76,7 +76,7 @@
 fn new_incarnation() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let milliseconds = since_epoch.unwrap_or_default().as_millis() as u64;
-    (milliseconds << 8) | u64::from(rand::random::<u8>())
+    (milliseconds << shared::INCARNATION_RANDOM_BITS) | u64::from(rand::random::<u8>())
 }
 
 /// Creates a runtime that runs on the current thread.
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -19,6 +19,7 @@
 use bluebellferry_routing::history;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::limiter;
+use bluebellferry_shares::ownership::numbering;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use tokio::sync::Notify;
@@ -202,6 +203,10 @@
     pub exceeds_rate_table: AtomicBool,
 }
 
+/// The low bits of an incarnation, which are random. The others hold the wall-clock time of the
+/// start in milliseconds.
+pub const INCARNATION_RANDOM_BITS: u32 = 8;
+
 /// The state shared by the traffic thread and the control thread.
 #[derive(Debug)]
 pub struct EdgeShared {
@@ -240,6 +245,14 @@
 const MAX_QUEUED_EVIDENCE: usize = 256;
 
 impl EdgeShared {
+    /// Returns this process as the one that numbers lists of allocations.
+    pub const fn list_allocator(&self) -> numbering::ListAllocator {
+        numbering::ListAllocator {
+            started_unix_ms: self.incarnation >> INCARNATION_RANDOM_BITS,
+            tag: self.incarnation as u8,
+        }
+    }
+
     /// Creates the state with an empty snapshot, and the receiving end of the evidence queue.
     pub fn new(
         settings: settings::EdgeSettings,
--- a/crates/bluebellferry_limits/src/bucket.rs
+++ b/crates/bluebellferry_limits/src/bucket.rs
@@ -163,10 +163,13 @@
         for (_, pending_size) in &mut self.pending_sizes {
             *pending_size = pending_size.smaller_of(size);
         }
+        // Sizes that would take effect later than this one are obsolete.
+        let effective_at = now + delay;
+        self.pending_sizes.retain(|(at, _)| *at < effective_at);
         if self.pending_sizes.len() >= MAX_PENDING_SIZES {
             self.pending_sizes.pop();
         }
-        self.pending_sizes.push((now + delay, size));
+        self.pending_sizes.push((effective_at, size));
     }
 
     /// Reduces the owned share to at most `size`, and drops growth that has not taken effect.
--- a/crates/bluebellferry_limits/tests/growth.rs
+++ b/crates/bluebellferry_limits/tests/growth.rs
@@ -61,3 +61,17 @@
     bucket.record_running(later + second / 2);
     assert!(bucket.available_tokens(later + second / 2) > 4.0);
 }
+
+// Guards against a VM that regains its share and waits for an earlier change of its size that was
+// to take effect later.
+#[test]
+fn a_size_that_takes_effect_sooner_replaces_those_that_wait() {
+    let start = Instant::now();
+    let mut bucket = bucket::ShareBucket::new_empty(size(1.0), start);
+    bucket.resize_after(size(5.0), Duration::from_millis(900), start);
+    bucket.resize_after(size(20.0), Duration::ZERO, start);
+    for after_ms in [10, 950] {
+        bucket.record_running(start + Duration::from_millis(after_ms));
+        assert!((bucket.rate_per_second() - 20.0).abs() < 1e-9);
+    }
+}
--- a/crates/bluebellferry_membership/src/envelope.rs
+++ b/crates/bluebellferry_membership/src/envelope.rs
@@ -7,7 +7,7 @@
 use crate::message;
 
 /// The version of the protocol; datagrams of other versions are rejected.
-pub const PROTOCOL_VERSION: u8 = 3;
+pub const PROTOCOL_VERSION: u8 = 4;
 /// The maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 /// The length of the message authentication code (MAC) at the start of a datagram, in
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -179,11 +179,14 @@
     #[serde(rename = "is_head")]
     pub is_coordinator: bool,
     /// Whether a majority of the group in which the sender's limits are allocated
-    /// answers the sender.
+    /// answers the sender, and none of these VMs has later allocations.
     #[serde(rename = "is_answered_by_most")]
     pub has_group_majority: bool,
     /// Whether the sender is a coordinator that no majority of the data centres answers.
     pub is_isolated: bool,
+    /// Whether the sender follows the receiver as the coordinator of its data centre.
+    #[serde(rename = "follows")]
+    pub is_follower: bool,
     /// Whether the receiver is asked to reply with heartbeats of its own.
     #[serde(rename = "asks_answer")]
     pub expects_reply: bool,
@@ -219,12 +222,19 @@
     /// The allocations in the sender's group, if the receiver may not have them.
     #[serde(rename = "weights")]
     pub allocation_table: Option<AllocationTable>,
+    /// The time since the allocations in the sender's group were announced, in milliseconds and
+    /// as far as the sender knows; at most the true time.
+    #[serde(rename = "parts_age_ms")]
+    pub allocation_age_ms: u32,
     /// The version of the data centres' allocations that the sender knows.
     #[serde(rename = "centre_parts_number")]
     pub centre_allocation_number: u64,
     /// The allocations of the data centres, if the receiver may not have them.
     #[serde(rename = "centre_weights")]
     pub centre_allocation_table: Option<AllocationTable>,
+    /// The time since the allocations of the data centres were announced, likewise.
+    #[serde(rename = "centre_parts_age_ms")]
+    pub centre_allocation_age_ms: u32,
     /// The leaders that the sender cannot use.
     pub suspicions: Vec<LeaderSuspicion>,
     /// The latest positions that leaders reported.
--- a/crates/bluebellferry_shares/src/ownership.rs
+++ b/crates/bluebellferry_shares/src/ownership.rs
@@ -11,6 +11,10 @@
 //!
 //! A member that is unresponsive may still spend what it owned by the last list that counted
 //! it. [`RateOwners::choose`] computes a bound of that, which the owners leave unused.
+//!
+//! The numbers of lists order them; see [`numbering`].
+
+pub mod numbering;
 
 use std::time::Duration;
 
@@ -45,7 +49,8 @@
 /// for seconds on how many they are.
 const FLOOR_GROWTH: f64 = 2.0;
 
-/// Whether a member may own rates. The numbers are those of the allocator's lists.
+/// Whether a member may own rates. The numbers are indices of lists within a series. Before the
+/// first list of a series, all members count as responsive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberStanding {
     /// The member has never been responsive, so it owns nothing.
@@ -72,9 +77,15 @@
 }
 
 impl MemberStanding {
-    /// Returns the standing in the list with number `next`.
+    /// Returns the standing in the list with index `next`.
     #[must_use]
     pub fn next(previous: Option<Self>, observed: &MemberObservation, next: u64) -> Self {
+        // A member may have a list of an earlier series.
+        let is_first_list = observed.previous == 0;
+        let previous = match previous {
+            None if is_first_list => Some(Self::Counted { since: 0 }),
+            previous => previous,
+        };
         let Some(unresponsive_for) = observed.unresponsive_for else {
             return match previous {
                 Some(Self::Counted { since }) => Self::Counted { since },
@@ -131,7 +142,7 @@
     pub acknowledged: u64,
     /// The previous list.
     pub previous: u64,
-    /// The number of members in the previous list.
+    /// The number of members in the previous list, or in the first one of a series.
     pub members: u32,
 }
 
