Allocate the limits of a full mesh at their interval again, and write up the fleet that comes back

Found by reading the change: a full mesh has no allocations of data centres, so awaits_first_allocation stayed true there and limits were allocated with each heartbeat instead of every 2 s (test failed first by reading: written with the fix).

--- a/crates/bluebellferry_edge/src/control/state/shares.rs
+++ b/crates/bluebellferry_edge/src/control/state/shares.rs
@@ -97,8 +97,9 @@
 
     /// Returns whether limits have not been allocated since this process started, as far as it
     /// knows.
-    pub const fn awaits_first_allocation(&self) -> bool {
-        self.allocation_table.number == 0 || self.centre_allocation_table.number == 0
+    pub fn awaits_first_allocation(&self) -> bool {
+        self.allocation_table.number == 0
+            || (self.has_owners() && self.centre_allocation_table.number == 0)
     }
 
     /// Returns whether other data centres' coordinators may lack the allocations of the data
@@ -218,8 +219,8 @@
         if self.has_joined {
             self.start_shares(now);
         }
-        let delay = self.shares_in_force(now).err().unwrap_or_default();
-        self.apply_shares_after(delay);
+        let remaining_delay = self.shares_in_force(now).err();
+        self.apply_shares_after(remaining_delay.unwrap_or_default());
     }
 
     /// Returns whether the allocation tables count this VM and its data centre as responsive, as
@@ -263,7 +264,8 @@
     }
 
     /// Fills the buckets of a process that has restarted with what was added to its shares while
-    /// it was down, once it knows them.
+    /// it was down: once, as soon as it may use them. Shares that others used until lately add
+    /// nothing.
     fn start_shares(&mut self, now: Instant) {
         let is_connected = !self.is_in_minority && !self.is_isolated;
         let is_initial = numbering::is_first(self.allocation_table.number);
--- a/crates/bluebellferry_edge/tests/growing_shares.rs
+++ b/crates/bluebellferry_edge/tests/growing_shares.rs
@@ -179,3 +179,13 @@
     let moved = ["vm-1", "vm-2"].map(str::to_owned).to_vec();
     assert_eq!(reduced(&equal, &next), (moved, false));
 }
+
+// Guards against a small fleet that allocates its limits anew with each heartbeat, since it has no
+// allocations of data centres.
+#[test]
+fn a_full_mesh_awaits_only_its_own_first_table() {
+    let mut control = control(clock::now());
+    assert!(control.awaits_first_allocation());
+    control.apply_allocations(&table(1, &BEFORE), Duration::ZERO);
+    assert!(!control.awaits_first_allocation());
+}
