Send heartbeats, compare times and number lists in one place each

Found by reading the change once more; behaviour stays as it is. - Each heartbeat made a VM look through all live VMs, with a hash of each name, for one that reads the store for it. At a coordinator that is VMs squared for each round. Only a sender that ranks before this VM can change the answer, so only its heartbeats do that now; rounds go on doing it for the passage of time. By reading, not measured. - Two copies of sending a composed heartbeat (send_to), of the check of a recent answer (state::is_recent), of elapsed milliseconds and of a list's index in a series (index_in_series_of, also in the simulation). - The reader's awaits_version says why it reads, so entering the store no longer returns that again. A trigger beside the one that applying the table sets is gone. record_sent_heartbeat had the name of the lease's method; record_following now.

--- a/crates/bluebellferry_edge/src/control/allocation.rs
+++ b/crates/bluebellferry_edge/src/control/allocation.rs
@@ -341,6 +341,5 @@
     let current = &control.centre_allocation_table;
     if number > current.number || table::must_be_announced(current, &next, MIN_CENTRE_CHANGE) {
         control.apply_centre_allocations(&next, Duration::ZERO);
-        control.heartbeat_trigger.notify_one();
     }
 }
--- a/crates/bluebellferry_edge/src/control/allocation/table.rs
+++ b/crates/bluebellferry_edge/src/control/allocation/table.rs
@@ -212,8 +212,8 @@
     observe: impl Fn(&str) -> MemberActivity,
 ) {
     let index = numbering::index_in_series(next.number);
-    let known_members = current.allocations.len() as u32;
-    let next_members = next.allocations.len() as u32;
+    let listed = if current.number > 0 { current } else { &*next };
+    let members = listed.allocations.len() as u32;
     let known: BTreeMap<&str, ownership::MemberStanding> = current
         .allocations
         .iter()
@@ -223,20 +223,11 @@
         let previous = known.get(allocation.vm.as_str()).copied();
         let activity = observe(&allocation.vm);
         let acknowledged = activity.acknowledged_number;
-        let is_same_series = numbering::are_in_same_series(acknowledged, next.number);
         let observed = ownership::MemberObservation {
             unresponsive_for: activity.unresponsive_for,
-            acknowledged: if is_same_series {
-                numbering::index_in_series(acknowledged)
-            } else {
-                0
-            },
+            acknowledged: numbering::index_in_series_of(next.number, acknowledged),
             previous: numbering::index_in_series(current.number),
-            members: if current.number > 0 {
-                known_members
-            } else {
-                next_members
-            },
+            members,
         };
         allocation.standing = ownership::MemberStanding::next(previous, &observed, index);
     }
--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -139,9 +139,11 @@
             tokio::time::sleep(FIRST_WATCH_DELAY).await;
         }
         loop {
-            let wait = match self.enter_store().await {
-                ReadReason::NewVersion => Duration::ZERO,
-                ReadReason::OwnWatch => WATCH_WAIT,
+            self.enter_store().await;
+            let wait = if self.awaits_version {
+                Duration::ZERO
+            } else {
+                WATCH_WAIT
             };
             after = self.watch(after, wait).await?;
             self.expiry_backoff.reset();
@@ -149,7 +151,7 @@
     }
 
     /// Waits until this VM has to read the configuration itself and the store may be called.
-    async fn enter_store(&mut self) -> ReadReason {
+    async fn enter_store(&mut self) {
         loop {
             if !self.awaits_version {
                 let reason = wait_while_coordinator_reads(&self.control).await;
@@ -160,11 +162,7 @@
                 awaits_version || !control.is_store_read_by_coordinator(now)
             };
             if store_gate::enter(&self.control, is_needed).await {
-                return if awaits_version {
-                    ReadReason::NewVersion
-                } else {
-                    ReadReason::OwnWatch
-                };
+                return;
             }
         }
     }
@@ -233,7 +231,7 @@
 }
 
 /// Why a VM reads the configuration from the store.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(PartialEq, Eq)]
 enum ReadReason {
     /// No coordinator reads it for this VM.
     OwnWatch,
--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -172,13 +172,26 @@
                 heartbeat.observations.clone_from(&observations);
                 heartbeat.verdicts = control.verdicts_for_centre(now);
             }
-            control.record_sent_heartbeat(&target.vm, heartbeat.is_follower, now);
-            let message = message::PeerMessage::Beat(Box::new(heartbeat));
-            links.send_numbered(&target.vm, sequence, &message);
+            send_to(control, links, &target.vm, sequence, heartbeat, now);
         }
     }
 }
 
+fn send_to(
+    control: &mut state::ControlState,
+    links: &peers::PeerLinks,
+    vm: &str,
+    sequence: u64,
+    heartbeat: heartbeat::FleetHeartbeat,
+    now: Instant,
+) {
+    if heartbeat.is_follower {
+        control.record_following(vm, now);
+    }
+    let message = message::PeerMessage::Beat(Box::new(heartbeat));
+    links.send_numbered(vm, sequence, &message);
+}
+
 /// Sends a heartbeat to a VM that waits for one, without waiting for the next round. Two processes
 /// that meet thus know within two round trips that they hear each other.
 pub fn send_reply(
@@ -199,9 +212,7 @@
     let heartbeat = heartbeat_for(control, &common, &target, now);
     let sequence = links.next_sequence();
     control.lease.record_sent_heartbeat(sequence, clock::now());
-    control.record_sent_heartbeat(vm, heartbeat.is_follower, now);
-    let message = message::PeerMessage::Beat(Box::new(heartbeat));
-    links.send_numbered(vm, sequence, &message);
+    send_to(control, links, vm, sequence, heartbeat, now);
 }
 
 /// Returns the contents that the heartbeats to all VMs have in common.
@@ -289,12 +300,11 @@
     record: &state::PeerRecord,
     now: Instant,
 ) -> heartbeat::HeartbeatEcho {
-    let delay = now.saturating_duration_since(record.received_at);
     let confirmed = control.lease.store_confirmed_at();
     heartbeat::HeartbeatEcho {
         incarnation: record.incarnation,
         sequence: record.sequence,
-        delay_ms: delay.as_millis() as u32,
+        delay_ms: elapsed_ms(record.received_at, now),
         confirmed: confirmed.and_then(|confirmed| record.latest_sequence_before(confirmed)),
     }
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -120,9 +120,7 @@
     /// Returns whether the VM has answered a heartbeat that this VM sent within
     /// [`topology::HEARTBEAT_TIMEOUT`].
     pub fn is_answering(&self, now: Instant) -> bool {
-        let is_recent =
-            |sent: Instant| now.saturating_duration_since(sent) < topology::HEARTBEAT_TIMEOUT;
-        self.answered_sent.is_some_and(is_recent)
+        is_recent(self.answered_sent, now)
     }
 
     /// Returns the sequence number of the VM's latest heartbeat that arrived by an instant.
@@ -133,6 +131,11 @@
     }
 }
 
+/// Returns whether a heartbeat was sent within [`topology::HEARTBEAT_TIMEOUT`].
+fn is_recent(sent: Option<Instant>, now: Instant) -> bool {
+    sent.is_some_and(|sent| now.saturating_duration_since(sent) < topology::HEARTBEAT_TIMEOUT)
+}
+
 /// The configuration in use, with its text for other VMs.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigurationRecord {
@@ -471,8 +474,14 @@
             heartbeat,
         };
         self.record_majority_answer(&record.heartbeat, answered_sent);
-        self.peers.insert(record.heartbeat.vm.clone(), record);
-        self.update_unread_time(now);
+        let vm = record.heartbeat.vm.clone();
+        // Only VMs that rank before this one read the store for it. A coordinator must not look
+        // through all VMs of its data centre at each heartbeat.
+        let ranks_before = topology::rank(&vm) < topology::rank(self.own_name());
+        self.peers.insert(vm, record);
+        if ranks_before {
+            self.update_unread_time(now);
+        }
         self.grow_shares(now);
         // A VM that replaces a leader waits for this acknowledgement.
         let acknowledgement = self.own_centre_acknowledgement(now);
--- a/crates/bluebellferry_edge/src/control/state/coordinators.rs
+++ b/crates/bluebellferry_edge/src/control/state/coordinators.rs
@@ -130,16 +130,14 @@
                 .peers
                 .get(other)
                 .is_some_and(|record| record.is_live(now) && !record.heartbeat.is_coordinator);
-            other != vm && is_recent(Some(*told_at), now) && !has_stepped_down
+            other != vm && state::is_recent(Some(*told_at), now) && !has_stepped_down
         });
         self.topology.own_coordinator(now) == Some(vm) && !is_bound
     }
 
-    /// Records that this VM has told another one whether it follows it.
-    pub fn record_sent_heartbeat(&mut self, vm: &str, is_follower: bool, now: Instant) {
-        if is_follower {
-            self.followed = Some((vm.to_owned(), now));
-        }
+    /// Records that this VM tells another one that it follows it.
+    pub fn record_following(&mut self, vm: &str, now: Instant) {
+        self.followed = Some((vm.to_owned(), now));
     }
 
     /// Records what a heartbeat that answers one of this VM's tells about the coordinator of the
@@ -174,7 +172,7 @@
             }
             return has_majority;
         }
-        is_recent(self.majority_answered, now)
+        state::is_recent(self.majority_answered, now)
     }
 
     /// Returns whether this data centre is cut off from most others, so that its allocation
@@ -182,7 +180,7 @@
     /// from other data centres, so that other VMs rely on what the coordinator reports.
     fn is_centre_isolated(&mut self, now: Instant) -> bool {
         if !self.topology.is_coordinator(now) {
-            return !is_recent(self.connection_answered, now);
+            return !state::is_recent(self.connection_answered, now);
         }
         let is_isolated = self.is_cut_off_from_centres(now);
         if !is_isolated {
@@ -400,7 +398,3 @@
         others.all(|(name, _)| topology::rank(name) > own_rank)
     }
 }
-
-fn is_recent(sent: Option<Instant>, now: Instant) -> bool {
-    sent.is_some_and(|sent| now.saturating_duration_since(sent) < topology::HEARTBEAT_TIMEOUT)
-}
--- a/crates/bluebellferry_shares/src/ownership/numbering.rs
+++ b/crates/bluebellferry_shares/src/ownership/numbering.rs
@@ -44,9 +44,13 @@
     number & ((1 << INDEX_BITS) - 1)
 }
 
-/// Returns whether two lists belong to the same series.
-pub const fn are_in_same_series(one: u64, other: u64) -> bool {
-    one >> INDEX_BITS == other >> INDEX_BITS
+/// Returns the index of a list within the series of another list; 0 if it is not of that series.
+pub const fn index_in_series_of(other: u64, number: u64) -> u64 {
+    if number >> INDEX_BITS == other >> INDEX_BITS {
+        index_in_series(number)
+    } else {
+        0
+    }
 }
 
 /// Returns whether a list is the first of its series.
--- a/crates/bluebellferry_shares/tests/rate_ownership.rs
+++ b/crates/bluebellferry_shares/tests/rate_ownership.rs
@@ -358,14 +358,9 @@
             let silent_for = now - heard[vm].at.max(Some(since)).unwrap_or(since);
             let is_unresponsive = vm != candidate && silent_for >= HEARTBEAT_TIMEOUT;
             let acknowledged = heard[vm].acknowledged;
-            let is_same_series = numbering::are_in_same_series(acknowledged, number);
             let observed = ownership::MemberObservation {
                 unresponsive_for: is_unresponsive.then_some(silent_for),
-                acknowledged: if is_same_series {
-                    numbering::index_in_series(acknowledged)
-                } else {
-                    0
-                },
+                acknowledged: numbering::index_in_series_of(number, acknowledged),
                 previous: numbering::index_in_series(own_number),
                 members: self.vms.len() as u32,
             };
