--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/bluebellferry-edge target/review/review-standin; do
   [ -x "$program" ] || { echo "not built: $program" >&2; exit 2; }
 done
-exec target/review/review-standin commit-after-error review/2/record.txt
+exec target/review/review-standin stale-writer review/2/record.txt
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,9 +5,11 @@
 //! `TROUBLE` set to 0 leaves the disruption out. Exits with 0 if the rule held, 1 if it was
 //! broken, and 2 if the case could not run.
 
+mod cluster;
 mod consumer;
 mod database;
 mod json;
+mod partition;
 mod record;
 mod scenario;
 mod store;
@@ -32,6 +34,7 @@
     let result = match name.as_str() {
         "unreadable-entry" => scenario::unreadable_entry(&record, trouble),
         "commit-after-error" => scenario::commit_after_error(&record, trouble),
+        "stale-writer" => scenario::stale_writer(&record, trouble),
         other => Err(format!("no scenario {other}")),
     };
     match result {
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::cluster;
 use crate::consumer;
 use crate::database;
+use crate::json;
+use crate::partition;
 use crate::record;
 use crate::store;
 use crate::vms;
@@ -30,6 +33,8 @@
 /// How many consumers read on the bounded route, and how many write on the primary route.
 const READERS: usize = 16;
 const WRITERS: usize = 3;
+/// How many consumers write at each machine in `stale_writer`.
+const WRITERS_OF_EACH: usize = 1;
 
 struct Deployment {
     places: vms::Places,
@@ -283,3 +288,152 @@
     }
     Ok(broken == 0)
 }
+
+/// A write of a consumer that was answered with success.
+struct Acknowledged {
+    machine: usize,
+    at: Duration,
+    item: String,
+    data: String,
+}
+
+/// LOST: one machine is cut off from the store and the other machines, and the primary from the
+/// other machines. While a replica is promoted, the other one restarts.
+pub fn stale_writer(record: &record::Record, trouble: bool) -> Result<bool, String> {
+    let failed = |error: std::io::Error| error.to_string();
+    let places = vms::Places::find()?;
+    let cut = Arc::new(partition::Partition::default());
+    let (real, known) = places.machines();
+    let view = |(real, known)| (format!("\"address\":\"{real}\""), format!("\"address\":\"{known}\""));
+    let access = store::Access {
+        views: real.into_iter().zip(known).map(view).collect(),
+        partition: Some(Arc::clone(&cut)),
+    };
+    let store = store::Store::start_with(places.store(), access).map_err(failed)?;
+    let cluster =
+        cluster::Cluster::start(&places.databases(), &store, &cut, record).map_err(failed)?;
+    cut.relay_datagrams(real, known, places.peer_port()).map_err(failed)?;
+    serve_promotions(places.cloud_api(), &cluster, record, trouble).map_err(failed)?;
+    store.put("config", "main", CONFIGURATION.as_bytes());
+    let mut machines = vms::Machines::new(places)?;
+    for vm in 0..3 {
+        machines.start(vm)?;
+        cut.set_process(vm, machines.process(vm).unwrap_or_default());
+    }
+    machines.wait_ready(Duration::from_secs(25))?;
+    record.line("all machines are ready");
+    let stop = Arc::new(AtomicBool::new(false));
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let writers: Vec<_> = (0..WRITERS_OF_EACH * 3)
+        .map(|number| {
+            let (record, stop) = (record.clone(), Arc::clone(&stop));
+            let written = Arc::clone(&written);
+            std::thread::spawn(move || write_all(number, places, &record, &stop, &written))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(6));
+    if trouble {
+        cut.isolated.store(true, Ordering::SeqCst);
+        record.line("machine 2 is cut off from the store and from the other machines");
+        cut.primary_cut.store(true, Ordering::SeqCst);
+        record.line("database i-a is cut off from machines 0 and 1");
+    }
+    std::thread::sleep(Duration::from_millis(5_500));
+    cut.isolated.store(false, Ordering::SeqCst);
+    cut.primary_cut.store(false, Ordering::SeqCst);
+    record.line("no cuts any more");
+    std::thread::sleep(Duration::from_secs(8));
+    stop.store(true, Ordering::SeqCst);
+    for writer in writers {
+        writer.join().map_err(|_| "a writer failed")?;
+    }
+    let kept = cluster.kept();
+    let written = written.lock().unwrap();
+    let mut lost = 0;
+    for write in written.iter() {
+        let pair = (write.item.clone(), write.data.clone());
+        if !kept.contains(&pair) {
+            lost += 1;
+            record.line(&format!(
+                "LOST: WRITE {} {} was answered with success by machine {} at {:.3} s and is not in the log of the primary",
+                write.item, write.data, write.machine, write.at.as_secs_f64()
+            ));
+        }
+    }
+    record.line(&format!("{lost} of {} acknowledged writes are lost", written.len()));
+    if written.len() < 50 {
+        return Err("too few writes were acknowledged".to_owned());
+    }
+    Ok(lost == 0)
+}
+
+/// Serves POST /promotion. With trouble, the replica that is not promoted crashes 0.1 s after the
+/// first call that is accepted, and is back with its log 0.2 s later.
+fn serve_promotions(
+    address: SocketAddr,
+    cluster: &Arc<cluster::Cluster>,
+    record: &record::Record,
+    trouble: bool,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address)?;
+    let (cluster, record) = (Arc::clone(cluster), record.clone());
+    let may_restart = Arc::new(AtomicBool::new(trouble));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (cluster, record) = (Arc::clone(&cluster), record.clone());
+            let may_restart = Arc::clone(&may_restart);
+            std::thread::spawn(move || {
+                store::serve_http(stream, |request| {
+                    let id = json::string(&request.body, "Id").unwrap_or_default();
+                    let status = cluster.promote(&id, |other| {
+                        if may_restart.swap(false, Ordering::SeqCst) {
+                            let cluster = Arc::clone(&cluster);
+                            std::thread::spawn(move || {
+                                std::thread::sleep(Duration::from_millis(100));
+                                cluster.restart(other, Duration::from_millis(200));
+                            });
+                        }
+                    });
+                    record.line(&format!("the platform answers {status} to the promotion of {id}"));
+                    (status, b"{}".to_vec())
+                });
+            });
+        }
+    });
+    Ok(())
+}
+
+/// Writes an item of its own again and again at one machine.
+fn write_all(
+    number: usize,
+    places: vms::Places,
+    record: &record::Record,
+    stop: &AtomicBool,
+    written: &Mutex<Vec<Acknowledged>>,
+) {
+    let machine = number % 3;
+    let mut session = None;
+    for count in 0_u64.. {
+        if stop.load(Ordering::SeqCst) {
+            return;
+        }
+        let (id, item, data) = (
+            format!("{number:02x}{count:08x}"),
+            format!("item{number}-{count}"),
+            format!("d{count}"),
+        );
+        let text = format!("WRITE {item} {data}");
+        let front = places.front(machine);
+        let result = attempt_at(&mut session, front, PRIMARY_HOST, &id, &text);
+        record.line(&format!("consumer {number} at machine {machine} id {id}: {text} -> {result:?}"));
+        if result.is_ok_and(|outcome| outcome.starts_with("COMPLETE")) {
+            written.lock().unwrap().push(Acknowledged {
+                machine,
+                at: record.elapsed(),
+                item,
+                data,
+            });
+        }
+        std::thread::sleep(Duration::from_millis(60));
+    }
+}
