--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -72,7 +72,11 @@
                 member.successor_since = None;
             }
         }
-        let up = self.members.iter().enumerate().filter(|(_, member)| !member.is_down);
+        let up = self
+            .members
+            .iter()
+            .enumerate()
+            .filter(|(_, member)| !member.is_down);
         let primaries = up.filter(|(_, member)| member.is_primary);
         let (primary, term) = primaries
             .map(|(index, member)| (index, member.term))
@@ -96,13 +100,23 @@
 
 impl Member {
     fn position(&self) -> (u64, usize) {
-        (self.log.last().map_or(1, |entry| entry.term), self.log.len())
+        (
+            self.log.last().map_or(1, |entry| entry.term),
+            self.log.len(),
+        )
     }
 
     fn status(&self) -> String {
-        let role = if self.is_primary { "primary" } else { "replica" };
+        let role = if self.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
         let (end, number) = self.position();
-        format!("DATAROW {role} {} {end}.{number} {} 8 1 4\r\nCOMPLETE -", self.term, self.paused)
+        format!(
+            "DATAROW {role} {} {end}.{number} {} 8 1 4\r\nCOMPLETE -",
+            self.term, self.paused
+        )
     }
 }
 
@@ -173,8 +187,16 @@
         if member.is_down {
             return;
         }
-        let role = if member.is_primary { "primary" } else { "replica" };
-        let reported = if member.is_draining { "draining" } else { "ready" };
+        let role = if member.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
+        let reported = if member.is_draining {
+            "draining"
+        } else {
+            "ready"
+        };
         let spec = format!(
             "{{\"Service\":\"{SERVICE}\",\"Addr\":\"{}\",\"Zone\":\"amman-a\",\"Version\":\"v1\",\"Slots\":3,\"State\":\"{reported}\",\"ColdLeftMs\":0,\"DbRole\":\"{role}\",\"Seq\":{sequence},\"born\":{}}}",
             member.address, self.born
@@ -200,7 +222,13 @@
         std::thread::spawn(move || {
             std::thread::sleep(PROMOTE);
             let mut state = cluster.state.lock().unwrap();
-            let term = state.members.iter().map(|member| member.term).max().unwrap_or(0) + 1;
+            let term = state
+                .members
+                .iter()
+                .map(|member| member.term)
+                .max()
+                .unwrap_or(0)
+                + 1;
             for member in &mut state.members {
                 member.paused = 0;
             }
@@ -226,13 +254,17 @@
                 let mut state = cluster.state.lock().unwrap();
                 state.members[index].is_down = true;
                 state.members[index].starts += 1;
-                cluster.record.line(&format!("database {} crashes", state.members[index].id));
+                cluster
+                    .record
+                    .line(&format!("database {} crashes", state.members[index].id));
             }
             std::thread::sleep(time);
             let mut state = cluster.state.lock().unwrap();
             state.members[index].is_down = false;
             state.members[index].paused = 0;
-            cluster.record.line(&format!("database {} is back", state.members[index].id));
+            cluster
+                .record
+                .line(&format!("database {} is back", state.members[index].id));
         });
     }
 
@@ -241,14 +273,19 @@
         let state = self.state.lock().unwrap();
         let members = state.members.iter().enumerate();
         let primaries = members.filter(|(_, member)| member.is_primary && !member.is_down);
-        primaries.max_by_key(|(_, member)| member.term).map(|(index, _)| index)
+        primaries
+            .max_by_key(|(_, member)| member.term)
+            .map(|(index, _)| index)
     }
 
     /// Reports that a database is draining; it goes on serving.
     pub fn drain(&self, index: usize) {
         self.state.lock().unwrap().members[index].is_draining = true;
         self.register(index, 1_000_000);
-        self.record.line(&format!("the store confirmed that database {} is draining", NAMES[index]));
+        self.record.line(&format!(
+            "the store confirmed that database {} is draining",
+            NAMES[index]
+        ));
     }
 
     /// Leaves: the database serves nothing any more, and its entry is removed.
@@ -260,7 +297,8 @@
             state.members[index].starts += 1;
         }
         self.store.remove("servers", NAMES[index]);
-        self.record.line(&format!("database {} has left", NAMES[index]));
+        self.record
+            .line(&format!("database {} has left", NAMES[index]));
     }
 
     /// Returns when consumers' statements arrived at a database.
@@ -276,7 +314,9 @@
         let primaries = state.members.iter().filter(|member| member.is_primary);
         let primary = primaries.max_by_key(|member| member.term);
         let log = primary.map_or(&[][..], |primary| &primary.log);
-        log.iter().map(|entry| (entry.item.clone(), entry.data.clone())).collect()
+        log.iter()
+            .map(|entry| (entry.item.clone(), entry.data.clone()))
+            .collect()
     }
 
     fn serve(&self, index: usize, stream: TcpStream) -> Option<()> {
@@ -307,7 +347,10 @@
             let mut words = line.splitn(3, ' ').skip(1);
             let (id, text) = (words.next()?.to_owned(), words.next()?.to_owned());
             if id != "-" {
-                self.arrivals.lock().unwrap().push((index, self.record.elapsed()));
+                self.arrivals
+                    .lock()
+                    .unwrap()
+                    .push((index, self.record.elapsed()));
             }
             let outcome = self.run(index, starts, &text)?;
             self.wait_for_path(index, vm);
@@ -321,7 +364,9 @@
             if id != "-" || text.starts_with("PAUSE") || text.starts_with("STEPDOWN") {
                 let name = NAMES[index];
                 let last = outcome.replace("\r\n", " / ");
-                self.record.line(&format!("database {name} from machine {vm:?} id {id}: {text} -> {last}"));
+                self.record.line(&format!(
+                    "database {name} from machine {vm:?} id {id}: {text} -> {last}"
+                ));
             }
             let answer = format!("{outcome}\r\nREADY I {end}.{number}\r\n");
             writer.write_all(answer.as_bytes()).ok()?;
--- a/review/standin/database.rs
+++ b/review/standin/database.rs
@@ -162,12 +162,21 @@
             }
             let outcome = self.run(database, &mut connection, id, text);
             let letter = connection.letter();
-            let answer = format!("{outcome}\r\nREADY {letter} {}\r\n", self.position(database));
+            let answer = format!(
+                "{outcome}\r\nREADY {letter} {}\r\n",
+                self.position(database)
+            );
             writer.write_all(answer.as_bytes()).ok()?;
         }
     }
 
-    fn run(&self, database: &Database, connection: &mut Connection, id: &str, text: &str) -> String {
+    fn run(
+        &self,
+        database: &Database,
+        connection: &mut Connection,
+        id: &str,
+        text: &str,
+    ) -> String {
         let outcome = self.execute(database, connection, text);
         if id != "-" {
             let last = outcome.rsplit("\r\n").next().unwrap_or_default();
@@ -277,7 +286,9 @@
         if database.is_primary {
             return state.log.len();
         }
-        state.log.partition_point(|commit| commit.at.elapsed() >= LAG)
+        state
+            .log
+            .partition_point(|commit| commit.at.elapsed() >= LAG)
     }
 
     fn position(&self, database: &Database) -> String {
@@ -285,7 +296,11 @@
     }
 
     fn status(&self, database: &Database) -> String {
-        let role = if database.is_primary { "primary" } else { "replica" };
+        let role = if database.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
         let received = self.state.lock().unwrap().log.len();
         format!("DATAROW {role} {TERM} {TERM}.{received} 0 8 1 4\r\nCOMPLETE -")
     }
@@ -306,7 +321,11 @@
 
     fn register(&self, store: &store::Store) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
-        let role = if self.is_primary { "primary" } else { "replica" };
+        let role = if self.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
         let is_draining = self.is_draining.load(Ordering::SeqCst);
         let state = if is_draining { "draining" } else { "ready" };
         let spec = format!(
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -72,7 +72,10 @@
             let record = record.clone();
             std::thread::spawn(move || {
                 store::serve_http(stream, &AtomicU64::new(1), |request| {
-                    let holder = request.headers.iter().find(|(name, _)| name == "x-duty-holder");
+                    let holder = request
+                        .headers
+                        .iter()
+                        .find(|(name, _)| name == "x-duty-holder");
                     record.line(&format!("duty call {} by {holder:?}", request.path));
                     (503, b"{}".to_vec())
                 });
@@ -98,7 +101,11 @@
     requests: &Mutex<Vec<Request>>,
 ) {
     let mut sessions: [Option<consumer::Session>; 3] = [None, None, None];
-    let host = if number < READERS { BOUNDED_HOST } else { PRIMARY_HOST };
+    let host = if number < READERS {
+        BOUNDED_HOST
+    } else {
+        PRIMARY_HOST
+    };
     let mut count = 0_u64;
     while !stop.load(Ordering::SeqCst) {
         count += 1;
@@ -117,7 +124,9 @@
                 format!("WRITE item{} d{count}", count % 50)
             };
             let result = attempt_at(&mut sessions[vm], places.front(vm), host, &id, &text);
-            record.line(&format!("consumer {number} at machine {vm} id {id}: {text} -> {result:?}"));
+            record.line(&format!(
+                "consumer {number} at machine {vm} id {id}: {text} -> {result:?}"
+            ));
             match result {
                 Ok(outcome) if outcome.starts_with("COMPLETE") => {
                     is_served = true;
@@ -215,7 +224,9 @@
         record.line(&format!("log of machine 0: {line}"));
     }
     let late = group.runs();
-    let late = late.iter().filter(|run| run.database == "i-c" && run.at > drained + DRAIN);
+    let late = late
+        .iter()
+        .filter(|run| run.database == "i-c" && run.at > drained + DRAIN);
     let late = late.count();
     let requests = requests.lock().unwrap();
     let share = |wanted: &dyn Fn(&Request) -> bool| {
@@ -255,8 +266,14 @@
         let commit_id = format!("c{number:03}");
         let texts = [
             (format!("b{number:03}"), "BEGIN".to_owned()),
-            (format!("w{number:03}"), format!("WRITE boots{number} taken")),
-            (format!("x{number:03}"), format!("WRITE boards{number} taken")),
+            (
+                format!("w{number:03}"),
+                format!("WRITE boots{number} taken"),
+            ),
+            (
+                format!("x{number:03}"),
+                format!("WRITE boards{number} taken"),
+            ),
             (commit_id.clone(), "COMMIT".to_owned()),
         ];
         let mut last = None;
@@ -305,7 +322,12 @@
     let places = vms::Places::find()?;
     let cut = Arc::new(partition::Partition::default());
     let (real, known) = places.machines();
-    let view = |(real, known)| (format!("\"address\":\"{real}\""), format!("\"address\":\"{known}\""));
+    let view = |(real, known)| {
+        (
+            format!("\"address\":\"{real}\""),
+            format!("\"address\":\"{known}\""),
+        )
+    };
     let access = store::Access {
         views: real.into_iter().zip(known).map(view).collect(),
         partition: Some(Arc::clone(&cut)),
@@ -313,7 +335,8 @@
     let store = store::Store::start_with(places.store(), access).map_err(failed)?;
     let cluster =
         cluster::Cluster::start(&places.databases(), &store, &cut, record).map_err(failed)?;
-    cut.relay_datagrams(real, known, places.peer_port()).map_err(failed)?;
+    cut.relay_datagrams(real, known, places.peer_port())
+        .map_err(failed)?;
     serve_promotions(places.cloud_api(), &cluster, record, trouble).map_err(failed)?;
     store.put("config", "main", CONFIGURATION.as_bytes());
     let mut machines = vms::Machines::new(places)?;
@@ -361,27 +384,38 @@
             ));
         }
     }
-    record.line(&format!("{lost} of {} acknowledged writes are lost", written.len()));
+    record.line(&format!(
+        "{lost} of {} acknowledged writes are lost",
+        written.len()
+    ));
     if written.len() < 50 {
         return Err("too few writes were acknowledged".to_owned());
     }
     Ok(lost == 0)
 }
 
-/// Serves POST /promotion. With trouble, the replica that is not promoted crashes 0.1 s after the
-/// first call that is accepted, and is back with its log 0.2 s later.
+/// The holders and tokens of the duty calls.
+type DutyCalls = Arc<Mutex<Vec<(String, String)>>>;
+
+/// Serves POST /promotion. With trouble, the replica that is not promoted crashes once a call is
+/// accepted, after 0.1 s or as `RESTART_AFTER_MS` says, and is back with its log 0.2 s later.
 fn serve_promotions(
     address: SocketAddr,
     cluster: &Arc<cluster::Cluster>,
     record: &record::Record,
     trouble: bool,
-) -> std::io::Result<()> {
+) -> std::io::Result<DutyCalls> {
     let listener = TcpListener::bind(address)?;
     let (cluster, record) = (Arc::clone(cluster), record.clone());
+    let calls = DutyCalls::default();
+    let received = Arc::clone(&calls);
     let may_restart = Arc::new(AtomicBool::new(trouble));
+    let after = std::env::var("RESTART_AFTER_MS").ok();
+    let after = after.and_then(|text| text.parse().ok()).unwrap_or(100);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (cluster, record) = (Arc::clone(&cluster), record.clone());
+            let received = Arc::clone(&received);
             let may_restart = Arc::clone(&may_restart);
             std::thread::spawn(move || {
                 store::serve_http(stream, &AtomicU64::new(1), |request| {
@@ -390,18 +424,27 @@
                         if may_restart.swap(false, Ordering::SeqCst) {
                             let cluster = Arc::clone(&cluster);
                             std::thread::spawn(move || {
-                                std::thread::sleep(Duration::from_millis(100));
+                                std::thread::sleep(Duration::from_millis(after));
                                 cluster.restart(other, Duration::from_millis(200));
                             });
                         }
                     });
-                    record.line(&format!("the platform answers {status} to the promotion of {id}"));
+                    let header = |name: &str| {
+                        let found = request.headers.iter().find(|(other, _)| other == name);
+                        found.map_or_else(String::new, |(_, value)| value.clone())
+                    };
+                    let call = (header("x-duty-holder"), header("x-fence-token"));
+                    record.line(&format!(
+                        "the platform answers {status} to the promotion of {id} by {} with token {}",
+                        call.0, call.1
+                    ));
+                    received.lock().unwrap().push(call);
                     (status, b"{}".to_vec())
                 });
             });
         }
     });
-    Ok(())
+    Ok(calls)
 }
 
 /// Writes an item of its own again and again at one machine.
@@ -426,7 +469,9 @@
         let text = format!("WRITE {item} {data}");
         let front = places.front(machine);
         let result = attempt_at(&mut session, front, PRIMARY_HOST, &id, &text);
-        record.line(&format!("consumer {number} at machine {machine} id {id}: {text} -> {result:?}"));
+        record.line(&format!(
+            "consumer {number} at machine {machine} id {id}: {text} -> {result:?}"
+        ));
         if result.is_ok_and(|outcome| outcome.starts_with("COMPLETE")) {
             written.lock().unwrap().push(Acknowledged {
                 machine,
@@ -449,7 +494,7 @@
     let store = store::Store::start(places.store()).map_err(failed)?;
     let cluster =
         cluster::Cluster::start(&places.five_databases(), &store, &cut, record).map_err(failed)?;
-    serve_promotions(places.cloud_api(), &cluster, record, false).map_err(failed)?;
+    let calls = serve_promotions(places.cloud_api(), &cluster, record, false).map_err(failed)?;
     store.put("config", "main", CONFIGURATION.as_bytes());
     let mut machines = vms::Machines::new(places)?;
     machines.start_all()?;
@@ -475,6 +520,12 @@
         store.put("config", "main", CONFIGURATION.as_bytes());
         cluster.drain(first);
         record.line("the store was away for a second and is back from the copy");
+        if std::env::var("RESTART_ALL").is_ok() {
+            machines.kill_all();
+            machines.start(1)?;
+            machines.start(2)?;
+            record.line("all processes were killed; machine 0 does not come back");
+        }
     } else {
         std::thread::sleep(Duration::from_secs(1));
     }
@@ -500,10 +551,22 @@
     let late = cluster.arrivals(second);
     let late = late.iter().filter(|at| **at > drained + DRAIN).count();
     let after = written.lock().unwrap();
-    let after = after.iter().filter(|write| write.at > left + Duration::from_secs(3));
+    let after = after
+        .iter()
+        .filter(|write| write.at > left + Duration::from_secs(3));
     record.line(&format!(
         "statements at the second database later than 7 s after it was draining: {late}; writes served later than 3 s after it left: {}",
         after.count()
     ));
-    Ok(late == 0)
+    let calls = calls.lock().unwrap();
+    let is_reused = |(holder, token): &(String, String)| {
+        calls
+            .iter()
+            .any(|(other, used)| used == token && other != holder)
+    };
+    let reused = calls.iter().filter(|call| is_reused(call)).count();
+    record.line(&format!(
+        "duty calls with a token that another holder used too: {reused}"
+    ));
+    Ok(late == 0 && reused == 0)
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -261,7 +261,9 @@
 fn of_kind(state: &State, kind: &str, after: u64) -> Vec<Vec<u8>> {
     let objects = state.objects.iter();
     let wanted = objects.filter(|((other, _), object)| other == kind && object.revision > after);
-    wanted.map(|((_, name), object)| render(name, object)).collect()
+    wanted
+        .map(|((_, name), object)| render(name, object))
+        .collect()
 }
 
 fn render(name: &str, object: &Object) -> Vec<u8> {
@@ -293,7 +295,10 @@
             era.load(Ordering::SeqCst),
             body.len()
         );
-        if writer.write_all(&[head.as_bytes(), &body].concat()).is_err() {
+        if writer
+            .write_all(&[head.as_bytes(), &body].concat())
+            .is_err()
+        {
             return;
         }
     }
--- a/review/standin/vms.rs
+++ b/review/standin/vms.rs
@@ -70,7 +70,10 @@
 
     /// The addresses of the machines, and those by which others know them behind a relay.
     pub fn machines(self) -> ([IpAddr; 3], [IpAddr; 3]) {
-        ([10, 11, 12].map(|host| self.ip(host)), [20, 21, 22].map(|host| self.ip(host)))
+        (
+            [10, 11, 12].map(|host| self.ip(host)),
+            [20, 21, 22].map(|host| self.ip(host)),
+        )
     }
 
     /// The port for datagrams between machines.
