Confirm a leader by probes only if no restart can have ended a fence

Cause: a VM that nothing else confirms probes the leader and its replicas, and relied on the leader for 800 ms if one replica was not fenced. PAUSE ends with the replica's restart, so a replica that restarts between the last probe of the fenced databases and the moment at which the promoted database leads counts as one that was never fenced.

Ruled out: leases by members and by the store, which end before the promotion is requested.

Fix: probes of a database use one connection, which a restart closes. The leader and a replica confirm the lease only if they have not restarted since an instant at which the leader had a valid lease; otherwise all databases of the service must have been seen unfenced, without a restart, for longer than a promotion takes. A replacement that begins after the lease finds a restarted replica when it probes the fenced databases again.

--- a/crates/bluebellferry_edge/src/control/orders.rs
+++ b/crates/bluebellferry_edge/src/control/orders.rs
@@ -35,6 +35,82 @@
     Refused(database::DatabaseError),
 }
 
+/// A connection to one database for orders. As long as it is open, the database has not
+/// restarted.
+#[derive(Debug)]
+pub struct OrderConnection {
+    stream: tokio::net::TcpStream,
+    decoder: line::LineDecoder,
+}
+
+impl OrderConnection {
+    /// Opens a connection to a database and waits until the database has accepted it.
+    ///
+    /// # Errors
+    /// Returns an error if the database cannot be reached or refuses the connection.
+    pub async fn open(
+        entry: &catalog::DatabaseEntry,
+        workspace: &name::WorkspaceName,
+    ) -> Result<Self, OrderError> {
+        let mut connection = Self::connect(entry).await?;
+        let startup = encode_startup(entry, workspace);
+        connection.stream.write_all(startup.as_bytes()).await?;
+        connection.receive_answer().await?;
+        Ok(connection)
+    }
+
+    async fn connect(entry: &catalog::DatabaseEntry) -> Result<Self, OrderError> {
+        let stream = http::connect(entry.address, ORDER_TIMEOUT).await?;
+        // Dropping the stream resets the connection, so that an order that timed out does not
+        // reach the database later.
+        stream.set_zero_linger()?;
+        Ok(Self {
+            stream,
+            decoder: line::LineDecoder::default(),
+        })
+    }
+
+    /// Sends an order and returns the status that the database reports after carrying it out. If
+    /// the returned future is dropped, the connection must not be used any more.
+    ///
+    /// # Errors
+    /// Returns an error if the database refuses the order or does not answer it. After any other
+    /// error than [`OrderError::Refused`], the connection must not be used any more.
+    pub async fn send(
+        &mut self,
+        order: database::DatabaseOrder,
+    ) -> Result<database::DatabaseStatus, OrderError> {
+        let mut out = String::new();
+        database::encode_order(&mut out, order);
+        self.stream.write_all(out.as_bytes()).await?;
+        let row = self.receive_answer().await?.ok_or(database::AnswerError)?;
+        Ok(database::decode_status(&row)?)
+    }
+
+    /// Receives an answer up to its READY line, and returns its last row.
+    async fn receive_answer(&mut self) -> Result<Option<String>, OrderError> {
+        let mut row = None;
+        let mut refused = None;
+        loop {
+            while let Some(text) = self.decoder.next_line()? {
+                match database::decode_answer_line(&text)? {
+                    database::AnswerLine::Row => row = Some(text),
+                    database::AnswerLine::Error(error) => refused = Some(error),
+                    database::AnswerLine::Ready { .. } => {
+                        return refused.map_or(Ok(row), |error| Err(OrderError::Refused(error)));
+                    }
+                    database::AnswerLine::Complete => {}
+                }
+            }
+            if self.stream.read_buf(self.decoder.buffer_mut()).await? == 0 {
+                // A database that refuses a connection closes it without a READY line.
+                let closed = || OrderError::Io(std::io::ErrorKind::UnexpectedEof.into());
+                return Err(refused.map_or_else(closed, OrderError::Refused));
+            }
+        }
+    }
+}
+
 /// Sends an order on a connection of its own and returns the status that the database
 /// reports after carrying it out.
 ///
@@ -49,40 +125,24 @@
     tokio::time::timeout(ORDER_TIMEOUT, send_and_receive(entry, workspace, order)).await?
 }
 
+/// Sends the order along with the startup message, which saves a round trip.
 async fn send_and_receive(
     entry: &catalog::DatabaseEntry,
     workspace: &name::WorkspaceName,
     order: database::DatabaseOrder,
 ) -> Result<database::DatabaseStatus, OrderError> {
-    let mut stream = http::connect(entry.address, ORDER_TIMEOUT).await?;
-    // Dropping the stream resets the connection, so that an order that timed out does not
-    // reach the database later.
-    stream.set_zero_linger()?;
-    let mut decoder = line::LineDecoder::default();
+    let mut connection = OrderConnection::connect(entry).await?;
+    let mut out = encode_startup(entry, workspace);
+    database::encode_order(&mut out, order);
+    connection.stream.write_all(out.as_bytes()).await?;
+    connection.receive_answer().await?;
+    let row = connection.receive_answer().await?;
+    Ok(database::decode_status(&row.ok_or(database::AnswerError)?)?)
+}
+
+fn encode_startup(entry: &catalog::DatabaseEntry, workspace: &name::WorkspaceName) -> String {
     let mut out = String::new();
     let (service, id) = (entry.service.as_str(), entry.id.as_str());
     database::encode_startup(&mut out, service, workspace.as_str(), id);
-    database::encode_order(&mut out, order);
-    stream.write_all(out.as_bytes()).await?;
-    let mut row = None;
-    let mut is_session_ready = false;
-    loop {
-        while let Some(text) = decoder.next_line()? {
-            match database::decode_answer_line(&text)? {
-                database::AnswerLine::Row => row = Some(text),
-                database::AnswerLine::Error(error) => {
-                    return Err(OrderError::Refused(error));
-                }
-                database::AnswerLine::Ready { .. } if is_session_ready => {
-                    let row = row.ok_or(database::AnswerError)?;
-                    return Ok(database::decode_status(&row)?);
-                }
-                database::AnswerLine::Ready { .. } => is_session_ready = true,
-                database::AnswerLine::Complete => {}
-            }
-        }
-        if stream.read_buf(decoder.buffer_mut()).await? == 0 {
-            return Err(OrderError::Io(std::io::ErrorKind::UnexpectedEof.into()));
-        }
-    }
+    out
 }
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
@@ -0,0 +1,90 @@
+//! Tests with databases that restart while a leader is being replaced. A restart ends a fence: a
+//! replica receives the log of the old leader again, and a leader that stepped down leads again.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_promotion::lease;
+use bluebellferry_standin_platform::caller;
+use bluebellferry_standin_platform::deployment;
+use bluebellferry_standin_platform::deployment::KEY;
+
+/// Longer than any lease lasts that was confirmed before.
+const LEASES_EXPIRED: Duration = lease::LEASE_DURATION.saturating_add(lease::PROBE_LEASE_DURATION);
+/// How long a crashed database is down.
+const DOWN_TIME: Duration = Duration::from_millis(200);
+
+async fn start(vms: u8) -> deployment::StandinDeployment {
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
+    deployment::StandinDeployment::start(program, vms).await
+}
+
+async fn connect(deployment: &deployment::StandinDeployment) -> caller::StandinCaller {
+    let caller = deployment.open_caller(0, "counter", KEY).await;
+    caller.expect("the caller connects")
+}
+
+/// Sends an order to a database, as a VM does that replaces the leader.
+async fn send_order(deployment: &deployment::StandinDeployment, database: u8, order: &str) {
+    let connection = deployment.open_database(database).await;
+    let mut connection = connection.expect("the database accepts the connection");
+    let answer = connection.run_with_id("-", order).await;
+    answer.expect("the database carries out the order");
+}
+
+async fn restart_with_log(deployment: &deployment::StandinDeployment, database: usize) {
+    deployment.group.crash(database);
+    tokio::time::sleep(DOWN_TIME).await;
+    deployment.group.restart_with_log(database, None);
+}
+
+/// Cuts a deployment's only VM off from the store, and replaces the leader `i-a` by `i-c` as
+/// another VM would, up to the point at which the platform has accepted the promotion. Then the
+/// other replica restarts with its log, and so receives the log of `i-a` again.
+async fn restart_replica_during_promotion(deployment: &deployment::StandinDeployment) {
+    deployment.store.set_unresponsive(true);
+    for replica in [1, 2] {
+        send_order(deployment, replica, "PAUSE 2").await;
+    }
+    tokio::time::sleep(LEASES_EXPIRED).await;
+    restart_with_log(deployment, 1).await;
+}
+
+/// Guards against stale reads: the restarted replica, which was no longer fenced, confirmed the
+/// replaced leader to a VM that was cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_replica_does_not_confirm_a_leader_that_is_being_replaced() {
+    let deployment = start(1).await;
+    deployment::run_successfully(&mut connect(&deployment).await, "WRITE boots first").await;
+    restart_replica_during_promotion(&deployment).await;
+    let until = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < until {
+        let mut caller = connect(&deployment).await;
+        let answer = deployment::run(&mut caller, "READ boots").await;
+        assert!(answer.refusal.is_some(), "{answer:?}");
+    }
+}
+
+/// Guards against refusals while the store is away: a VM without any other confirmation relies on
+/// a leader whose replicas follow it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn isolated_vm_uses_a_leader_whose_replicas_follow_it() {
+    let deployment = start(1).await;
+    deployment::run_successfully(&mut connect(&deployment).await, "WRITE boots first").await;
+    deployment.store.set_unresponsive(true);
+    let until = Instant::now() + Duration::from_secs(4);
+    let (mut served, mut refused) = (0, 0);
+    while Instant::now() < until {
+        let mut caller = connect(&deployment).await;
+        for text in ["READ boots", "WRITE boots more"] {
+            let answer = deployment::run(&mut caller, text).await;
+            if answer.refusal.is_none() {
+                served += 1;
+            } else {
+                refused += 1;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(served > 50 && refused * 20 <= served, "{served} {refused}");
+}
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! Where the platform promotes databases at a VM's request, [`suspect`] assesses whether a
 //! leader is lost, [`successor`] chooses the database that replaces it, and [`lease`] tells
-//! how long the other VMs may rely on the old leader.
+//! how long the other VMs may rely on the old leader. [`probe`] tells when a VM that no other
+//! VM reaches may rely on a leader that it probes.
 //!
 //! Where a leader works but is in the wrong place, [`relocation`] decides whether it moves.
 //!
@@ -26,6 +27,7 @@
 pub mod event;
 pub mod lease;
 pub mod observation;
+pub mod probe;
 pub mod promoter;
 pub mod relocation;
 pub mod successor;
