Report a commit as done only under a valid lease of its leader

Cause: single writes of a service with synchronous replication were sent without a lease, and COMMIT of a transaction that began under one whatever had become of it, since a replaced leader cannot acknowledge anything once its replicas are fenced. That ends when a fenced replica restarts. A write that was sent in time, too, may be acknowledged after its leader was replaced.

Evidence: isolated_vm_acknowledges_no_write_while_a_fenced_replica_restarts and isolated_vm_acknowledges_no_commit_while_a_fenced_replica_restarts failed on (400 of 400 writes acknowledged and lost; the COMMIT answered with success and lost), and commit_acknowledged_without_a_lease_is_not_reported_as_done fails when the new check is taken out. Ruled out: that the call of the promotion or the choice of the successor is at fault; the record shows that both replicas were fenced at the same position and the successor had it.

Fix: writes need a leader with a valid lease like reads do. An acknowledgement counts once the lease is valid after its arrival: the successor is chosen from probes that are sent after all leases have expired. If the leader is being replaced, the answer waits for the successor: a commit within the end of its log is kept, any other is in doubt, as it is without a lease by the statement's deadline.

--- a/crates/bluebellferry_edge/src/traffic/placement.rs
+++ b/crates/bluebellferry_edge/src/traffic/placement.rs
@@ -19,8 +19,6 @@
     /// The position that a replica must have replayed; `None` if only the leader may run the
     /// statement.
     pub replica_min_position: Option<position::LogPosition>,
-    /// Whether the leader must have a valid lease, which proves that it has not been replaced.
-    pub requires_lease: bool,
 }
 
 /// The role in which a database runs a statement.
@@ -98,12 +96,9 @@
 ) -> Option<PlacedRole<'a>> {
     let leader = snapshot.leaders.get(&entry.service);
     if let Some(leader) = leader.filter(|leader| leader.database == entry.id) {
-        let may_use_leader = if requirement.requires_lease {
-            snapshot.leased_leader(&entry.service, now).is_some()
-        } else {
-            !leader.is_being_replaced
-        };
-        return may_use_leader.then_some(PlacedRole::Leader(leader));
+        // Only a valid lease proves that the leader has not been replaced.
+        let is_leased = snapshot.leased_leader(&entry.service, now).is_some();
+        return is_leased.then_some(PlacedRole::Leader(leader));
     }
     let min_position = requirement
         .replica_min_position
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -4,6 +4,7 @@
 mod reporting;
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use bluebellferry_catalog::configuration;
@@ -20,12 +21,16 @@
 use bluebellferry_types::refusal;
 
 use crate::shared;
+use crate::traffic::acknowledgement;
 use crate::traffic::connection;
 use crate::traffic::dispatch;
 use crate::traffic::placement;
 use crate::traffic::reads;
 use crate::traffic::session;
 
+/// How often an acknowledged commit is assessed again while the lease of its leader has expired.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The policy and time limits that apply to a statement.
 #[derive(Debug, Clone)]
 struct StatementScope {
@@ -195,7 +200,7 @@
         if share.is_some_and(|share| !share.is_promising(level, clock::now())) {
             return;
         }
-        let mut request = self.placement_request(scope, true);
+        let mut request = self.placement_request(scope);
         let min_position = self.replica_min_position(scope);
         request.requirement.replica_min_position = min_position.filter(|_| reads_only);
         self.context.dispatcher.prepare_connection(&request);
@@ -236,7 +241,12 @@
                 "the transaction has no connection",
             ));
         };
-        if let Err(refusal) = self.admit_in_transaction(&connection, scope).await {
+        let is_writing_commit = plan.kind == state::RunKind::Commit && self.state.has_written();
+        let mut admitted = self.admit_in_transaction(&connection, scope).await;
+        if admitted.is_ok() && is_writing_commit {
+            admitted = self.wait_for_lease(connection.database, scope).await;
+        }
+        if let Err(refusal) = admitted {
             self.context.dispatcher.discard(connection);
             self.lose_transaction(plan);
             return Err(refusal);
@@ -249,8 +259,15 @@
             .await;
         match result {
             Ok(answer) => {
-                self.record_answer(&connection, &answer, sent, plan);
+                self.record_answer(&connection, &answer, &sent, plan);
+                let database = connection.database;
                 self.transaction_connection = Some(connection);
+                if is_writing_commit
+                    && let Err(refusal) = self.confirm_commit(database, &answer, &sent, scope).await
+                {
+                    self.state.record_outcome(plan, state::RunOutcome::Lost);
+                    return Err(refusal);
+                }
                 self.state
                     .record_outcome(plan, outcomes::outcome_of(&answer));
                 Ok(answer)
@@ -317,7 +334,7 @@
         opening: &state::TransactionOpening,
         scope: &StatementScope,
     ) -> Result<(), refusal::RequestRefusal> {
-        let mut request = self.placement_request(scope, true);
+        let mut request = self.placement_request(scope);
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| opening.read_only);
@@ -392,15 +409,7 @@
         scope: &StatementScope,
     ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
         let is_read = plan.kind == state::RunKind::AutocommitRead;
-        let is_synchronous = {
-            let snapshot = self.context.shared.snapshot();
-            let service = snapshot.configuration.services.get(&scope.policy.service);
-            service.is_some_and(|service| service.is_synchronous)
-        };
-        // With synchronous replication, a leader that has been replaced can't acknowledge a write: it
-        // has stepped down, or all of its replicas are fenced. Otherwise only a lease proves that it
-        // still leads.
-        let mut request = self.placement_request(scope, is_read || !is_synchronous);
+        let mut request = self.placement_request(scope);
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| is_read);
@@ -469,7 +478,7 @@
                 return AttemptOutcome::Retry("no_answer");
             }
         };
-        self.record_answer(&connection, &answer, sent, plan);
+        self.record_answer(&connection, &answer, &sent, plan);
         let Some(error) = answer.error else {
             if min_position.is_some() {
                 self.context
@@ -517,7 +526,7 @@
                 return AttemptOutcome::Refused(outcomes::in_doubt(error));
             }
         };
-        self.record_answer(&connection, &answer, sent, plan);
+        self.record_answer(&connection, &answer, &sent, plan);
         match answer.error {
             Some(error) if error.is_not_run() && error != database::DatabaseError::Busy => {
                 self.handle_rejection(&connection, error, false, request)
@@ -526,7 +535,13 @@
                 AttemptOutcome::Retry(error.as_str())
             }
             _ => {
+                let database = connection.database;
                 self.context.dispatcher.release(connection);
+                if answer.error.is_none()
+                    && let Err(refusal) = self.confirm_commit(database, &answer, &sent, scope).await
+                {
+                    return AttemptOutcome::Refused(refusal);
+                }
                 self.state
                     .record_outcome(plan, outcomes::outcome_of(&answer));
                 AttemptOutcome::Answered(answer)
@@ -534,6 +549,85 @@
         }
     }
 
+    /// Waits a short time until the database of an open transaction is a leader with a valid
+    /// lease, so that its acknowledgement of the commit can be relied on.
+    ///
+    /// # Errors
+    /// Returns a refusal if the database no longer leads, or cannot be confirmed to lead in time.
+    async fn wait_for_lease(
+        &self,
+        database: pool::DatabaseIndex,
+        scope: &StatementScope,
+    ) -> Result<(), refusal::RequestRefusal> {
+        let entry = self.context.dispatcher.registry_entry(database);
+        let wait_until = clock::now() + dispatch::SERVED_ELSEWHERE_TIMEOUT;
+        let wait_until = wait_until.min(scope.deadline);
+        let mut changes = self.context.shared.subscribe_to_snapshots();
+        loop {
+            changes.mark_unchanged();
+            let now = clock::now();
+            let snapshot = self.context.shared.snapshot();
+            let leader = snapshot.leaders.get(&entry.service);
+            if leader.is_none_or(|leader| leader.is_being_replaced || leader.database != entry.id) {
+                return Err(outcomes::refuse_aborted_transaction(
+                    "the transaction's database no longer leads",
+                ));
+            }
+            if snapshot.leased_leader(&entry.service, now).is_some() {
+                return Ok(());
+            }
+            if now >= wait_until {
+                return Err(outcomes::refuse_aborted_transaction(
+                    "it cannot be confirmed that the transaction's database still leads",
+                ));
+            }
+            let time_left = wait_until.saturating_duration_since(now);
+            tokio::time::timeout(time_left, changes.changed())
+                .await
+                .ok();
+        }
+    }
+
+    /// Waits until it is certain that a commit which `database` acknowledged is kept.
+    ///
+    /// # Errors
+    /// Returns a refusal with an unknown outcome if that is not certain by the deadline, or if
+    /// another database was promoted that may lack the commit.
+    async fn confirm_commit(
+        &mut self,
+        database: pool::DatabaseIndex,
+        answer: &database::DatabaseAnswer,
+        sent: &reporting::SendRecord,
+        scope: &StatementScope,
+    ) -> Result<(), refusal::RequestRefusal> {
+        let entry = self.context.dispatcher.registry_entry(database);
+        let mut changes = self.context.shared.subscribe_to_snapshots();
+        loop {
+            changes.mark_unchanged();
+            let snapshot = self.context.shared.snapshot();
+            let now = clock::now();
+            let certainty = acknowledgement::assess_commit(
+                &sent.snapshot,
+                &snapshot,
+                &entry,
+                answer.position,
+                now,
+            );
+            let is_unsettled = certainty == acknowledgement::CommitCertainty::Unsettled;
+            if certainty == acknowledgement::CommitCertainty::Kept {
+                return Ok(());
+            }
+            if !is_unsettled || now >= scope.deadline {
+                self.in_doubt_at = Some(now);
+                return Err(outcomes::unconfirmed_commit());
+            }
+            let time_left = scope.deadline.saturating_duration_since(now);
+            tokio::time::timeout(time_left.min(LEASE_CHECK_INTERVAL), changes.changed())
+                .await
+                .ok();
+        }
+    }
+
     /// Reports to the control thread that a leader rejected a statement as lagging, although its
     /// log contains the required position as long as it leads. Has no effect for a replica.
     fn report_lagging_leader(
@@ -570,11 +664,7 @@
         connection.receive_answers(steps.len() + 1, deadline).await
     }
 
-    fn placement_request(
-        &self,
-        scope: &StatementScope,
-        requires_lease: bool,
-    ) -> dispatch::PlacementRequest {
+    fn placement_request(&self, scope: &StatementScope) -> dispatch::PlacementRequest {
         dispatch::PlacementRequest {
             service: scope.policy.service.clone(),
             pool_request: pool::ConnectionRequest {
@@ -584,7 +674,6 @@
             },
             requirement: placement::PlacementRequirement {
                 replica_min_position: None,
-                requires_lease,
             },
             homes: scope.homes.clone(),
             excluded: Vec::new(),
--- a/crates/bluebellferry_edge/src/traffic/statement/outcomes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/outcomes.rs
@@ -74,6 +74,13 @@
     refusal::RequestRefusal::unknown(refusal::RefusalReason::OutcomeUnknown, error.to_string())
 }
 
+/// Returns the refusal of a commit that a database acknowledged, but that may not be kept.
+pub(super) fn unconfirmed_commit() -> refusal::RequestRefusal {
+    let reason = refusal::RefusalReason::LeadershipUnconfirmed;
+    let message = "the database that acknowledged the change may have been replaced before";
+    refusal::RequestRefusal::unknown(reason, message)
+}
+
 /// Returns the refusal of a statement whose transaction lost its connection. The outcome is
 /// unknown if the statement was COMMIT; otherwise the database rolls the transaction back.
 pub(super) fn connection_lost(
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -1,5 +1,6 @@
 //! Reports the outcome of statements to logs, metrics, latency estimates and leader evidence.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,10 +23,12 @@
 const READ_ONLY_RETRY_DELAY: Duration = Duration::from_millis(40);
 
 /// When a statement was sent, and whether it was sent to a leader with a valid lease.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct SendRecord {
     /// An instant just before the statement was sent.
     pub(super) at: Instant,
+    /// The snapshot at that instant.
+    pub(super) snapshot: Arc<shared::EdgeSnapshot>,
     /// The end of the leader's log; `None` if the statement was not sent to a leader with a valid
     /// lease.
     leader_log_end: Option<LeaderLogEnd>,
@@ -180,9 +183,11 @@
         let snapshot = self.context.shared.snapshot();
         let leased = snapshot.leased_leader(&entry.service, at);
         let leader = leased.filter(|leader| leader.database == entry.id);
+        let leader_log_end = leader.map(|leader| LeaderLogEnd(leader.log_end_when_chosen));
         SendRecord {
             at,
-            leader_log_end: leader.map(|leader| LeaderLogEnd(leader.log_end_when_chosen)),
+            snapshot,
+            leader_log_end,
         }
     }
 
@@ -191,7 +196,7 @@
         &self,
         connection: &dispatch::PoolConnection,
         answer: &database::DatabaseAnswer,
-        sent: SendRecord,
+        sent: &SendRecord,
         plan: &state::RunPlan,
     ) {
         let dispatcher = &self.context.dispatcher;
--- a/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
+++ b/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
@@ -50,6 +50,47 @@
     restart_with_log(deployment, 1).await;
 }
 
+/// Guards against lost writes: a VM that was cut off sent writes to the replaced leader, which
+/// acknowledged them since a fenced replica had restarted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn isolated_vm_acknowledges_no_write_while_a_fenced_replica_restarts() {
+    let deployment = start(1).await;
+    deployment::run_successfully(&mut connect(&deployment).await, "WRITE boots first").await;
+    restart_replica_during_promotion(&deployment).await;
+    let mut acknowledged = vec!["first".to_owned()];
+    let until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < until {
+        let data = format!("w{}", acknowledged.len());
+        let mut caller = connect(&deployment).await;
+        let answer = deployment::run(&mut caller, &format!("WRITE boots {data}")).await;
+        if answer.refusal.is_none() {
+            acknowledged.push(data);
+        }
+    }
+    deployment.group.promote_at_once("i-c");
+    let kept = deployment.group.logged_values("boots");
+    assert!(
+        acknowledged.iter().all(|data| kept.contains(data)),
+        "acknowledged {acknowledged:?}, kept {kept:?}"
+    );
+}
+
+/// Guards against lost commits: the same for a transaction that began before the VM was cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn isolated_vm_acknowledges_no_commit_while_a_fenced_replica_restarts() {
+    let deployment = start(1).await;
+    let mut caller = connect(&deployment).await;
+    deployment::run_successfully(&mut caller, "WRITE boots first").await;
+    deployment::run_successfully(&mut caller, "BEGIN").await;
+    deployment::run_successfully(&mut caller, "WRITE boots second").await;
+    restart_replica_during_promotion(&deployment).await;
+    let answer = deployment::run(&mut caller, "COMMIT").await;
+    deployment.group.promote_at_once("i-c");
+    let kept = deployment.group.logged_values("boots");
+    let is_kept = kept.contains(&"second".to_owned());
+    assert!(answer.refusal.is_some() || is_kept, "{answer:?}, {kept:?}");
+}
+
 /// Guards against stale reads: the restarted replica, which was no longer fenced, confirmed the
 /// replaced leader to a VM that was cut off.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -179,7 +179,6 @@
 
 const LEADER_ONLY: placement::PlacementRequirement = placement::PlacementRequirement {
     replica_min_position: None,
-    requires_lease: true,
 };
 
 #[tokio::test]
@@ -206,7 +205,6 @@
             // The former leader may serve a read with a staleness bound as a replica.
             let bounded = placement::PlacementRequirement {
                 replica_min_position: Some(position(1, 40)),
-                requires_lease: true,
             };
             assert!(acquires_despite_change(bounded, change_leader).await);
         })
@@ -272,7 +270,6 @@
     let snapshot = snapshot_with_leader(&databases, leader_view.clone(), until);
     let requirement = placement::PlacementRequirement {
         replica_min_position: Some(position(2, 55)),
-        requires_lease: true,
     };
     let role = |index: usize, at| placement::role_of(&snapshot, &databases[index], requirement, at);
     let min_position =
@@ -326,18 +323,13 @@
     address
 }
 
-/// Runs a read at `i-a` and changes the snapshot before the database answers. Returns the leader
-/// position that was recorded for the answer, and checks that it is dated before the change.
-async fn position_recorded_after_read(
-    answer: &str,
-    known_position: Option<position::LogPosition>,
-    leader_view: shared::LeaderView,
-    change: impl FnOnce(&mut shared::EdgeSnapshot),
-) -> Option<position::LogPosition> {
-    let shared = edge_shared();
-    let now = clock::now();
-    let databases = [entry("i-a", serve_fixed_answer(answer).await)];
-    let mut snapshot = snapshot_with_leader(&databases, leader_view, now + Duration::from_secs(60));
+/// Returns a snapshot as [`snapshot_with_leader`] does, with a route `browse`.
+fn snapshot_with_route(
+    databases: &[database::DatabaseEntry],
+    leader: shared::LeaderView,
+    until: Instant,
+) -> shared::EdgeSnapshot {
+    let mut snapshot = snapshot_with_leader(databases, leader, until);
     let policy = configuration::RoutePolicy {
         service: service(),
         guarantee: configuration::ReadGuarantee::BoundedAge {
@@ -352,14 +344,15 @@
     let mut configuration = configuration::Configuration::clone(&snapshot.configuration);
     configuration.routes.insert("browse".to_owned(), policy);
     snapshot.configuration = Arc::new(configuration);
-    if let Some(known_position) = known_position {
-        shared.record_position(&service(), now, known_position);
-    }
-    shared.replace_snapshot(snapshot.clone(), true);
+    snapshot
+}
+
+/// Connects a caller to a VM with this state.
+async fn connect_caller(shared: &Arc<shared::EdgeShared>) -> TcpStream {
     let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
     let metrics = metrics.expect("the metric names are unique");
-    let context = Rc::new(traffic::TrafficContext::new(Arc::clone(&shared), metrics));
-    context.dispatcher.apply_snapshot(now);
+    let context = Rc::new(traffic::TrafficContext::new(Arc::clone(shared), metrics));
+    context.dispatcher.apply_snapshot(clock::now());
     let listener = TcpListener::bind(any_address().ip().to_string() + ":0").await;
     let listener = listener.expect("the listener binds");
     let address = listener.local_addr().expect("the listener has an address");
@@ -368,9 +361,28 @@
             session::serve(stream, context).await;
         }
     });
-    let mut caller = TcpStream::connect(address)
-        .await
-        .expect("the caller connects");
+    let caller = TcpStream::connect(address).await;
+    caller.expect("the caller connects")
+}
+
+/// Runs a read at `i-a` and changes the snapshot before the database answers. Returns the leader
+/// position that was recorded for the answer, and checks that it is dated before the change.
+async fn position_recorded_after_read(
+    answer: &str,
+    known_position: Option<position::LogPosition>,
+    leader_view: shared::LeaderView,
+    change: impl FnOnce(&mut shared::EdgeSnapshot),
+) -> Option<position::LogPosition> {
+    let shared = edge_shared();
+    let now = clock::now();
+    let databases = [entry("i-a", serve_fixed_answer(answer).await)];
+    let until = now + Duration::from_secs(60);
+    let mut snapshot = snapshot_with_route(&databases, leader_view, until);
+    if let Some(known_position) = known_position {
+        shared.record_position(&service(), now, known_position);
+    }
+    shared.replace_snapshot(snapshot.clone(), true);
+    let mut caller = connect_caller(&shared).await;
     let text = b"STARTUP browse key\r\nQUERY 1 READ a\r\n";
     caller.write_all(text).await.expect("the caller sends");
     tokio::time::sleep(READ_TIME / 2).await;
@@ -476,3 +488,106 @@
         })
         .await;
 }
+
+/// Runs a write, alone or as the commit of a transaction, at the leader `i-a`, which acknowledges
+/// it at position 1/5, and changes the snapshot before the acknowledgement arrives. Returns the
+/// first word of the answer and the error code.
+async fn answer_to_commit(
+    in_transaction: bool,
+    change: impl FnOnce(&mut shared::EdgeSnapshot),
+) -> String {
+    let shared = edge_shared();
+    let address = serve_fixed_answer("COMPLETE r\r\nREADY I 1.5\r\n").await;
+    let databases = [entry("i-a", address)];
+    let until = clock::now() + Duration::from_secs(60);
+    let mut snapshot = snapshot_with_route(&databases, leader("i-a"), until);
+    shared.replace_snapshot(snapshot.clone(), true);
+    let mut lines = BufReader::new(connect_caller(&shared).await).lines();
+    let mut statements = vec!["STARTUP browse key", "QUERY 2 WRITE a x"];
+    if in_transaction {
+        statements.insert(1, "QUERY 1 BEGIN");
+        statements.push("QUERY 3 COMMIT");
+    }
+    let last = statements.len() - 1;
+    let mut change = Some(change);
+    for (index, statement) in statements.into_iter().enumerate() {
+        let text = format!("{statement}\r\n");
+        let sent = lines.get_mut().get_mut().write_all(text.as_bytes()).await;
+        sent.expect("the caller sends");
+        if index == last {
+            tokio::time::sleep(READ_TIME / 2).await;
+            if let Some(change) = change.take() {
+                change(&mut snapshot);
+            }
+            shared.replace_snapshot(snapshot.clone(), true);
+        }
+        let mut answer = String::new();
+        while let Ok(Some(line)) = lines.next_line().await {
+            if line.starts_with("READY") {
+                break;
+            }
+            answer = line;
+        }
+        if index == last {
+            let words: Vec<&str> = answer.split(' ').take(2).collect();
+            return words.join(" ");
+        }
+    }
+    String::new()
+}
+
+/// Returns a change after which `i-b` leads, whose log ended at `end` when it was chosen.
+fn promote(end: position::LogPosition) -> impl FnOnce(&mut shared::EdgeSnapshot) {
+    move |snapshot| {
+        let successor = shared::LeaderView {
+            log_end_when_chosen: Some(end),
+            ..leader("i-b")
+        };
+        snapshot.leaders = Arc::new([(service(), successor)].into());
+    }
+}
+
+// Guards against lost commits: the replaced leader acknowledged a commit after its lease had
+// expired, when its successor had been chosen already.
+#[tokio::test]
+async fn commit_acknowledged_without_a_lease_is_not_reported_as_done() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            for in_transaction in [false, true] {
+                let answer = answer_to_commit(in_transaction, |_| {}).await;
+                assert_eq!(answer, "COMPLETE r");
+                let expire_lease = |snapshot: &mut shared::EdgeSnapshot| snapshot.leases.clear();
+                let answer = answer_to_commit(in_transaction, expire_lease).await;
+                assert_eq!(answer, "ERROR INDOUBT");
+                let begin_replacement = |snapshot: &mut shared::EdgeSnapshot| {
+                    let mut leader_view = leader("i-a");
+                    leader_view.is_being_replaced = true;
+                    snapshot.leaders = Arc::new([(service(), leader_view)].into());
+                };
+                let answer = answer_to_commit(in_transaction, begin_replacement).await;
+                assert_eq!(answer, "ERROR INDOUBT");
+                // The successor may lack the commit.
+                for end in [position(1, 4), position(2, 9)] {
+                    let answer = answer_to_commit(in_transaction, promote(end)).await;
+                    assert_eq!(answer, "ERROR INDOUBT");
+                }
+            }
+        })
+        .await;
+}
+
+// Guards against doubts about commits that are kept: an orderly replacement takes place between a
+// commit and its acknowledgement.
+#[tokio::test]
+async fn commit_in_the_log_of_the_successor_is_reported_as_done() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            for in_transaction in [false, true] {
+                let answer = answer_to_commit(in_transaction, promote(position(1, 5))).await;
+                assert_eq!(answer, "COMPLETE r");
+            }
+        })
+        .await;
+}
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -153,6 +153,11 @@
         self.transaction == TransactionState::None && is_start
     }
 
+    /// Returns whether the session's open transaction has written.
+    pub fn has_written(&self) -> bool {
+        self.transaction == TransactionState::Open { has_written: true }
+    }
+
     /// Returns whether the session's transaction occupies a database connection.
     pub fn holds_connection(&self) -> bool {
         matches!(
