Probe all fenced databases again before a promotion, leaders included

Cause: the probe passed over replicas other than the chosen one that did not answer, and over databases that had led in the replaced term. A restart ends both kinds of fence.

Fix: the promotion waits until the databases on whose fences the choice rests have answered: the chosen one and the leader, if the leader has stepped down and the chosen one has its whole log, and otherwise all replicas. Replicas that are no longer registered are not waited for, as before. A leader that leads again, or does not answer, is ordered once more to step down; after an orderly replacement has lost its leader, the replicas are fenced.

--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -197,12 +197,13 @@
     }
 }
 
-/// Probes the fenced replicas again, and removes those that are no longer fenced. A replica
-/// that restarted receives again, and may have lost its log. Databases that led in the
-/// replaced term are not probed: they stepped down, and were not ordered to stop receiving.
+/// Probes the fenced databases again, and removes those that are no longer fenced: a replica
+/// that restarted receives again and may have lost its log, and a leader that stepped down and
+/// restarted leads again.
 ///
-/// Returns whether `chosen` has answered, or led in the replaced term. A replica that does
-/// not answer may be restarting without its log.
+/// Returns whether `chosen` and the databases on whose fences its choice rests have answered: the
+/// leader that has stepped down or else all replicas. One that does not answer may have restarted
+/// and acknowledged or received commits since it was fenced.
 pub(super) async fn recheck_fenced(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
@@ -211,11 +212,13 @@
     let Some(workspace) = control.borrow().any_workspace() else {
         return false;
     };
-    let mut has_answered = replacement.led_replaced_term(chosen);
     let mut entries = control.borrow().databases_of(&replacement.service);
+    let commit_holders = control
+        .borrow()
+        .possible_commit_holders(&replacement.service, clock::now());
     entries.retain(|entry| {
-        replacement.fenced_positions.contains_key(&entry.id)
-            && !replacement.led_replaced_term(&entry.id)
+        let may_have_commits = commit_holders.iter().any(|holder| holder.id == entry.id);
+        may_have_commits && replacement.fenced_positions.contains_key(&entry.id)
     });
     let mut probes = JoinSet::new();
     for entry in entries {
@@ -225,39 +228,92 @@
             (orders::send_order(&entry, &workspace, order).await, entry)
         });
     }
-    let replicas_must_not_receive = !replacement.cause.is_orderly();
+    let mut unanswered: SmallVec<[catalog::DatabaseEntry; 2]> = SmallVec::new();
     while let Some(finished) = probes.join_next().await {
-        let Ok((Ok(status), entry)) = finished else {
-            continue;
-        };
-        has_answered |= entry.id == *chosen;
-        let Some(fenced_position) = replacement.fenced_positions.get(&entry.id).copied() else {
-            continue;
+        let Ok((answer, entry)) = finished else {
+            return false;
         };
-        let report = successor::FenceReport {
-            received: status.received,
-            fenced_term: status.fenced_term,
-            is_primary: status.is_primary,
-        };
-        // A database that led was ordered to step down, not to stop receiving.
-        let must_not_receive =
-            replicas_must_not_receive && !replacement.reported_leaders.contains_key(&entry.id);
-        if successor::is_still_fenced(fenced_position, must_not_receive, &report) {
-            continue;
+        match answer {
+            Ok(status) => record_recheck(replacement, &entry, status),
+            Err(error) => {
+                log::warn!(database = entry.id.as_str(), error:% = error; "a fenced database did not answer when it was probed again");
+                unanswered.push(entry);
+            }
         }
-        log::warn!(
-            database = entry.id.as_str(), held_term = status.fenced_term, received = status.received.offset,
-            held_at = fenced_position.offset;
-            "a replica is no longer fenced"
-        );
+    }
+    for entry in &unanswered {
+        record_unanswered_recheck(replacement, entry);
+    }
+    if has_whole_log(replacement, chosen) {
+        return unanswered.iter().all(|entry| entry.id != *chosen);
+    }
+    unanswered.is_empty()
+}
+
+/// Returns whether the leader has stepped down and a database has its whole log. The other replicas
+/// need not be fenced then.
+fn has_whole_log(replacement: &LeaderReplacement, id: &name::DatabaseName) -> bool {
+    let fenced = replacement.fenced_positions.iter();
+    let ends = fenced.filter(|(id, _)| replacement.led_replaced_term(id));
+    let leader_end = ends.map(|(_, end)| end).max();
+    leader_end.is_some() && replacement.fenced_positions.get(id) >= leader_end
+}
+
+/// Records the status of a fenced database that was probed again.
+fn record_recheck(
+    replacement: &mut LeaderReplacement,
+    entry: &catalog::DatabaseEntry,
+    status: database::DatabaseStatus,
+) {
+    let Some(fenced_position) = replacement.fenced_positions.get(&entry.id).copied() else {
+        return;
+    };
+    let has_stepped_down = replacement.led_replaced_term(&entry.id);
+    // A database that led was ordered to step down, not to stop receiving.
+    let must_not_receive = !replacement.cause.is_orderly()
+        && !has_stepped_down
+        && !replacement.reported_leaders.contains_key(&entry.id);
+    let report = successor::FenceReport {
+        received: status.received,
+        fenced_term: status.fenced_term,
+        is_primary: status.is_primary,
+    };
+    let leads_again = has_stepped_down && status.is_primary;
+    if !leads_again && successor::is_still_fenced(fenced_position, must_not_receive, &report) {
+        return;
+    }
+    log::warn!(
+        database = entry.id.as_str(), held_term = status.fenced_term, received = status.received.offset,
+        held_at = fenced_position.offset, is_primary = status.is_primary;
+        "a database is no longer fenced"
+    );
+    replacement.fenced_positions.remove(&entry.id);
+    replacement.fencing_ended_at = None;
+    if has_stepped_down {
+        forget_unfenced_replicas(replacement);
+    }
+    if status.received < fenced_position {
+        let lost_log = (fenced_position, clock::now());
+        replacement.lost_logs.insert(entry.id.clone(), lost_log);
+    }
+}
+
+/// Records that a fenced database did not answer when it was probed again. If it is the leader, it
+/// may lead again, so it is ordered once more to step down.
+fn record_unanswered_recheck(replacement: &mut LeaderReplacement, entry: &catalog::DatabaseEntry) {
+    if replacement.led_replaced_term(&entry.id) {
         replacement.fenced_positions.remove(&entry.id);
         replacement.fencing_ended_at = None;
-        if status.received < fenced_position {
-            let lost_log = (fenced_position, clock::now());
-            replacement.lost_logs.insert(entry.id.clone(), lost_log);
-        }
+        forget_unfenced_replicas(replacement);
+    }
+}
+
+/// Forgets the positions of replicas that were not ordered to stop receiving, since the leader had
+/// stepped down. If the leader leads again, they receive from it.
+fn forget_unfenced_replicas(replacement: &mut LeaderReplacement) {
+    if replacement.cause.is_orderly() {
+        replacement.fenced_positions.clear();
     }
-    has_answered
 }
 
 /// Chooses a successor from the reports so far. Once [`UNREGISTERED_WAIT_LIMIT`] has passed
--- a/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
+++ b/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
@@ -13,6 +13,8 @@
 const LEASES_EXPIRED: Duration = lease::LEASE_DURATION.saturating_add(lease::PROBE_LEASE_DURATION);
 /// How long a crashed database is down.
 const DOWN_TIME: Duration = Duration::from_millis(200);
+/// How long a promotion may take.
+const PROMOTION_TIMEOUT: Duration = Duration::from_secs(12);
 
 async fn start(vms: u8) -> deployment::StandinDeployment {
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_bluebellferry-edge"));
@@ -129,3 +131,94 @@
     }
     assert!(served > 50 && refused * 20 <= served, "{served} {refused}");
 }
+
+/// Starts two VMs, of which the second is suspended, so that the first one waits for its lease
+/// before it promotes a successor.
+async fn start_with_suspended_vm() -> deployment::StandinDeployment {
+    let deployment = start(2).await;
+    deployment::run_successfully(&mut connect(&deployment).await, "WRITE boots first").await;
+    let process = rustix::process::Pid::from_child(&deployment.vms[1]);
+    let suspended = rustix::process::kill_process(process, rustix::process::Signal::STOP);
+    suspended.expect("the process runs");
+    deployment
+}
+
+async fn wait_for_order(deployment: &deployment::StandinDeployment, database: usize, order: &str) {
+    let deadline = Instant::now() + PROMOTION_TIMEOUT;
+    let has_received = || {
+        let lines = deployment.group.received_lines_by_member();
+        let mut lines = lines.iter().rev();
+        lines.any(|(member, line)| *member == database && line.contains(order))
+    };
+    while !has_received() {
+        assert!(Instant::now() < deadline, "no {order} at {database}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Writes directly at the old leader, like a VM that is cut off, whose lease is still valid.
+async fn write_at_old_leader(deployment: &deployment::StandinDeployment, text: &str) {
+    let connection = deployment.open_database(0).await;
+    let mut connection = connection.expect("the old leader accepts the connection");
+    let answer = deployment::run(&mut connection, text).await;
+    assert_eq!(answer.refusal, None, "{text}");
+}
+
+async fn wait_for_promotion(deployment: &deployment::StandinDeployment) {
+    let deadline = Instant::now() + PROMOTION_TIMEOUT;
+    let has_successor = || {
+        let reports = deployment.group.reports();
+        reports
+            .iter()
+            .any(|report| report.is_primary && report.term > 1)
+    };
+    while !has_successor() {
+        assert!(Instant::now() < deadline, "no database was promoted");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against lost writes: a fenced replica restarted, received a write, and was down when it
+/// was to be probed again before the promotion, which passed it over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_successor_is_promoted_while_a_fenced_replica_is_down() {
+    let deployment = start_with_suspended_vm().await;
+    deployment.group.set_unresponsive(0, true);
+    // A write that gets no answer makes the VM suspect the leader.
+    let mut caller = connect(&deployment).await;
+    tokio::spawn(async move { caller.run("WRITE boots refused").await });
+    for replica in [1, 2] {
+        wait_for_order(&deployment, replica, "PAUSE").await;
+    }
+    restart_with_log(&deployment, 1).await;
+    deployment.group.set_unresponsive(0, false);
+    write_at_old_leader(&deployment, "WRITE boots second").await;
+    deployment.group.crash(1);
+    tokio::time::sleep(LEASES_EXPIRED).await;
+    deployment.group.restart_with_log(1, None);
+    wait_for_promotion(&deployment).await;
+    let kept = deployment.group.logged_values("boots");
+    assert!(kept.contains(&"second".to_owned()), "{kept:?}");
+}
+
+/// Guards against lost writes: a draining leader that had stepped down restarted, led again and
+/// acknowledged a write that its successor lacked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_that_leads_again_after_it_stepped_down_is_noticed() {
+    let deployment = start_with_suspended_vm().await;
+    // The other replica is chosen, since it is the only one that answers.
+    deployment.group.set_unresponsive(1, true);
+    let entry = deployment.store.object_value("servers", "i-a");
+    let mut entry = entry.expect("it is registered");
+    entry["State"] = "draining".into();
+    deployment.store.put("servers", "i-a", entry);
+    wait_for_order(&deployment, 0, "STEPDOWN").await;
+    tokio::time::sleep(DOWN_TIME).await;
+    deployment.group.lead_in_old_term(0, 1);
+    deployment.group.set_replication_blocked(2, true);
+    deployment.group.set_unresponsive(1, false);
+    write_at_old_leader(&deployment, "WRITE boots second").await;
+    wait_for_promotion(&deployment).await;
+    let kept = deployment.group.logged_values("boots");
+    assert!(kept.contains(&"second".to_owned()), "{kept:?}");
+}
