Restore the leadership table after the store came back from an older copy

Cause: revisions of the store were compared across its return. VMs remembered a table with a higher revision than the store gave out, so they ignored what they read and wrote under a revision that the store no longer had. Tokens were counted in the table that was lost.

Ruled out: the registrations; the draining of the second primary was known to all VMs.

Fix: a revision carries the era of the store (Store-Era), and a later era's is higher; a watch or a conditional write of an earlier era counts as expired. A table counts only in the era in which it was written, which the high bits of its token tell, so tokens rise across returns. A VM whose lease is still valid knows the latest table and writes it again: whoever replaces a leader unknown to it reads the table once more after that lease, finds that its replacement is not entered, and abandons it. Memory outvotes the copy for VMs that are live, for databases that drain and for evacuations, until they are written again.

--- a/crates/bluebellferry_catalog/src/leadership.rs
+++ b/crates/bluebellferry_catalog/src/leadership.rs
@@ -4,9 +4,15 @@
 
 use bluebellferry_types::name;
 use bluebellferry_types::position;
+use bluebellferry_types::store_revision;
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The number of low bits of a fencing token that count holders. The others hold the era of the
+/// store in which the token was issued, so that tokens rise although a store that came back from an
+/// older copy has lost the latest ones.
+const HOLDER_COUNT_BITS: u32 = 20;
+
 /// Whether a leader may be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -37,12 +43,13 @@
 /// that each version has exactly one successor.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeadershipTable {
-    /// The store's revision of this version; 0 before the first version.
+    /// The store's revision of this version in packed form; 0 before the first version.
     pub revision: u64,
     /// The VM that may choose leaders, which is called the holder of the promotion duty: the one
     /// that last changed the table.
     pub holder: String,
-    /// The fencing token, which increases whenever the holder changes.
+    /// The fencing token, which increases whenever the holder changes or a new era of the store
+    /// begins.
     pub token: u64,
     /// A random number by which the writer recognises its own write.
     pub nonce: u64,
@@ -70,4 +77,36 @@
         next.leaders.insert(service.clone(), entry);
         next
     }
+
+    /// Returns whether the table was written in an era of the store, or is the empty one of a store
+    /// that reports no eras.
+    pub fn is_of_era(&self, era: store_revision::StoreEra) -> bool {
+        store_revision::StoreEra::new(self.token >> HOLDER_COUNT_BITS) == era
+    }
+
+    /// Returns the table as it is written again in a later era of the store. Its token is higher
+    /// than all that were issued in earlier eras.
+    #[must_use]
+    pub fn restored(&self, era: store_revision::StoreEra, nonce: u64) -> Self {
+        let mut restored = self.clone();
+        restored.token = era.number() << HOLDER_COUNT_BITS;
+        restored.nonce = nonce;
+        restored
+    }
+
+    /// Returns the table with those entries of another one whose leaders were chosen later.
+    #[must_use]
+    pub fn merged(&self, other: &Self) -> Self {
+        let mut merged = self.clone();
+        for (service, entry) in &other.leaders {
+            let is_later = merged
+                .leaders
+                .get(service)
+                .is_none_or(|known| entry.log_end_when_chosen > known.log_end_when_chosen);
+            if is_later {
+                merged.leaders.insert(service.clone(), entry.clone());
+            }
+        }
+        merged
+    }
 }
--- a/crates/bluebellferry_edge/src/control.rs
+++ b/crates/bluebellferry_edge/src/control.rs
@@ -14,6 +14,7 @@
 pub mod probing;
 pub mod registry;
 pub mod replacement;
+mod restoration;
 pub mod state;
 pub mod store_copies;
 pub mod store_gate;
--- a/crates/bluebellferry_edge/src/control/configuration.rs
+++ b/crates/bluebellferry_edge/src/control/configuration.rs
@@ -7,6 +7,7 @@
 use bluebellferry_platform::configuration;
 use bluebellferry_platform::objects;
 use bluebellferry_runtime::clock;
+use bluebellferry_types::store_revision;
 use rand::Rng;
 
 use crate::control;
@@ -168,7 +169,7 @@
     }
 
     /// Lists the configuration and returns the store's revision.
-    async fn list(&mut self) -> Result<u64, objects::StoreError> {
+    async fn list(&mut self) -> Result<store_revision::StoreRevision, objects::StoreError> {
         if self.has_listed {
             self.enter_store().await;
         } else {
@@ -182,7 +183,7 @@
             apply_if_configuration(&self.control, object);
         }
         log::info!(
-            revision = listing.revision,
+            revision = listing.revision.number(), era = listing.revision.era().number(),
             version = self.control.borrow().versions.configuration;
             "the configuration was listed and is now watched"
         );
@@ -191,7 +192,11 @@
 
     /// Waits up to `wait` for a change after a revision, and returns the revision from which the
     /// next watch continues.
-    async fn watch(&mut self, after: u64, wait: Duration) -> Result<u64, objects::StoreError> {
+    async fn watch(
+        &mut self,
+        after: store_revision::StoreRevision,
+        wait: Duration,
+    ) -> Result<store_revision::StoreRevision, objects::StoreError> {
         let started_at = clock::now();
         let result = self
             .client
@@ -204,12 +209,12 @@
             .as_millis() as u64;
         let (changes, next) = result.inspect_err(|error| {
             log::warn!(
-                after = after, elapsed_ms = elapsed_ms, error:% = error;
+                after = after.number(), elapsed_ms = elapsed_ms, error:% = error;
                 "a watch of the configuration failed"
             );
         })?;
         log::debug!(
-            after = after, next = next, elapsed_ms = elapsed_ms, changes = changes.len() as u64;
+            after = after.number(), next = next.number(), elapsed_ms = elapsed_ms, changes = changes.len() as u64;
             "a watch of the configuration was answered"
         );
         for change in changes.iter().filter(|change| !change.is_deleted) {
@@ -222,6 +227,7 @@
         self.metrics.count_read(call, result);
         let is_answered = matches!(result, Ok(_) | Err(objects::StoreError::HistoryExpired));
         let mut control = self.control.borrow_mut();
+        control.observe_store_era(self.client.era(), clock::now());
         control.is_configuration_readable = is_answered;
         if result.is_ok() {
             self.awaits_version = false;
--- a/crates/bluebellferry_edge/src/control/evacuations.rs
+++ b/crates/bluebellferry_edge/src/control/evacuations.rs
@@ -10,6 +10,7 @@
 use bluebellferry_platform::evacuations;
 use bluebellferry_platform::objects;
 use bluebellferry_runtime::clock;
+use bluebellferry_types::store_revision;
 
 use crate::control;
 use crate::control::configuration;
@@ -79,14 +80,15 @@
         }
     }
 
-    async fn list(&mut self) -> Result<u64, objects::StoreError> {
+    async fn list(&mut self) -> Result<store_revision::StoreRevision, objects::StoreError> {
         store_gate::enter(&self.control, |_, _| true).await;
         let listed = self.client.list(evacuations::EVACUATION_KIND).await;
         store_gate::record(&self.control, &listed);
         let listing = listed?;
         let centres = evacuations::decode_evacuations(&listing);
         let mut control = self.control.borrow_mut();
-        control.apply_evacuations(centres, listing.revision, clock::now());
+        control.observe_store_era(self.client.era(), clock::now());
+        control.apply_evacuations(centres, listing.revision.packed(), clock::now());
         Ok(listing.revision)
     }
 
--- a/crates/bluebellferry_edge/src/control/members.rs
+++ b/crates/bluebellferry_edge/src/control/members.rs
@@ -18,6 +18,7 @@
 
 use crate::control;
 use crate::control::configuration;
+use crate::control::restoration;
 use crate::control::state;
 use crate::control::store_gate;
 
@@ -95,6 +96,9 @@
         let requested_at = clock::now();
         let listed = client.list(VM_KIND).await;
         store_gate::record(&control, &listed);
+        control
+            .borrow_mut()
+            .observe_store_era(client.era(), clock::now());
         match listed {
             Ok(listing) => {
                 dependency.record_success();
@@ -123,10 +127,12 @@
                     data_centre: settings.data_centre.clone(),
                 };
                 members.insert(settings.vm.clone(), own_record);
-                let revision = listing.revision;
-                control
-                    .borrow_mut()
-                    .apply_members(members, revision, requested_at);
+                let revision = listing.revision.packed();
+                {
+                    let mut control = control.borrow_mut();
+                    control.must_register = false;
+                    control.apply_members(members, revision, requested_at);
+                }
                 listings += 1;
                 if listings == 1 {
                     // The other VMs already know a VM that was listed before it started.
@@ -159,6 +165,9 @@
 /// latest. Otherwise the coordinators do, and a VM that has just started until it receives a
 /// heartbeat from its coordinator.
 fn lists_members(control: &state::ControlState, listings: u32, now: Instant) -> bool {
+    if control.must_register {
+        return true;
+    }
     if listings <= INITIAL_LISTINGS {
         return listings == 0 || !control.is_store_read_by_coordinator(now);
     }
@@ -219,7 +228,8 @@
     })
 }
 
-/// Reads the leadership table from the store. A missing table counts as an empty one.
+/// Reads the leadership table from the store. A missing table counts as an empty one. The table may
+/// have been written in an earlier era of the store; such a table is not to be relied on.
 ///
 /// # Errors
 /// Fails if the store does not answer or the table cannot be decoded.
@@ -245,7 +255,7 @@
 ) -> Result<leadership::LeadershipTable, objects::StoreError> {
     let mut table = leadership::LeadershipTable::deserialize(&object.value)
         .map_err(|error| objects::StoreError::Undecodable(error.to_string()))?;
-    table.revision = object.revision;
+    table.revision = object.revision.packed();
     Ok(table)
 }
 
@@ -268,8 +278,17 @@
             Ok(table) => {
                 dependency.record_success();
                 backoff.reset();
+                let is_of_current_era = {
+                    let mut control = control.borrow_mut();
+                    control.is_store_reachable = true;
+                    control.observe_store_era(client.era(), clock::now());
+                    table.is_of_era(control.store_era())
+                };
+                if !is_of_current_era {
+                    restoration::restore_table(&control, &mut client, &table).await;
+                    continue;
+                }
                 let mut control = control.borrow_mut();
-                control.is_store_reachable = true;
                 control.apply_leadership_table(&table);
                 control
                     .lease
@@ -303,7 +322,8 @@
     let confirmed_at = control.lease.store_confirmed_at();
     let is_old = confirmed_at
         .is_none_or(|time| now.saturating_duration_since(time) >= COORDINATOR_RENEWAL_AGE);
-    is_expiring || (control.confirms_leaders_for_centre(now) && is_old)
+    let restores_table = control.awaits_restoration() && control.topology.is_coordinator(now);
+    is_expiring || restores_table || (control.confirms_leaders_for_centre(now) && is_old)
 }
 
 /// Returns whether a new VM may use its allocation.
--- a/crates/bluebellferry_edge/src/control/metrics.rs
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -152,6 +152,11 @@
                 "Databases with a penalty, or a reduced share of reads after a start.",
                 |status| status.assessed_databases.load(Ordering::Relaxed),
             )?,
+            gauge(
+                "bluebellferry_store_returns",
+                "Times that the store came back from an older copy since the process started.",
+                |status| status.store_returns.load(Ordering::Relaxed),
+            )?,
             gauge(
                 "bluebellferry_published_snapshots",
                 "Snapshots of the control state published to the traffic thread since the start.",
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -14,6 +14,7 @@
 use bluebellferry_membership::message;
 use bluebellferry_promotion::lease;
 use bluebellferry_runtime::clock;
+use bluebellferry_types::store_revision;
 use tokio::net::UdpSocket;
 
 use crate::control;
@@ -230,6 +231,7 @@
         heartbeat.is_draining,
         now,
     );
+    control.observe_store_era(latest_era(&heartbeat), now);
     if let Some(table) = &heartbeat.table {
         control.apply_leadership_table(table);
     }
@@ -263,6 +265,20 @@
     is_first || is_unanswered
 }
 
+/// Returns the era of the latest store object that the sender of a heartbeat has read, if it reports
+/// one.
+fn latest_era(heartbeat: &heartbeat::FleetHeartbeat) -> Option<store_revision::StoreEra> {
+    let versions = heartbeat.versions;
+    let revisions = [
+        heartbeat.table_revision,
+        versions.members,
+        versions.databases,
+    ];
+    let latest = revisions.into_iter().max();
+    let era = latest.map(|latest| store_revision::StoreRevision::from_packed(latest).era());
+    era.filter(|era| era.number() > 0)
+}
+
 fn apply_received_allocations(
     control: &mut state::ControlState,
     heartbeat: &heartbeat::FleetHeartbeat,
--- a/crates/bluebellferry_edge/src/control/registry.rs
+++ b/crates/bluebellferry_edge/src/control/registry.rs
@@ -64,8 +64,15 @@
         if !is_recovering {
             self.databases.clear();
         }
-        let listed = listed.into_iter().map(|entry| (entry.id.clone(), entry));
-        self.databases.extend(listed);
+        for mut entry in listed {
+            // The store may have come back from a copy that is older than the report that the
+            // database is draining. It never stops draining.
+            let known = self.databases.get(&entry.id);
+            entry.is_draining |= known.is_some_and(|known| {
+                known.is_draining && known.started_unix_ms == entry.started_unix_ms
+            });
+            self.databases.insert(entry.id.clone(), entry);
+        }
         self.databases.values().cloned().collect()
     }
 }
@@ -103,6 +110,13 @@
         }
         let listed = client.list(registry::REGISTRATION_KIND).await;
         store_gate::record(&control, &listed);
+        let has_returned = control
+            .borrow_mut()
+            .observe_store_era(client.era(), clock::now());
+        if has_returned {
+            retained.record_outage();
+            retained.add_databases_in_use(&control.borrow().databases);
+        }
         match listed {
             Ok(listing) => {
                 dependency.record_success();
@@ -112,7 +126,7 @@
                 control.borrow_mut().is_store_reachable = true;
                 control
                     .borrow_mut()
-                    .apply_databases(entries, listing.revision);
+                    .apply_databases(entries, listing.revision.packed());
                 tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => {
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -193,8 +193,8 @@
             );
             replacement.cause = cause::ReplacementCause::Lost;
         }
-        if !holds_promotion_duty(control) {
-            log::warn!(service = replacement.service.as_str(); "abandoned a replacement: another VM now holds the promotion duty");
+        if !is_entered(control, &replacement) {
+            log::warn!(service = replacement.service.as_str(); "abandoned a replacement: it is not in the leadership table any more");
             return;
         }
         let choice = fence::choose_successor(control, &replacement);
@@ -240,6 +240,15 @@
     control.leadership_table.holder == control.own_name()
 }
 
+/// Returns whether the leadership table names this VM as the holder of the promotion duty and the
+/// leader as being replaced. A table that another VM restored may lack the replacement.
+fn is_entered(control: &control::ControlCell, replacement: &fence::LeaderReplacement) -> bool {
+    let entry = control.borrow().leader_of(&replacement.service);
+    let is_being_replaced =
+        entry.is_some_and(|entry| entry.is_being_replaced && entry.database == replacement.leader);
+    is_being_replaced && holds_promotion_duty(control)
+}
+
 /// Waits until no VM relies any longer on a leadership table without this replacement: all VMs
 /// have acknowledged the changed table, or their leases have expired.
 async fn wait_for_leases(
@@ -282,13 +291,17 @@
     let requested_at = clock::now();
     // Another VM may have taken over the promotion duty while this process was suspended.
     match members::read_leadership_table(client).await {
-        Ok(table) => control.borrow_mut().apply_leadership_table(&table),
+        Ok(table) => {
+            let mut control = control.borrow_mut();
+            control.observe_store_era(client.era(), clock::now());
+            control.apply_leadership_table(&table);
+        }
         Err(error) => {
             log::warn!(error:% = error; "cannot read the leadership table to confirm that this VM holds the promotion duty");
             return false;
         }
     }
-    if !holds_promotion_duty(control) {
+    if control.borrow().awaits_restoration() || !is_entered(control, replacement) {
         return false;
     }
     let (holder, token) = {
--- a/crates/bluebellferry_edge/src/control/replacement/table.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/table.rs
@@ -2,7 +2,9 @@
 
 use bluebellferry_catalog::leadership;
 use bluebellferry_platform::objects;
+use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
+use bluebellferry_types::store_revision;
 use rand::Rng;
 
 use crate::control;
@@ -61,6 +63,11 @@
     let nonce = rand::rng().random();
     let (next, revision) = {
         let control = control.borrow();
+        // The store may hold an older table under the revision that this VM remembers.
+        if control.awaits_restoration() {
+            log::warn!(service = service.as_str(); "the leadership table is not written before it is restored");
+            return false;
+        }
         let next = control
             .leadership_table
             .with_entry(control.own_name(), nonce, service, entry);
@@ -80,6 +87,7 @@
     let written = if revision == 0 {
         client.create(kind, name, value).await
     } else {
+        let revision = store_revision::StoreRevision::from_packed(revision);
         client.replace(kind, name, revision, value).await
     };
     if let Err(error) = &written {
@@ -93,8 +101,10 @@
     };
     match read {
         Ok(table) => {
-            control.borrow_mut().apply_leadership_table(&table);
-            table.nonce == nonce
+            let mut control = control.borrow_mut();
+            control.observe_store_era(client.era(), clock::now());
+            control.apply_leadership_table(&table);
+            table.nonce == nonce && !control.awaits_restoration()
         }
         Err(error) => {
             log::warn!(error:% = error; "cannot read the leadership table");
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -6,6 +6,7 @@
 pub mod places;
 mod rate_owners;
 mod shares;
+pub mod store_eras;
 pub mod verdicts;
 
 use std::collections::BTreeMap;
@@ -29,6 +30,7 @@
 use bluebellferry_shares::limiter;
 use bluebellferry_types::limit;
 use bluebellferry_types::name;
+use bluebellferry_types::store_revision;
 use serde::Deserialize;
 use serde::Serialize;
 use smallvec::SmallVec;
@@ -202,6 +204,10 @@
     pub local_demand: allocation::LocalDemand,
     /// Limits the calls to the store while it does not answer.
     pub store_gate: store_gate::StoreGate,
+    /// The latest known era of the store.
+    store_era: store_eras::EraInUse,
+    /// Whether this VM's entry in the store may be lost.
+    pub must_register: bool,
     /// Whether another VM has read the store for this VM's data centre.
     has_had_reader: bool,
     /// Since when no VM is known to read the store for this data centre any more.
@@ -299,6 +305,8 @@
             token_requests: lending::TokenRequestTracker::default(),
             local_demand: allocation::LocalDemand::default(),
             store_gate: store_gate::StoreGate::default(),
+            store_era: store_eras::EraInUse::default(),
+            must_register: false,
             has_had_reader: false,
             unread_since: None,
             is_store_reachable: false,
@@ -379,8 +387,16 @@
         }
     }
 
-    /// Puts a leadership table into use unless a newer one is in use.
+    /// Puts a leadership table into use unless a newer one is in use, or the table was written in
+    /// an earlier era of the store.
     pub fn apply_leadership_table(&mut self, table: &leadership::LeadershipTable) {
+        if table.revision > 0 {
+            let revision = store_revision::StoreRevision::from_packed(table.revision);
+            self.observe_store_era(Some(revision.era()), clock::now());
+        }
+        if !table.is_of_era(self.store_era()) {
+            return;
+        }
         self.lease.record_revision(table.revision);
         if table.revision <= self.leadership_table.revision {
             return;
@@ -408,10 +424,21 @@
     /// requested at `requested_at`.
     pub fn apply_members(
         &mut self,
-        members: BTreeMap<String, MemberRecord>,
+        mut members: BTreeMap<String, MemberRecord>,
         revision: u64,
         requested_at: Instant,
     ) {
+        let now = clock::now();
+        if self.may_lack_members(now) {
+            // The copy from which the store came back may be older than the entries of these VMs.
+            let live = self.live_peers(now).map(|(name, _)| name.clone());
+            let live: Vec<String> = live.collect();
+            for name in live {
+                if let Some(record) = self.members.get(&name) {
+                    members.entry(name).or_insert_with(|| record.clone());
+                }
+            }
+        }
         let own_name = self.own_name().to_owned();
         let others = members.keys().filter(|name| **name != own_name).cloned();
         self.lease.record_members(requested_at, others.collect());
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -182,6 +182,16 @@
         primaries
     }
 
+    /// Returns whether a database is the only one of a service that is registered as primary.
+    pub fn is_sole_primary(
+        &self,
+        service: &name::ServiceName,
+        database: &name::DatabaseName,
+    ) -> bool {
+        let primary = self.sole_primaries().remove(service).flatten();
+        primary.is_some_and(|primary| primary.database == *database)
+    }
+
     /// Returns the leader of a service. If the leader was never replaced and its registration
     /// has expired, returns the last known leader.
     pub fn known_leader(&self, service: &name::ServiceName) -> Option<shared::LeaderView> {
--- a/crates/bluebellferry_edge/src/control/state/places.rs
+++ b/crates/bluebellferry_edge/src/control/state/places.rs
@@ -24,7 +24,7 @@
     /// ones are in use.
     pub fn apply_evacuations(
         &mut self,
-        centres: BTreeSet<name::DataCentreName>,
+        mut centres: BTreeSet<name::DataCentreName>,
         revision: u64,
         now: Instant,
     ) {
@@ -33,6 +33,10 @@
         }
         let is_first = self.versions.evacuations == 0;
         let known: BTreeSet<_> = self.evacuations.keys().cloned().collect();
+        if self.is_store_catching_up(now) {
+            // The copy from which the store came back may be older than these evacuations.
+            centres.extend(known.iter().cloned());
+        }
         if centres == known && !is_first {
             return;
         }
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -197,6 +197,8 @@
     pub evacuated_centres: AtomicU64,
     /// The number of fleet-wide rates that this VM owns, alone or with others.
     pub owned_rates: AtomicU64,
+    /// How often the store came back from an older copy since this process started.
+    pub store_returns: AtomicU64,
     /// The number of snapshots that the control thread has published.
     pub published_snapshots: AtomicU64,
     /// Whether a full mesh has too many workspaces for rates to follow the demand of each.
--- a/crates/bluebellferry_edge/tests/store_listings.rs
+++ b/crates/bluebellferry_edge/tests/store_listings.rs
@@ -39,7 +39,7 @@
 
 async fn list_databases(address: SocketAddr) -> Result<Vec<String>, objects::StoreError> {
     let listing = objects::ObjectClient::new(address).list("servers").await?;
-    assert_eq!(listing.revision, 7);
+    assert_eq!(listing.revision.number(), 7);
     let entries = registry::decode_registrations(&listing);
     Ok(entries.iter().map(|entry| entry.id.to_string()).collect())
 }
--- a/crates/bluebellferry_promotion/src/lease.rs
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -55,6 +55,8 @@
 #[derive(Debug, Default)]
 pub struct LeaseTracker {
     revision: u64,
+    /// Whether this process has learned a table, or that there is none.
+    knows_table: bool,
     sent_heartbeats: VecDeque<SentHeartbeat>,
     /// For each member: when this VM sent the latest heartbeat that the member has answered.
     confirmations: BTreeMap<String, Instant>,
@@ -92,6 +94,12 @@
         // Earlier confirmations stay valid: the VM that changed the table waits for this
         // VM's acknowledgement or until every lease confirmed before has expired.
         self.revision = self.revision.max(revision);
+        self.knows_table = true;
+    }
+
+    /// Returns whether this process has learned a table, or that there is none.
+    pub const fn knows_table(&self) -> bool {
+        self.knows_table
     }
 
     /// Records that the store holds the table at this revision. `requested_at` is an
--- a/crates/bluebellferry_types/src/lib.rs
+++ b/crates/bluebellferry_types/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod name;
 pub mod position;
 pub mod refusal;
+pub mod store_revision;
