Let members confirm no lease to a VM that has learned no table

After all processes restart, a VM reads at a former leader (STALE) until the store has answered its first read of the leadership table.

Cause: a VM's lease by members needs all of them to confirm that they know of no later table than this VM. Processes that have just started know of none at all, so they confirm that to each other, and the registrations name the leader, which a copy of the store may do wrongly.

Three tests of the lease tracker began without any table; they now begin with the empty one that the store has, and check the same instants as before.

Fix: confirmations of members count once this process has learned a table, or has learned from the store that there is none.

--- a/crates/bluebellferry_edge/tests/store_returns.rs
+++ b/crates/bluebellferry_edge/tests/store_returns.rs
@@ -196,6 +196,41 @@
     wait_for_token_above(&deployment, token).await;
 }
 
+/// Guards against stale reads: VMs that had all restarted confirmed to each other that they knew of
+/// no replacement, and read at the former leader, which the older copy names.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_vms_do_not_read_at_a_former_leader() {
+    let mut deployment = start(2).await;
+    let copy = replace_first_leader(&deployment).await;
+    // The former leader does not receive its successor's log.
+    deployment.group.set_replication_blocked(0, true);
+    write_until_acknowledged(&deployment, "third").await;
+    for vm in &mut deployment.vms {
+        vm.kill().expect("the process runs");
+        vm.wait().expect("the process ends");
+    }
+    deployment.store.come_back_from(copy);
+    // The VMs hear from each other before they hear from the store.
+    deployment.store.set_delay(Duration::from_millis(400));
+    for index in 0..2 {
+        deployment.start_vm(index);
+    }
+    let until = Instant::now() + Duration::from_secs(8);
+    let mut served = 0;
+    while Instant::now() < until {
+        let Ok(mut caller) = deployment.open_caller(0, "counter", KEY).await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let answer = deployment::run(&mut caller, "READ boots").await;
+        if answer.refusal.is_none() {
+            assert_eq!(answer.rows, ["third"]);
+            served += 1;
+        }
+    }
+    assert!(served > 0);
+}
+
 /// Serves a store at a free address.
 async fn serve_store() -> (Arc<store::StandinStore>, objects::ObjectClient) {
     let store = Arc::new(store::StandinStore::default());
--- a/crates/bluebellferry_promotion/src/lease.rs
+++ b/crates/bluebellferry_promotion/src/lease.rs
@@ -164,7 +164,8 @@
     }
 
     fn valid_until_by_members(&self) -> Option<Instant> {
-        let (listed_at, others) = self.members.as_ref()?;
+        // Members that have restarted, too, know of no table at all and confirm that.
+        let (listed_at, others) = self.members.as_ref().filter(|_| self.knows_table)?;
         // A VM without other members can have its lease confirmed only by the store.
         let first = others.first()?;
         let mut oldest = *self.confirmations.get(first)?;
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -284,6 +284,7 @@
 fn lease_requires_a_confirmation_from_every_member() {
     let start = Instant::now();
     let mut tracker = lease::LeaseTracker::default();
+    tracker.record_revision(0);
     tracker.record_members(start, vec![vm_name(1), vm_name(2)]);
     tracker.record_sent_heartbeat(1, start);
     let confirmation = lease::LeaseConfirmation {
@@ -305,10 +306,31 @@
     assert_eq!(tracker.valid_until(), None);
 }
 
+/// Guards against stale reads: members that have all restarted confirm to each other that they know
+/// of no table, although there is one.
+#[test]
+fn members_confirm_no_lease_to_a_vm_that_has_learned_no_table() {
+    let start = Instant::now();
+    let mut tracker = lease::LeaseTracker::default();
+    tracker.record_members(start, vec![vm_name(1)]);
+    tracker.record_sent_heartbeat(1, start);
+    let confirmation = lease::LeaseConfirmation {
+        incarnation: 1,
+        echoed_sequence: 1,
+        revision: 0,
+        is_claiming: false,
+    };
+    tracker.record_confirmation(&vm_name(1), confirmation);
+    assert_eq!(tracker.valid_until(), None);
+    tracker.record_revision(0);
+    assert_eq!(tracker.valid_until(), Some(start + lease::LEASE_DURATION));
+}
+
 #[test]
 fn member_restarted_with_an_earlier_clock_still_confirms() {
     let start = Instant::now();
     let mut tracker = lease::LeaseTracker::default();
+    tracker.record_revision(0);
     tracker.record_members(start, vec!["b".to_owned()]);
     let confirmation = |incarnation, echoed_sequence| lease::LeaseConfirmation {
         incarnation,
@@ -333,6 +355,7 @@
 fn lease_ends_when_the_member_list_is_too_old() {
     let start = Instant::now();
     let mut tracker = lease::LeaseTracker::default();
+    tracker.record_revision(0);
     tracker.record_members(start, vec![vm_name(1)]);
     let late = start + lease::JOIN_DELAY - Duration::from_millis(100);
     tracker.record_sent_heartbeat(9, late);
