Probe leaders late after a restart, and drop the connections of probes early

Cause: a VM without a lease probed all databases at once, also right after its start, and kept the connections for 2 s. Databases hold the connections of VMs that lost power for 3 s, so 9 VMs took what was left of 22.

Ruled out: waits for leases (45 refusals no_primary against 34).

Fix: a VM whose lease is not valid leaves the store 1 s before it probes, and the connections are closed as soon as the store or other VMs confirm leaders.

--- a/crates/bluebellferry_edge/src/control/probing.rs
+++ b/crates/bluebellferry_edge/src/control/probing.rs
@@ -35,8 +35,12 @@
 /// The timeout of a probe; a later answer would confirm hardly anything any more.
 const PROBE_TIMEOUT: Duration =
     lease::PROBE_LEASE_DURATION.saturating_sub(Duration::from_millis(100));
-/// How long the connections for probes stay open after the last probe.
+/// How long the connections for probes stay open after the last probe, unless something else
+/// confirms leaders again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a VM whose lease is not valid waits for the store before it probes leaders. After a
+/// restart of the fleet, databases have few connections left.
+const UNLEASED_DELAY: Duration = Duration::from_secs(1);
 
 /// How long a VM waits after the end of a lease that the coordinator of its data centre
 /// should have renewed, before it probes the leader itself.
@@ -45,6 +49,7 @@
 /// The leader of a service and its replicas.
 struct LeaderGroup {
     service: name::ServiceName,
+    leased_until: Option<Instant>,
     leader: catalog::DatabaseEntry,
     replicas: Vec<catalog::DatabaseEntry>,
 }
@@ -77,6 +82,7 @@
     let mut idle: BTreeMap<name::ServiceName, GroupProbes> = BTreeMap::new();
     let mut rounds: JoinSet<FinishedRound> = JoinSet::new();
     let mut services_in_round: Vec<name::ServiceName> = Vec::new();
+    let mut unleased_since: BTreeMap<name::ServiceName, Instant> = BTreeMap::new();
     loop {
         tokio::select! {
             Some(finished) = rounds.join_next() => {
@@ -90,13 +96,21 @@
                 let now = clock::now();
                 let (mut groups, workspace) = {
                     let control = control.borrow();
+                    if is_confirmed_otherwise(&control, now) {
+                        idle.clear();
+                    }
                     (find_unconfirmed_groups(&control, now), control.any_workspace())
                 };
+                update_unleased(&mut unleased_since, &groups, now);
                 groups.retain(|group| !services_in_round.contains(&group.service));
                 for group in groups {
                     let Some(workspace) = workspace.clone() else { continue };
                     let is_recent = |probes: &GroupProbes| now < probes.started_at + PROBE_INTERVAL;
-                    if idle.get(&group.service).is_some_and(is_recent) {
+                    let probes = idle.get(&group.service);
+                    let unleased = unleased_since.get(&group.service);
+                    let awaits_store =
+                        unleased.is_some_and(|since| now < *since + UNLEASED_DELAY);
+                    if probes.is_some_and(is_recent) || (probes.is_none() && awaits_store) {
                         continue;
                     }
                     let probes = idle.remove(&group.service);
@@ -109,6 +123,26 @@
     }
 }
 
+/// Returns whether the store or other VMs confirm leaders for longer than a probe takes.
+fn is_confirmed_otherwise(control: &state::ControlState, now: Instant) -> bool {
+    let valid_until = control.lease.valid_until();
+    valid_until.is_some_and(|until| until > now + PROBE_LEAD_TIME)
+}
+
+/// Updates since when the leaders of services have had no valid lease.
+fn update_unleased(
+    unleased_since: &mut BTreeMap<name::ServiceName, Instant>,
+    unconfirmed: &[LeaderGroup],
+    now: Instant,
+) {
+    let is_unleased = |group: &&LeaderGroup| group.leased_until.is_none_or(|until| until <= now);
+    let unleased: Vec<&LeaderGroup> = unconfirmed.iter().filter(is_unleased).collect();
+    unleased_since.retain(|service, _| unleased.iter().any(|group| group.service == *service));
+    for group in unleased {
+        unleased_since.entry(group.service.clone()).or_insert(now);
+    }
+}
+
 /// Records the results of a round of probes, and the lease that follows from them.
 fn record_round(
     control: &control::ControlCell,
@@ -136,10 +170,7 @@
 /// confirmation.
 fn find_unconfirmed_groups(control: &state::ControlState, now: Instant) -> Vec<LeaderGroup> {
     let services = control.configuration.decoded.services.keys();
-    let is_due = |leased_until: Option<Instant>| {
-        leased_until.is_none_or(|leased_until| leased_until <= now + PROBE_LEAD_TIME)
-    };
-    if !is_due(control.lease.valid_until()) {
+    if is_confirmed_otherwise(control, now) {
         return Vec::new();
     }
     // The coordinator of the data centre probes leaders for its VMs. This VM does so itself
@@ -163,6 +194,7 @@
             entries.partition(|entry| entry.id == leader.database);
         Some(LeaderGroup {
             service: service.clone(),
+            leased_until: control.service_leased_until(service),
             leader: leaders.into_iter().next()?,
             replicas,
         })
