Do not wait for a leader that stepped down and is gone if its replicas are fenced

Cause: a leader that had stepped down under another identity did not answer when it was probed again before the promotion. Its end of the log was forgotten and it was ordered to step down for ever, while its registration stayed.

Fix: where all replicas are fenced and have answered, the leader is not waited for: it acknowledges nothing without a replica that receives. In an orderly replacement, whose replicas are not fenced, it is treated as lost at once. Its end of the log stays known.

--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -228,7 +228,7 @@
             (orders::send_order(&entry, &workspace, order).await, entry)
         });
     }
-    let mut unanswered: SmallVec<[catalog::DatabaseEntry; 2]> = SmallVec::new();
+    let mut unanswered: SmallVec<[name::DatabaseName; 2]> = SmallVec::new();
     while let Some(finished) = probes.join_next().await {
         let Ok((answer, entry)) = finished else {
             return false;
@@ -237,17 +237,26 @@
             Ok(status) => record_recheck(replacement, &entry, status),
             Err(error) => {
                 log::warn!(database = entry.id.as_str(), error:% = error; "a fenced database did not answer when it was probed again");
-                unanswered.push(entry);
+                unanswered.push(entry.id);
             }
         }
     }
-    for entry in &unanswered {
-        record_unanswered_recheck(replacement, entry);
+    let has_led = |id: &name::DatabaseName| replacement.led_replaced_term(id);
+    if !unanswered.iter().any(has_led) && has_whole_log(replacement, chosen) {
+        return !unanswered.contains(chosen);
     }
-    if has_whole_log(replacement, chosen) {
-        return unanswered.iter().all(|entry| entry.id != *chosen);
+    // Without a replica that receives, a leader that leads again acknowledges nothing.
+    let mut holders = commit_holders.iter().map(|holder| &holder.id);
+    let are_replicas_fenced = unanswered.iter().all(has_led)
+        && !unanswered.contains(chosen)
+        && holders.all(|id| has_led(id) || replacement.fenced_positions.contains_key(id));
+    if replacement.cause.is_orderly() {
+        log::warn!(service = replacement.service.as_str(); "a leader that stepped down does not answer any more and is treated as lost");
+        replacement.cause = cause::ReplacementCause::Lost;
+        forget_unfenced_replicas(replacement);
+        return false;
     }
-    unanswered.is_empty()
+    are_replicas_fenced
 }
 
 /// Returns whether the leader has stepped down and a database has its whole log. The other replicas
@@ -289,7 +298,7 @@
     );
     replacement.fenced_positions.remove(&entry.id);
     replacement.fencing_ended_at = None;
-    if has_stepped_down {
+    if leads_again && replacement.cause.is_orderly() {
         forget_unfenced_replicas(replacement);
     }
     if status.received < fenced_position {
@@ -298,22 +307,16 @@
     }
 }
 
-/// Records that a fenced database did not answer when it was probed again. If it is the leader, it
-/// may lead again, so it is ordered once more to step down.
-fn record_unanswered_recheck(replacement: &mut LeaderReplacement, entry: &catalog::DatabaseEntry) {
-    if replacement.led_replaced_term(&entry.id) {
-        replacement.fenced_positions.remove(&entry.id);
-        replacement.fencing_ended_at = None;
-        forget_unfenced_replicas(replacement);
-    }
-}
-
-/// Forgets the positions of replicas that were not ordered to stop receiving, since the leader had
-/// stepped down. If the leader leads again, they receive from it.
+/// Forgets the positions of the replicas, which were not ordered to stop receiving, since the leader
+/// had stepped down. If the leader leads again, they receive from it.
 fn forget_unfenced_replicas(replacement: &mut LeaderReplacement) {
-    if replacement.cause.is_orderly() {
-        replacement.fenced_positions.clear();
-    }
+    let (leader, leader_term) = (replacement.leader.clone(), replacement.leader_term);
+    let reported = replacement.reported_leaders.clone();
+    replacement.fenced_positions.retain(|id, _| {
+        let has_led = |(term, _): &(u64, position::LogPosition)| *term == leader_term;
+        *id == leader || reported.get(id).is_some_and(has_led)
+    });
+    replacement.fencing_ended_at = None;
 }
 
 /// Chooses a successor from the reports so far. Once [`UNREGISTERED_WAIT_LIMIT`] has passed
--- a/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
+++ b/crates/bluebellferry_edge/tests/fences_lost_in_restarts.rs
@@ -13,6 +13,8 @@
 const LEASES_EXPIRED: Duration = lease::LEASE_DURATION.saturating_add(lease::PROBE_LEASE_DURATION);
 /// How long a crashed database is down.
 const DOWN_TIME: Duration = Duration::from_millis(200);
+/// How long VMs take to learn of a registration.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2_000);
 /// How long a promotion may take.
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -222,3 +224,28 @@
     let kept = deployment.group.logged_values("boots");
     assert!(kept.contains(&"second".to_owned()), "{kept:?}");
 }
+
+/// Guards against a service without a leader for good: a leader that had restarted under another
+/// identity stepped down and was gone when it was to be probed again before the promotion.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn successor_is_promoted_although_the_leader_that_stepped_down_is_gone() {
+    let deployment = start_with_suspended_vm().await;
+    let entry = deployment.store.object_value("servers", "i-a");
+    let mut entry = entry.expect("it is registered");
+    entry["DbRole"] = "replica".into();
+    deployment.store.put("servers", "i-a2", entry);
+    tokio::time::sleep(REGISTRATION_TIME).await;
+    deployment.group.restart_with_log_and_role(0, "i-a2");
+    // A write that is refused makes the VM suspect the leader.
+    let mut caller = connect(&deployment).await;
+    tokio::spawn(async move { caller.run("WRITE boots refused").await });
+    wait_for_order(&deployment, 0, "STEPDOWN").await;
+    for replica in [1, 2] {
+        wait_for_order(&deployment, replica, "PAUSE").await;
+    }
+    tokio::time::sleep(DOWN_TIME).await;
+    deployment.group.crash(0);
+    wait_for_promotion(&deployment).await;
+    let kept = deployment.group.logged_values("boots");
+    assert_eq!(kept[0], "first");
+}
