--- a/crates/bluebellferry_soak/tests/short_soak.rs
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -133,3 +133,16 @@
 async fn withdrawn_keys() {
     replay_regression("withdrawn-keys").await;
 }
+
+// Guards against databases that refuse all connections since they keep those that were closed while
+// a statement on them had no answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_connection_after_a_silent_database() {
+    replay_regression("no-connection-after-a-silent-database").await;
+}
+
+// Guards against a service without a leader for good, since a leader that had stepped down was gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_gone_after_it_stepped_down() {
+    replay_regression("leader-gone-after-it-stepped-down").await;
+}
