--- a/crates/bluebellferry_catalog/src/leadership.rs
+++ b/crates/bluebellferry_catalog/src/leadership.rs
@@ -34,6 +34,10 @@
     /// have replayed its log up to there yet.
     #[serde(rename = "floor")]
     pub log_end_when_chosen: Option<position::LogPosition>,
+    /// A position that the log of the leader's successor must reach, if it is being replaced: a log
+    /// that is gone reached it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub required_end: Option<position::LogPosition>,
 }
 
 /// The leaders of all services whose leader was ever replaced, and the VM that may choose
@@ -110,3 +114,61 @@
         merged
     }
 }
+
+/// A copy of the leadership table for other VMs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadershipTableCopy {
+    revision: u64,
+    holder: String,
+    token: u64,
+    nonce: u64,
+    leaders: BTreeMap<name::ServiceName, LeaderEntryCopy>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct LeaderEntryCopy {
+    database: name::DatabaseName,
+    phase: LeaderPhase,
+    log_end_when_chosen: Option<position::LogPosition>,
+}
+
+impl From<&LeadershipTable> for LeadershipTableCopy {
+    fn from(table: &LeadershipTable) -> Self {
+        let copy = |entry: &LeaderEntry| LeaderEntryCopy {
+            database: entry.database.clone(),
+            phase: entry.phase,
+            log_end_when_chosen: entry.log_end_when_chosen,
+        };
+        let leaders = table.leaders.iter();
+        Self {
+            revision: table.revision,
+            holder: table.holder.clone(),
+            token: table.token,
+            nonce: table.nonce,
+            leaders: leaders
+                .map(|(service, entry)| (service.clone(), copy(entry)))
+                .collect(),
+        }
+    }
+}
+
+impl From<LeadershipTableCopy> for LeadershipTable {
+    fn from(copy: LeadershipTableCopy) -> Self {
+        let entry = |copy: LeaderEntryCopy| LeaderEntry {
+            database: copy.database,
+            phase: copy.phase,
+            log_end_when_chosen: copy.log_end_when_chosen,
+            required_end: None,
+        };
+        let leaders = copy.leaders.into_iter();
+        Self {
+            revision: copy.revision,
+            holder: copy.holder,
+            token: copy.token,
+            nonce: copy.nonce,
+            leaders: leaders
+                .map(|(service, copy)| (service, entry(copy)))
+                .collect(),
+        }
+    }
+}
--- a/crates/bluebellferry_edge/src/control/heartbeats.rs
+++ b/crates/bluebellferry_edge/src/control/heartbeats.rs
@@ -165,7 +165,12 @@
     let sequence = links.next_sequence();
     control.lease.record_sent_heartbeat(sequence, clock::now());
     let targets = control.topology.next_targets(now);
+    let report = control.replacement_report(now);
+    let report = report.map(|report| message::PeerMessage::ReplacementReport(Box::new(report)));
     for target in targets {
+        if let Some(report) = &report {
+            links.send(&target.vm, report);
+        }
         if target.is_in_own_centre || is_remote_due {
             let mut heartbeat = heartbeat_for(control, &common, &target, now);
             if target.is_in_own_centre {
--- a/crates/bluebellferry_edge/src/control/metrics.rs
+++ b/crates/bluebellferry_edge/src/control/metrics.rs
@@ -152,6 +152,16 @@
                 "Databases with a penalty, or a reduced share of reads after a start.",
                 |status| status.assessed_databases.load(Ordering::Relaxed),
             )?,
+            gauge(
+                "bluebellferry_waiting_promotions",
+                "Services without a leader whose promotion waits, so that no commit is lost.",
+                |status| status.waiting_promotions.load(Ordering::Relaxed),
+            )?,
+            gauge(
+                "bluebellferry_leaderless_milliseconds",
+                "Time that services were without a leader while this VM replaced it, since the start.",
+                |status| status.leaderless_ms.load(Ordering::Relaxed),
+            )?,
             gauge(
                 "bluebellferry_store_returns",
                 "Times that the store came back from an older copy since the process started.",
--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -189,6 +189,10 @@
                 now,
             );
         }
+        message::PeerMessage::ReplacementReport(report) => {
+            let mut control = control.borrow_mut();
+            control.record_replacement_report(opened.incarnation, *report, now);
+        }
         _ => log::debug!("ignored a message of a kind that this proxy does not use"),
     }
 }
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -18,6 +18,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -142,14 +143,24 @@
         "replacing a leader"
     );
     control.borrow_mut().active_claims += 1;
+    control.borrow_mut().cover_departures();
+    if !holds_promotion_duty(control) {
+        read_complete_table(control, client).await;
+    }
+    if !control.borrow().is_led_by(service, leader) {
+        control.borrow_mut().active_claims -= 1;
+        return;
+    }
     let known_leader = control.borrow().known_leader(service);
     let last_position = control.borrow().shared.latest_position(service);
+    let log_end_when_chosen = known_leader
+        .as_ref()
+        .and_then(|known| known.log_end_when_chosen);
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
         phase: leadership::LeaderPhase::Replacing,
-        log_end_when_chosen: known_leader
-            .as_ref()
-            .and_then(|known| known.log_end_when_chosen),
+        log_end_when_chosen,
+        required_end: control.borrow().required_end(service),
     };
     if table::write_entry(control, client, service, entry).await {
         control.borrow().heartbeat_trigger.notify_one();
@@ -159,6 +170,7 @@
             leader: leader.clone(),
             cause,
             claimed_at: clock::now(),
+            claim_revision: control.borrow().leadership_table.revision,
             fenced_positions: BTreeMap::new(),
             term: leader_term + 1,
             leader_term,
@@ -167,6 +179,8 @@
             observed_leader_position: known_leader
                 .and_then(|known| known.min_log_position(last_position)),
             lost_logs: BTreeMap::new(),
+            last_sign_of_leader: clock::now(),
+            wait_reason: None,
         };
         run_replacement(control, client, replacement).await;
     }
@@ -174,12 +188,28 @@
     control.borrow().heartbeat_trigger.notify_one();
 }
 
+/// Reads the leadership table from the store: a copy from another VM lacks the latest orders.
+async fn read_complete_table(control: &control::ControlCell, client: &mut objects::ObjectClient) {
+    match members::read_leadership_table(client).await {
+        Ok(table) => {
+            let mut control = control.borrow_mut();
+            control.observe_store_era(client.era(), clock::now());
+            control.apply_leadership_table(&table);
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "cannot read the leadership table before a replacement");
+        }
+    }
+}
+
 async fn run_replacement(
     control: &control::ControlCell,
     client: &mut objects::ObjectClient,
     mut replacement: fence::LeaderReplacement,
 ) {
     loop {
+        control.borrow_mut().cover_departures();
+        fence::observe_leader(control, &mut replacement);
         fence::fence_databases(control, &mut replacement).await;
         let awaits_step_down = replacement.cause.is_orderly()
             && !replacement
@@ -195,8 +225,10 @@
         }
         if !is_entered(control, &replacement) {
             log::warn!(service = replacement.service.as_str(); "abandoned a replacement: it is not in the leadership table any more");
+            set_wait_reason(control, &mut replacement, None);
             return;
         }
+        record_lost_logs(control, client, &replacement).await;
         let choice = fence::choose_successor(control, &replacement);
         let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
         if since_claim < DRAINING_CANDIDATE_DELAY
@@ -214,27 +246,88 @@
                     id: id.clone(),
                     position,
                 };
+                let rests_on_fences = fence::rests_on_fences(control, &replacement, &id);
+                let is_unfenced_possible = rests_on_fences
+                    && fence::has_unknown_registration(control, client, &replacement).await;
                 let is_unchanged = fence::choose_successor(control, &replacement) == expected;
                 if has_answered
                     && is_unchanged
+                    && !is_unfenced_possible
                     && request_promotion(control, client, &replacement, &id).await
                 {
+                    set_wait_reason(control, &mut replacement, None);
                     publish_leader(control, client, &replacement, id, position).await;
                     return;
                 }
             }
             successor::SuccessorChoice::Adopt { id, position } => {
                 log::info!(database = id.as_str(); "adopting a database that another VM had promoted");
+                set_wait_reason(control, &mut replacement, None);
                 fence::unfence_replicas(control, &replacement).await;
                 publish_leader(control, client, &replacement, id, position).await;
                 return;
             }
-            successor::SuccessorChoice::Wait => {}
+            successor::SuccessorChoice::Wait => {
+                let reason = fence::wait_reason(control, &replacement);
+                set_wait_reason(control, &mut replacement, Some(reason));
+            }
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
+/// Logs and counts that a promotion begins or ends to wait, or waits for another reason.
+fn set_wait_reason(
+    control: &control::ControlCell,
+    replacement: &mut fence::LeaderReplacement,
+    reason: Option<successor::WaitReason>,
+) {
+    let previous = std::mem::replace(&mut replacement.wait_reason, reason);
+    if previous == reason {
+        return;
+    }
+    let control = control.borrow();
+    let waiting = &control.shared.fleet_status.waiting_promotions;
+    match (previous, reason) {
+        (None, _) => waiting.fetch_add(1, Ordering::Relaxed),
+        (_, None) => waiting.fetch_sub(1, Ordering::Relaxed),
+        _ => waiting.load(Ordering::Relaxed),
+    };
+    let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
+    let required_end = control.required_end(&replacement.service);
+    log::warn!(
+        service = replacement.service.as_str(), leader = replacement.leader.as_str(),
+        reason = reason.map_or("-", successor::WaitReason::as_str),
+        since_claim_ms = since_claim.as_millis() as u64,
+        required_end = required_end.map_or_else(|| "-".to_owned(), |end| end.to_string()).as_str(),
+        fenced = replacement.fenced_positions.len() as u64;
+        "why a promotion waits has changed"
+    );
+}
+
+/// Records in the leadership table what logs that were lost during a replacement had.
+async fn record_lost_logs(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    replacement: &fence::LeaderReplacement,
+) {
+    let Some(end) = fence::unrecorded_end(control, replacement) else {
+        return;
+    };
+    let entry = {
+        let control = control.borrow();
+        let entries = &control.leadership_table.leaders;
+        entries.get(&replacement.service).cloned()
+    };
+    if let Some(entry) = entry {
+        let entry = leadership::LeaderEntry {
+            required_end: Some(end),
+            ..entry
+        };
+        table::write_entry(control, client, &replacement.service, entry).await;
+    }
+}
+
 fn holds_promotion_duty(control: &control::ControlCell) -> bool {
     let control = control.borrow();
     control.leadership_table.holder == control.own_name()
@@ -339,7 +432,20 @@
         database: id,
         phase: leadership::LeaderPhase::Steady,
         log_end_when_chosen: Some(position),
+        required_end: None,
     };
+    let leaderless = clock::now().saturating_duration_since(replacement.claimed_at);
+    log::info!(
+        service = replacement.service.as_str(), database = entry.database.as_str(),
+        log_end = position.to_string().as_str(), leaderless_ms = leaderless.as_millis() as u64;
+        "a service is led again"
+    );
+    control
+        .borrow()
+        .shared
+        .fleet_status
+        .leaderless_ms
+        .fetch_add(leaderless.as_millis() as u64, Ordering::Relaxed);
     while holds_promotion_duty(control) {
         if table::write_entry(control, client, &replacement.service, entry.clone()).await {
             let heartbeat_trigger = Arc::clone(&control.borrow().heartbeat_trigger);
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -6,6 +6,9 @@
 
 use bluebellferry_catalog::database as catalog;
 use bluebellferry_platform::database;
+use bluebellferry_platform::objects;
+use bluebellferry_platform::registry;
+use bluebellferry_promotion::departure;
 use bluebellferry_promotion::successor;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
@@ -16,6 +19,7 @@
 use crate::control;
 use crate::control::orders;
 use crate::control::replacement::cause;
+use crate::control::state;
 use crate::control::state::databases;
 
 /// How long to wait for an unregistered database while a draining replica has the longest
@@ -33,6 +37,8 @@
     pub(super) cause: cause::ReplacementCause,
     /// An instant after the replacement was entered into the leadership table.
     pub(super) claimed_at: Instant,
+    /// The revision of the leadership table after that.
+    pub(super) claim_revision: u64,
     /// The fenced databases, with the ends of their logs. If the leader is draining and has
     /// stepped down, the replicas that have its whole log count as fenced.
     pub(super) fenced_positions: BTreeMap<name::DatabaseName, position::LogPosition>,
@@ -50,6 +56,10 @@
     /// Where the logs of databases ended that have since restarted without their log or are
     /// no longer registered, and when this VM noticed it.
     pub(super) lost_logs: BTreeMap<name::DatabaseName, (position::LogPosition, Instant)>,
+    /// When the leader that is replaced was last known to be running, so that its log may be back.
+    pub(super) last_sign_of_leader: Instant,
+    /// Why no database may be promoted, if that has been logged.
+    pub(super) wait_reason: Option<successor::WaitReason>,
 }
 
 impl LeaderReplacement {
@@ -71,11 +81,10 @@
     };
     record_unregistered(control, replacement);
     let mut entries = control.borrow().databases_of(&replacement.service);
-    // A leader whose registration has expired may still lead.
+    // A database whose registration has expired may still lead, or receive commits.
     let mut unregistered = control
         .borrow()
         .expired_databases_of(&replacement.service, clock::now());
-    unregistered.retain(|entry| entry.id == replacement.leader);
     entries.append(&mut unregistered);
     let mut tasks = JoinSet::new();
     for entry in entries {
@@ -241,12 +250,20 @@
             }
         }
     }
+    if has_all_acknowledged(control, replacement, chosen) {
+        return !unanswered.contains(chosen);
+    }
     let has_led = |id: &name::DatabaseName| replacement.led_replaced_term(id);
     if !unanswered.iter().any(has_led) && has_whole_log(replacement, chosen) {
         return !unanswered.contains(chosen);
     }
     // Without a replica that receives, a leader that leads again acknowledges nothing.
-    let mut holders = commit_holders.iter().map(|holder| &holder.id);
+    let awaited = if is_about_to_stop(control, replacement, chosen) {
+        control.borrow().databases_of(&replacement.service)
+    } else {
+        commit_holders
+    };
+    let mut holders = awaited.iter().map(|holder| &holder.id);
     let are_replicas_fenced = unanswered.iter().all(has_led)
         && !unanswered.contains(chosen)
         && holders.all(|id| has_led(id) || replacement.fenced_positions.contains_key(id));
@@ -259,6 +276,42 @@
     are_replicas_fenced
 }
 
+/// Returns whether a database drains and has been waited with for [`UNREGISTERED_WAIT_LIMIT`], so
+/// that it is chosen before unregistered databases are known to have left.
+fn is_about_to_stop(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+    id: &name::DatabaseName,
+) -> bool {
+    let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
+    let control = control.borrow();
+    let mut registered = control.databases.iter();
+    since_claim >= UNREGISTERED_WAIT_LIMIT
+        && registered.any(|entry| entry.id == *id && entry.is_draining)
+}
+
+/// Returns whether a fenced database has all commits that VMs acknowledged to callers, so that no
+/// other database needs to be fenced.
+fn has_all_acknowledged(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+    id: &name::DatabaseName,
+) -> bool {
+    let acknowledged_end = replaced_reign(&control.borrow(), replacement).acknowledged_end;
+    let position = replacement.fenced_positions.get(id);
+    acknowledged_end.is_some_and(|end| position >= Some(&end))
+}
+
+/// Returns whether the choice of a database rests on the fences of all others, rather than on its
+/// own log.
+pub(super) fn rests_on_fences(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+    id: &name::DatabaseName,
+) -> bool {
+    !has_whole_log(replacement, id) && !has_all_acknowledged(control, replacement, id)
+}
+
 /// Returns whether the leader has stepped down and a database has its whole log. The other replicas
 /// need not be fenced then.
 fn has_whole_log(replacement: &LeaderReplacement, id: &name::DatabaseName) -> bool {
@@ -326,18 +379,109 @@
     replacement: &LeaderReplacement,
 ) -> successor::SuccessorChoice {
     let mut databases = collect_evidence(control, replacement);
-    let choice = successor::choose_successor(&databases, replacement.leader_term);
+    let control = control.borrow();
+    let reign = replaced_reign(&control, replacement);
+    let choice = successor::choose_successor(&databases, &reign);
     let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
     if choice != successor::SuccessorChoice::Wait || since_claim < UNREGISTERED_WAIT_LIMIT {
         return choice;
     }
-    let registered = control.borrow().databases_of(&replacement.service);
+    let registered = control.databases_of(&replacement.service);
     databases.retain(|database| {
         let has_position =
             database.fenced_position.is_some() || database.earlier_position.is_some();
         has_position || registered.iter().any(|entry| entry.id == database.id)
     });
-    successor::choose_draining_successor(&databases, replacement.leader_term)
+    // A log that is gone is no reason to lose one that is about to go.
+    let reign = successor::ReplacedReign {
+        has_unknown_logs: false,
+        ..reign
+    };
+    successor::choose_draining_successor(&databases, &reign)
+}
+
+/// Returns why no database may be promoted yet.
+pub(super) fn wait_reason(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+) -> successor::WaitReason {
+    let databases = collect_evidence(control, replacement);
+    let control = control.borrow();
+    successor::wait_reason(&databases, &replaced_reign(&control, replacement))
+}
+
+/// Returns what is known of the reign of the leader that is replaced.
+fn replaced_reign<'a>(
+    control: &'a state::ControlState,
+    replacement: &LeaderReplacement,
+) -> successor::ReplacedReign<'a> {
+    let now = clock::now();
+    let service = &replacement.service;
+    let since_sign = now.saturating_duration_since(replacement.last_sign_of_leader);
+    let may_come_back = since_sign < departure::LOST_LOG_RETENTION;
+    successor::ReplacedReign {
+        term: replacement.leader_term,
+        required_end: control.required_end(service).filter(|_| may_come_back),
+        has_unknown_logs: may_come_back && control.has_unknown_logs(service, now),
+        acknowledged_end: control.acknowledged_end(
+            service,
+            replacement.claimed_at,
+            replacement.claim_revision,
+            now,
+        ),
+        ordered: None,
+    }
+}
+
+/// Updates when the leader was last known to be running. One that has lost its log does not count.
+pub(super) fn observe_leader(control: &control::ControlCell, replacement: &mut LeaderReplacement) {
+    let control = control.borrow();
+    let required_end = control.required_end(&replacement.service);
+    let reported_end = replacement.fenced_positions.get(&replacement.leader);
+    let has_lost_log = reported_end.is_some_and(|end| Some(*end) < required_end);
+    let mut registered = control.databases.iter();
+    if !has_lost_log && registered.any(|entry| entry.id == replacement.leader) {
+        replacement.last_sign_of_leader = clock::now();
+    }
+}
+
+/// Returns the end that the successor's log must reach because of logs that were lost during this
+/// replacement, if the leadership table does not record it yet. Another VM that goes on with the
+/// replacement learns it from the table only.
+pub(super) fn unrecorded_end(
+    control: &control::ControlCell,
+    replacement: &LeaderReplacement,
+) -> Option<position::LogPosition> {
+    let lost = replacement.lost_logs.keys();
+    let lost_end = lost.filter_map(|id| lost_log_position(replacement, id));
+    let control = control.borrow();
+    let entry = control.leadership_table.leaders.get(&replacement.service);
+    let recorded_end = entry.and_then(|entry| entry.required_end);
+    lost_end.max().filter(|end| Some(*end) > recorded_end)
+}
+
+/// Returns whether the store lists a database of the service that this VM does not know yet, or
+/// does not answer. Such a database is not fenced, and may have received commits.
+pub(super) async fn has_unknown_registration(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    replacement: &LeaderReplacement,
+) -> bool {
+    let listing = match client.list(registry::REGISTRATION_KIND).await {
+        Ok(listing) => listing,
+        Err(error) => {
+            log::warn!(error:% = error; "cannot list the registrations before a promotion");
+            return true;
+        }
+    };
+    let known = control.borrow().databases_of(&replacement.service);
+    let mut listed = registry::decode_registrations(&listing).into_iter();
+    listed.any(|entry| {
+        let is_known = known
+            .iter()
+            .any(|other| (&other.id, other.started_unix_ms) == (&entry.id, entry.started_unix_ms));
+        entry.service == replacement.service && !is_known
+    })
 }
 
 /// Records the fenced databases that are no longer registered: a successor's log must still
--- a/crates/bluebellferry_edge/src/control/restoration.rs
+++ b/crates/bluebellferry_edge/src/control/restoration.rs
@@ -176,6 +176,7 @@
         database: leader.clone(),
         phase: leadership::LeaderPhase::Steady,
         log_end_when_chosen: known_end.and_then(|known| known.log_end_when_chosen),
+        required_end: known_end.and_then(|known| known.required_end),
     };
     leaders.insert(service.clone(), entry);
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -3,6 +3,7 @@
 mod coordinators;
 pub mod databases;
 mod leases;
+pub mod lost_logs;
 pub mod places;
 mod rate_owners;
 mod shares;
@@ -22,6 +23,7 @@
 use bluebellferry_catalog::leadership;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_membership::topology;
+use bluebellferry_promotion::departure;
 use bluebellferry_promotion::lease;
 use bluebellferry_routing::assessment;
 use bluebellferry_runtime::clock;
@@ -234,6 +236,11 @@
     /// The databases that were replaced by newly registered ones, with their start times. A
     /// delayed write to the store may list such a database again.
     replaced_databases: VecDeque<(name::DatabaseName, u64)>,
+    /// The databases that have departed, by service.
+    departures: BTreeMap<name::ServiceName, departure::DepartureLedger>,
+    /// The latest replacement report of each other VM, with the incarnation of the VM and when the
+    /// report arrived.
+    replacement_reports: BTreeMap<String, (u64, heartbeat::ReplacementReport, Instant)>,
     /// Whether this VM is fetching store objects from another VM.
     pub is_fetching_store_copies: bool,
     /// When this VM received the allocations of its group.
@@ -320,6 +327,8 @@
             sent_acknowledgement: None,
             expired_databases: Vec::new(),
             replaced_databases: VecDeque::new(),
+            departures: BTreeMap::new(),
+            replacement_reports: BTreeMap::new(),
             is_fetching_store_copies: false,
             allocations_since: clock::now(),
             allocations_announced: clock::now(),
@@ -398,6 +407,9 @@
             return;
         }
         self.lease.record_revision(table.revision);
+        if table.revision == self.leadership_table.revision {
+            self.complete_leadership_table(table);
+        }
         if table.revision <= self.leadership_table.revision {
             return;
         }
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -7,6 +7,7 @@
 
 use bluebellferry_catalog::database;
 use bluebellferry_catalog::leadership;
+use bluebellferry_promotion::departure;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
 use smallvec::SmallVec;
@@ -14,10 +15,8 @@
 use crate::control::state;
 use crate::shared;
 
-/// How long a database whose registration expired, or that restarted empty, is assumed to
-/// have had commits that no other replica has: after that time, replicas that follow the
-/// leader have received these commits.
-pub const EXPIRED_DATABASE_RETENTION: Duration = Duration::from_secs(30);
+/// How long a database whose registration expired is waited for as a possible holder of commits.
+pub const EXPIRED_DATABASE_RETENTION: Duration = departure::LOST_LOG_RETENTION;
 
 /// The number of replaced databases that are remembered: more than are lost within the
 /// seconds by which a write to the store may be delayed.
@@ -28,6 +27,7 @@
     pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>, revision: u64) {
         if *self.databases != databases || self.versions.databases == 0 {
             self.log_databases(&databases);
+            self.record_departures(&databases, clock::now());
             self.record_expired_entries(&databases, clock::now());
             self.start_paces(&databases, clock::now());
             self.databases = Arc::new(databases);
@@ -238,7 +238,7 @@
 /// Returns whether a database has restarted under another identity: a database of the same
 /// service with a later start is registered at its address. It is assumed to have kept its
 /// log.
-fn has_new_identity(
+pub(super) fn has_new_identity(
     entry: &database::DatabaseEntry,
     registered: &[database::DatabaseEntry],
 ) -> bool {
--- /dev/null
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -0,0 +1,182 @@
+//! What a successor's log must reach because logs are gone.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_catalog::database;
+use bluebellferry_catalog::leadership;
+use bluebellferry_membership::heartbeat;
+use bluebellferry_promotion::departure;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+
+use crate::control::state;
+use crate::control::state::databases;
+
+impl state::ControlState {
+    /// Records the databases that are no longer registered as they were, given the registrations
+    /// that replace those in use.
+    pub(super) fn record_departures(&mut self, next: &[database::DatabaseEntry], now: Instant) {
+        let previous = Arc::clone(&self.databases);
+        for entry in previous.iter() {
+            let registered = next.iter().find(|other| other.id == entry.id);
+            let kind = match registered {
+                Some(registered) if registered.started_unix_ms == entry.started_unix_ms => continue,
+                Some(_) => departure::DepartureKind::LogLost,
+                None if databases::has_new_identity(entry, next) => {
+                    departure::DepartureKind::Expired
+                }
+                None if entry.is_draining => departure::DepartureKind::LogLost,
+                None => departure::DepartureKind::Expired,
+            };
+            if !self.is_led_by(&entry.service, &entry.id) {
+                let ledger = self.departures.entry(entry.service.clone()).or_default();
+                ledger.record_departure(&entry.id, entry.started_unix_ms, kind, now);
+            }
+        }
+        for entry in next {
+            let is_listed = |other: &database::DatabaseEntry| other.id == entry.id;
+            if !previous.iter().any(is_listed)
+                && let Some(ledger) = self.departures.get_mut(&entry.service)
+            {
+                ledger.record_return(&entry.id, entry.started_unix_ms);
+            }
+        }
+        self.cover_departures();
+    }
+
+    /// Covers departures by the positions that leaders have reported since.
+    pub fn cover_departures(&mut self) {
+        let positions = self.shared.lock_positions();
+        for (service, ledger) in &mut self.departures {
+            if let Some(history) = positions.get(service) {
+                ledger.cover(|noticed_at| history.position_covering(noticed_at));
+            }
+        }
+    }
+
+    /// Returns a position that the log of the next leader of a service must reach: the end of the
+    /// present leader's log when it was chosen, and what databases had that are gone.
+    pub fn required_end(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
+        let leader = self.known_leader(service);
+        let chosen = leader.and_then(|leader| leader.log_end_when_chosen);
+        let entry = self.leadership_table.leaders.get(service);
+        let recorded = entry.and_then(|entry| entry.required_end);
+        let covered = self
+            .departures
+            .get(service)
+            .and_then(departure::DepartureLedger::covered_end);
+        let covered = covered.map(|covered| without_empty_term(covered, chosen));
+        chosen.max(covered).max(recorded)
+    }
+
+    /// Returns the end of the last commit of a service that any VM acknowledged to a caller before
+    /// it learned that the leader is being replaced. Returns `None` unless all VMs have reported
+    /// theirs. `claimed_at` is when the replacement was entered into the leadership table, and
+    /// `claim_revision` the revision of the table then.
+    ///
+    /// Only VMs that hear all others know it: in larger fleets the reports do not reach every VM.
+    pub fn acknowledged_end(
+        &self,
+        service: &name::ServiceName,
+        claimed_at: Instant,
+        claim_revision: u64,
+        now: Instant,
+    ) -> Option<position::LogPosition> {
+        if !self.is_leadership_table_acknowledged_by_all(claimed_at, now) {
+            return None;
+        }
+        let mut end = self.shared.acknowledged_end(service);
+        let mut last_start = self.shared.started_at;
+        for name in self.members.keys().filter(|name| *name != self.own_name()) {
+            let record = self.peers.get(name).filter(|record| record.is_live(now))?;
+            let (incarnation, report, received_at) = self.replacement_reports.get(name)?;
+            if *incarnation != record.incarnation || report.table_revision < claim_revision {
+                return None;
+            }
+            let mut services = report.services.iter();
+            let reported = services.find(|reported| reported.service == *service)?;
+            end = end.max(reported.acknowledged_end);
+            let running = Duration::from_millis(report.running_ms);
+            last_start = last_start.max(received_at.checked_sub(running)?);
+        }
+        // A VM that restarted has forgotten what it acknowledged before.
+        let before_start = {
+            let positions = self.shared.lock_positions();
+            positions.get(service)?.position_covering(last_start)?
+        };
+        let chosen = self.known_leader(service)?.log_end_when_chosen;
+        let end = without_empty_term(end.max(Some(before_start))?, chosen);
+        Some(end).max(chosen)
+    }
+
+    /// Returns what this VM acknowledged of the services whose leader is being replaced, if there
+    /// are any.
+    pub fn replacement_report(&self, now: Instant) -> Option<heartbeat::ReplacementReport> {
+        let leaders = self.leadership_table.leaders.iter();
+        let replaced =
+            leaders.filter(|(_, entry)| entry.phase == leadership::LeaderPhase::Replacing);
+        let services: Vec<heartbeat::ReplacedServiceReport> = replaced
+            .map(|(service, _)| heartbeat::ReplacedServiceReport {
+                service: service.clone(),
+                acknowledged_end: self.shared.acknowledged_end(service),
+            })
+            .collect();
+        let is_needed = !services.is_empty() && self.topology.is_full_mesh();
+        let running = now.saturating_duration_since(self.shared.started_at);
+        is_needed.then(|| heartbeat::ReplacementReport {
+            vm: self.own_name().to_owned(),
+            table_revision: self.leadership_table.revision,
+            running_ms: running.as_millis() as u64,
+            services,
+        })
+    }
+
+    /// Records the replacement report of another VM, unless a later one has arrived.
+    pub fn record_replacement_report(
+        &mut self,
+        incarnation: u64,
+        report: heartbeat::ReplacementReport,
+        now: Instant,
+    ) {
+        let previous = self.replacement_reports.get(&report.vm);
+        let is_outdated = previous.is_some_and(|(previous_incarnation, previous, _)| {
+            *previous_incarnation == incarnation && previous.running_ms > report.running_ms
+        });
+        if !is_outdated {
+            let vm = report.vm.clone();
+            self.replacement_reports
+                .insert(vm, (incarnation, report, now));
+        }
+    }
+
+    /// Adds to the leadership table in use what copies from other VMs lack. `stored` has the same
+    /// revision and was read from the store.
+    pub(super) fn complete_leadership_table(&mut self, stored: &leadership::LeadershipTable) {
+        for (service, entry) in &mut self.leadership_table.leaders {
+            if let Some(stored) = stored.leaders.get(service) {
+                entry.required_end = entry.required_end.max(stored.required_end);
+            }
+        }
+    }
+
+    /// Returns whether databases of a service are gone that may have had commits which are neither
+    /// known nor covered by [`Self::required_end`].
+    pub fn has_unknown_logs(&self, service: &name::ServiceName, now: Instant) -> bool {
+        let ledger = self.departures.get(service);
+        ledger.is_some_and(|ledger| ledger.has_unknown_logs(now))
+    }
+}
+
+/// Returns the end of the log before a term in which nothing was committed: a leader may report its
+/// own term before its first commit, while replicas report the term of the last entry.
+fn without_empty_term(
+    position: position::LogPosition,
+    chosen: Option<position::LogPosition>,
+) -> position::LogPosition {
+    match chosen {
+        Some(chosen) if position.offset <= chosen.offset && position.term > chosen.term => chosen,
+        _ => position,
+    }
+}
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -197,6 +197,12 @@
     pub evacuated_centres: AtomicU64,
     /// The number of fleet-wide rates that this VM owns, alone or with others.
     pub owned_rates: AtomicU64,
+    /// The number of services whose promotion waits, since a database that may be promoted could
+    /// lack acknowledged commits or another one may still be promoted.
+    pub waiting_promotions: AtomicU64,
+    /// The time for which services were without a leader while this VM replaced it, in
+    /// milliseconds, since this process started.
+    pub leaderless_ms: AtomicU64,
     /// How often the store came back from an older copy since this process started.
     pub store_returns: AtomicU64,
     /// The number of snapshots that the control thread has published.
@@ -237,6 +243,10 @@
     snapshot: ArcSwap<EdgeSnapshot>,
     snapshot_number: watch::Sender<u64>,
     positions: Mutex<BTreeMap<name::ServiceName, history::PositionHistory>>,
+    /// When this process started.
+    pub started_at: Instant,
+    /// The positions that cover the commits which this process acknowledged to callers.
+    acknowledged: Mutex<BTreeMap<name::ServiceName, position::LogPosition>>,
 }
 
 /// What a VM saw of each database, with the database's service.
@@ -277,6 +287,8 @@
             snapshot: ArcSwap::default(),
             snapshot_number: watch::Sender::new(0),
             positions: Mutex::default(),
+            started_at: clock::now(),
+            acknowledged: Mutex::default(),
         };
         (Arc::new(shared), receiver)
     }
@@ -375,6 +387,39 @@
         positions.get(service).and_then(|history| history.latest())
     }
 
+    /// Records that a commit may be acknowledged to a caller. `position` is the position of the
+    /// leader's log when it confirmed the commit; without one, nothing bounds the commit.
+    ///
+    /// The commit must be recorded before the snapshot is loaded by which it is assessed, so that a
+    /// VM which has learned of a replacement reports all that it acknowledged before.
+    pub fn record_acknowledged(
+        &self,
+        service: &name::ServiceName,
+        position: Option<position::LogPosition>,
+    ) {
+        let position = position.unwrap_or(position::LogPosition::new(u64::MAX, u64::MAX));
+        let mut acknowledged = self.lock_acknowledged();
+        match acknowledged.get_mut(service) {
+            Some(end) => *end = position.max(*end),
+            None => {
+                acknowledged.insert(service.clone(), position);
+            }
+        }
+    }
+
+    /// Returns a position that covers every commit of a service that was recorded.
+    pub fn acknowledged_end(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
+        self.lock_acknowledged().get(service).copied()
+    }
+
+    fn lock_acknowledged(
+        &self,
+    ) -> MutexGuard<'_, BTreeMap<name::ServiceName, position::LogPosition>> {
+        self.acknowledged
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a service's leader had reached `position` when it answered a request sent
     /// at or after `requested_at`. The caller ensures that the database was the leader then.
     pub fn record_position(
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -601,6 +601,9 @@
         scope: &StatementScope,
     ) -> Result<(), refusal::RequestRefusal> {
         let entry = self.context.dispatcher.registry_entry(database);
+        self.context
+            .shared
+            .record_acknowledged(&entry.service, answer.position);
         let mut changes = self.context.shared.subscribe_to_snapshots();
         loop {
             changes.mark_unchanged();
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -51,6 +51,30 @@
     pub age_ms: u32,
 }
 
+/// What the sender acknowledged of a service whose leader is being replaced. It acknowledges no
+/// commits of that leader any more.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacedServiceReport {
+    /// The service.
+    pub service: name::ServiceName,
+    /// A position that covers every commit that the sender's process acknowledged to a caller.
+    pub acknowledged_end: Option<position::LogPosition>,
+}
+
+/// What a VM acknowledged to callers before it learned of the replacements under way. Sent beside
+/// heartbeats while the sender's leadership table has such replacements.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacementReport {
+    /// The sender's name.
+    pub vm: String,
+    /// The revision of the sender's leadership table.
+    pub table_revision: u64,
+    /// How long the sender's process has been running, in milliseconds, rounded down.
+    pub running_ms: u64,
+    /// The services whose leader is being replaced according to that table.
+    pub services: Vec<ReplacedServiceReport>,
+}
+
 /// A leader that the sender cannot use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderSuspicion {
@@ -195,6 +219,7 @@
     /// The revision of the sender's leadership table.
     pub table_revision: u64,
     /// The leadership table, if the receiver may not have this revision.
+    #[serde(with = "table_copy")]
     pub table: Option<leadership::LeadershipTable>,
     /// Whether the sender is recording a replacement in the leadership table or carrying it
     /// out.
@@ -256,3 +281,26 @@
         Duration::from_millis(u64::from(delay_ms))
     }
 }
+
+/// The form of the leadership table in heartbeats, which VMs of earlier versions can decode. It
+/// lacks what only a VM needs that replaces a leader, and reads from the store.
+mod table_copy {
+    use bluebellferry_catalog::leadership;
+    use serde::Deserialize;
+    use serde::Serialize;
+
+    pub(super) fn serialize<S: serde::Serializer>(
+        table: &Option<leadership::LeadershipTable>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let copy = table.as_ref().map(leadership::LeadershipTableCopy::from);
+        copy.serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<leadership::LeadershipTable>, D::Error> {
+        let copy = Option::<leadership::LeadershipTableCopy>::deserialize(deserializer)?;
+        Ok(copy.map(leadership::LeadershipTable::from))
+    }
+}
--- a/crates/bluebellferry_membership/src/message.rs
+++ b/crates/bluebellferry_membership/src/message.rs
@@ -70,6 +70,8 @@
     /// Keys of workspaces that were withdrawn while the platform's store was not writable,
     /// as hexadecimal digests. A withdrawn key never becomes valid again.
     KeysWithdrawn(Vec<String>),
+    /// What the sender acknowledged of services whose leader is being replaced.
+    ReplacementReport(Box<heartbeat::ReplacementReport>),
 }
 
 /// An object of the platform's store in the version that the sender last read.
--- /dev/null
+++ b/crates/bluebellferry_promotion/src/departure.rs
@@ -0,0 +1,92 @@
+//! Databases that are no longer registered, and the commits that may have gone with them.
+//!
+//! The log of a database that has left is gone, and so may be the only copy, beside the leader's,
+//! of commits that were acknowledged while another replica received nothing. A position that the
+//! leader reports later covers all of these commits: whoever has it in its log lacks none of them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use smallvec::SmallVec;
+
+/// How long a promotion waits for a log that may come back, after the last sign of the database
+/// that has it. Databases that crash are back sooner, or not at all.
+pub const LOST_LOG_RETENTION: Duration = Duration::from_secs(30);
+
+/// Why a database is no longer registered as it was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DepartureKind {
+    /// It was draining and has left, or has restarted without its log under the same identity.
+    LogLost,
+    /// Its registration has expired, or it has restarted under another identity. It may still have
+    /// its log.
+    Expired,
+}
+
+/// A departed database, as long as no later position of the leader is known.
+#[derive(Debug, Clone)]
+struct UncoveredDeparture {
+    id: name::DatabaseName,
+    started_unix_ms: u64,
+    kind: DepartureKind,
+    noticed_at: Instant,
+}
+
+/// The databases of a service that have departed.
+#[derive(Debug, Clone, Default)]
+pub struct DepartureLedger {
+    covered_end: Option<position::LogPosition>,
+    uncovered: SmallVec<[UncoveredDeparture; 2]>,
+}
+
+impl DepartureLedger {
+    /// Records that a database was found to have departed. `started_unix_ms` is its start, in
+    /// milliseconds since the Unix epoch.
+    pub fn record_departure(
+        &mut self,
+        id: &name::DatabaseName,
+        started_unix_ms: u64,
+        kind: DepartureKind,
+        noticed_at: Instant,
+    ) {
+        self.uncovered.push(UncoveredDeparture {
+            id: id.clone(),
+            started_unix_ms,
+            kind,
+            noticed_at,
+        });
+    }
+
+    /// Records that a database is registered again. It has its log if it has not restarted.
+    pub fn record_return(&mut self, id: &name::DatabaseName, started_unix_ms: u64) {
+        self.uncovered.retain(|departure| {
+            (&departure.id, departure.started_unix_ms) != (id, started_unix_ms)
+        });
+    }
+
+    /// Covers departures by later positions of the leader. `position_covering` returns the first
+    /// position that the leader reported when it was asked at an instant or later.
+    pub fn cover(&mut self, position_covering: impl Fn(Instant) -> Option<position::LogPosition>) {
+        let covered_end = &mut self.covered_end;
+        self.uncovered.retain(|departure| {
+            let position = position_covering(departure.noticed_at);
+            *covered_end = (*covered_end).max(position);
+            position.is_none()
+        });
+    }
+
+    /// Returns a position that covers all commits of the departed databases that are covered.
+    pub const fn covered_end(&self) -> Option<position::LogPosition> {
+        self.covered_end
+    }
+
+    /// Returns whether a log is lost that may have had commits beyond all that is known.
+    pub fn has_unknown_logs(&self, now: Instant) -> bool {
+        self.uncovered.iter().any(|departure| {
+            let age = now.saturating_duration_since(departure.noticed_at);
+            departure.kind == DepartureKind::LogLost && age < LOST_LOG_RETENTION
+        })
+    }
+}
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -9,7 +9,9 @@
 //!
 //! Where the platform promotes databases at a VM's request, [`suspect`] assesses whether a
 //! leader is lost, [`successor`] chooses the database that replaces it, and [`lease`] tells
-//! how long the other VMs may rely on the old leader. [`probe`] tells when a VM that no other
+//! how long the other VMs may rely on the old leader. [`departure`] tells which commits may be gone
+//! with databases that have left.
+//! [`probe`] tells when a VM that no other
 //! VM reaches may rely on a leader that it probes.
 //!
 //! Where a leader works but is in the wrong place, [`relocation`] decides whether it moves.
@@ -24,6 +26,7 @@
 //! assert_eq!(promoter.step(), bluebellferry_promotion::promoter::PromotionStep::Watching);
 //! ```
 
+pub mod departure;
 pub mod event;
 pub mod lease;
 pub mod observation;
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -1,9 +1,15 @@
 //! The choice of the database that succeeds a lost or draining leader.
 //!
 //! With one synchronous replica, an acknowledged commit is in the log of the leader and
-//! in that of at least one replica, but it is not known of which one. A successor can
-//! therefore be chosen only once the leader has stepped down and reported the end of its
-//! log, or once every replica has been fenced and has reported the end of its log.
+//! in that of at least one replica, but it is not known of which one. A fenced database may
+//! therefore be promoted only if one of these holds:
+//!
+//! - The leader has stepped down, and the database has its whole log.
+//! - All VMs have reported which commits they acknowledged to callers, and the database has them.
+//! - Every database that may have received a commit is accounted for: it is fenced and has no more
+//!   than the successor, or it is gone and the successor has every commit that it can have had.
+//!
+//! While none holds, the service waits: a commit that was acknowledged must not be lost.
 
 use bluebellferry_types::name;
 use bluebellferry_types::position;
@@ -49,6 +55,65 @@
     Wait,
 }
 
+/// What is known of the reign of the leader that is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplacedReign<'a> {
+    /// The term in which the leader leads.
+    pub term: u64,
+    /// A position that the log of the successor must reach: the logs of databases that are gone
+    /// may have reached it.
+    pub required_end: Option<position::LogPosition>,
+    /// Whether databases that are gone may have had commits beyond `required_end`.
+    pub has_unknown_logs: bool,
+    /// The end of the last commit that any VM acknowledged to a caller; `None` unless all VMs have
+    /// reported theirs and acknowledge no further ones.
+    pub acknowledged_end: Option<position::LogPosition>,
+    /// The database that an earlier order may still promote: no other one may be promoted.
+    pub ordered: Option<&'a name::DatabaseName>,
+}
+
+impl ReplacedReign<'_> {
+    /// Returns the reign in a term of which nothing else is known.
+    pub const fn of_term(term: u64) -> Self {
+        Self {
+            term,
+            required_end: None,
+            has_unknown_logs: false,
+            acknowledged_end: None,
+            ordered: None,
+        }
+    }
+
+    fn may_promote(&self, id: &name::DatabaseName) -> bool {
+        self.ordered.is_none_or(|ordered| ordered == id)
+    }
+}
+
+/// Why no database may be promoted yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitReason {
+    /// An earlier order may still promote a database, which cannot be promoted now.
+    OrderOutstanding,
+    /// A database that may have received commits is not fenced yet.
+    NotFenced,
+    /// The logs of the fenced databases lack commits that a lost log had.
+    MissingCommits,
+    /// A database that is gone may have had commits that nobody else has.
+    UnknownLogs,
+}
+
+impl WaitReason {
+    /// Returns the stable text for logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OrderOutstanding => "an earlier order may still take effect",
+            Self::NotFenced => "a database is not fenced",
+            Self::MissingCommits => "the fenced logs lack commits",
+            Self::UnknownLogs => "a log is gone whose end is not known",
+        }
+    }
+}
+
 /// The order that fences a database before a successor is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FenceOrder {
@@ -104,50 +169,103 @@
     }
 }
 
-/// Chooses the successor of the leader of `leader_term`. A database that leads in an
-/// earlier term has itself been replaced, and is not adopted.
-pub fn choose_successor(databases: &[DatabaseEvidence], leader_term: u64) -> SuccessorChoice {
-    if let Some(choice) = find_newer_leader(databases, leader_term) {
+/// Chooses the successor of the leader of a reign. A database that leads in an earlier term has
+/// itself been replaced, and is not adopted.
+pub fn choose_successor(
+    databases: &[DatabaseEvidence],
+    reign: &ReplacedReign<'_>,
+) -> SuccessorChoice {
+    if let Some(choice) = find_newer_leader(databases, reign.term) {
         return choice;
     }
+    let leader_end = find_leader_end(databases, reign);
+    if let Some((position, best)) = find_candidate(databases, reign) {
+        let has_reached_leader = leader_end.is_some_and(|end| position >= end);
+        let has_all_acknowledged = reign.acknowledged_end.is_some_and(|end| position >= end);
+        let is_sufficient = has_reached_leader
+            || has_all_acknowledged
+            || find_obstacle(databases, reign, position).is_none();
+        if is_sufficient {
+            return choose_promotion(best, position);
+        }
+    }
+    // The old leader has every commit that it acknowledged.
     let leader = databases.iter().find(|database| database.is_leader);
+    match (leader, leader_end) {
+        (Some(leader), Some(end)) if !leader.is_draining && reign.may_promote(&leader.id) => {
+            choose_promotion(leader, end)
+        }
+        _ => SuccessorChoice::Wait,
+    }
+}
+
+/// Returns why the choice is [`SuccessorChoice::Wait`].
+pub fn wait_reason(databases: &[DatabaseEvidence], reign: &ReplacedReign<'_>) -> WaitReason {
+    match find_candidate(databases, reign) {
+        Some((position, _)) => {
+            find_obstacle(databases, reign, position).unwrap_or(WaitReason::NotFenced)
+        }
+        None if reign.ordered.is_some() => WaitReason::OrderOutstanding,
+        None => WaitReason::NotFenced,
+    }
+}
+
+/// Returns the end of the log of the leader that has stepped down, if the log is complete.
+fn find_leader_end(
+    databases: &[DatabaseEvidence],
+    reign: &ReplacedReign<'_>,
+) -> Option<position::LogPosition> {
     // A term has one leader only, so a database that led in the replaced term is the old
     // leader, even under another identity.
     let led_replaced_term = |database: &&DatabaseEvidence| {
         let has_led = database
             .reported_leadership
-            .is_some_and(|(term, _)| term == leader_term);
+            .is_some_and(|(term, _)| term == reign.term);
         database.is_leader || has_led
     };
     let mut old_leaders = databases
         .iter()
         .filter(led_replaced_term)
         .filter(has_complete_log);
-    let leader_end = old_leaders.find_map(|database| database.fenced_position);
-    let replicas = || databases.iter().filter(|database| !database.is_leader);
-    let best = replicas()
-        .filter_map(|database| Some((database.fenced_position?, !database.is_draining, database)))
-        .max_by_key(|(position, is_not_draining, database)| {
-            (*position, *is_not_draining, &database.id)
-        });
-    let are_all_fenced = replicas().all(|database| database.fenced_position.is_some());
-    // A replica that lost its log may have been the only one with the last commits, so the
-    // successor's log must reach at least as far as the lost one did.
-    let lost_logs = replicas().filter(|database| !has_complete_log(database));
-    let lost_end = lost_logs
-        .filter_map(|database| database.earlier_position)
-        .max();
-    if let Some((position, _, best)) = best {
-        let has_reached_leader = leader_end.is_some_and(|end| position >= end);
-        if has_reached_leader || (are_all_fenced && Some(position) >= lost_end) {
-            return choose_promotion(best, position);
-        }
+    let end = old_leaders.find_map(|database| database.fenced_position);
+    end.filter(|end| Some(*end) >= reign.required_end)
+}
+
+/// Returns the fenced replica with the longest log that may be promoted.
+fn find_candidate<'a>(
+    databases: &'a [DatabaseEvidence],
+    reign: &ReplacedReign<'_>,
+) -> Option<(position::LogPosition, &'a DatabaseEvidence)> {
+    let candidates = replicas_of(databases).filter(|database| reign.may_promote(&database.id));
+    candidates
+        .filter_map(|database| Some((database.fenced_position?, database)))
+        .max_by_key(|(position, database)| (*position, !database.is_draining, &database.id))
+}
+
+/// Returns why a replica whose log ends at `position` may lack an acknowledged commit, given the
+/// logs of the other replicas.
+fn find_obstacle(
+    databases: &[DatabaseEvidence],
+    reign: &ReplacedReign<'_>,
+    position: position::LogPosition,
+) -> Option<WaitReason> {
+    if replicas_of(databases).any(|database| database.fenced_position.is_none()) {
+        return Some(WaitReason::NotFenced);
     }
-    // The old leader has every commit that it acknowledged.
-    match (leader, leader_end) {
-        (Some(leader), Some(end)) if !leader.is_draining => choose_promotion(leader, end),
-        _ => SuccessorChoice::Wait,
+    if reign.has_unknown_logs {
+        return Some(WaitReason::UnknownLogs);
     }
+    let longest = replicas_of(databases).filter_map(|database| database.fenced_position);
+    // A replica that lost its log may have been the only one with the last commits, so the
+    // successor's log must reach at least as far as the lost one did.
+    let lost_logs = replicas_of(databases).filter(|database| !has_complete_log(database));
+    let lost_end = lost_logs.filter_map(|database| database.earlier_position);
+    let needed = longest.max().max(lost_end.max()).max(reign.required_end);
+    (Some(position) < needed).then_some(WaitReason::MissingCommits)
+}
+
+fn replicas_of(databases: &[DatabaseEvidence]) -> impl Iterator<Item = &DatabaseEvidence> {
+    databases.iter().filter(|database| !database.is_leader)
 }
 
 /// Chooses a successor among `known`, and returns the choice only if it is a draining
@@ -155,8 +273,11 @@
 ///
 /// A database that is left out of `known` may have commits that the draining one lacks. But
 /// once the draining database stops, its own last commits are lost, so it is chosen before.
-pub fn choose_draining_successor(known: &[DatabaseEvidence], leader_term: u64) -> SuccessorChoice {
-    let choice = choose_successor(known, leader_term);
+pub fn choose_draining_successor(
+    known: &[DatabaseEvidence],
+    reign: &ReplacedReign<'_>,
+) -> SuccessorChoice {
+    let choice = choose_successor(known, reign);
     let is_draining = |id: &name::DatabaseName| {
         let mut draining = known.iter().filter(|database| database.is_draining);
         draining.any(|database| database.id == *id)
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -391,7 +391,7 @@
 }
 
 fn chosen_successor(databases: &[successor::DatabaseEvidence]) -> Option<String> {
-    match successor::choose_successor(databases, 1) {
+    match successor::choose_successor(databases, &successor::ReplacedReign::of_term(1)) {
         successor::SuccessorChoice::Promote { id, .. } => Some(id.to_string()),
         successor::SuccessorChoice::Adopt { id, .. } => Some(format!("adopt {id}")),
         successor::SuccessorChoice::Wait => None,
@@ -503,18 +503,18 @@
     draining.is_draining = true;
     let unresponsive = database("r2", None);
     let databases = [leader.clone(), draining.clone(), unresponsive];
-    let choice = successor::choose_successor(&databases, 1);
+    let choice = successor::choose_successor(&databases, &successor::ReplacedReign::of_term(1));
     assert!(
         matches!(&choice, successor::SuccessorChoice::Promote { id, .. } if id.as_str() == "r1")
     );
     assert!(successor::should_defer(&choice, &databases));
     // The other replica has answered, and has the whole log.
     let databases = [leader.clone(), draining.clone(), database("r2", Some(41))];
-    let choice = successor::choose_successor(&databases, 1);
+    let choice = successor::choose_successor(&databases, &successor::ReplacedReign::of_term(1));
     assert!(!successor::should_defer(&choice, &databases));
     // There is no other replica.
     let databases = [leader, draining];
-    let choice = successor::choose_successor(&databases, 1);
+    let choice = successor::choose_successor(&databases, &successor::ReplacedReign::of_term(1));
     assert!(!successor::should_defer(&choice, &databases));
 }
 
@@ -535,7 +535,7 @@
             database("r2", reported(ends[2])),
         ];
         if let successor::SuccessorChoice::Promote { position, .. } =
-            successor::choose_successor(&databases, 1)
+            successor::choose_successor(&databases, &successor::ReplacedReign::of_term(1))
         {
             chosen += 1;
             assert!(position.offset >= acknowledged, "{databases:?}");
--- a/crates/bluebellferry_promotion/tests/lost_logs.rs
+++ b/crates/bluebellferry_promotion/tests/lost_logs.rs
@@ -27,7 +27,7 @@
 }
 
 fn chosen_successor(databases: &[successor::DatabaseEvidence]) -> Option<String> {
-    match successor::choose_successor(databases, 1) {
+    match successor::choose_successor(databases, &successor::ReplacedReign::of_term(1)) {
         successor::SuccessorChoice::Promote { id, .. } => Some(id.to_string()),
         successor::SuccessorChoice::Adopt { id, .. } => Some(format!("adopt {id}")),
         successor::SuccessorChoice::Wait => None,
@@ -130,7 +130,7 @@
             evidence("r1", replicas[0], replicas[0]),
             evidence("r2", replicas[1], replicas[1]),
         ];
-        match successor::choose_successor(&databases, 1) {
+        match successor::choose_successor(&databases, &successor::ReplacedReign::of_term(1)) {
             successor::SuccessorChoice::Promote { position, .. } => {
                 chosen += 1;
                 assert!(position.offset >= acknowledged, "{databases:?}");
@@ -159,7 +159,8 @@
     let mut all = registered.to_vec();
     all.push(unregistered);
     assert_eq!(chosen_successor(&all), None);
-    let choice = successor::choose_draining_successor(&registered, 1);
+    let choice =
+        successor::choose_draining_successor(&registered, &successor::ReplacedReign::of_term(1));
     let expected = successor::SuccessorChoice::Promote {
         id: draining.id.clone(),
         position: position(226),
@@ -170,7 +171,8 @@
         database("r1", Some(226), None),
         database("r2", Some(222), None),
     ];
-    let choice_without_draining = successor::choose_draining_successor(&not_draining, 1);
+    let choice_without_draining =
+        successor::choose_draining_successor(&not_draining, &successor::ReplacedReign::of_term(1));
     assert_eq!(choice_without_draining, successor::SuccessorChoice::Wait);
     // Once the draining replica has stopped, a successor must still reach the end of its log.
     let stopped = successor::unregistered_database(&draining.id, position(226));
