Let no other database lead while an order may still promote one

Cause: an order that was not answered, was answered with a server error, or was accepted without effect yet was forgotten: the loop, the next replacement or the next holder of the duty could choose another database, whose commits the order then threw away.

Change: an order is recorded in the leadership table before it is sent; the write also confirms the duty, in place of the read before. For 10 s after it, only the database it names may be promoted, unless the order is known to have no effect (not sent, refused, not running), or was the only one and its database has led. A VM that takes the duty over reads the table with its orders from the store first.

--- a/crates/bluebellferry_catalog/src/leadership.rs
+++ b/crates/bluebellferry_catalog/src/leadership.rs
@@ -23,6 +23,17 @@
     Replacing,
 }
 
+/// An order to the platform to promote a database, as it is recorded before it is sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromotionOrder {
+    /// The database to promote.
+    pub database: name::DatabaseName,
+    /// Tells this order from earlier and later ones for the service.
+    pub number: u64,
+    /// How many orders for the database, this one included, may not have taken effect yet.
+    pub unsettled: u32,
+}
+
 /// The leader of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderEntry {
@@ -38,6 +49,9 @@
     /// that is gone reached it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub required_end: Option<position::LogPosition>,
+    /// The latest order to promote a database of the service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<PromotionOrder>,
 }
 
 /// The leaders of all services whose leader was ever replaced, and the VM that may choose
@@ -159,6 +173,7 @@
             phase: copy.phase,
             log_end_when_chosen: copy.log_end_when_chosen,
             required_end: None,
+            order: None,
         };
         let leaders = copy.leaders.into_iter();
         Self {
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -10,7 +10,8 @@
 //!    replicas need not be fenced.
 //! 3. Wait until no VM may rely on the old leader any more.
 //! 4. Have the platform promote a database that has every acknowledged commit, and publish
-//!    that database as the leader in the table.
+//!    that database as the leader in the table. The order is recorded in the table before it is
+//!    sent: as long as it may take effect, no other database is promoted.
 
 mod cause;
 mod fence;
@@ -156,11 +157,18 @@
     let log_end_when_chosen = known_leader
         .as_ref()
         .and_then(|known| known.log_end_when_chosen);
+    let leads_later_term = last_position
+        .zip(log_end_when_chosen)
+        .is_some_and(|(last, chosen)| last.term > chosen.term);
+    if leads_later_term {
+        control.borrow_mut().record_ordered_leader(service, leader);
+    }
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
         phase: leadership::LeaderPhase::Replacing,
         log_end_when_chosen,
         required_end: control.borrow().required_end(service),
+        order: table::latest_order(control, service),
     };
     if table::write_entry(control, client, service, entry).await {
         control.borrow().heartbeat_trigger.notify_one();
@@ -263,6 +271,9 @@
             successor::SuccessorChoice::Adopt { id, position } => {
                 log::info!(database = id.as_str(); "adopting a database that another VM had promoted");
                 set_wait_reason(control, &mut replacement, None);
+                control
+                    .borrow_mut()
+                    .record_ordered_leader(&replacement.service, &id);
                 fence::unfence_replicas(control, &replacement).await;
                 publish_leader(control, client, &replacement, id, position).await;
                 return;
@@ -295,12 +306,14 @@
     };
     let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
     let required_end = control.required_end(&replacement.service);
+    let ordered = control.outstanding_order(&replacement.service, clock::now());
     log::warn!(
         service = replacement.service.as_str(), leader = replacement.leader.as_str(),
         reason = reason.map_or("-", successor::WaitReason::as_str),
         since_claim_ms = since_claim.as_millis() as u64,
         required_end = required_end.map_or_else(|| "-".to_owned(), |end| end.to_string()).as_str(),
-        fenced = replacement.fenced_positions.len() as u64;
+        fenced = replacement.fenced_positions.len() as u64,
+        ordered = ordered.map_or("-", |id| id.as_str());
         "why a promotion waits has changed"
     );
 }
@@ -382,19 +395,9 @@
         }
     };
     let requested_at = clock::now();
-    // Another VM may have taken over the promotion duty while this process was suspended.
-    match members::read_leadership_table(client).await {
-        Ok(table) => {
-            let mut control = control.borrow_mut();
-            control.observe_store_era(client.era(), clock::now());
-            control.apply_leadership_table(&table);
-        }
-        Err(error) => {
-            log::warn!(error:% = error; "cannot read the leadership table to confirm that this VM holds the promotion duty");
-            return false;
-        }
-    }
-    if control.borrow().awaits_restoration() || !is_entered(control, replacement) {
+    // The write also confirms the promotion duty, which another VM may have taken over while this
+    // process was suspended.
+    if !record_order(control, client, replacement, id).await {
         return false;
     }
     let (holder, token) = {
@@ -405,6 +408,7 @@
         )
     };
     if clock::now().saturating_duration_since(requested_at) > MAX_DUTY_CONFIRMATION_AGE {
+        control.borrow_mut().record_void_order(&replacement.service);
         return false;
     }
     let service = replacement.service.as_str();
@@ -416,9 +420,38 @@
         since_claim_ms = clock::now().saturating_duration_since(replacement.claimed_at).as_millis() as u64;
         "requested the promotion of a new leader from the platform"
     );
+    if answer.is_void() {
+        control.borrow_mut().record_void_order(&replacement.service);
+    }
     answer == promotion::PromotionAnswer::Accepted
 }
 
+/// Records in the leadership table that the platform is about to be asked to promote a database.
+/// Returns whether the table holds the record and names this VM as the holder of the promotion
+/// duty.
+async fn record_order(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+    replacement: &fence::LeaderReplacement,
+    id: &name::DatabaseName,
+) -> bool {
+    if control.borrow().awaits_restoration() || !is_entered(control, replacement) {
+        return false;
+    }
+    let service = &replacement.service;
+    let entry = {
+        let control = control.borrow();
+        let Some(entry) = control.leadership_table.leaders.get(service) else {
+            return false;
+        };
+        leadership::LeaderEntry {
+            order: Some(control.next_order(service, id, clock::now())),
+            ..entry.clone()
+        }
+    };
+    table::write_entry(control, client, service, entry).await && is_entered(control, replacement)
+}
+
 /// Writes the new leader to the leadership table. Retries until the write is confirmed or
 /// this VM no longer holds the promotion duty.
 async fn publish_leader(
@@ -433,6 +466,7 @@
         phase: leadership::LeaderPhase::Steady,
         log_end_when_chosen: Some(position),
         required_end: None,
+        order: table::latest_order(control, &replacement.service),
     };
     let leaderless = clock::now().saturating_duration_since(replacement.claimed_at);
     log::info!(
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -429,7 +429,7 @@
             replacement.claim_revision,
             now,
         ),
-        ordered: None,
+        ordered: control.outstanding_order(service, now),
     }
 }
 
--- a/crates/bluebellferry_edge/src/control/replacement/table.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/table.rs
@@ -24,6 +24,16 @@
     observed.max(promotion_term)
 }
 
+/// Returns the latest order to promote a database of a service that the table records.
+pub(super) fn latest_order(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+) -> Option<leadership::PromotionOrder> {
+    let control = control.borrow();
+    let entry = control.leadership_table.leaders.get(service)?;
+    entry.order.clone()
+}
+
 /// How often a write is attempted when concurrent changes of the table make it fail.
 const MAX_WRITE_ATTEMPTS: u32 = 4;
 
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -25,6 +25,7 @@
 use bluebellferry_membership::topology;
 use bluebellferry_promotion::departure;
 use bluebellferry_promotion::lease;
+use bluebellferry_promotion::order;
 use bluebellferry_routing::assessment;
 use bluebellferry_runtime::clock;
 use bluebellferry_shares::growth;
@@ -241,6 +242,8 @@
     /// The latest replacement report of each other VM, with the incarnation of the VM and when the
     /// report arrived.
     replacement_reports: BTreeMap<String, (u64, heartbeat::ReplacementReport, Instant)>,
+    /// The latest orders to promote a database, by service.
+    order_watches: BTreeMap<name::ServiceName, order::OrderWatch>,
     /// Whether this VM is fetching store objects from another VM.
     pub is_fetching_store_copies: bool,
     /// When this VM received the allocations of its group.
@@ -329,6 +332,7 @@
             replaced_databases: VecDeque::new(),
             departures: BTreeMap::new(),
             replacement_reports: BTreeMap::new(),
+            order_watches: BTreeMap::new(),
             is_fetching_store_copies: false,
             allocations_since: clock::now(),
             allocations_announced: clock::now(),
@@ -428,6 +432,7 @@
             }
         }
         self.leadership_table = table.clone();
+        self.observe_orders(clock::now());
         self.publish_snapshot();
         self.heartbeat_trigger.notify_one();
     }
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -1,4 +1,4 @@
-//! What a successor's log must reach because logs are gone.
+//! What a successor's log must reach because logs are gone, and which orders are outstanding.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +8,8 @@
 use bluebellferry_catalog::leadership;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_promotion::departure;
+use bluebellferry_promotion::order;
+use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 
@@ -157,8 +159,12 @@
         for (service, entry) in &mut self.leadership_table.leaders {
             if let Some(stored) = stored.leaders.get(service) {
                 entry.required_end = entry.required_end.max(stored.required_end);
+                if entry.order.is_none() {
+                    entry.order.clone_from(&stored.order);
+                }
             }
         }
+        self.observe_orders(clock::now());
     }
 
     /// Returns whether databases of a service are gone that may have had commits which are neither
@@ -167,6 +173,53 @@
         let ledger = self.departures.get(service);
         ledger.is_some_and(|ledger| ledger.has_unknown_logs(now))
     }
+
+    /// Starts to watch the orders that the leadership table has recorded since.
+    pub(super) fn observe_orders(&mut self, now: Instant) {
+        for (service, entry) in &self.leadership_table.leaders {
+            let Some(recorded) = &entry.order else {
+                continue;
+            };
+            let watch = self.order_watches.get(service);
+            if watch.is_none_or(|watch| watch.order() != recorded) {
+                let watch = order::OrderWatch::new(recorded.clone(), now);
+                self.order_watches.insert(service.clone(), watch);
+            }
+        }
+    }
+
+    /// Records that a database was seen leading a service in a term after the latest order.
+    pub fn record_ordered_leader(&mut self, service: &name::ServiceName, id: &name::DatabaseName) {
+        if let Some(watch) = self.order_watches.get_mut(service) {
+            watch.record_leader(id);
+        }
+    }
+
+    /// Records that the latest order for a service has no effect.
+    pub fn record_void_order(&mut self, service: &name::ServiceName) {
+        if let Some(watch) = self.order_watches.get_mut(service) {
+            watch.record_void();
+        }
+    }
+
+    /// Returns the database that an earlier order may still promote.
+    pub fn outstanding_order(
+        &self,
+        service: &name::ServiceName,
+        now: Instant,
+    ) -> Option<&name::DatabaseName> {
+        self.order_watches.get(service)?.outstanding(now)
+    }
+
+    /// Returns the order to record before the platform is asked to promote a database.
+    pub fn next_order(
+        &self,
+        service: &name::ServiceName,
+        id: &name::DatabaseName,
+        now: Instant,
+    ) -> leadership::PromotionOrder {
+        order::next_order(self.order_watches.get(service), id, now)
+    }
 }
 
 /// Returns the end of the log before a term in which nothing was committed: a leader may report its
--- a/crates/bluebellferry_edge/tests/claims.rs
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -149,6 +149,7 @@
                 phase: leadership::LeaderPhase::Steady,
                 log_end_when_chosen: Some(position::LogPosition::new(1, 230)),
                 required_end: None,
+                order: None,
             };
             let table = leadership::LeadershipTable::default();
             let mut table = table.with_entry("vm-1", 77, &service(), successor.clone());
@@ -186,6 +187,7 @@
         phase: leadership::LeaderPhase::Replacing,
         log_end_when_chosen: None,
         required_end: None,
+        order: None,
     };
     let table = leadership::LeadershipTable::default();
     let mut table = table.with_entry("vm-0", 7, &service(), replacing);
--- a/crates/bluebellferry_promotion/src/lib.rs
+++ b/crates/bluebellferry_promotion/src/lib.rs
@@ -10,7 +10,7 @@
 //! Where the platform promotes databases at a VM's request, [`suspect`] assesses whether a
 //! leader is lost, [`successor`] chooses the database that replaces it, and [`lease`] tells
 //! how long the other VMs may rely on the old leader. [`departure`] tells which commits may be gone
-//! with databases that have left.
+//! with databases that have left, and [`order`] which database an earlier order may still promote.
 //! [`probe`] tells when a VM that no other
 //! VM reaches may rely on a leader that it probes.
 //!
@@ -30,6 +30,7 @@
 pub mod event;
 pub mod lease;
 pub mod observation;
+pub mod order;
 pub mod probe;
 pub mod promoter;
 pub mod relocation;
