--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -187,6 +187,8 @@
             observed_leader_position: known_leader
                 .and_then(|known| known.min_log_position(last_position)),
             lost_logs: BTreeMap::new(),
+            unregistered_since: BTreeMap::new(),
+            log_end_when_chosen,
             last_sign_of_leader: clock::now(),
             wait_reason: None,
         };
@@ -197,15 +199,21 @@
 }
 
 /// Reads the leadership table from the store: a copy from another VM lacks the latest orders.
-async fn read_complete_table(control: &control::ControlCell, client: &mut objects::ObjectClient) {
+/// Returns whether the store answered.
+async fn read_complete_table(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+) -> bool {
     match members::read_leadership_table(client).await {
         Ok(table) => {
             let mut control = control.borrow_mut();
             control.observe_store_era(client.era(), clock::now());
             control.apply_leadership_table(&table);
+            true
         }
         Err(error) => {
-            log::warn!(error:% = error; "cannot read the leadership table before a replacement");
+            log::warn!(error:% = error; "cannot read the leadership table");
+            false
         }
     }
 }
@@ -218,6 +226,7 @@
     loop {
         control.borrow_mut().cover_departures();
         fence::observe_leader(control, &mut replacement);
+        fence::give_up_departed_leader(control, &mut replacement);
         fence::fence_databases(control, &mut replacement).await;
         let awaits_step_down = replacement.cause.is_orderly()
             && !replacement
@@ -394,12 +403,21 @@
             return false;
         }
     };
-    let requested_at = clock::now();
+    let is_overdue =
+        |since: Instant| clock::now().saturating_duration_since(since) > MAX_DUTY_CONFIRMATION_AGE;
     // The write also confirms the promotion duty, which another VM may have taken over while this
     // process was suspended.
+    let mut confirmed_at = clock::now();
     if !record_order(control, client, replacement, id).await {
         return false;
     }
+    if is_overdue(confirmed_at) {
+        confirmed_at = clock::now();
+        if !read_complete_table(control, client).await {
+            control.borrow_mut().record_void_order(&replacement.service);
+            return false;
+        }
+    }
     let (holder, token) = {
         let control = control.borrow();
         (
@@ -407,7 +425,8 @@
             control.leadership_table.token,
         )
     };
-    if clock::now().saturating_duration_since(requested_at) > MAX_DUTY_CONFIRMATION_AGE {
+    let is_confirmed = is_entered(control, replacement) && !control.borrow().awaits_restoration();
+    if !is_confirmed || is_overdue(confirmed_at) {
         control.borrow_mut().record_void_order(&replacement.service);
         return false;
     }
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -56,6 +56,10 @@
     /// Where the logs of databases ended that have since restarted without their log or are
     /// no longer registered, and when this VM noticed it.
     pub(super) lost_logs: BTreeMap<name::DatabaseName, (position::LogPosition, Instant)>,
+    /// Since when fenced databases have not been registered.
+    pub(super) unregistered_since: BTreeMap<name::DatabaseName, Instant>,
+    /// The end of the log of the leader to be replaced when it was chosen.
+    pub(super) log_end_when_chosen: Option<position::LogPosition>,
     /// When the leader that is replaced was last known to be running, so that its log may be back.
     pub(super) last_sign_of_leader: Instant,
     /// Why no database may be promoted, if that has been logged.
@@ -68,6 +72,15 @@
         let leadership = self.reported_leaders.get(id);
         *id == self.leader || leadership.is_some_and(|(term, _)| *term == self.leader_term)
     }
+
+    /// Returns the end of that part of a log which it can have in common with the leader's log.
+    /// What an earlier leader appended after the present one was chosen was never acknowledged.
+    fn shared_end(&self, end: position::LogPosition) -> position::LogPosition {
+        let chosen = self
+            .log_end_when_chosen
+            .filter(|chosen| end.term <= chosen.term);
+        chosen.map_or(end, |chosen| end.min(chosen))
+    }
 }
 
 /// Sends fencing orders to the databases of the service until a successor can be chosen or
@@ -221,14 +234,12 @@
     let Some(workspace) = control.borrow().any_workspace() else {
         return false;
     };
-    let mut entries = control.borrow().databases_of(&replacement.service);
     let commit_holders = control
         .borrow()
         .possible_commit_holders(&replacement.service, clock::now());
-    entries.retain(|entry| {
-        let may_have_commits = commit_holders.iter().any(|holder| holder.id == entry.id);
-        may_have_commits && replacement.fenced_positions.contains_key(&entry.id)
-    });
+    // A database whose registration has expired may have restarted as well.
+    let mut entries = commit_holders.clone();
+    entries.retain(|entry| replacement.fenced_positions.contains_key(&entry.id));
     let mut probes = JoinSet::new();
     for entry in entries {
         let workspace = workspace.clone();
@@ -238,12 +249,16 @@
         });
     }
     let mut unanswered: SmallVec<[name::DatabaseName; 2]> = SmallVec::new();
+    let mut has_chosen_answered = false;
     while let Some(finished) = probes.join_next().await {
         let Ok((answer, entry)) = finished else {
             return false;
         };
         match answer {
-            Ok(status) => record_recheck(replacement, &entry, status),
+            Ok(status) => {
+                has_chosen_answered |= entry.id == *chosen;
+                record_recheck(replacement, &entry, status);
+            }
             Err(error) => {
                 log::warn!(database = entry.id.as_str(), error:% = error; "a fenced database did not answer when it was probed again");
                 unanswered.push(entry.id);
@@ -251,11 +266,11 @@
         }
     }
     if has_all_acknowledged(control, replacement, chosen) {
-        return !unanswered.contains(chosen);
+        return has_chosen_answered;
     }
     let has_led = |id: &name::DatabaseName| replacement.led_replaced_term(id);
     if !unanswered.iter().any(has_led) && has_whole_log(replacement, chosen) {
-        return !unanswered.contains(chosen);
+        return has_chosen_answered;
     }
     // Without a replica that receives, a leader that leads again acknowledges nothing.
     let awaited = if is_about_to_stop(control, replacement, chosen) {
@@ -265,7 +280,7 @@
     };
     let mut holders = awaited.iter().map(|holder| &holder.id);
     let are_replicas_fenced = unanswered.iter().all(has_led)
-        && !unanswered.contains(chosen)
+        && has_chosen_answered
         && holders.all(|id| has_led(id) || replacement.fenced_positions.contains_key(id));
     if replacement.cause.is_orderly() {
         log::warn!(service = replacement.service.as_str(); "a leader that stepped down does not answer any more and is treated as lost");
@@ -355,11 +370,27 @@
         forget_unfenced_replicas(replacement);
     }
     if status.received < fenced_position {
-        let lost_log = (fenced_position, clock::now());
+        let lost_log = (replacement.shared_end(fenced_position), clock::now());
         replacement.lost_logs.insert(entry.id.clone(), lost_log);
     }
 }
 
+/// Treats a departing leader as lost if it is no longer registered, although it has stepped down:
+/// replicas that lack the rest of its log get it no more, and must be fenced.
+pub(super) fn give_up_departed_leader(
+    control: &control::ControlCell,
+    replacement: &mut LeaderReplacement,
+) {
+    let control = control.borrow();
+    let mut registered = control.databases.iter();
+    let is_registered = registered.any(|entry| entry.id == replacement.leader);
+    if replacement.cause.is_orderly() && !is_registered {
+        log::warn!(database = replacement.leader.as_str(); "a departing leader has left before a replica had its whole log");
+        replacement.cause = cause::ReplacementCause::Lost;
+        forget_unfenced_replicas(replacement);
+    }
+}
+
 /// Forgets the positions of the replicas, which were not ordered to stop receiving, since the leader
 /// had stepped down. If the leader leads again, they receive from it.
 fn forget_unfenced_replicas(replacement: &mut LeaderReplacement) {
@@ -419,10 +450,20 @@
     let service = &replacement.service;
     let since_sign = now.saturating_duration_since(replacement.last_sign_of_leader);
     let may_come_back = since_sign < departure::LOST_LOG_RETENTION;
+    let mut required_end = control.required_end(service);
+    let mut has_unknown_logs = control.has_unknown_logs(service, now);
+    // A process that has just started may not know of a database that has left. What the other VMs
+    // acknowledged tells which commits it had.
+    if control.topology.is_full_mesh() && control.may_have_missed_departures(service) {
+        match control.reported_end(service, replacement.claim_revision, now) {
+            Ok(reported_end) => required_end = required_end.max(reported_end),
+            Err(_) => has_unknown_logs = true,
+        }
+    }
     successor::ReplacedReign {
         term: replacement.leader_term,
-        required_end: control.required_end(service).filter(|_| may_come_back),
-        has_unknown_logs: may_come_back && control.has_unknown_logs(service, now),
+        required_end: required_end.filter(|_| may_come_back),
+        has_unknown_logs: may_come_back && has_unknown_logs,
         acknowledged_end: control.acknowledged_end(
             service,
             replacement.claimed_at,
@@ -430,6 +471,7 @@
             now,
         ),
         ordered: control.outstanding_order(service, now),
+        has_given_up: !may_come_back,
     }
 }
 
@@ -495,6 +537,15 @@
     let is_unregistered = |id: &name::DatabaseName| {
         *id != leader && !commit_holders.iter().any(|entry| entry.id == *id)
     };
+    let registered = control.borrow().databases_of(&replacement.service);
+    let is_registered = |id: &name::DatabaseName| registered.iter().any(|entry| entry.id == *id);
+    let since = &mut replacement.unregistered_since;
+    since.retain(|id, _| !is_registered(id));
+    for id in replacement.fenced_positions.keys() {
+        if !is_registered(id) {
+            since.entry(id.clone()).or_insert(now);
+        }
+    }
     let unregistered = replacement
         .fenced_positions
         .iter()
@@ -503,7 +554,9 @@
     for (id, end) in unregistered {
         log::warn!(database = id.as_str(), end = end.offset; "a fenced replica is no longer registered");
         replacement.fenced_positions.remove(&id);
-        replacement.lost_logs.insert(id, (end, now));
+        let lost_at = replacement.unregistered_since.get(&id).copied();
+        let lost_log = (replacement.shared_end(end), lost_at.unwrap_or(now));
+        replacement.lost_logs.insert(id, lost_log);
     }
 }
 
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -237,6 +237,8 @@
     /// The databases that were replaced by newly registered ones, with their start times. A
     /// delayed write to the store may list such a database again.
     replaced_databases: VecDeque<(name::DatabaseName, u64)>,
+    /// When this VM first learned which databases are registered; `None` before.
+    databases_known_since: Option<Instant>,
     /// The databases that have departed, by service.
     departures: BTreeMap<name::ServiceName, departure::DepartureLedger>,
     /// The latest replacement report of each other VM, with the incarnation of the VM and when the
@@ -330,6 +332,7 @@
             sent_acknowledgement: None,
             expired_databases: Vec::new(),
             replaced_databases: VecDeque::new(),
+            databases_known_since: None,
             departures: BTreeMap::new(),
             replacement_reports: BTreeMap::new(),
             order_watches: BTreeMap::new(),
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -27,6 +27,7 @@
     pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>, revision: u64) {
         if *self.databases != databases || self.versions.databases == 0 {
             self.log_databases(&databases);
+            self.databases_known_since.get_or_insert_with(clock::now);
             self.record_departures(&databases, clock::now());
             self.record_expired_entries(&databases, clock::now());
             self.start_paces(&databases, clock::now());
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -16,6 +16,11 @@
 use crate::control::state;
 use crate::control::state::databases;
 
+/// The error for a live VM that has not reported what it acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a VM has not reported what it acknowledged")]
+pub struct MissingReport;
+
 impl state::ControlState {
     /// Records the databases that are no longer registered as they were, given the registrations
     /// that replace those in use.
@@ -113,6 +118,43 @@
         Some(end).max(chosen)
     }
 
+    /// Returns whether databases of a service may have left before this process learned which are
+    /// registered, and no later position of the leader is known.
+    pub fn may_have_missed_departures(&self, service: &name::ServiceName) -> bool {
+        let Some(known_since) = self.databases_known_since else {
+            return true;
+        };
+        let positions = self.shared.lock_positions();
+        let history = positions.get(service);
+        history.is_none_or(|history| history.position_covering(known_since).is_none())
+    }
+
+    /// Returns the end of the last commit of a service that a live VM has reported to have
+    /// acknowledged, or an error if a live VM has not reported yet.
+    ///
+    /// # Errors
+    /// Returns an error if a report is missing.
+    pub fn reported_end(
+        &self,
+        service: &name::ServiceName,
+        claim_revision: u64,
+        now: Instant,
+    ) -> Result<Option<position::LogPosition>, MissingReport> {
+        let mut end = self.shared.acknowledged_end(service);
+        for (name, record) in self.live_peers(now) {
+            let report = self.replacement_reports.get(name);
+            let (incarnation, report, _) = report.ok_or(MissingReport)?;
+            let is_current =
+                *incarnation == record.incarnation && report.table_revision >= claim_revision;
+            let mut services = report.services.iter();
+            let reported = services
+                .find(|reported| reported.service == *service)
+                .filter(|_| is_current);
+            end = end.max(reported.ok_or(MissingReport)?.acknowledged_end);
+        }
+        Ok(end)
+    }
+
     /// Returns what this VM acknowledged of the services whose leader is being replaced, if there
     /// are any.
     pub fn replacement_report(&self, now: Instant) -> Option<heartbeat::ReplacementReport> {
--- a/crates/bluebellferry_promotion/src/departure.rs
+++ b/crates/bluebellferry_promotion/src/departure.rs
@@ -59,11 +59,18 @@
         });
     }
 
-    /// Records that a database is registered again. It has its log if it has not restarted.
+    /// Records that a database is registered again. It has its log unless it has restarted.
     pub fn record_return(&mut self, id: &name::DatabaseName, started_unix_ms: u64) {
         self.uncovered.retain(|departure| {
             (&departure.id, departure.started_unix_ms) != (id, started_unix_ms)
         });
+        let restarted = self
+            .uncovered
+            .iter_mut()
+            .filter(|departure| departure.id == *id);
+        for departure in restarted {
+            departure.kind = DepartureKind::LogLost;
+        }
     }
 
     /// Covers departures by later positions of the leader. `position_covering` returns the first
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -70,6 +70,8 @@
     pub acknowledged_end: Option<position::LogPosition>,
     /// The database that an earlier order may still promote: no other one may be promoted.
     pub ordered: Option<&'a name::DatabaseName>,
+    /// Whether lost logs are waited for no longer, so that commits may have to be given up.
+    pub has_given_up: bool,
 }
 
 impl ReplacedReign<'_> {
@@ -81,6 +83,7 @@
             has_unknown_logs: false,
             acknowledged_end: None,
             ordered: None,
+            has_given_up: false,
         }
     }
 
@@ -175,26 +178,27 @@
     databases: &[DatabaseEvidence],
     reign: &ReplacedReign<'_>,
 ) -> SuccessorChoice {
-    if let Some(choice) = find_newer_leader(databases, reign.term) {
+    if let Some(choice) = find_newer_leader(databases, reign) {
         return choice;
     }
     let leader_end = find_leader_end(databases, reign);
+    let leader = databases.iter().find(|database| database.is_leader);
+    let leader = leader.filter(|leader| !leader.is_draining && reign.may_promote(&leader.id));
     if let Some((position, best)) = find_candidate(databases, reign) {
         let has_reached_leader = leader_end.is_some_and(|end| position >= end);
         let has_all_acknowledged = reign.acknowledged_end.is_some_and(|end| position >= end);
         let is_sufficient = has_reached_leader
             || has_all_acknowledged
             || find_obstacle(databases, reign, position).is_none();
-        if is_sufficient {
+        // Where commits have to be given up, the longest log keeps most of them.
+        let is_longest = leader.is_none() || Some(position) >= leader_end;
+        if is_sufficient && (is_longest || !reign.has_given_up) {
             return choose_promotion(best, position);
         }
     }
     // The old leader has every commit that it acknowledged.
-    let leader = databases.iter().find(|database| database.is_leader);
     match (leader, leader_end) {
-        (Some(leader), Some(end)) if !leader.is_draining && reign.may_promote(&leader.id) => {
-            choose_promotion(leader, end)
-        }
+        (Some(leader), Some(end)) => choose_promotion(leader, end),
         _ => SuccessorChoice::Wait,
     }
 }
@@ -326,12 +330,18 @@
         .is_none_or(|earlier| database.fenced_position >= Some(earlier))
 }
 
-/// Returns the choice to adopt a database that leads in a later term than the replaced one.
-fn find_newer_leader(databases: &[DatabaseEvidence], leader_term: u64) -> Option<SuccessorChoice> {
-    let others = databases.iter().filter(|database| !database.is_leader);
-    let leading = others.filter_map(|database| Some((database.reported_leadership?, database)));
+/// Returns the choice to adopt a database that leads in a later term than the replaced one. The
+/// replaced leader itself may do so, if an order that promotes it took effect late.
+fn find_newer_leader(
+    databases: &[DatabaseEvidence],
+    reign: &ReplacedReign<'_>,
+) -> Option<SuccessorChoice> {
+    let is_candidate =
+        |database: &&DatabaseEvidence| !database.is_leader || reign.ordered == Some(&database.id);
+    let leading = databases.iter().filter(is_candidate);
+    let leading = leading.filter_map(|database| Some((database.reported_leadership?, database)));
     let ((term, position), database) = leading.max_by_key(|((term, _), _)| *term)?;
-    (term > leader_term).then(|| SuccessorChoice::Adopt {
+    (term > reign.term).then(|| SuccessorChoice::Adopt {
         id: database.id.clone(),
         position,
     })
--- a/crates/bluebellferry_promotion/tests/departures.rs
+++ b/crates/bluebellferry_promotion/tests/departures.rs
@@ -136,3 +136,30 @@
     ledger.record_return(&id("r1"), 1);
     assert!(!ledger.has_unknown_logs(now));
 }
+
+// Guards against lost commits: a replica whose registration had expired restarted with an empty log
+// under the same identity, and was no longer waited for.
+#[test]
+fn expired_database_that_restarts_has_lost_its_log() {
+    let now = Instant::now();
+    let mut ledger = departure::DepartureLedger::default();
+    ledger.record_departure(&id("r1"), 1, departure::DepartureKind::Expired, now);
+    assert!(!ledger.has_unknown_logs(now));
+    ledger.record_return(&id("r1"), 2);
+    assert!(ledger.has_unknown_logs(now));
+}
+
+// Guards against lost commits: once the wait for a lost log was over, an empty database was promoted
+// although the leader had stepped down with a longer log.
+#[test]
+fn leader_with_the_longest_log_is_promoted_once_lost_logs_are_given_up() {
+    let databases = [
+        database("x", Some(position(1, 206))),
+        database("r1", Some(position(0, 0))),
+    ];
+    let given_up = successor::ReplacedReign {
+        has_given_up: true,
+        ..successor::ReplacedReign::of_term(1)
+    };
+    assert_eq!(promoted(&databases, &given_up).as_deref(), Some("x"));
+}
