Treat a leader that may still be promoted as a replica

Seen: with the order recorded, the late promotions of tests/successors.rs lost nothing, but the service stayed without a leader: a database that was named and did not lead yet was replaced as lost, ordered to step down, and stepped down once more as the late order took effect. Orders that might still take effect were repeated every 0.1 s.

Change: a leader whose order is outstanding and that was never seen leading counts as a replica of the term before; if it leads when it is probed, it is adopted. Such an order is repeated after 0.5 s at the earliest.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -49,6 +49,8 @@
 /// The timeout of a request for a promotion. Together with [`MAX_DUTY_CONFIRMATION_AGE`] it is
 /// shorter than the time that another VM waits before it takes over the promotion duty.
 const PROMOTION_CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The delay before an order to promote a database is repeated that may still take effect.
+const ORDER_REPEAT_DELAY: Duration = Duration::from_millis(500);
 /// How long a replacement waits, before it promotes a draining database, for a replica that is
 /// not draining to answer. Unless all VMs acknowledge the replacement, the delay costs nothing,
 /// since the replacement then waits at least as long for leases to expire.
@@ -163,6 +165,8 @@
     if leads_later_term {
         control.borrow_mut().record_ordered_leader(service, leader);
     }
+    let has_never_led = !leads_later_term
+        && control.borrow().outstanding_order(service, clock::now()) == Some(leader);
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
         phase: leadership::LeaderPhase::Replacing,
@@ -172,15 +176,21 @@
     };
     if table::write_entry(control, client, service, entry).await {
         control.borrow().heartbeat_trigger.notify_one();
-        let leader_term = table::known_term(control, service);
+        let known_term = table::known_term(control, service);
+        let (leader_term, cause) = if has_never_led {
+            (known_term - 1, cause::ReplacementCause::Lost)
+        } else {
+            (known_term, cause)
+        };
         let replacement = fence::LeaderReplacement {
             service: service.clone(),
             leader: leader.clone(),
+            has_never_led,
             cause,
             claimed_at: clock::now(),
             claim_revision: control.borrow().leadership_table.revision,
             fenced_positions: BTreeMap::new(),
-            term: leader_term + 1,
+            term: known_term + 1,
             leader_term,
             fencing_ended_at: None,
             reported_leaders: BTreeMap::new(),
@@ -189,6 +199,7 @@
             lost_logs: BTreeMap::new(),
             unregistered_since: BTreeMap::new(),
             log_end_when_chosen,
+            last_order_at: None,
             last_sign_of_leader: clock::now(),
             wait_reason: None,
         };
@@ -270,7 +281,8 @@
                 if has_answered
                     && is_unchanged
                     && !is_unfenced_possible
-                    && request_promotion(control, client, &replacement, &id).await
+                    && !is_order_recent(&replacement)
+                    && request_promotion(control, client, &mut replacement, &id).await
                 {
                     set_wait_reason(control, &mut replacement, None);
                     publish_leader(control, client, &replacement, id, position).await;
@@ -350,6 +362,13 @@
     }
 }
 
+/// Returns whether an order was sent so recently that it is not repeated yet.
+fn is_order_recent(replacement: &fence::LeaderReplacement) -> bool {
+    replacement
+        .last_order_at
+        .is_some_and(|sent_at| clock::now().saturating_duration_since(sent_at) < ORDER_REPEAT_DELAY)
+}
+
 fn holds_promotion_duty(control: &control::ControlCell) -> bool {
     let control = control.borrow();
     control.leadership_table.holder == control.own_name()
@@ -390,7 +409,7 @@
 async fn request_promotion(
     control: &control::ControlCell,
     client: &mut objects::ObjectClient,
-    replacement: &fence::LeaderReplacement,
+    replacement: &mut fence::LeaderReplacement,
     id: &name::DatabaseName,
 ) -> bool {
     // The connection is opened first, since the request must follow the confirmation of the
@@ -441,6 +460,8 @@
     );
     if answer.is_void() {
         control.borrow_mut().record_void_order(&replacement.service);
+    } else {
+        replacement.last_order_at = Some(clock::now());
     }
     answer == promotion::PromotionAnswer::Accepted
 }
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -33,6 +33,9 @@
     pub(super) service: name::ServiceName,
     /// The leader to be replaced.
     pub(super) leader: name::DatabaseName,
+    /// Whether it may still be promoted by the order that made it the leader, and was not seen
+    /// leading. It then counts as a replica.
+    pub(super) has_never_led: bool,
     /// Why it is replaced.
     pub(super) cause: cause::ReplacementCause,
     /// An instant after the replacement was entered into the leadership table.
@@ -60,6 +63,8 @@
     pub(super) unregistered_since: BTreeMap<name::DatabaseName, Instant>,
     /// The end of the log of the leader to be replaced when it was chosen.
     pub(super) log_end_when_chosen: Option<position::LogPosition>,
+    /// When this process last sent an order to promote a database that may take effect.
+    pub(super) last_order_at: Option<Instant>,
     /// When the leader that is replaced was last known to be running, so that its log may be back.
     pub(super) last_sign_of_leader: Instant,
     /// Why no database may be promoted, if that has been logged.
@@ -70,7 +75,12 @@
     /// Returns whether a database led in the replaced term, even if under another identity.
     fn led_replaced_term(&self, id: &name::DatabaseName) -> bool {
         let leadership = self.reported_leaders.get(id);
-        *id == self.leader || leadership.is_some_and(|(term, _)| *term == self.leader_term)
+        self.is_former_leader(id) || leadership.is_some_and(|(term, _)| *term == self.leader_term)
+    }
+
+    /// Returns whether a database is the leader to be replaced and may have led.
+    fn is_former_leader(&self, id: &name::DatabaseName) -> bool {
+        *id == self.leader && !self.has_never_led
     }
 
     /// Returns the end of that part of a log which it can have in common with the leader's log.
@@ -104,7 +114,7 @@
         if replacement.fenced_positions.contains_key(&entry.id) {
             continue;
         }
-        let is_leader = entry.id == replacement.leader;
+        let is_leader = replacement.is_former_leader(&entry.id);
         // A draining leader sends its replicas the rest of its log before it steps down.
         let is_needed = is_leader
             || !replacement.cause.is_orderly()
@@ -345,6 +355,14 @@
     let Some(fenced_position) = replacement.fenced_positions.get(&entry.id).copied() else {
         return;
     };
+    if status.is_primary && status.term > replacement.leader_term {
+        // An order took effect late.
+        let leadership = (status.term, status.received);
+        replacement
+            .reported_leaders
+            .insert(entry.id.clone(), leadership);
+        return;
+    }
     let has_stepped_down = replacement.led_replaced_term(&entry.id);
     // A database that led was ordered to step down, not to stop receiving.
     let must_not_receive = !replacement.cause.is_orderly()
@@ -614,7 +632,7 @@
     entry: &catalog::DatabaseEntry,
 ) -> successor::DatabaseEvidence {
     let reported_leadership = replacement.reported_leaders.get(&entry.id).copied();
-    let is_leader = entry.id == replacement.leader;
+    let is_leader = replacement.is_former_leader(&entry.id);
     let led_replaced_term = replacement.led_replaced_term(&entry.id);
     let lost_end = lost_log_position(replacement, &entry.id);
     successor::DatabaseEvidence {
