--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -49,6 +49,9 @@
 /// The timeout of a request for a promotion. Together with [`MAX_DUTY_CONFIRMATION_AGE`] it is
 /// shorter than the time that another VM waits before it takes over the promotion duty.
 const PROMOTION_CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// How often fenced databases are probed while a promotion waits: they may restart, or be rolled back
+/// by a leader that a late order promoted.
+const WAIT_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The delay before an order to promote a database is repeated that may still take effect.
 const ORDER_REPEAT_DELAY: Duration = Duration::from_millis(500);
 /// How long a replacement waits, before it promotes a draining database, for a replica that is
@@ -105,8 +108,9 @@
             is_current && cause::is_responsible(&control, clock::now())
         });
         if let Some((leader, cause)) = found {
-            start_replacement(&control, &mut client, &service, &leader, cause).await;
-            wait_cooldown(&control, &service).await;
+            let must_unfence =
+                start_replacement(&control, &mut client, &service, &leader, cause).await;
+            wait_cooldown(&control, &service, must_unfence).await;
         } else if cause::is_leader_suspected(&control.borrow(), &service, now) {
             tokio::time::sleep(SUSPECT_PROBE_INTERVAL).await;
         }
@@ -115,10 +119,20 @@
 
 /// Waits for the cooldown after a replacement. If the successor is itself to depart, waits only
 /// until it leads, since it must then be replaced without delay.
-async fn wait_cooldown(control: &control::ControlCell, service: &name::ServiceName) {
+///
+/// If `must_unfence` is set, lifts the fences that outlive the promotion as soon as the successor
+/// leads.
+async fn wait_cooldown(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+    mut must_unfence: bool,
+) {
     let cooldown_end = clock::now() + REPLACEMENT_COOLDOWN;
     while clock::now() < cooldown_end {
         tokio::time::sleep(SUSPECT_PROBE_INTERVAL).await;
+        if must_unfence {
+            must_unfence = !unfence_followers(control, service).await;
+        }
         let (departing, workspace) = {
             let control = control.borrow();
             (control.departing_leader(service), control.any_workspace())
@@ -134,13 +148,48 @@
     }
 }
 
+/// Orders the replicas of a leader to receive its log if the leader leads. Returns whether all of
+/// them have done so.
+async fn unfence_followers(control: &control::ControlCell, service: &name::ServiceName) -> bool {
+    let (leader, databases, workspace) = {
+        let control = control.borrow();
+        let leader = control.leader_of(service);
+        let leader = leader.filter(|leader| !leader.is_being_replaced);
+        let databases = control.databases_of(service);
+        (leader, databases, control.any_workspace())
+    };
+    let (Some(leader), Some(workspace)) = (leader, workspace) else {
+        return false;
+    };
+    let (leaders, replicas): (Vec<_>, Vec<_>) = databases
+        .into_iter()
+        .partition(|entry| entry.id == leader.database);
+    let Some(entry) = leaders.first() else {
+        return false;
+    };
+    let status = orders::send_order(entry, &workspace, database::DatabaseOrder::Status).await;
+    if !status.is_ok_and(|status| status.is_primary) || !holds_promotion_duty(control) {
+        return false;
+    }
+    let mut are_all_unfenced = true;
+    for replica in replicas {
+        let order = database::DatabaseOrder::Unfence;
+        if let Err(error) = orders::send_order(&replica, &workspace, order).await {
+            log::info!(database = replica.id.as_str(), error:% = error; "a replica may still be fenced");
+            are_all_unfenced = false;
+        }
+    }
+    are_all_unfenced
+}
+
+/// Replaces a leader. Returns whether fences may outlive the promotion of its successor.
 async fn start_replacement(
     control: &control::ControlCell,
     client: &mut objects::ObjectClient,
     service: &name::ServiceName,
     leader: &name::DatabaseName,
     cause: cause::ReplacementCause,
-) {
+) -> bool {
     log::warn!(
         service = service.as_str(), database = leader.as_str(), cause = cause.as_str();
         "replacing a leader"
@@ -152,7 +201,7 @@
     }
     if !control.borrow().is_led_by(service, leader) {
         control.borrow_mut().active_claims -= 1;
-        return;
+        return false;
     }
     let known_leader = control.borrow().known_leader(service);
     let last_position = control.borrow().shared.latest_position(service);
@@ -165,8 +214,7 @@
     if leads_later_term {
         control.borrow_mut().record_ordered_leader(service, leader);
     }
-    let has_never_led = !leads_later_term
-        && control.borrow().outstanding_order(service, clock::now()) == Some(leader);
+    let has_never_led = may_never_have_led(control, service, leader).await;
     let entry = leadership::LeaderEntry {
         database: leader.clone(),
         phase: leadership::LeaderPhase::Replacing,
@@ -174,6 +222,7 @@
         required_end: control.borrow().required_end(service),
         order: table::latest_order(control, service),
     };
+    let mut must_unfence = false;
     if table::write_entry(control, client, service, entry).await {
         control.borrow().heartbeat_trigger.notify_one();
         let known_term = table::known_term(control, service);
@@ -190,23 +239,64 @@
             claimed_at: clock::now(),
             claim_revision: control.borrow().leadership_table.revision,
             fenced_positions: BTreeMap::new(),
-            term: known_term + 1,
+            // A fence for too high a term would outlive the promotion; one for too low a term is
+            // repeated with the term that the database reports.
+            term: if leads_later_term {
+                known_term + 1
+            } else {
+                known_term
+            },
             leader_term,
             fencing_ended_at: None,
             reported_leaders: BTreeMap::new(),
             observed_leader_position: known_leader
                 .and_then(|known| known.min_log_position(last_position)),
             lost_logs: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            reported_term: leader_term,
+            probed_at: clock::now(),
             unregistered_since: BTreeMap::new(),
             log_end_when_chosen,
             last_order_at: None,
             last_sign_of_leader: clock::now(),
+            has_leader_lost_log: false,
             wait_reason: None,
         };
-        run_replacement(control, client, replacement).await;
+        must_unfence = run_replacement(control, client, replacement).await;
     }
     control.borrow_mut().active_claims -= 1;
     control.borrow().heartbeat_trigger.notify_one();
+    must_unfence
+}
+
+/// Returns whether an order may still promote a leader that was not seen leading since.
+async fn may_never_have_led(
+    control: &control::ControlCell,
+    service: &name::ServiceName,
+    leader: &name::DatabaseName,
+) -> bool {
+    let (entry, workspace) = {
+        let control = control.borrow();
+        if control.outstanding_order(service, clock::now()) != Some(leader) {
+            return false;
+        }
+        let mut registered = control.databases_of(service).into_iter();
+        let entry = registered.find(|entry| entry.id == *leader);
+        (entry, control.any_workspace())
+    };
+    if let Some((entry, workspace)) = entry.zip(workspace) {
+        let order = database::DatabaseOrder::Status;
+        let status = orders::send_order(&entry, &workspace, order).await;
+        let chosen = control.borrow().known_leader(service);
+        let chosen = chosen.and_then(|leader| leader.log_end_when_chosen);
+        let leads_later_term = |status: &database::DatabaseStatus| {
+            status.is_primary && chosen.is_some_and(|chosen| status.term > chosen.term)
+        };
+        if status.is_ok_and(|status| leads_later_term(&status)) {
+            control.borrow_mut().record_ordered_leader(service, leader);
+        }
+    }
+    control.borrow().outstanding_order(service, clock::now()) == Some(leader)
 }
 
 /// Reads the leadership table from the store: a copy from another VM lacks the latest orders.
@@ -229,11 +319,13 @@
     }
 }
 
+/// Carries out a replacement that is entered in the leadership table. Returns whether fences may
+/// outlive the promotion of the successor.
 async fn run_replacement(
     control: &control::ControlCell,
     client: &mut objects::ObjectClient,
     mut replacement: fence::LeaderReplacement,
-) {
+) -> bool {
     loop {
         control.borrow_mut().cover_departures();
         fence::observe_leader(control, &mut replacement);
@@ -254,7 +346,7 @@
         if !is_entered(control, &replacement) {
             log::warn!(service = replacement.service.as_str(); "abandoned a replacement: it is not in the leadership table any more");
             set_wait_reason(control, &mut replacement, None);
-            return;
+            return false;
         }
         record_lost_logs(control, client, &replacement).await;
         let choice = fence::choose_successor(control, &replacement);
@@ -286,7 +378,7 @@
                 {
                     set_wait_reason(control, &mut replacement, None);
                     publish_leader(control, client, &replacement, id, position).await;
-                    return;
+                    return replacement.has_excessive_fences();
                 }
             }
             successor::SuccessorChoice::Adopt { id, position } => {
@@ -297,11 +389,15 @@
                     .record_ordered_leader(&replacement.service, &id);
                 fence::unfence_replicas(control, &replacement).await;
                 publish_leader(control, client, &replacement, id, position).await;
-                return;
+                return true;
             }
             successor::SuccessorChoice::Wait => {
                 let reason = fence::wait_reason(control, &replacement);
                 set_wait_reason(control, &mut replacement, Some(reason));
+                let since_probe = clock::now().saturating_duration_since(replacement.probed_at);
+                if since_probe >= WAIT_PROBE_INTERVAL {
+                    fence::probe_fenced(control, &mut replacement).await;
+                }
             }
         }
         tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -22,9 +22,8 @@
 use crate::control::state;
 use crate::control::state::databases;
 
-/// How long to wait for an unregistered database while a draining replica has the longest
-/// log. The registration of a database that is alive is renewed within 2 s after it expired,
-/// and the draining replica must be promoted some time before it stops.
+/// How long to wait at least for an unregistered database while a draining replica has the longest
+/// log: the registration of a database that is alive is renewed within 2 s after it expired.
 const UNREGISTERED_WAIT_LIMIT: Duration = Duration::from_secs(2);
 
 /// The state of a replacement in progress.
@@ -59,6 +58,12 @@
     /// Where the logs of databases ended that have since restarted without their log or are
     /// no longer registered, and when this VM noticed it.
     pub(super) lost_logs: BTreeMap<name::DatabaseName, (position::LogPosition, Instant)>,
+    /// When the registered databases started, in milliseconds since the Unix epoch.
+    pub(super) starts: BTreeMap<name::DatabaseName, u64>,
+    /// The highest term that a database has reported.
+    pub(super) reported_term: u64,
+    /// When the fenced databases were last probed.
+    pub(super) probed_at: Instant,
     /// Since when fenced databases have not been registered.
     pub(super) unregistered_since: BTreeMap<name::DatabaseName, Instant>,
     /// The end of the log of the leader to be replaced when it was chosen.
@@ -67,6 +72,8 @@
     pub(super) last_order_at: Option<Instant>,
     /// When the leader that is replaced was last known to be running, so that its log may be back.
     pub(super) last_sign_of_leader: Instant,
+    /// Whether the leader that is replaced was found to lack commits that its log had.
+    pub(super) has_leader_lost_log: bool,
     /// Why no database may be promoted, if that has been logged.
     pub(super) wait_reason: Option<successor::WaitReason>,
 }
@@ -83,6 +90,34 @@
         *id == self.leader && !self.has_never_led
     }
 
+    /// Returns the position of the last entry of a log that ends at a reported position. A database
+    /// may report the term of the leader that it follows before it has received an entry of it.
+    fn entry_position(&self, reported: position::LogPosition) -> position::LogPosition {
+        match self.log_end_when_chosen {
+            Some(chosen) if reported.offset <= chosen.offset && reported.term > chosen.term => {
+                position::LogPosition::new(chosen.term, reported.offset)
+            }
+            _ => reported,
+        }
+    }
+
+    /// Returns whether databases were fenced for a later term than the next leader leads in: such a
+    /// fence does not end with the promotion.
+    pub(super) const fn has_excessive_fences(&self) -> bool {
+        self.term > self.reported_term + 1
+    }
+
+    /// Records that a database no longer has its log, which ended at `end`.
+    fn record_lost_log(
+        &mut self,
+        id: &name::DatabaseName,
+        end: position::LogPosition,
+        lost_at: Instant,
+    ) {
+        let lost_log = (self.shared_end(end), lost_at);
+        self.lost_logs.insert(id.clone(), lost_log);
+    }
+
     /// Returns the end of that part of a log which it can have in common with the leader's log.
     /// What an earlier leader appended after the present one was chosen was never acknowledged.
     fn shared_end(&self, end: position::LogPosition) -> position::LogPosition {
@@ -186,8 +221,10 @@
     replacement: &mut LeaderReplacement,
     entry: &catalog::DatabaseEntry,
     order: database::DatabaseOrder,
-    status: database::DatabaseStatus,
+    mut status: database::DatabaseStatus,
 ) {
+    status.received = replacement.entry_position(status.received);
+    replacement.reported_term = replacement.reported_term.max(status.term);
     log::info!(
         database = entry.id.as_str(), term = status.term, received = status.received.offset,
         held_term = status.fenced_term, is_primary = status.is_primary;
@@ -241,40 +278,14 @@
     replacement: &mut LeaderReplacement,
     chosen: &name::DatabaseName,
 ) -> bool {
-    let Some(workspace) = control.borrow().any_workspace() else {
-        return false;
-    };
     let commit_holders = control
         .borrow()
         .possible_commit_holders(&replacement.service, clock::now());
-    // A database whose registration has expired may have restarted as well.
-    let mut entries = commit_holders.clone();
-    entries.retain(|entry| replacement.fenced_positions.contains_key(&entry.id));
-    let mut probes = JoinSet::new();
-    for entry in entries {
-        let workspace = workspace.clone();
-        probes.spawn_local(async move {
-            let order = database::DatabaseOrder::Status;
-            (orders::send_order(&entry, &workspace, order).await, entry)
-        });
-    }
-    let mut unanswered: SmallVec<[name::DatabaseName; 2]> = SmallVec::new();
-    let mut has_chosen_answered = false;
-    while let Some(finished) = probes.join_next().await {
-        let Ok((answer, entry)) = finished else {
-            return false;
-        };
-        match answer {
-            Ok(status) => {
-                has_chosen_answered |= entry.id == *chosen;
-                record_recheck(replacement, &entry, status);
-            }
-            Err(error) => {
-                log::warn!(database = entry.id.as_str(), error:% = error; "a fenced database did not answer when it was probed again");
-                unanswered.push(entry.id);
-            }
-        }
-    }
+    let Some(unanswered) = probe_fenced(control, replacement).await else {
+        return false;
+    };
+    let is_chosen_fenced = commit_holders.iter().any(|holder| holder.id == *chosen);
+    let has_chosen_answered = is_chosen_fenced && !unanswered.contains(chosen);
     if has_all_acknowledged(control, replacement, chosen) {
         return has_chosen_answered;
     }
@@ -283,7 +294,7 @@
         return has_chosen_answered;
     }
     // Without a replica that receives, a leader that leads again acknowledges nothing.
-    let awaited = if is_about_to_stop(control, replacement, chosen) {
+    let awaited = if is_about_to_stop(&control.borrow(), replacement, chosen) {
         control.borrow().databases_of(&replacement.service)
     } else {
         commit_holders
@@ -301,18 +312,54 @@
     are_replicas_fenced
 }
 
-/// Returns whether a database drains and has been waited with for [`UNREGISTERED_WAIT_LIMIT`], so
-/// that it is chosen before unregistered databases are known to have left.
-fn is_about_to_stop(
+/// Probes the fenced databases again, and removes those that are no longer fenced. Returns those that
+/// did not answer, or `None` if they could not be probed.
+pub(super) async fn probe_fenced(
     control: &control::ControlCell,
+    replacement: &mut LeaderReplacement,
+) -> Option<SmallVec<[name::DatabaseName; 2]>> {
+    replacement.probed_at = clock::now();
+    let workspace = control.borrow().any_workspace()?;
+    // A database whose registration has expired may have restarted as well.
+    let mut entries = control
+        .borrow()
+        .possible_commit_holders(&replacement.service, clock::now());
+    entries.retain(|entry| replacement.fenced_positions.contains_key(&entry.id));
+    let mut probes = JoinSet::new();
+    for entry in entries {
+        let workspace = workspace.clone();
+        probes.spawn_local(async move {
+            let order = database::DatabaseOrder::Status;
+            (orders::send_order(&entry, &workspace, order).await, entry)
+        });
+    }
+    let mut unanswered: SmallVec<[name::DatabaseName; 2]> = SmallVec::new();
+    while let Some(finished) = probes.join_next().await {
+        let (answer, entry) = finished.ok()?;
+        match answer {
+            Ok(status) => record_recheck(replacement, &entry, status),
+            Err(error) => {
+                log::info!(database = entry.id.as_str(), error:% = error; "a fenced database did not answer when it was probed again");
+                unanswered.push(entry.id);
+            }
+        }
+    }
+    Some(unanswered)
+}
+
+/// Returns whether a database drains and must be promoted now if its log is not to be lost, although
+/// unregistered databases may come back.
+fn is_about_to_stop(
+    control: &state::ControlState,
     replacement: &LeaderReplacement,
     id: &name::DatabaseName,
 ) -> bool {
-    let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
-    let control = control.borrow();
+    let now = clock::now();
+    let since_claim = now.saturating_duration_since(replacement.claimed_at);
     let mut registered = control.databases.iter();
-    since_claim >= UNREGISTERED_WAIT_LIMIT
-        && registered.any(|entry| entry.id == *id && entry.is_draining)
+    let is_draining = registered.any(|entry| entry.id == *id && entry.is_draining);
+    let has_time = control.drain_end(id).is_some_and(|end| now < end);
+    is_draining && !has_time && since_claim >= UNREGISTERED_WAIT_LIMIT
 }
 
 /// Returns whether a fenced database has all commits that VMs acknowledged to callers, so that no
@@ -350,8 +397,9 @@
 fn record_recheck(
     replacement: &mut LeaderReplacement,
     entry: &catalog::DatabaseEntry,
-    status: database::DatabaseStatus,
+    mut status: database::DatabaseStatus,
 ) {
+    status.received = replacement.entry_position(status.received);
     let Some(fenced_position) = replacement.fenced_positions.get(&entry.id).copied() else {
         return;
     };
@@ -387,9 +435,10 @@
     if leads_again && replacement.cause.is_orderly() {
         forget_unfenced_replicas(replacement);
     }
-    if status.received < fenced_position {
-        let lost_log = (replacement.shared_end(fenced_position), clock::now());
-        replacement.lost_logs.insert(entry.id.clone(), lost_log);
+    // A later leader rolls back what its log lacks.
+    let is_rolled_back = status.term > replacement.leader_term;
+    if status.received < fenced_position && !is_rolled_back {
+        replacement.record_lost_log(&entry.id, fenced_position, clock::now());
     }
 }
 
@@ -421,8 +470,8 @@
     replacement.fencing_ended_at = None;
 }
 
-/// Chooses a successor from the reports so far. Once [`UNREGISTERED_WAIT_LIMIT`] has passed
-/// without a choice, may choose a draining database without waiting for unregistered ones.
+/// Chooses a successor from the reports so far. Without a choice, may choose a draining database
+/// that is about to stop, without waiting for unregistered ones.
 pub(super) fn choose_successor(
     control: &control::ControlCell,
     replacement: &LeaderReplacement,
@@ -431,8 +480,7 @@
     let control = control.borrow();
     let reign = replaced_reign(&control, replacement);
     let choice = successor::choose_successor(&databases, &reign);
-    let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
-    if choice != successor::SuccessorChoice::Wait || since_claim < UNREGISTERED_WAIT_LIMIT {
+    if choice != successor::SuccessorChoice::Wait {
         return choice;
     }
     let registered = control.databases_of(&replacement.service);
@@ -441,12 +489,23 @@
             database.fenced_position.is_some() || database.earlier_position.is_some();
         has_position || registered.iter().any(|entry| entry.id == database.id)
     });
-    // A log that is gone is no reason to lose one that is about to go.
+    // A log that is gone is no reason to lose one that is about to go, unless that lacks commits
+    // which are known.
+    let known_end = control.known_acknowledged_end(&replacement.service, clock::now());
     let reign = successor::ReplacedReign {
         has_unknown_logs: false,
+        required_end: reign.required_end.max(known_end),
         ..reign
     };
-    successor::choose_draining_successor(&databases, &reign)
+    let choice = successor::choose_draining_successor(&databases, &reign);
+    match &choice {
+        successor::SuccessorChoice::Promote { id, .. }
+            if is_about_to_stop(&control, replacement, id) =>
+        {
+            choice
+        }
+        _ => successor::SuccessorChoice::Wait,
+    }
 }
 
 /// Returns why no database may be promoted yet.
@@ -474,8 +533,8 @@
     // acknowledged tells which commits it had.
     if control.topology.is_full_mesh() && control.may_have_missed_departures(service) {
         match control.reported_end(service, replacement.claim_revision, now) {
-            Ok(reported_end) => required_end = required_end.max(reported_end),
-            Err(_) => has_unknown_logs = true,
+            Some(reported_end) => required_end = required_end.max(reported_end),
+            None => has_unknown_logs = true,
         }
     }
     successor::ReplacedReign {
@@ -489,7 +548,7 @@
             now,
         ),
         ordered: control.outstanding_order(service, now),
-        has_given_up: !may_come_back,
+        has_given_up: !may_come_back || has_forgotten_log(replacement),
     }
 }
 
@@ -498,9 +557,10 @@
     let control = control.borrow();
     let required_end = control.required_end(&replacement.service);
     let reported_end = replacement.fenced_positions.get(&replacement.leader);
-    let has_lost_log = reported_end.is_some_and(|end| Some(*end) < required_end);
+    replacement.has_leader_lost_log |= reported_end.is_some_and(|end| Some(*end) < required_end);
     let mut registered = control.databases.iter();
-    if !has_lost_log && registered.any(|entry| entry.id == replacement.leader) {
+    let may_sign = !replacement.has_leader_lost_log && !replacement.has_never_led;
+    if may_sign && registered.any(|entry| entry.id == replacement.leader) {
         replacement.last_sign_of_leader = clock::now();
     }
 }
@@ -557,6 +617,16 @@
     };
     let registered = control.borrow().databases_of(&replacement.service);
     let is_registered = |id: &name::DatabaseName| registered.iter().any(|entry| entry.id == *id);
+    for entry in &registered {
+        let started = entry.started_unix_ms;
+        let previous = replacement.starts.insert(entry.id.clone(), started);
+        if previous.is_some_and(|previous| previous != started)
+            && let Some(end) = replacement.fenced_positions.remove(&entry.id)
+        {
+            log::warn!(database = entry.id.as_str(), end = end.offset; "a fenced database has restarted");
+            replacement.record_lost_log(&entry.id, end, now);
+        }
+    }
     let since = &mut replacement.unregistered_since;
     since.retain(|id, _| !is_registered(id));
     for id in replacement.fenced_positions.keys() {
@@ -573,8 +643,7 @@
         log::warn!(database = id.as_str(), end = end.offset; "a fenced replica is no longer registered");
         replacement.fenced_positions.remove(&id);
         let lost_at = replacement.unregistered_since.get(&id).copied();
-        let lost_log = (replacement.shared_end(end), lost_at.unwrap_or(now));
-        replacement.lost_logs.insert(id, lost_log);
+        replacement.record_lost_log(&id, end, lost_at.unwrap_or(now));
     }
 }
 
@@ -597,6 +666,12 @@
     let mut databases: Vec<_> = entries
         .iter()
         .map(|entry| {
+            let is_registered = control.databases.iter().any(|other| other.id == entry.id);
+            let end = replacement.fenced_positions.get(&entry.id);
+            // A database that is not registered cannot be promoted, but its log counts.
+            if let Some(end) = end.filter(|_| !is_registered && entry.id != replacement.leader) {
+                return successor::unregistered_database(&entry.id, *end);
+            }
             let evidence = member_evidence(replacement, entry);
             // A database that must not lead where it is would have to be replaced at once, like a
             // draining one.
@@ -616,6 +691,12 @@
     databases
 }
 
+/// Returns whether a log that was lost is waited for no longer.
+fn has_forgotten_log(replacement: &LeaderReplacement) -> bool {
+    let mut lost = replacement.lost_logs.keys();
+    lost.any(|id| lost_log_position(replacement, id).is_none())
+}
+
 /// Returns where a log ended before its database lost it or was no longer registered, or `None`
 /// if that was noticed more than [`databases::EXPIRED_DATABASE_RETENTION`] ago.
 fn lost_log_position(
@@ -635,6 +716,8 @@
     let is_leader = replacement.is_former_leader(&entry.id);
     let led_replaced_term = replacement.led_replaced_term(&entry.id);
     let lost_end = lost_log_position(replacement, &entry.id);
+    let since_sign = clock::now().saturating_duration_since(replacement.last_sign_of_leader);
+    let may_come_back = since_sign < departure::LOST_LOG_RETENTION;
     successor::DatabaseEvidence {
         id: entry.id.clone(),
         is_leader,
@@ -643,7 +726,7 @@
         reported_leadership,
         earlier_position: replacement
             .observed_leader_position
-            .filter(|_| led_replaced_term)
+            .filter(|_| may_come_back && led_replaced_term)
             .max(lost_end),
     }
 }
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -161,6 +161,8 @@
     pub databases: Arc<Vec<database::DatabaseEntry>>,
     /// The data centres that are being evacuated, with the times when this VM learned of it.
     evacuations: Arc<BTreeMap<name::DataCentreName, Instant>>,
+    /// The draining databases, with the times by which they must receive nothing more.
+    drain_ends: Arc<BTreeMap<name::DatabaseName, Instant>>,
     /// Assesses databases from the observations of this data centre's VMs, if this VM is its
     /// coordinator.
     assessor: assessment::DatabaseAssessor,
@@ -237,6 +239,8 @@
     /// The databases that were replaced by newly registered ones, with their start times. A
     /// delayed write to the store may list such a database again.
     replaced_databases: VecDeque<(name::DatabaseName, u64)>,
+    /// When this VM learned of the present leader of each service from the leadership table.
+    leaders_since: BTreeMap<name::ServiceName, Instant>,
     /// When this VM first learned which databases are registered; `None` before.
     databases_known_since: Option<Instant>,
     /// The databases that have departed, by service.
@@ -298,6 +302,7 @@
             configuration: ConfigurationRecord::default(),
             databases: Arc::default(),
             evacuations: Arc::default(),
+            drain_ends: Arc::default(),
             assessor: assessment::DatabaseAssessor::default(),
             verdicts: verdicts::VerdictsInUse::default(),
             leadership_table: leadership::LeadershipTable::default(),
@@ -332,6 +337,7 @@
             sent_acknowledgement: None,
             expired_databases: Vec::new(),
             replaced_databases: VecDeque::new(),
+            leaders_since: BTreeMap::new(),
             databases_known_since: None,
             departures: BTreeMap::new(),
             replacement_reports: BTreeMap::new(),
@@ -434,6 +440,7 @@
                 );
             }
         }
+        self.record_new_leaders(table, clock::now());
         self.leadership_table = table.clone();
         self.observe_orders(clock::now());
         self.publish_snapshot();
@@ -645,6 +652,7 @@
             cut_off_since: self.cut_off_since,
             verdicts: self.verdicts.current(clock::now()),
             evacuations: Arc::clone(&self.evacuations),
+            drain_ends: Arc::clone(&self.drain_ends),
             awaits_evacuations: !self.has_evacuations(),
             leaders: Arc::new(leaders),
             leases,
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -18,6 +18,10 @@
 /// How long a database whose registration expired is waited for as a possible holder of commits.
 pub const EXPIRED_DATABASE_RETENTION: Duration = departure::LOST_LOG_RETENTION;
 
+/// The fraction of the time limit for which a draining database is used after this VM has learned
+/// that it drains. The rest covers the time until then and requests under way.
+const DRAIN_USE_FRACTION: f64 = 0.6;
+
 /// The number of replaced databases that are remembered: more than are lost within the
 /// seconds by which a write to the store may be delayed.
 const MAX_REMEMBERED_REPLACED: usize = 64;
@@ -27,6 +31,7 @@
     pub fn apply_databases(&mut self, databases: Vec<database::DatabaseEntry>, revision: u64) {
         if *self.databases != databases || self.versions.databases == 0 {
             self.log_databases(&databases);
+            self.update_drain_ends(&databases, clock::now());
             self.databases_known_since.get_or_insert_with(clock::now);
             self.record_departures(&databases, clock::now());
             self.record_expired_entries(&databases, clock::now());
@@ -118,6 +123,30 @@
         expired.map(|(entry, _)| entry.clone()).collect()
     }
 
+    /// Updates by when draining databases must receive nothing more. A database that drained already
+    /// when this process learned of it may have done so for any time.
+    fn update_drain_ends(&mut self, next: &[database::DatabaseEntry], now: Instant) {
+        let Some(limit) = self.shared.settings.drain_limit else {
+            return;
+        };
+        let allowed = if self.databases_known_since.is_some() {
+            limit.mul_f64(DRAIN_USE_FRACTION)
+        } else {
+            Duration::ZERO
+        };
+        let draining = next.iter().filter(|entry| entry.is_draining);
+        let end_of = |entry: &database::DatabaseEntry| {
+            let known_end = self.drain_ends.get(&entry.id).copied();
+            (entry.id.clone(), known_end.unwrap_or(now + allowed))
+        };
+        self.drain_ends = Arc::new(draining.map(end_of).collect());
+    }
+
+    /// Returns by when a database must receive nothing more, if it drains.
+    pub fn drain_end(&self, database: &name::DatabaseName) -> Option<Instant> {
+        self.drain_ends.get(database).copied()
+    }
+
     fn log_databases(&self, databases: &[database::DatabaseEntry]) {
         for entry in databases {
             if !self.databases.contains(entry) {
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -16,10 +16,9 @@
 use crate::control::state;
 use crate::control::state::databases;
 
-/// The error for a live VM that has not reported what it acknowledged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("a VM has not reported what it acknowledged")]
-pub struct MissingReport;
+/// The maximum time between a write of the leadership table and its application by the VM that
+/// replaces leaders: the timeout of a call to the store, and a read of it.
+const MAX_TABLE_DELAY: Duration = Duration::from_secs(3);
 
 impl state::ControlState {
     /// Records the databases that are no longer registered as they were, given the registrations
@@ -109,13 +108,35 @@
             last_start = last_start.max(received_at.checked_sub(running)?);
         }
         // A VM that restarted has forgotten what it acknowledged before.
-        let before_start = {
+        if !self.has_known_leader_since(service, last_start) {
             let positions = self.shared.lock_positions();
-            positions.get(service)?.position_covering(last_start)?
-        };
+            let before_start = positions.get(service)?.position_covering(last_start)?;
+            end = end.max(Some(before_start));
+        }
         let chosen = self.known_leader(service)?.log_end_when_chosen;
-        let end = without_empty_term(end.max(Some(before_start))?, chosen);
-        Some(end).max(chosen)
+        let end = end.map(|end| without_empty_term(end, chosen));
+        end.max(chosen)
+    }
+
+    /// Records when this VM learned of leaders that a new leadership table names.
+    pub(super) fn record_new_leaders(&mut self, table: &leadership::LeadershipTable, now: Instant) {
+        for (service, entry) in &table.leaders {
+            let known = self.leadership_table.leaders.get(service);
+            let is_same = known.is_some_and(|known| {
+                let (database, end) = (&known.database, known.log_end_when_chosen);
+                (database, end) == (&entry.database, entry.log_end_when_chosen)
+            });
+            if !is_same {
+                self.leaders_since.insert(service.clone(), now);
+            }
+        }
+    }
+
+    /// Returns whether the present leader of a service was chosen after `start`: nothing that
+    /// happened before concerns its reign.
+    fn has_known_leader_since(&self, service: &name::ServiceName, start: Instant) -> bool {
+        let since = self.leaders_since.get(service);
+        since.is_some_and(|since| *since >= start + MAX_TABLE_DELAY)
     }
 
     /// Returns whether databases of a service may have left before this process learned which are
@@ -124,35 +145,56 @@
         let Some(known_since) = self.databases_known_since else {
             return true;
         };
+        if self.has_known_leader_since(service, known_since) {
+            return false;
+        }
         let positions = self.shared.lock_positions();
         let history = positions.get(service);
         history.is_none_or(|history| history.position_covering(known_since).is_none())
     }
 
     /// Returns the end of the last commit of a service that a live VM has reported to have
-    /// acknowledged, or an error if a live VM has not reported yet.
-    ///
-    /// # Errors
-    /// Returns an error if a report is missing.
+    /// acknowledged; the inner value is `None` if none has acknowledged any. Returns `None` while
+    /// reports are missing, or if no VM knew the databases before the leader fell silent, since all
+    /// have restarted.
     pub fn reported_end(
         &self,
         service: &name::ServiceName,
         claim_revision: u64,
         now: Instant,
-    ) -> Result<Option<position::LogPosition>, MissingReport> {
+    ) -> Option<Option<position::LogPosition>> {
         let mut end = self.shared.acknowledged_end(service);
+        let mut has_witness = false;
         for (name, record) in self.live_peers(now) {
-            let report = self.replacement_reports.get(name);
-            let (incarnation, report, _) = report.ok_or(MissingReport)?;
-            let is_current =
-                *incarnation == record.incarnation && report.table_revision >= claim_revision;
+            let (incarnation, report, _) = self.replacement_reports.get(name)?;
+            if *incarnation != record.incarnation || report.table_revision < claim_revision {
+                return None;
+            }
             let mut services = report.services.iter();
-            let reported = services
-                .find(|reported| reported.service == *service)
-                .filter(|_| is_current);
-            end = end.max(reported.ok_or(MissingReport)?.acknowledged_end);
+            let reported = services.find(|reported| reported.service == *service)?;
+            has_witness |= !reported.may_have_missed_departures;
+            end = end.max(reported.acknowledged_end);
         }
-        Ok(end)
+        has_witness.then_some(end)
+    }
+
+    /// Returns the end of the last commit of a service that this VM acknowledged, or that another
+    /// live VM has reported.
+    pub fn known_acknowledged_end(
+        &self,
+        service: &name::ServiceName,
+        now: Instant,
+    ) -> Option<position::LogPosition> {
+        let reports = self.live_peers(now).filter_map(|(name, record)| {
+            let (incarnation, report, _) = self.replacement_reports.get(name)?;
+            (*incarnation == record.incarnation).then_some(report)
+        });
+        let services = reports.flat_map(|report| &report.services);
+        let of_service = services.filter(|reported| reported.service == *service);
+        let reported_end = of_service.filter_map(|reported| reported.acknowledged_end);
+        reported_end
+            .max()
+            .max(self.shared.acknowledged_end(service))
     }
 
     /// Returns what this VM acknowledged of the services whose leader is being replaced, if there
@@ -165,6 +207,7 @@
             .map(|(service, _)| heartbeat::ReplacedServiceReport {
                 service: service.clone(),
                 acknowledged_end: self.shared.acknowledged_end(service),
+                may_have_missed_departures: self.may_have_missed_departures(service),
             })
             .collect();
         let is_needed = !services.is_empty() && self.topology.is_full_mesh();
--- a/crates/bluebellferry_edge/src/settings.rs
+++ b/crates/bluebellferry_edge/src/settings.rs
@@ -34,6 +34,9 @@
     /// not evacuated.
     #[serde(default)]
     evacuation_ms: Option<f64>,
+    /// By when a draining database must receive nothing more; absent where that is not limited.
+    #[serde(default)]
+    drain_ms: Option<f64>,
     #[serde(default)]
     cold_tolerance: Option<ToleranceFile>,
 }
@@ -98,6 +101,9 @@
     /// Within what time an evacuated data centre must receive nothing more; `None` where data
     /// centres are not evacuated.
     pub evacuation_limit: Option<Duration>,
+    /// Within what time a draining database must receive nothing more; `None` where that is not
+    /// limited.
+    pub drain_limit: Option<Duration>,
     /// How far the statements of one second at a cold database may exceed its pace.
     pub pace_tolerance: pace::PaceTolerance,
 }
@@ -135,10 +141,13 @@
         if !(file.grace_s > 0.0 && file.grace_s.is_finite()) {
             return Err(settings::FieldError::new("grace_s", "must be above 0"));
         }
-        let evacuation_limit = file.evacuation_ms.map(|milliseconds| {
+        let parse_limit = |path: &str, milliseconds: f64| {
             Duration::try_from_secs_f64(milliseconds / 1_000.0)
-                .map_err(|error| settings::FieldError::new("evacuation_ms", error))
-        });
+                .map_err(|error| settings::FieldError::new(path, error))
+        };
+        let evacuation_limit = file.evacuation_ms;
+        let evacuation_limit = evacuation_limit.map(|limit| parse_limit("evacuation_ms", limit));
+        let drain_limit = file.drain_ms.map(|limit| parse_limit("drain_ms", limit));
         let pace_tolerance = file.cold_tolerance.map(pace::PaceTolerance::try_from);
         Ok(Self {
             vm: file.vm,
@@ -159,6 +168,7 @@
             promotion_api_address: parse_address("duty_address", &file.duty_address)?,
             grace: Duration::from_secs_f64(file.grace_s),
             evacuation_limit: evacuation_limit.transpose()?,
+            drain_limit: drain_limit.transpose()?,
             pace_tolerance: pace_tolerance.transpose()?.unwrap_or_default(),
         })
     }
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -70,6 +70,8 @@
     pub databases: Arc<Vec<database::DatabaseEntry>>,
     /// The data centres that are being evacuated, with the times when this VM learned of it.
     pub evacuations: Arc<BTreeMap<name::DataCentreName, Instant>>,
+    /// The draining databases, with the times by which they must receive nothing more.
+    pub drain_ends: Arc<BTreeMap<name::DatabaseName, Instant>>,
     /// Whether the evacuations are not known yet.
     pub awaits_evacuations: bool,
     /// The leader of each service.
@@ -134,6 +136,11 @@
         self.evacuations.contains_key(data_centre)
     }
 
+    /// Returns whether a database has been draining for so long that it must receive nothing more.
+    pub fn is_past_drain(&self, database: &name::DatabaseName, now: Instant) -> bool {
+        self.drain_ends.get(database).is_some_and(|end| *end <= now)
+    }
+
     /// Returns a service's leader if its lease is valid and it isn't being replaced. Reads that
     /// must see every commit may run only there.
     pub fn leased_leader(&self, service: &name::ServiceName, now: Instant) -> Option<&LeaderView> {
--- a/crates/bluebellferry_edge/src/traffic/placement.rs
+++ b/crates/bluebellferry_edge/src/traffic/placement.rs
@@ -98,7 +98,8 @@
     if let Some(leader) = leader.filter(|leader| leader.database == entry.id) {
         // Only a valid lease proves that the leader has not been replaced.
         let is_leased = snapshot.leased_leader(&entry.service, now).is_some();
-        return is_leased.then_some(PlacedRole::Leader(leader));
+        let is_usable = is_leased && !snapshot.is_past_drain(&entry.id, now);
+        return is_usable.then_some(PlacedRole::Leader(leader));
     }
     let min_position = requirement
         .replica_min_position
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -59,6 +59,8 @@
     pub service: name::ServiceName,
     /// A position that covers every commit that the sender's process acknowledged to a caller.
     pub acknowledged_end: Option<position::LogPosition>,
+    /// Whether databases may have left before the sender's process learned which are registered.
+    pub may_have_missed_departures: bool,
 }
 
 /// What a VM acknowledged to callers before it learned of the replacements under way. Sent beside
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -336,8 +336,11 @@
     databases: &[DatabaseEvidence],
     reign: &ReplacedReign<'_>,
 ) -> Option<SuccessorChoice> {
-    let is_candidate =
-        |database: &&DatabaseEvidence| !database.is_leader || reign.ordered == Some(&database.id);
+    // Another database would go on leading until the outstanding order takes effect.
+    let is_candidate = |database: &&DatabaseEvidence| match reign.ordered {
+        Some(ordered) => *ordered == database.id,
+        None => !database.is_leader,
+    };
     let leading = databases.iter().filter(is_candidate);
     let leading = leading.filter_map(|database| Some((database.reported_leadership?, database)));
     let ((term, position), database) = leading.max_by_key(|((term, _), _)| *term)?;
