Reproduce two further losses at promotions: an expired leader, a killed VM

The first is the loss after a replica has left, while the registration of the silent leader expires, as the platform's registrations do. In the second one the VM that ordered a promotion is killed before it takes effect: the VM that takes over knows nothing of the order and promotes another database.

--- a/crates/bluebellferry_edge/tests/successors.rs
+++ b/crates/bluebellferry_edge/tests/successors.rs
@@ -149,6 +149,13 @@
     promotions.iter().any(|promotion| promotion.database == id)
 }
 
+/// Kills a VM.
+fn kill_vm(deployment: &SharedDeployment, vm: usize) {
+    let process = rustix::process::Pid::from_child(&deployment.vms[vm]);
+    let killed = rustix::process::kill_process(process, rustix::process::Signal::KILL);
+    killed.expect("the process runs");
+}
+
 /// Makes the leader fall silent, and restarts it with its log after [`DOWN_TIME`].
 async fn silence_leader_for_a_while(deployment: &SharedDeployment) {
     deployment.group.set_unresponsive(0, true);
@@ -156,22 +163,47 @@
     deployment.group.restart_with_log(0, None);
 }
 
+/// Starts callers that write, cuts a replica off from the log of the leader, and makes the other
+/// one leave, which alone has received the last commits.
+async fn lose_replica_with_last_commits(deployment: &SharedDeployment) -> ConcurrentWriters {
+    let writers = ConcurrentWriters::start(deployment, 0);
+    writers.wait_for_writes().await;
+    deployment.group.set_replication_blocked(2, true);
+    drain(deployment, "i-b").await;
+    writers.wait_for_writes().await;
+    deployment.remove_database(1, "i-b");
+    writers
+}
+
 /// Guards against lost commits: only a replica that has left and the silent leader had the last
 /// ones, and a replica that had received nothing for a while was promoted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn replica_without_the_last_commits_is_not_promoted_after_the_other_left() {
     let deployment = start(2).await;
-    let writers = ConcurrentWriters::start(&deployment, 0);
-    writers.wait_for_writes().await;
-    deployment.group.set_replication_blocked(2, true);
-    drain(&deployment, "i-b").await;
-    writers.wait_for_writes().await;
-    deployment.remove_database(1, "i-b");
+    let writers = lose_replica_with_last_commits(&deployment).await;
     silence_leader_for_a_while(&deployment).await;
     deployment.group.set_replication_blocked(2, false);
     writers.assert_all_kept().await;
 }
 
+/// Guards against lost commits: the same, and the registration of the leader expires while it is
+/// silent, so that the VMs list no other database.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replica_without_the_last_commits_is_not_promoted_as_the_leader_is_unregistered() {
+    let deployment = start(2).await;
+    let writers = lose_replica_with_last_commits(&deployment).await;
+    deployment.group.set_unresponsive(0, true);
+    tokio::time::sleep(DOWN_TIME / 2).await;
+    let entry = deployment.store.object_value("servers", "i-a");
+    deployment.store.remove("servers", "i-a");
+    tokio::time::sleep(DOWN_TIME / 2).await;
+    deployment.group.restart_with_log(0, None);
+    let entry = entry.expect("it is registered");
+    deployment.store.put("servers", "i-a", entry);
+    deployment.group.set_replication_blocked(2, false);
+    writers.assert_all_kept().await;
+}
+
 /// Guards against the loss of all commits: the only database registered beside the silent leader
 /// had joined with an empty log and was promoted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -240,12 +272,14 @@
     writers.assert_all_kept().await;
 }
 
-/// Has a promotion take effect 3 s after the given answer. Meanwhile the chosen database begins to
-/// drain, and further orders to promote it are refused, so that another one suits better.
-async fn promote_late_after(answer: database::PromotionAnswer) {
-    let deployment = start(2).await;
-    let writers = ConcurrentWriters::start(&deployment, 0);
-    writers.wait_for_writes().await;
+/// Has a promotion take effect late after the given answer. Meanwhile the chosen database begins to
+/// drain, and further orders to promote it are refused, so that another one suits better. Returns
+/// the index of the chosen database and its identity.
+async fn order_late_promotion(
+    deployment: &SharedDeployment,
+    answer: database::PromotionAnswer,
+    delay: Duration,
+) -> (usize, String) {
     // Retries come soon after the first order.
     for id in deployment::DATABASE_IDS {
         let group = &deployment.group;
@@ -253,15 +287,24 @@
     }
     let handling = database::PromotionHandling {
         answer,
-        delay: Some(Duration::from_secs(3)),
+        delay: Some(delay),
     };
-    let (index, chosen) = silence_leader_before_a_late_promotion(&deployment, handling).await;
+    let (index, chosen) = silence_leader_before_a_late_promotion(deployment, handling).await;
     for id in deployment::DATABASE_IDS.iter().filter(|id| **id != chosen) {
         let default_handling = database::PromotionHandling::default();
         let group = &deployment.group;
         group.set_promotion_handling_of(id, default_handling);
     }
-    report_draining(&deployment, &chosen);
+    report_draining(deployment, &chosen);
+    (index, chosen)
+}
+
+async fn promote_late_after(answer: database::PromotionAnswer) {
+    let deployment = start(2).await;
+    let writers = ConcurrentWriters::start(&deployment, 0);
+    writers.wait_for_writes().await;
+    let delay = Duration::from_secs(3);
+    let (index, chosen) = order_late_promotion(&deployment, answer, delay).await;
     await_late_promotion(&deployment, index, &chosen).await;
     writers.assert_all_kept().await;
 }
@@ -280,6 +323,25 @@
     promote_late_after(database::PromotionAnswer::Unanswered).await;
 }
 
+/// Guards against lost commits: the VM that had ordered a late promotion was killed, the VM that
+/// took over promoted another database, and the late promotion rolled its commits back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_promotion_ordered_by_a_killed_vm_rolls_back_no_acknowledged_commit() {
+    let deployment = start(2).await;
+    let mut writers = ConcurrentWriters::start(&deployment, 0);
+    writers.wait_for_writes().await;
+    let answer = database::PromotionAnswer::Unanswered;
+    // The other VM takes over and promotes a database meanwhile.
+    let delay = Duration::from_secs(8);
+    let (index, chosen) = order_late_promotion(&deployment, answer, delay).await;
+    let call = deployment.group.promotion_calls().swap_remove(0);
+    let holder = usize::from(call.holder != "vm-0");
+    kill_vm(&deployment, holder);
+    writers.continue_at(1 - holder as u8);
+    await_late_promotion(&deployment, index, &chosen).await;
+    writers.assert_all_kept().await;
+}
+
 /// Guards against lost commits: the fenced replica with the longest log left, the VM that knew the
 /// end of its log was killed, and the VM that took over promoted a replica with a shorter log.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -299,9 +361,7 @@
     assert_eq!(call.database, "i-b");
     deployment.remove_database(1, "i-b");
     let holder = usize::from(call.holder != "vm-0");
-    let process = rustix::process::Pid::from_child(&deployment.vms[holder]);
-    let killed = rustix::process::kill_process(process, rustix::process::Signal::KILL);
-    killed.expect("the process runs");
+    kill_vm(&deployment, holder);
     let fencing_orders = || {
         let lines = group.received_lines_by_member();
         let is_fencing = |(member, line): &&(usize, String)| *member == 2 && line.contains("PAUSE");
