Know the term of a leader from its own reports

Change: a leader that reports to lead raises the term that is replaced; only positions that were asked for since this VM learned of the leader show that it leads. The proxy for documents refuses the new message kind like other messages of VMs that find each other in the store.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -208,9 +208,7 @@
     let log_end_when_chosen = known_leader
         .as_ref()
         .and_then(|known| known.log_end_when_chosen);
-    let leads_later_term = last_position
-        .zip(log_end_when_chosen)
-        .is_some_and(|(last, chosen)| last.term > chosen.term);
+    let leads_later_term = control.borrow().was_seen_leading(service);
     if leads_later_term {
         control.borrow_mut().record_ordered_leader(service, leader);
     }
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -231,6 +231,10 @@
         "a database reported its status"
     );
     replacement.term = replacement.term.max(status.term + 1);
+    // Terms may have been skipped since the leader was chosen.
+    if status.is_primary && replacement.is_former_leader(&entry.id) {
+        replacement.leader_term = replacement.leader_term.max(status.term);
+    }
     if status.is_primary {
         let leadership = (status.term, status.received);
         replacement
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -9,6 +9,7 @@
 use bluebellferry_membership::heartbeat;
 use bluebellferry_promotion::departure;
 use bluebellferry_promotion::order;
+use bluebellferry_routing::history;
 use bluebellferry_runtime::clock;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
@@ -132,6 +133,23 @@
         }
     }
 
+    /// Returns whether the present leader of a service has reported a position of a later term than
+    /// that in which its log ended when it was chosen.
+    pub fn was_seen_leading(&self, service: &name::ServiceName) -> bool {
+        let positions = self.shared.lock_positions();
+        let history = positions.get(service);
+        let sample = history.and_then(history::PositionHistory::latest_sample);
+        let leader = self.known_leader(service);
+        let chosen = leader.and_then(|leader| leader.log_end_when_chosen);
+        let since = self.leaders_since.get(service);
+        sample
+            .zip(chosen)
+            .zip(since)
+            .is_some_and(|(((requested_at, position), chosen), since)| {
+                requested_at >= *since && position.term > chosen.term
+            })
+    }
+
     /// Returns whether the present leader of a service was chosen after `start`: nothing that
     /// happened before concerns its reign.
     fn has_known_leader_since(&self, service: &name::ServiceName, start: Instant) -> bool {
--- a/crates/bluebellferry_proxy/src/control/peers.rs
+++ b/crates/bluebellferry_proxy/src/control/peers.rs
@@ -264,7 +264,9 @@
                 self.handle_heartbeat_effect(from, effect, &objects, now);
                 self.fetch_if_different(from, digest, now);
             }
-            message::PeerMessage::Beat(_) | message::PeerMessage::TokenDenial { .. } => {
+            message::PeerMessage::Beat(_)
+            | message::PeerMessage::ReplacementReport(_)
+            | message::PeerMessage::TokenDenial { .. } => {
                 self.shared.metrics.count_peer_message("refused");
             }
             message::PeerMessage::Goodbye => self.roster.record_goodbye(opened.incarnation),
