--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -263,6 +263,7 @@
                 let database = connection.database;
                 self.transaction_connection = Some(connection);
                 if is_writing_commit
+                    && answer.error.is_none()
                     && let Err(refusal) = self.confirm_commit(database, &answer, &sent, scope).await
                 {
                     self.state.record_outcome(plan, state::RunOutcome::Lost);
@@ -270,6 +271,11 @@
                 }
                 self.state
                     .record_outcome(plan, outcomes::outcome_of(&answer));
+                if plan.kind == state::RunKind::FailedCommit {
+                    return Err(outcomes::refuse_aborted_transaction(
+                        "the transaction had failed and was rolled back",
+                    ));
+                }
                 Ok(answer)
             }
             Err(error) => {
