--- a/crates/bluebellferry_edge/src/control/peers.rs
+++ b/crates/bluebellferry_edge/src/control/peers.rs
@@ -237,7 +237,7 @@
     );
     control.observe_store_era(latest_era(&heartbeat), now);
     if let Some(table) = &heartbeat.table {
-        control.apply_leadership_table(table);
+        control.apply_table_copy(table);
     }
     if let Some(evacuations) = &heartbeat.evacuations {
         control.apply_announced_evacuations(evacuations);
--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -34,7 +34,6 @@
 use bluebellferry_types::position;
 
 use crate::control;
-use crate::control::members;
 use crate::control::orders;
 
 /// How often each service's leader is checked.
@@ -196,10 +195,8 @@
     );
     control.borrow_mut().active_claims += 1;
     control.borrow_mut().cover_departures();
-    if !holds_promotion_duty(control) {
-        read_complete_table(control, client).await;
-    }
-    if !control.borrow().is_led_by(service, leader) {
+    let has_table = table::ensure_complete(control, client).await;
+    if !has_table || !control.borrow().is_led_by(service, leader) {
         control.borrow_mut().active_claims -= 1;
         return false;
     }
@@ -297,26 +294,6 @@
     control.borrow().outstanding_order(service, clock::now()) == Some(leader)
 }
 
-/// Reads the leadership table from the store: a copy from another VM lacks the latest orders.
-/// Returns whether the store answered.
-async fn read_complete_table(
-    control: &control::ControlCell,
-    client: &mut objects::ObjectClient,
-) -> bool {
-    match members::read_leadership_table(client).await {
-        Ok(table) => {
-            let mut control = control.borrow_mut();
-            control.observe_store_era(client.era(), clock::now());
-            control.apply_leadership_table(&table);
-            true
-        }
-        Err(error) => {
-            log::warn!(error:% = error; "cannot read the leadership table");
-            false
-        }
-    }
-}
-
 /// Carries out a replacement that is entered in the leadership table. Returns whether fences may
 /// outlive the promotion of the successor.
 async fn run_replacement(
@@ -526,7 +503,7 @@
     }
     if is_overdue(confirmed_at) {
         confirmed_at = clock::now();
-        if !read_complete_table(control, client).await {
+        if !table::read_from_store(control, client).await {
             control.borrow_mut().record_void_order(&replacement.service);
             return false;
         }
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -26,6 +26,9 @@
 /// log: the registration of a database that is alive is renewed within 2 s after it expired.
 const UNREGISTERED_WAIT_LIMIT: Duration = Duration::from_secs(2);
 
+/// How long a departing leader that has stepped down may take to send a replica the rest of its log.
+const LOG_TRANSFER_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// The state of a replacement in progress.
 pub(super) struct LeaderReplacement {
     /// The service whose leader is replaced.
@@ -446,8 +449,8 @@
     }
 }
 
-/// Treats a departing leader as lost if it is no longer registered, although it has stepped down:
-/// replicas that lack the rest of its log get it no more, and must be fenced.
+/// Treats a departing leader that has stepped down as lost if it is no longer registered, or if no
+/// replica has received its whole log in time. Such replicas must be fenced.
 pub(super) fn give_up_departed_leader(
     control: &control::ControlCell,
     replacement: &mut LeaderReplacement,
@@ -455,8 +458,13 @@
     let control = control.borrow();
     let mut registered = control.databases.iter();
     let is_registered = registered.any(|entry| entry.id == replacement.leader);
-    if replacement.cause.is_orderly() && !is_registered {
-        log::warn!(database = replacement.leader.as_str(); "a departing leader has left before a replica had its whole log");
+    let has_stepped_down = replacement
+        .fenced_positions
+        .contains_key(&replacement.leader);
+    let since_claim = clock::now().saturating_duration_since(replacement.claimed_at);
+    let is_overdue = has_stepped_down && since_claim >= LOG_TRANSFER_TIMEOUT;
+    if replacement.cause.is_orderly() && (!is_registered || is_overdue) {
+        log::warn!(database = replacement.leader.as_str(); "no replica has received the whole log of a departing leader");
         replacement.cause = cause::ReplacementCause::Lost;
         forget_unfenced_replicas(replacement);
     }
@@ -535,7 +543,7 @@
     let mut has_unknown_logs = control.has_unknown_logs(service, now);
     // A process that has just started may not know of a database that has left. What the other VMs
     // acknowledged tells which commits it had.
-    if control.topology.is_full_mesh() && control.may_have_missed_departures(service) {
+    if control.may_have_missed_departures(service) {
         match control.reported_end(service, replacement.claim_revision, now) {
             Some(reported_end) => required_end = required_end.max(reported_end),
             None => has_unknown_logs = true,
@@ -560,6 +568,7 @@
 pub(super) fn observe_leader(control: &control::ControlCell, replacement: &mut LeaderReplacement) {
     let control = control.borrow();
     let required_end = control.required_end(&replacement.service);
+    let required_end = required_end.max(replacement.observed_leader_position);
     let reported_end = replacement.fenced_positions.get(&replacement.leader);
     replacement.has_leader_lost_log |= reported_end.is_some_and(|end| Some(*end) < required_end);
     let mut registered = control.databases.iter();
--- a/crates/bluebellferry_edge/src/control/replacement/table.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/table.rs
@@ -34,6 +34,38 @@
     entry.order.clone()
 }
 
+/// Reads the leadership table from the store: a copy from another VM lacks the latest orders.
+/// Returns whether the store answered.
+pub(super) async fn read_from_store(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+) -> bool {
+    match members::read_leadership_table(client).await {
+        Ok(table) => {
+            let mut control = control.borrow_mut();
+            control.observe_store_era(client.era(), clock::now());
+            control.apply_leadership_table(&table);
+            true
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "cannot read the leadership table");
+            false
+        }
+    }
+}
+
+/// Reads the leadership table from the store if the one in use is a copy from another VM, which lacks
+/// orders: a write of such a copy would erase them. Returns whether the table in use has them.
+pub(super) async fn ensure_complete(
+    control: &control::ControlCell,
+    client: &mut objects::ObjectClient,
+) -> bool {
+    if !control.borrow().has_complete_table {
+        read_from_store(control, client).await;
+    }
+    control.borrow().has_complete_table
+}
+
 /// How often a write is attempted when concurrent changes of the table make it fail.
 const MAX_WRITE_ATTEMPTS: u32 = 4;
 
@@ -70,6 +102,9 @@
     service: &name::ServiceName,
     entry: leadership::LeaderEntry,
 ) -> bool {
+    if !ensure_complete(control, client).await {
+        return false;
+    }
     let nonce = rand::rng().random();
     let (next, revision) = {
         let control = control.borrow();
--- a/crates/bluebellferry_edge/src/control/state.rs
+++ b/crates/bluebellferry_edge/src/control/state.rs
@@ -239,6 +239,9 @@
     /// The databases that were replaced by newly registered ones, with their start times. A
     /// delayed write to the store may list such a database again.
     replaced_databases: VecDeque<(name::DatabaseName, u64)>,
+    /// Whether the leadership table in use was read from the store: copies from other VMs lack the
+    /// orders to promote a database.
+    pub has_complete_table: bool,
     /// When this VM learned of the present leader of each service from the leadership table.
     leaders_since: BTreeMap<name::ServiceName, Instant>,
     /// When this VM first learned which databases are registered; `None` before.
@@ -337,6 +340,7 @@
             sent_acknowledgement: None,
             expired_databases: Vec::new(),
             replaced_databases: VecDeque::new(),
+            has_complete_table: false,
             leaders_since: BTreeMap::new(),
             databases_known_since: None,
             departures: BTreeMap::new(),
@@ -442,6 +446,7 @@
         }
         self.record_new_leaders(table, clock::now());
         self.leadership_table = table.clone();
+        self.has_complete_table = true;
         self.observe_orders(clock::now());
         self.publish_snapshot();
         self.heartbeat_trigger.notify_one();
--- a/crates/bluebellferry_edge/src/control/state/databases.rs
+++ b/crates/bluebellferry_edge/src/control/state/databases.rs
@@ -78,6 +78,11 @@
             };
             if let Some(index) = self.expired_databases.iter().position(is_predecessor) {
                 let (expired, _) = self.expired_databases.remove(index);
+                if expired.address != entry.address
+                    && let Some(ledger) = self.departures.get_mut(&expired.service)
+                {
+                    ledger.record_replaced(&expired.id);
+                }
                 if self.replaced_databases.len() == MAX_REMEMBERED_REPLACED {
                     self.replaced_databases.pop_front();
                 }
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -16,6 +16,7 @@
 
 use crate::control::state;
 use crate::control::state::databases;
+use crate::shared;
 
 /// The maximum time between a write of the leadership table and its application by the VM that
 /// replaces leaders: the timeout of a call to the store, and a read of it.
@@ -94,7 +95,7 @@
         if !self.is_leadership_table_acknowledged_by_all(claimed_at, now) {
             return None;
         }
-        let mut end = self.shared.acknowledged_end(service);
+        let mut end = self.own_acknowledged_end(service);
         let mut last_start = self.shared.started_at;
         for name in self.members.keys().filter(|name| *name != self.own_name()) {
             let record = self.peers.get(name).filter(|record| record.is_live(now))?;
@@ -119,6 +120,12 @@
         end.max(chosen)
     }
 
+    /// Returns a position that covers what this VM acknowledged of the present leader of a service.
+    fn own_acknowledged_end(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
+        let leader = self.known_leader(service)?;
+        self.shared.acknowledged_end(service, &leader)
+    }
+
     /// Records when this VM learned of leaders that a new leadership table names.
     pub(super) fn record_new_leaders(&mut self, table: &leadership::LeadershipTable, now: Instant) {
         for (service, entry) in &table.leaders {
@@ -181,7 +188,7 @@
         claim_revision: u64,
         now: Instant,
     ) -> Option<Option<position::LogPosition>> {
-        let mut end = self.shared.acknowledged_end(service);
+        let mut end = self.own_acknowledged_end(service);
         let mut has_witness = false;
         for (name, record) in self.live_peers(now) {
             let (incarnation, report, _) = self.replacement_reports.get(name)?;
@@ -209,10 +216,9 @@
         });
         let services = reports.flat_map(|report| &report.services);
         let of_service = services.filter(|reported| reported.service == *service);
-        let reported_end = of_service.filter_map(|reported| reported.acknowledged_end);
-        reported_end
-            .max()
-            .max(self.shared.acknowledged_end(service))
+        let reported_ends = of_service.filter_map(|reported| reported.acknowledged_end);
+        let ends = reported_ends.chain(self.own_acknowledged_end(service));
+        ends.filter(|end| *end != shared::UNBOUNDED_END).max()
     }
 
     /// Returns what this VM acknowledged of the services whose leader is being replaced, if there
@@ -224,7 +230,7 @@
         let services: Vec<heartbeat::ReplacedServiceReport> = replaced
             .map(|(service, _)| heartbeat::ReplacedServiceReport {
                 service: service.clone(),
-                acknowledged_end: self.shared.acknowledged_end(service),
+                acknowledged_end: self.own_acknowledged_end(service),
                 may_have_missed_departures: self.may_have_missed_departures(service),
             })
             .collect();
@@ -267,9 +273,18 @@
                 }
             }
         }
+        self.has_complete_table = true;
         self.observe_orders(clock::now());
     }
 
+    /// Puts a copy of the leadership table from another VM into use, unless a newer one is in use.
+    pub fn apply_table_copy(&mut self, copy: &leadership::LeadershipTable) {
+        let revision = self.leadership_table.revision;
+        let was_complete = self.has_complete_table;
+        self.apply_leadership_table(copy);
+        self.has_complete_table = was_complete && self.leadership_table.revision == revision;
+    }
+
     /// Returns whether databases of a service are gone that may have had commits which are neither
     /// known nor covered by [`Self::required_end`].
     pub fn has_unknown_logs(&self, service: &name::ServiceName, now: Instant) -> bool {
--- a/crates/bluebellferry_edge/src/shared.rs
+++ b/crates/bluebellferry_edge/src/shared.rs
@@ -252,8 +252,26 @@
     positions: Mutex<BTreeMap<name::ServiceName, history::PositionHistory>>,
     /// When this process started.
     pub started_at: Instant,
-    /// The positions that cover the commits which this process acknowledged to callers.
-    acknowledged: Mutex<BTreeMap<name::ServiceName, position::LogPosition>>,
+    /// What this process acknowledged to callers.
+    acknowledged: Mutex<BTreeMap<name::ServiceName, AcknowledgedCommits>>,
+}
+
+/// Stands for a commit that no position bounds.
+pub const UNBOUNDED_END: position::LogPosition = position::LogPosition::new(u64::MAX, u64::MAX);
+
+/// The commits of a leader that a VM acknowledged to callers.
+#[derive(Debug)]
+struct AcknowledgedCommits {
+    leader: name::DatabaseName,
+    log_end_when_chosen: Option<position::LogPosition>,
+    /// A position that covers all of them.
+    end: position::LogPosition,
+}
+
+impl AcknowledgedCommits {
+    fn is_of(&self, leader: &LeaderView) -> bool {
+        (&self.leader, self.log_end_when_chosen) == (&leader.database, leader.log_end_when_chosen)
+    }
 }
 
 /// What a VM saw of each database, with the database's service.
@@ -394,34 +412,53 @@
         positions.get(service).and_then(|history| history.latest())
     }
 
-    /// Records that a commit may be acknowledged to a caller. `position` is the position of the
-    /// leader's log when it confirmed the commit; without one, nothing bounds the commit.
+    /// Records that a commit of a leader may be acknowledged to a caller. `position` is the position
+    /// that the leader reported after the commit.
     ///
     /// The commit must be recorded before the snapshot is loaded by which it is assessed, so that a
     /// VM which has learned of a replacement reports all that it acknowledged before.
     pub fn record_acknowledged(
         &self,
         service: &name::ServiceName,
+        leader: &LeaderView,
         position: Option<position::LogPosition>,
     ) {
-        let position = position.unwrap_or(position::LogPosition::new(u64::MAX, u64::MAX));
+        let chosen = leader.log_end_when_chosen;
+        // A leader that has not replayed its log reports a position before its own commits.
+        let is_bound = |position: &position::LogPosition| {
+            chosen.is_none_or(|chosen| position.offset > chosen.offset)
+        };
+        let end = position.filter(is_bound).unwrap_or(UNBOUNDED_END);
         let mut acknowledged = self.lock_acknowledged();
         match acknowledged.get_mut(service) {
-            Some(end) => *end = position.max(*end),
-            None => {
-                acknowledged.insert(service.clone(), position);
+            Some(record) if record.is_of(leader) => record.end = record.end.max(end),
+            // Only the log of a later leader has commits that are not known yet.
+            Some(record) if record.log_end_when_chosen > chosen => {}
+            _ => {
+                let record = AcknowledgedCommits {
+                    leader: leader.database.clone(),
+                    log_end_when_chosen: chosen,
+                    end,
+                };
+                acknowledged.insert(service.clone(), record);
             }
         }
     }
 
-    /// Returns a position that covers every commit of a service that was recorded.
-    pub fn acknowledged_end(&self, service: &name::ServiceName) -> Option<position::LogPosition> {
-        self.lock_acknowledged().get(service).copied()
+    /// Returns a position that covers every commit of a leader that was recorded.
+    pub fn acknowledged_end(
+        &self,
+        service: &name::ServiceName,
+        leader: &LeaderView,
+    ) -> Option<position::LogPosition> {
+        let acknowledged = self.lock_acknowledged();
+        let record = acknowledged.get(service)?;
+        record.is_of(leader).then_some(record.end)
     }
 
     fn lock_acknowledged(
         &self,
-    ) -> MutexGuard<'_, BTreeMap<name::ServiceName, position::LogPosition>> {
+    ) -> MutexGuard<'_, BTreeMap<name::ServiceName, AcknowledgedCommits>> {
         self.acknowledged
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/bluebellferry_edge/src/traffic/acknowledgement.rs
+++ b/crates/bluebellferry_edge/src/traffic/acknowledgement.rs
@@ -55,7 +55,11 @@
     }
     // The successor's log ended in the term of the commit, so up to there it is the log of the
     // leader that acknowledged the commit.
+    // A position that is not beyond the log with which that leader was chosen precedes the commit.
+    let chosen_before = before.leaders.get(&entry.service);
+    let chosen_before = chosen_before.and_then(|earlier| earlier.log_end_when_chosen);
     let is_in_log_of_successor = position
+        .filter(|position| chosen_before.is_none_or(|chosen| position.offset > chosen.offset))
         .zip(leader.log_end_when_chosen)
         .is_some_and(|(commit, end)| commit.term == end.term && commit.offset <= end.offset);
     if is_in_log_of_successor {
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -607,9 +607,11 @@
         scope: &StatementScope,
     ) -> Result<(), refusal::RequestRefusal> {
         let entry = self.context.dispatcher.registry_entry(database);
-        self.context
-            .shared
-            .record_acknowledged(&entry.service, answer.position);
+        let leader = sent.snapshot.leaders.get(&entry.service);
+        if let Some(leader) = leader.filter(|leader| leader.database == entry.id) {
+            let shared = &self.context.shared;
+            shared.record_acknowledged(&entry.service, leader, answer.position);
+        }
         let mut changes = self.context.shared.subscribe_to_snapshots();
         loop {
             changes.mark_unchanged();
--- a/crates/bluebellferry_edge/tests/lost_logs.rs
+++ b/crates/bluebellferry_edge/tests/lost_logs.rs
@@ -132,6 +132,15 @@
     assert_eq!(control.required_end(&service()), Some(position(2, 10)));
 }
 
+/// Records a commit of the present leader after which the leader reported a position of its term.
+fn record_acknowledged(control: &state::ControlState, offset: u64) {
+    let leader = control.known_leader(&service()).expect("it has a leader");
+    let reported = Some(position(3, offset));
+    control
+        .shared
+        .record_acknowledged(&service(), &leader, reported);
+}
+
 fn report(revision: u64, acknowledged_end: position::LogPosition) -> heartbeat::ReplacementReport {
     heartbeat::ReplacementReport {
         vm: "vm-1".to_owned(),
@@ -176,9 +185,7 @@
     control
         .shared
         .record_position(&service(), sampled_at, position(3, 11));
-    control
-        .shared
-        .record_acknowledged(&service(), Some(position(3, 15)));
+    record_acknowledged(&control, 15);
     let claimed_at = claim(&mut control);
     let now = clock::now();
     let end =
@@ -266,3 +273,28 @@
     assert!(snapshot.is_past_drain(&id("x"), clock::now()));
     assert!(!snapshot.is_past_drain(&id("r1"), clock::now()));
 }
+
+// Guards against lost commits: a leader that has not replayed its log reports a position before its
+// own commits, which bounds none of them.
+#[test]
+fn position_before_the_reign_bounds_no_acknowledged_commit() {
+    let control = control();
+    let leader = control.known_leader(&service()).expect("it has a leader");
+    let end = || control.shared.acknowledged_end(&service(), &leader);
+    record_acknowledged(&control, 12);
+    assert_eq!(end(), Some(position(3, 12)));
+    record_acknowledged(&control, 10);
+    assert!(end() > Some(position(9, 999)));
+    // What a later leader confirms is recorded anew.
+    let later = shared::LeaderView {
+        database: id("r1"),
+        log_end_when_chosen: Some(position(3, 20)),
+        is_being_replaced: false,
+    };
+    let reported = Some(position(4, 21));
+    control
+        .shared
+        .record_acknowledged(&service(), &later, reported);
+    let end = control.shared.acknowledged_end(&service(), &later);
+    assert_eq!(end, reported);
+}
--- a/crates/bluebellferry_edge/tests/successors.rs
+++ b/crates/bluebellferry_edge/tests/successors.rs
@@ -376,3 +376,66 @@
     group.set_replication_blocked(2, false);
     writers.assert_all_kept().await;
 }
+
+/// Guards against lost commits: a replica with the last commits had crashed beside the leader, and
+/// an unrelated database that joined in its data centre was taken for its replacement.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashed_replica_is_waited_for_although_another_database_joins() {
+    let deployment = start(2).await;
+    let writers = ConcurrentWriters::start(&deployment, 0);
+    writers.wait_for_writes().await;
+    let group = &deployment.group;
+    group.set_replication_blocked(2, true);
+    writers.wait_for_writes().await;
+    group.crash(1);
+    group.set_unresponsive(0, true);
+    deployment.store.remove("servers", "i-b");
+    tokio::time::sleep(REGISTRATION_TIME).await;
+    let joined = deployment.add_empty_database("i-d").await;
+    tokio::time::sleep(DOWN_TIME).await;
+    group.restart_with_log(0, None);
+    group.restart_with_log(1, None);
+    group.set_replication_blocked(2, false);
+    group.set_replication_blocked(joined, false);
+    writers.assert_all_kept().await;
+}
+
+/// Guards against lost commits: the holder of the promotion duty restarted after it had sent an
+/// order that took effect late, and had the leadership table from another VM, without orders.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_is_known_after_the_holder_of_the_duty_restarted() {
+    let deployment = start(2).await;
+    let mut writers = ConcurrentWriters::start(&deployment, 0);
+    writers.wait_for_writes().await;
+    let handling = database::PromotionHandling {
+        answer: database::PromotionAnswer::Accepted,
+        delay: Some(Duration::from_secs(7)),
+    };
+    let (index, chosen) = silence_leader_before_a_late_promotion(&deployment, handling).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let call = deployment.group.promotion_calls().swap_remove(0);
+    let holder = usize::from(call.holder != "vm-0");
+    let process = rustix::process::Pid::from_child(&deployment.vms[holder]);
+    let killed = rustix::process::kill_process(process, rustix::process::Signal::KILL);
+    killed.expect("the process runs");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    writers.continue_at(1 - holder as u8);
+    report_draining(&deployment, &chosen);
+    let log = deployment
+        .settings_file(holder as u8)
+        .with_extension("again.log");
+    let mut restarted = std::process::Command::new(env!("CARGO_BIN_EXE_bluebellferry-edge"))
+        .env("BLUEBELLFERRY_BOOT", deployment.settings_file(holder as u8))
+        .stdout(std::fs::File::create(&log).expect("created"))
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .expect("it starts");
+    eprintln!("log of the restarted VM: {}", log.display());
+    await_late_promotion(&deployment, index, &chosen).await;
+    writers.wait_for_writes().await;
+    let calls = deployment.group.promotion_calls();
+    eprintln!("chosen {chosen}, calls {calls:?}");
+    writers.assert_all_kept().await;
+    restarted.kill().ok();
+    restarted.wait().ok();
+}
--- a/crates/bluebellferry_promotion/src/departure.rs
+++ b/crates/bluebellferry_promotion/src/departure.rs
@@ -64,11 +64,17 @@
         self.uncovered.retain(|departure| {
             (&departure.id, departure.started_unix_ms) != (id, started_unix_ms)
         });
-        let restarted = self
+        self.record_replaced(id);
+    }
+
+    /// Records that a database is not waited for any more as one that may come back, since another
+    /// one has taken its place without its log.
+    pub fn record_replaced(&mut self, id: &name::DatabaseName) {
+        let replaced = self
             .uncovered
             .iter_mut()
             .filter(|departure| departure.id == *id);
-        for departure in restarted {
+        for departure in replaced {
             departure.kind = DepartureKind::LogLost;
         }
     }
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -232,7 +232,9 @@
         .filter(led_replaced_term)
         .filter(has_complete_log);
     let end = old_leaders.find_map(|database| database.fenced_position);
-    end.filter(|end| Some(*end) >= reign.required_end)
+    // An empty log may be all that a restart has left.
+    let is_credible = |end: &position::LogPosition| end.offset > 0 || !reign.has_unknown_logs;
+    end.filter(|end| Some(*end) >= reign.required_end && is_credible(end))
 }
 
 /// Returns the fenced replica with the longest log that may be promoted.
