Refuse the COMMIT of a failed transaction and send it unchanged

Callers saw: a caller that ended a transaction with COMMIT after the database had failed it (state E) was answered COMPLETE, although the transaction was rolled back. The database received ROLLBACK under the id of the COMMIT, a statement that no caller had sent.

Cause: the session planned a COMMIT after a failure as a ROLLBACK, and passed the answer to the ROLLBACK on as that to the COMMIT.

Now COMMIT goes to the database with its id and text, where it ends the transaction by rolling it back, and the caller always gets ABORTED, which is true whatever the database answers: a failed transaction cannot be committed. The PostgreSQL dialect passes COMMIT and its answer (ROLLBACK) on and answers alike itself once the transaction has lost its connection, so it is unchanged.

The test of the session asserted the fault (COMMIT planned as ROLLBACK); it is replaced by one that checks kind, text, state and floor for COMMIT and ROLLBACK, answered and lost.

--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -270,6 +270,11 @@
                 }
                 self.state
                     .record_outcome(plan, outcomes::outcome_of(&answer));
+                if plan.kind == state::RunKind::FailedCommit {
+                    return Err(outcomes::refuse_aborted_transaction(
+                        "the transaction had failed and was rolled back",
+                    ));
+                }
                 Ok(answer)
             }
             Err(error) => {
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -201,7 +201,11 @@
     ) {
         let dispatcher = &self.context.dispatcher;
         let latency = clock::now().saturating_duration_since(sent.at);
-        if answer.error.is_none() && plan.kind != state::RunKind::Rollback {
+        let is_rollback = matches!(
+            plan.kind,
+            state::RunKind::FailedCommit | state::RunKind::Rollback
+        );
+        if answer.error.is_none() && !is_rollback {
             dispatcher.record_latency(connection.database, latency);
         }
         if answer.error.is_some_and(is_database_fault) {
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -57,6 +57,8 @@
     InTransaction,
     /// The commit of a transaction.
     Commit,
+    /// The commit of a transaction that has failed, which rolls it back.
+    FailedCommit,
     /// The rollback of a transaction.
     Rollback,
 }
@@ -213,13 +215,8 @@
     ) -> StatementPlan {
         use statement::StatementAction as Action;
         match (action, is_open_at_database) {
-            (Action::Commit | Action::Rollback, true) => plan_run(RunPlan {
-                kind: RunKind::Rollback,
-                text: "ROLLBACK".to_owned(),
-                is_write: false,
-                prepared: None,
-                opening: None,
-            }),
+            (Action::Commit, true) => self.plan_end(RunKind::FailedCommit, "COMMIT"),
+            (Action::Rollback, true) => self.plan_end(RunKind::Rollback, "ROLLBACK"),
             (Action::Rollback, false) => {
                 self.transaction = TransactionState::None;
                 StatementPlan::Answer(LocalAnswer::Done)
@@ -371,7 +368,9 @@
             RunOutcome::Succeeded { position } => self.record_success(plan, position),
             RunOutcome::Rejected { status } => self.record_rejection(plan, status),
             RunOutcome::Lost => match plan.kind {
-                RunKind::Commit | RunKind::Rollback => self.transaction = TransactionState::None,
+                RunKind::Commit | RunKind::FailedCommit | RunKind::Rollback => {
+                    self.transaction = TransactionState::None;
+                }
                 RunKind::InTransaction => {
                     self.transaction = TransactionState::Failed {
                         is_open_at_database: false,
@@ -401,16 +400,18 @@
                     self.raise_floor(position);
                 }
             }
-            RunKind::Rollback => self.transaction = TransactionState::None,
+            RunKind::FailedCommit | RunKind::Rollback => self.transaction = TransactionState::None,
         }
     }
 
     fn record_rejection(&mut self, plan: &RunPlan, status: TransactionStatus) {
-        if matches!(
-            plan.kind,
-            RunKind::AutocommitRead | RunKind::AutocommitWrite
-        ) {
-            return;
+        match plan.kind {
+            RunKind::AutocommitRead | RunKind::AutocommitWrite => return,
+            RunKind::FailedCommit => {
+                self.transaction = TransactionState::None;
+                return;
+            }
+            RunKind::InTransaction | RunKind::Commit | RunKind::Rollback => {}
         }
         match status {
             TransactionStatus::Idle => self.transaction = TransactionState::None,
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -152,21 +152,29 @@
     assert_eq!(session.transaction_status(), state::TransactionStatus::Idle);
 }
 
+// Guards against a statement that no caller sent: the database received ROLLBACK under the id of a
+// caller's COMMIT.
 #[test]
-fn a_transaction_that_failed_at_the_database_is_rolled_back_there() {
-    let mut session = state::SessionState::default();
-    open_transaction(&mut session, false);
-    let plan = run(&mut session, &write());
+fn a_failed_transaction_is_ended_by_the_statement_that_the_caller_sent() {
     let status = state::TransactionStatus::Failed;
-    session.record_outcome(&plan, state::RunOutcome::Rejected { status });
-    assert!(session.holds_connection());
-    let plan = run(&mut session, &query(Action::Commit));
-    assert_eq!(
-        (plan.kind, plan.text.as_str()),
-        (state::RunKind::Rollback, "ROLLBACK")
-    );
-    session.record_outcome(&plan, succeeded(3));
-    assert_eq!(session.transaction_status(), state::TransactionStatus::Idle);
+    let rejected = state::RunOutcome::Rejected { status };
+    for (action, kind, text) in [
+        (Action::Commit, state::RunKind::FailedCommit, "COMMIT"),
+        (Action::Rollback, state::RunKind::Rollback, "ROLLBACK"),
+    ] {
+        for outcome in [succeeded(3), state::RunOutcome::Lost] {
+            let mut session = state::SessionState::default();
+            open_transaction(&mut session, false);
+            let plan = run(&mut session, &write());
+            session.record_outcome(&plan, rejected);
+            assert!(session.holds_connection());
+            let plan = run(&mut session, &query(action.clone()));
+            assert_eq!((plan.kind, plan.text.as_str()), (kind, text));
+            session.record_outcome(&plan, outcome);
+            assert_eq!(session.transaction_status(), state::TransactionStatus::Idle);
+            assert_eq!(session.floor(), None);
+        }
+    }
 }
 
 #[test]
