Close connections whose transaction has not ended instead of pooling them

Callers saw: a write was acknowledged with the receipt of its database and was in no log. The database was refusing COMMITs as busy, which leaves the transaction open (READY T), while its service changed leaders. The caller of the COMMIT was told INDOUBT, its session became idle, and its connection went back into the pool with the transaction open. Writes of other callers then ran inside that transaction, which nobody committed. With a failed transaction (READY E) the same connection answered every statement with MALFORMED.

Cause: the pool took any connection whose answer was complete. Only the session's view of the transaction was looked at, never what the database reported in READY, and the two differ when a COMMIT is refused.

A connection now keeps the transaction status of its last answer, and the dispatcher, through which every connection returns, closes one whose transaction has not ended; the database rolls it back. The close is logged and counted (result "open_transaction").

Evidence: both tests of connection_reuse failed before (the log held "first" for "first, second", and "committed" for "kept, committed").

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -10,6 +10,7 @@
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
 use bluebellferry_session::connection_state;
+use bluebellferry_session::state;
 use bluebellferry_types::name;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -61,6 +62,8 @@
     pub workspace: name::WorkspaceName,
     /// The settings and prepared statements that the connection has at the database.
     pub state: connection_state::ConnectionState,
+    /// The transaction status after the last answer.
+    transaction_status: state::TransactionStatus,
     stream: TcpStream,
     decoder: line::LineDecoder,
 }
@@ -83,6 +86,7 @@
             database: index,
             workspace: workspace.clone(),
             state: connection_state::ConnectionState::default(),
+            transaction_status: state::TransactionStatus::Idle,
             stream,
             decoder: line::LineDecoder::default(),
         };
@@ -106,6 +110,12 @@
         }
     }
 
+    /// Returns whether the transaction of the last statement has ended, so that the connection may
+    /// serve another caller.
+    pub fn has_ended_transaction(&self) -> bool {
+        self.transaction_status == state::TransactionStatus::Idle
+    }
+
     /// Returns whether the connection can be reused: it is open and no unexpected bytes have
     /// arrived since the last answer.
     pub fn is_usable(&self) -> bool {
@@ -147,6 +157,7 @@
             let Some(answer) = result.map_err(|_| ExchangeError::Malformed)? else {
                 continue;
             };
+            self.transaction_status = answer.transaction_status;
             remaining = remaining.saturating_sub(1);
             if remaining == 0 {
                 if has_setup_failed {
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -519,8 +519,16 @@
         }
     }
 
-    /// Puts a reusable connection back into the pool.
+    /// Puts a connection back into the pool. Closes it instead if a transaction is still open on
+    /// it, which rolls the transaction back.
     pub fn release(self: &Rc<Self>, connection: PoolConnection) {
+        if !connection.has_ended_transaction() {
+            let entry = self.registry_entry(connection.database);
+            log::info!(database = entry.id.as_str(); "closed a connection with an open transaction");
+            self.metrics.count_connection("open_transaction");
+            self.discard(connection);
+            return;
+        }
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let record = &state.records[connection.database];
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -0,0 +1,241 @@
+//! Tests that a connection is used for another caller only after its transaction has ended.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_catalog::configuration;
+use bluebellferry_catalog::database as catalog;
+use bluebellferry_catalog::homes;
+use bluebellferry_edge::shared;
+use bluebellferry_edge::traffic;
+use bluebellferry_edge::traffic::dispatch;
+use bluebellferry_edge::traffic::metrics;
+use bluebellferry_edge::traffic::placement;
+use bluebellferry_edge::traffic::session;
+use bluebellferry_pool::pool;
+use bluebellferry_runtime::clock;
+use bluebellferry_standin_platform::caller;
+use bluebellferry_standin_platform::database;
+use bluebellferry_standin_platform::deployment;
+use bluebellferry_types::name;
+use bluebellferry_types::position;
+use tokio::net::TcpListener;
+
+#[path = "fixtures/settings.rs"]
+mod fixtures;
+
+/// The delay of the answer to a COMMIT, during which the snapshot changes.
+const COMMIT_DELAY: Duration = Duration::from_millis(100);
+
+fn service() -> name::ServiceName {
+    name::ServiceName::try_from("rental").expect("a valid name")
+}
+
+fn data_centre() -> name::DataCentreName {
+    name::DataCentreName::try_from("amman-a").expect("a valid name")
+}
+
+fn leader(id: &str) -> shared::LeaderView {
+    shared::LeaderView {
+        database: name::DatabaseName::try_from(id).expect("a valid name"),
+        log_end_when_chosen: None,
+        is_being_replaced: false,
+    }
+}
+
+/// Returns a listener at a free address of the local machine.
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("the listener binds");
+    let address = listener.local_addr().expect("the listener has an address");
+    (listener, address)
+}
+
+/// Returns a snapshot in which the database at `address` leads with a valid lease, and a public
+/// route `browse`.
+fn snapshot_with_leader(address: SocketAddr) -> shared::EdgeSnapshot {
+    let entry = catalog::DatabaseEntry {
+        id: leader("i-a").database,
+        started_unix_ms: 1,
+        service: service(),
+        address,
+        data_centre: data_centre(),
+        max_running_statements: 3,
+        is_draining: false,
+        role: catalog::DatabaseRole::Primary,
+        is_cold: false,
+    };
+    let route = configuration::RoutePolicy {
+        service: service(),
+        guarantee: configuration::ReadGuarantee::Primary,
+        statement_timeout: Duration::from_millis(400),
+        latency_objective: Duration::from_millis(200),
+        priority: 0,
+        is_public: true,
+        homes: homes::HomeRegions::Anywhere,
+    };
+    let policy = configuration::ServicePolicy {
+        max_connections: 12,
+        is_synchronous: true,
+        cold_pace: None,
+    };
+    let configuration = configuration::Configuration {
+        version: 1,
+        services: [(service(), policy)].into(),
+        routes: [("browse".to_owned(), route)].into(),
+        ..configuration::Configuration::default()
+    };
+    shared::EdgeSnapshot {
+        configuration: Arc::new(configuration),
+        databases: Arc::new(vec![entry]),
+        leaders: Arc::new([(service(), leader("i-a"))].into()),
+        leases: [(service(), clock::now() + Duration::from_secs(60))].into(),
+        allocation: shared::FleetAllocation { from: 0.0, to: 1.0 },
+        ..shared::EdgeSnapshot::default()
+    }
+}
+
+/// A database, and the traffic thread of a VM for which it leads.
+struct Traffic {
+    group: Arc<database::StandinGroup>,
+    shared: Arc<shared::EdgeShared>,
+    snapshot: shared::EdgeSnapshot,
+    context: Rc<traffic::TrafficContext>,
+}
+
+async fn start() -> Traffic {
+    let (free, database_address) = listen().await;
+    drop(free);
+    let ids = ["i-a", "i-b", "i-c"];
+    let group = database::StandinGroup::new("rental", &ids, Duration::ZERO, 12);
+    let serving = Arc::clone(&group).serve(0, database_address).await;
+    serving.expect("the database address is free");
+    let settings = fixtures::settings("vm-0", data_centre(), database_address);
+    let (shared, _evidence) = shared::EdgeShared::new(settings, 1);
+    let snapshot = snapshot_with_leader(database_address);
+    shared.replace_snapshot(snapshot.clone(), true);
+    let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
+    let metrics = metrics.expect("the metric names are unique");
+    let context = Rc::new(traffic::TrafficContext::new(Arc::clone(&shared), metrics));
+    context.dispatcher.apply_snapshot(clock::now());
+    Traffic {
+        group,
+        shared,
+        snapshot,
+        context,
+    }
+}
+
+/// Refuses a COMMIT as busy while another database is promoted, and then runs a write of another
+/// caller at the old leader, which leads again. Returns the answer to the COMMIT and the values
+/// that were written.
+async fn write_after_refused_commit(
+    fails_transaction: bool,
+) -> (caller::CallerAnswer, Vec<String>) {
+    let Traffic {
+        group,
+        shared,
+        snapshot,
+        context,
+    } = start().await;
+    let (listener, address) = listen().await;
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(session::serve(stream, Rc::clone(&context)));
+        }
+    });
+    let connect = || caller::StandinCaller::connect(address, "browse", "key");
+    let mut first = connect().await.expect("the caller connects");
+    deployment::run_successfully(&mut first, "WRITE boots first").await;
+    deployment::run_successfully(&mut first, "BEGIN").await;
+    deployment::run_successfully(&mut first, "WRITE boots lost").await;
+    group.refuse_next_statement(database::BusyRefusal {
+        verb: "COMMIT",
+        fails_transaction,
+        delay: COMMIT_DELAY,
+    });
+    let promoting = async {
+        tokio::time::sleep(COMMIT_DELAY / 2).await;
+        let successor = shared::LeaderView {
+            log_end_when_chosen: Some(position::LogPosition::new(0, 0)),
+            ..leader("i-b")
+        };
+        let mut snapshot = snapshot.clone();
+        snapshot.leaders = Arc::new([(service(), successor)].into());
+        shared.replace_snapshot(snapshot, true);
+    };
+    let (answer, ()) = tokio::join!(first.run("COMMIT"), promoting);
+    drop(first);
+    shared.replace_snapshot(snapshot, true);
+    let mut second = connect().await.expect("the caller connects");
+    deployment::run_successfully(&mut second, "WRITE boots second").await;
+    let answer = answer.expect("an answer arrives");
+    (answer, group.logged_values("boots"))
+}
+
+/// Guards against acknowledged writes that are lost: a leader refused a COMMIT as busy, which
+/// leaves the transaction open, while another database was promoted. The caller was told that the
+/// commit is in doubt, the connection went back into the pool, and the write of another caller ran
+/// inside the transaction, which nobody committed.
+#[tokio::test]
+async fn connection_with_an_open_or_failed_transaction_is_not_reused() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            for fails_transaction in [false, true] {
+                let (answer, written) = write_after_refused_commit(fails_transaction).await;
+                assert_eq!(written, ["first", "second"], "{answer:?}");
+            }
+        })
+        .await;
+}
+
+/// Guards against statements that run inside the transaction of another caller: the pool accepted a
+/// connection whose database had not reported the end of the transaction.
+#[tokio::test]
+async fn release_closes_a_connection_with_an_open_transaction() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let traffic = start().await;
+            let dispatcher = &traffic.context.dispatcher;
+            let run = async |statements: &[&str]| {
+                let now = clock::now();
+                let mut request = dispatch::PlacementRequest {
+                    service: service(),
+                    pool_request: pool::ConnectionRequest {
+                        workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
+                        priority: 0,
+                        slo_deadline: now + Duration::from_millis(200),
+                    },
+                    requirement: placement::PlacementRequirement {
+                        replica_min_position: None,
+                    },
+                    homes: homes::HomeRegions::Anywhere,
+                    excluded: Vec::new(),
+                    deadline: now + Duration::from_millis(400),
+                    served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
+                };
+                let placed = dispatcher.acquire(&mut request).await;
+                let mut connection = placed.expect("the leader is available").connection;
+                for statement in statements {
+                    let sent = connection.send(&format!("QUERY 1 {statement}\r\n")).await;
+                    sent.expect("the statement is sent");
+                    let answer = connection.receive_answers(1, request.deadline).await;
+                    assert_eq!(answer.map(|answer| answer.error), Ok(None), "{statement}");
+                }
+                dispatcher.release(connection);
+            };
+            run(&["BEGIN", "WRITE boots lost"]).await;
+            run(&["WRITE boots kept"]).await;
+            // A connection without a transaction is reused.
+            run(&["BEGIN", "WRITE boots committed", "COMMIT"]).await;
+            assert_eq!(traffic.group.logged_values("boots"), ["kept", "committed"]);
+            let lines = traffic.group.received_lines();
+            let startups = lines.iter().filter(|line| line.starts_with("STARTUP"));
+            assert_eq!(startups.count(), 2);
+        })
+        .await;
+}
