Pass the refusal of a COMMIT on while leadership is unconfirmed

Callers saw: INDOUBT for a COMMIT that its database had refused with BUSY or READONLY, after a wait of up to the statement's timeout. Both promise that nothing was committed, so the caller could have repeated the transaction.

Cause: every answer to a COMMIT of a writing transaction was held until the lease of the leader was confirmed, errors too. The confirmation is about acknowledged commits; a refused one is in no log, whoever leads.

Errors now skip the confirmation, as they do for single writes, and the session takes the transaction status from the answer.

--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -263,6 +263,7 @@
                 let database = connection.database;
                 self.transaction_connection = Some(connection);
                 if is_writing_commit
+                    && answer.error.is_none()
                     && let Err(refusal) = self.confirm_commit(database, &answer, &sent, scope).await
                 {
                     self.state.record_outcome(plan, state::RunOutcome::Lost);
--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -176,9 +176,8 @@
 }
 
 /// Guards against acknowledged writes that are lost: a leader refused a COMMIT as busy, which
-/// leaves the transaction open, while another database was promoted. The caller was told that the
-/// commit is in doubt, the connection went back into the pool, and the write of another caller ran
-/// inside the transaction, which nobody committed.
+/// leaves the transaction open, while another database was promoted. The connection went back into
+/// the pool, and the write of another caller ran inside the transaction, which nobody committed.
 #[tokio::test]
 async fn connection_with_an_open_or_failed_transaction_is_not_reused() {
     let local = tokio::task::LocalSet::new();
@@ -239,3 +238,20 @@
         })
         .await;
 }
+
+/// Guards against commits in doubt that are certain: a database that refuses a COMMIT as busy
+/// promises that it has not run.
+#[tokio::test]
+async fn refusal_of_a_commit_reaches_the_caller_while_another_database_is_promoted() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            for fails_transaction in [false, true] {
+                let (answer, _) = write_after_refused_commit(fails_transaction).await;
+                let refusal = caller::CallerRefusal::NothingKept("ERROR BUSY -".to_owned());
+                assert_eq!(answer.refusal, Some(refusal));
+                assert_eq!(answer.is_in_transaction, !fails_transaction);
+            }
+        })
+        .await;
+}
