Pool no connection to PostgreSQL whose transaction has not ended

Callers saw: "current transaction is aborted" (25P02) for a read, as the first statement of a session. Another caller had sent a write together with its BEGIN in one query; a replica refused it as read-only, and the request was sent again to the primary. The connection with the failed transaction went back into the pool. The same happens at a primary that no longer accepts writes.

A retry returned the connection because the answer was complete, without a look at the status in ReadyForQuery.

A connection keeps the status that the database reported last, and the pool closes one whose transaction has not ended.

--- a/crates/bluebellferry_fleet/tests/faults.rs
+++ b/crates/bluebellferry_fleet/tests/faults.rs
@@ -845,3 +845,39 @@
     assert_eq!(count.get::<_, i64>(0), 1);
     Ok(())
 }
+
+/// Guards against statements that run inside the transaction of another caller: a replica refused
+/// a write that came together with its BEGIN, the request was sent again to the primary, and the
+/// connection with the failed transaction went back into the pool.
+#[tokio::test]
+async fn connection_whose_transaction_failed_at_a_replica_is_not_reused() -> TestResult {
+    let fleet = start_fleet(plan::FleetPlan::small()).await?;
+    let count = async |name: &str, labels: &str| fleet.sum_counter(0, name, labels).await;
+    let is_refused = async || count("bluebellferry_retries_total", "replica_refused_write").await;
+    let replica_reads = async || count("bluebellferry_requests_total", "replica").await;
+    let connect = async || {
+        let client = fleet.connect(0, "families", SERVICE).await?;
+        let choose_replicas = "SET bluebellferry.read = 'catalogue'";
+        client.batch_execute(choose_replicas).await?;
+        Ok::<_, Box<dyn std::error::Error>>(client)
+    };
+    for number in 0..100 {
+        let client = connect().await?;
+        let insert = format!("BEGIN; INSERT INTO booking VALUES ({number}, 'skis')");
+        client.simple_query(&insert).await?;
+        client.simple_query("ROLLBACK").await?;
+        if is_refused().await? > 0.0 {
+            break;
+        }
+    }
+    assert!(is_refused().await? > 0.0, "no replica refused a write");
+    for _ in 0..500 {
+        let client = connect().await?;
+        client.simple_query("SELECT count(*) FROM booking").await?;
+        if replica_reads().await? >= 10.0 {
+            break;
+        }
+    }
+    assert!(replica_reads().await? >= 10.0, "no replica served reads");
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -84,6 +84,8 @@
     pub applied_settings_digest: u64,
     /// Whether new transactions on this connection are read-only by default.
     pub is_read_only: bool,
+    /// The transaction status that the database reported last.
+    pub transaction: message::TransactionStatus,
     /// The parameters that the database reported during login.
     pub parameters: Vec<snapshot::ServerParameter>,
     /// The log position of the last commit by [`BackendConnection::query`].
@@ -136,6 +138,7 @@
             prepared_statements: HashSet::new(),
             applied_settings_digest: 0,
             is_read_only: false,
+            transaction: message::TransactionStatus::Idle,
             parameters: Vec::new(),
             last_commit_position: None,
         };
@@ -269,7 +272,10 @@
                 frame::DATA_ROW => row.values = parse_row_values(&answer),
                 frame::PARAMETER_STATUS => self.record_parameter_status(&answer)?,
                 frame::ERROR_RESPONSE => error = Some(message::ErrorFields::from_frame(&answer)?),
-                frame::READY_FOR_QUERY => break,
+                frame::READY_FOR_QUERY => {
+                    self.transaction = message::TransactionStatus::from_frame(&answer)?;
+                    break;
+                }
                 _ => {}
             }
         }
--- a/crates/bluebellferry_proxy/src/pool.rs
+++ b/crates/bluebellferry_proxy/src/pool.rs
@@ -12,6 +12,7 @@
 use bluebellferry_fairness::queue;
 use bluebellferry_types::name;
 use bluebellferry_types::refusal;
+use bluebellferry_wire::message;
 use tokio::sync::oneshot;
 
 use crate::backend;
@@ -88,7 +89,8 @@
 
 impl PooledConnection {
     /// Returns the connection to the pool and releases the permit. A connection that
-    /// is pinned or has too many prepared statements is closed instead.
+    /// is pinned, has too many prepared statements or has a transaction that has not
+    /// ended is closed instead.
     pub fn return_to_pool(self) {
         let Self {
             connection,
@@ -98,6 +100,7 @@
         let pool = Arc::clone(&permit.pool);
         let has_too_many_statements =
             connection.prepared_statements.len() > MAX_PREPARED_STATEMENTS;
+        let has_ended_transaction = connection.transaction == message::TransactionStatus::Idle;
         let mut state = pool.lock();
         let is_saturated = state.in_use >= state.concurrency_limit.current();
         state
@@ -105,7 +108,10 @@
             .record(permit.acquired_at.elapsed(), is_saturated);
         if is_pinned {
             state.pinned -= 1;
-        } else if !has_too_many_statements && state.idle.len() < state.quota {
+        } else if has_ended_transaction
+            && !has_too_many_statements
+            && state.idle.len() < state.quota
+        {
             state.idle.push(connection);
         }
         drop(state);
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -226,6 +226,9 @@
             let Ok(event) = state.exchange.handle_answer(&chunk, prepared_statements) else {
                 return Ok(false);
             };
+            if let exchange::AnswerEvent::Ready(transaction) = event {
+                connection.connection.transaction = transaction;
+            }
             self.handle_event(state, &chunk, event)?;
             if state.completed.is_some() || self.send_buffer.len() >= FLUSH_THRESHOLD_BYTES {
                 break;
