Soak: end some failed transactions with COMMIT

Callers of the soak ended a failed transaction with ROLLBACK or left it, so no schedule could show what a COMMIT after a failure became. Half of those that rolled back commit now; the number of random draws is unchanged.

--- a/crates/bluebellferry_soak/src/callers/operation.rs
+++ b/crates/bluebellferry_soak/src/callers/operation.rs
@@ -27,6 +27,10 @@
 const ROLLBACK_PROBABILITY: f64 = 0.15;
 /// The probability that a transaction is left open by its caller.
 const ABANDON_PROBABILITY: f64 = 0.05;
+/// The probability that a failed transaction is ended with ROLLBACK.
+const ROLLBACK_AFTER_FAILURE_PROBABILITY: f64 = 0.25;
+/// The probability that a failed transaction is ended with ROLLBACK or COMMIT.
+const END_AFTER_FAILURE_PROBABILITY: f64 = 0.5;
 /// The number of accesses in a transaction.
 const ACCESSES_PER_TRANSACTION: Range<usize> = 1..6;
 /// The usual think time between the statements of a transaction, in milliseconds;
@@ -242,17 +246,20 @@
         let is_commit = action == Action::Commit;
         return ((!result.outcome.is_success()).then_some(result), is_commit);
     }
-    // Half of the failed transactions are rolled back; the others are abandoned.
+    // Half of the failed transactions are ended; the others are abandoned.
     if !last_result.is_idle && last_result.outcome != Outcome::Broken {
-        let is_rolled_back = if random.random_bool(0.5) {
-            session
-                .run(attempt, Action::Rollback, "ROLLBACK")
-                .await
-                .is_idle
-        } else {
-            false
+        let is_ended = match random.random() {
+            0.0..ROLLBACK_AFTER_FAILURE_PROBABILITY => {
+                let result = session.run(attempt, Action::Rollback, "ROLLBACK").await;
+                result.is_idle
+            }
+            ROLLBACK_AFTER_FAILURE_PROBABILITY..END_AFTER_FAILURE_PROBABILITY => {
+                let result = session.run(attempt, Action::Commit, "COMMIT").await;
+                result.is_idle
+            }
+            _ => false,
         };
-        if !is_rolled_back {
+        if !is_ended {
             session.mark_closed();
         }
     }
