--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -546,7 +546,12 @@
     if control.may_have_missed_departures(service) {
         match control.reported_end(service, replacement.claim_revision, now) {
             Some(reported_end) => required_end = required_end.max(reported_end),
-            None => has_unknown_logs = true,
+            // A leader that is registered was running a moment ago, and its replicas with it.
+            None => {
+                let mut registered = control.databases.iter();
+                let is_registered = registered.any(|entry| entry.id == replacement.leader);
+                has_unknown_logs |= !(is_registered && control.has_settled(now));
+            }
         }
     }
     successor::ReplacedReign {
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -18,6 +18,9 @@
 use crate::control::state::databases;
 use crate::shared;
 
+/// How long after its start a VM waits for databases that are just registering again.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// The maximum time between a write of the leadership table and its application by the VM that
 /// replaces leaders: the timeout of a call to the store, and a read of it.
 const MAX_TABLE_DELAY: Duration = Duration::from_secs(3);
@@ -178,6 +181,12 @@
         history.is_none_or(|history| history.position_covering(known_since).is_none())
     }
 
+    /// Returns whether this VM has known the databases for [`SETTLING_TIME`].
+    pub fn has_settled(&self, now: Instant) -> bool {
+        self.databases_known_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= SETTLING_TIME)
+    }
+
     /// Returns the end of the last commit of a service that a live VM has reported to have
     /// acknowledged; the inner value is `None` if none has acknowledged any. Returns `None` while
     /// reports are missing, or if no VM knew the databases before the leader fell silent, since all
