Add a seeded model of promotions while databases come and go

The model plays one service on simulated time: databases that drain, leave, join, crash and come back with or without their log, replicas that receive nothing, links that are cut, orders to the platform that take effect late or fail although they take effect, and VMs that are cut off, frozen or killed. A VM follows the edge's replacement step by step; only decision.rs, fences.rs and losses.rs know the interface of the choice. The shortest schedule of each kind of loss is a test of its own, played with ten seeds.

Counted apart, not as failures: commits whose logs are all gone for good when a database is promoted, and commits lost because the database that was ordered to lead restarted without its log before the order took effect, since an order cannot be revoked.

Not modelled: leases from probes of leaders, coordinators, evacuations, returns of the store from an older copy, fences for a higher term than that of the next leader, which outlive its promotion, and store calls that are carried out late. A leader that restarts without its log comes back as a replica.

--- /dev/null
+++ b/crates/bluebellferry_promotion/tests/successions.rs
@@ -0,0 +1,107 @@
+//! Tests of the decision which database succeeds a leader, on a simulated service with seeded
+//! random faults: databases drain, leave, join, crash and are cut off, orders to the platform take
+//! effect late, and VMs are cut off, frozen and killed.
+//!
+//! The environment variable `BLUEBELLFERRY_SEEDS` sets the number of seeds; the default is 300.
+//! `BLUEBELLFERRY_SEED` plays one seed only. A failure shows the first schedule that failed.
+
+#[path = "successions/checker.rs"]
+mod checker;
+#[path = "successions/commits.rs"]
+mod commits;
+#[path = "successions/database.rs"]
+mod database;
+#[path = "successions/decision.rs"]
+mod decision;
+#[path = "successions/faults.rs"]
+mod faults;
+#[path = "successions/fences.rs"]
+mod fences;
+#[path = "successions/holder.rs"]
+mod holder;
+#[path = "successions/losses.rs"]
+mod losses;
+#[path = "successions/schedules.rs"]
+mod schedules;
+#[path = "successions/suspicion.rs"]
+mod suspicion;
+#[path = "successions/traffic.rs"]
+mod traffic;
+#[path = "successions/vm.rs"]
+mod vm;
+#[path = "successions/world.rs"]
+mod world;
+
+const DEFAULT_SEEDS: u64 = 300;
+/// The number of threads that play schedules.
+const WORKERS: u64 = 2;
+
+fn variable(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Returns the seeds to play.
+fn seeds() -> std::ops::Range<u64> {
+    match variable("BLUEBELLFERRY_SEED") {
+        Some(seed) => seed..seed + 1,
+        None => 0..variable("BLUEBELLFERRY_SEEDS").unwrap_or(DEFAULT_SEEDS),
+    }
+}
+
+/// What the schedules of some seeds came to.
+#[derive(Debug, Default)]
+struct Tally {
+    promotions: u64,
+    acknowledged: usize,
+    unavoidable_losses: usize,
+    given_up: u64,
+    failures: Vec<(u64, Vec<checker::Violation>)>,
+}
+
+impl Tally {
+    fn add(&mut self, seed: u64, world: world::World) {
+        self.promotions += world.newest_term - 1;
+        self.acknowledged += world.ledger.acknowledged_count;
+        self.unavoidable_losses += world.ledger.unavoidable_losses;
+        self.given_up += u64::from(world.ledger.is_given_up);
+        if !world.ledger.violations.is_empty() {
+            self.failures.push((seed, world.ledger.violations));
+        }
+    }
+
+    fn merge(&mut self, other: Self) {
+        self.promotions += other.promotions;
+        self.acknowledged += other.acknowledged;
+        self.unavoidable_losses += other.unavoidable_losses;
+        self.given_up += other.given_up;
+        self.failures.extend(other.failures);
+    }
+}
+
+// Guards against promoting a database that lacks commits which callers saw acknowledged, while
+// databases come and go and orders take effect late.
+#[test]
+fn acknowledged_commits_survive_promotions_while_databases_come_and_go() {
+    let play = |worker: u64| {
+        let mut tally = Tally::default();
+        for seed in seeds().filter(|seed| seed % WORKERS == worker) {
+            tally.add(seed, faults::play(seed, false));
+        }
+        tally
+    };
+    let mut tally = Tally::default();
+    std::thread::scope(|scope| {
+        let workers = (0..WORKERS).map(|worker| scope.spawn(move || play(worker)));
+        let workers: Vec<_> = workers.collect();
+        for worker in workers {
+            tally.merge(worker.join().expect("schedules that do not panic"));
+        }
+    });
+    tally.failures.sort_by_key(|(seed, _)| *seed);
+    println!("{} schedules: {tally:?}", seeds().count());
+    let first = tally.failures.first();
+    let notes = first.and_then(|(seed, _)| faults::play(*seed, true).notes);
+    let notes = notes.unwrap_or_default().join("\n");
+    assert!(tally.failures.is_empty(), "{:?}\n{notes}", tally.failures);
+    assert!(tally.promotions > 0, "no schedule led to a promotion");
+}
--- /dev/null
+++ b/crates/bluebellferry_promotion/tests/successions/schedules.rs
@@ -0,0 +1,166 @@
+//! The shortest schedules that once lost acknowledged commits or left the service without a leader,
+//! each played with several seeds.
+
+use std::time::Duration;
+
+use crate::world;
+
+const SEEDS: u64 = 10;
+
+/// Plays a schedule with several seeds and checks that it loses nothing and that the service is
+/// led in the end. db-0 leads in the beginning.
+fn check_schedule(schedule: impl Fn(&mut world::World)) {
+    let mut failures = Vec::new();
+    let mut first_notes = None;
+    for seed in 0..SEEDS {
+        let mut world = world::World::new(seed, true);
+        world.advance(Duration::from_secs(3));
+        schedule(&mut world);
+        world.recover();
+        if !world.ledger.violations.is_empty() {
+            first_notes = first_notes.or(world.notes);
+            failures.push((seed, world.ledger.violations));
+        }
+    }
+    let notes = first_notes.unwrap_or_default().join("\n");
+    assert!(failures.is_empty(), "failed: {failures:?}\n{notes}");
+}
+
+/// Cuts a database off from all other databases.
+fn cut_off_from_databases(world: &mut world::World, database: usize, duration: Duration) {
+    let until = world.now + duration;
+    for other in (0..world.databases.len()).filter(|other| *other != database) {
+        let this = world::Endpoint::Database(database);
+        world
+            .cuts
+            .push((this, world::Endpoint::Database(other), until));
+    }
+}
+
+fn deafen_for(world: &mut world::World, database: usize, duration: Duration) {
+    let until = world.now + duration;
+    world.deafen(database, until);
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+// Guards against losing the commits of a new leader when an order that was answered with an error
+// promotes another database, which has begun to drain, seconds later.
+#[test]
+fn order_that_takes_effect_late_loses_no_commit() {
+    check_schedule(|world| {
+        world.orders_fail_until = Some(world.now + seconds(5.0));
+        world.replace_by_empty(0, seconds(2.5));
+        let limit = world.now + seconds(10.0);
+        while world.last_order.is_none() && world.now < limit {
+            world.step();
+        }
+        let ordered = world.last_order.expect("an order to promote a database");
+        deafen_for(world, ordered, seconds(9.0));
+        world.drain_for(ordered, false, seconds(9.0));
+        world.advance(seconds(1.6));
+        world.orders_fail_until = None;
+        world.advance(seconds(8.0));
+    });
+}
+
+// Guards against promoting a replica that received nothing lately, after the one with the last
+// commits has left, although the leader that is cut off has them.
+#[test]
+fn replica_that_received_nothing_does_not_succeed_after_the_other_one_left() {
+    check_schedule(|world| {
+        deafen_for(world, 1, seconds(15.0));
+        world.drain_for(2, false, seconds(4.0));
+        world.advance(seconds(3.8));
+        cut_off_from_databases(world, 0, seconds(5.0));
+        world.advance(seconds(5.0));
+    });
+}
+
+// Guards against promoting a database that joined without a log, as the only one that is
+// registered beside a leader that crashed and comes back.
+#[test]
+fn database_that_joined_empty_does_not_succeed_a_leader_that_comes_back() {
+    check_schedule(|world| {
+        world.drain_for(1, false, seconds(0.5));
+        world.drain_for(2, false, seconds(0.5));
+        world.advance(seconds(0.4));
+        cut_off_from_databases(world, 0, seconds(4.0));
+        world.join_empty_database();
+        deafen_for(world, 3, seconds(8.0));
+        world.advance(seconds(2.0));
+        world.crash_for(0, seconds(6.0));
+        world.advance(seconds(8.0));
+    });
+}
+
+// Guards against promoting a database that was fenced, whose registration expired and that
+// restarted without its log since.
+#[test]
+fn fenced_database_whose_registration_expired_is_asked_again() {
+    check_schedule(|world| {
+        deafen_for(world, 2, seconds(12.0));
+        world.advance(seconds(1.0));
+        world.replace_by_empty(0, seconds(20.0));
+        world.advance(seconds(1.4));
+        world.crash_empty_for(1, seconds(6.0));
+        world.advance(seconds(10.0));
+    });
+}
+
+// Guards against forgetting, when all VMs restart, a replica that crashed with the last commits.
+#[test]
+fn restarted_vms_wait_for_a_replica_that_they_never_knew() {
+    check_schedule(|world| {
+        deafen_for(world, 1, seconds(15.0));
+        world.advance(seconds(1.0));
+        world.crash_for(0, seconds(12.0));
+        world.crash_for(2, seconds(12.0));
+        for vm in 0..world.vms.len() {
+            world.kill_vm_for(vm, seconds(4.5));
+        }
+        world.advance(seconds(14.0));
+    });
+}
+
+// Guards against taking a replica that restarted without its log for one that never had the last
+// commits, if its registration had expired in between.
+#[test]
+fn replica_back_without_its_log_counts_as_a_lost_log() {
+    check_schedule(|world| {
+        deafen_for(world, 1, seconds(15.0));
+        world.advance(seconds(1.0));
+        cut_off_from_databases(world, 0, seconds(9.0));
+        world.crash_empty_for(2, seconds(5.0));
+        world.advance(seconds(9.0));
+    });
+}
+
+// Guards against promoting a draining replica that lacks known commits, while the databases that
+// have them are about to come back.
+#[test]
+fn draining_replica_without_the_last_commits_does_not_succeed() {
+    check_schedule(|world| {
+        deafen_for(world, 1, seconds(15.0));
+        world.advance(seconds(1.0));
+        world.drain_for(1, false, seconds(15.0));
+        world.crash_for(0, seconds(7.0));
+        world.crash_for(2, seconds(7.0));
+        world.advance(seconds(10.0));
+    });
+}
+
+// Guards against a service without a leader for good, after a draining leader stepped down and
+// left before a replica had received its whole log.
+#[test]
+fn service_is_led_again_after_a_draining_leader_left_with_its_last_commits() {
+    check_schedule(|world| {
+        deafen_for(world, 1, seconds(6.0));
+        deafen_for(world, 2, seconds(6.0));
+        world.advance(seconds(0.3));
+        world.drain_for(0, false, seconds(3.0));
+        world.advance(seconds(6.0));
+    });
+}
--- /dev/null
+++ b/crates/bluebellferry_promotion/tests/successions/suspicion.rs
@@ -0,0 +1,153 @@
+//! The holder of the promotion duty notices that a leader is to be replaced, like the `cause`
+//! module of the edge.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bluebellferry_promotion::suspect;
+use bluebellferry_types::position;
+
+use crate::decision;
+use crate::holder;
+use crate::losses;
+use crate::vm;
+use crate::world;
+
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(2_500);
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(500);
+const REPLICATION_TIMEOUT: Duration = Duration::from_millis(250);
+
+impl world::World {
+    fn is_responsible(&self, vm: usize) -> bool {
+        let now = self.now;
+        let state = self.vm(vm);
+        let running = now.saturating_duration_since(state.started_at);
+        if !state.is_store_reachable || state.table.revision == 0 || running < HOLDER_TIMEOUT {
+            return false;
+        }
+        let mut live = state.live_peers(now).filter(|peer| peer.is_store_reachable);
+        let holder = state.table.holder;
+        holder == vm || live.all(|peer| peer.from != holder && peer.from > vm)
+    }
+
+    pub(crate) fn watch_leader(&mut self, vm: usize) {
+        let now = self.now;
+        let state = self.vm(vm);
+        if !self.is_responsible(vm) || state.registered.is_empty() {
+            return;
+        }
+        let entry = &state.table.entry;
+        let leader = entry.leader;
+        let registration = state.registration_of(leader).copied();
+        if entry.is_being_replaced {
+            self.claim(vm, false, "continued");
+            return;
+        }
+        if registration.is_some_and(|registration| registration.is_draining) {
+            self.claim(vm, true, "leaving");
+            return;
+        }
+        if state.duty.cooldown_until.is_some_and(|until| now < until) {
+            return;
+        }
+        let is_suspected = registration.is_none()
+            || state.suspected(now).is_some()
+            || state
+                .live_peers(now)
+                .any(|peer| peer.suspected == Some(leader));
+        if !is_suspected {
+            return;
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MAX_ANSWER_AGE;
+        let has_answered_peer = |peer: &vm::Heartbeat| {
+            let is_of_leader = peer.confirmation.revision == state.table.revision;
+            is_of_leader
+                && peer
+                    .position
+                    .is_some_and(|(asked_at, _)| is_recent(asked_at))
+        };
+        let has_recent_answer = state.last_answered.is_some_and(is_recent)
+            || state.live_peers(now).any(has_answered_peer);
+        let known_end = losses::min_log_position(state);
+        let answer = match (registration, self.ask_now(vm, leader)) {
+            (None, _) => suspect::LeaderAnswer::Unregistered,
+            (_, None) => suspect::LeaderAnswer::Silent,
+            (_, Some(status)) if status.is_primary => suspect::LeaderAnswer::Leads(status.received),
+            (_, Some(_)) => suspect::LeaderAnswer::Follows,
+        };
+        match suspect::assess_answer(answer, known_end, has_recent_answer) {
+            suspect::LeaderVerdict::Lost => self.claim(vm, false, "lost"),
+            suspect::LeaderVerdict::AskReplicas => {
+                if let suspect::LeaderAnswer::Leads(leader_end) = answer {
+                    let until = now + REPLICATION_TIMEOUT;
+                    let step = holder::DutyStep::CheckingReplicas { leader_end, until };
+                    self.vm_mut(vm).duty.step = step;
+                }
+            }
+            suspect::LeaderVerdict::Keep => {}
+        }
+    }
+
+    pub(crate) fn is_isolated_from_replicas(
+        &mut self,
+        vm: usize,
+        leader_end: position::LogPosition,
+    ) -> bool {
+        let state = self.vm(vm);
+        let leader = state.table.entry.leader;
+        let registered: Vec<usize> = state
+            .registered
+            .iter()
+            .map(|entry| entry.database)
+            .collect();
+        let replicas = registered.into_iter().filter(|id| *id != leader);
+        let mut has_answer = false;
+        for replica in replicas {
+            if let Some(status) = self.ask_now(vm, replica) {
+                has_answer = true;
+                if status.received >= leader_end {
+                    return false;
+                }
+            }
+        }
+        has_answer
+    }
+
+    /// Asks a leader that an order may still promote whether it leads.
+    fn ask_whether_ordered_leads(&mut self, vm: usize) {
+        let state = self.vm(vm);
+        let leader = state.table.entry.leader;
+        let chosen = state.table.entry.log_end_when_chosen;
+        if !state.losses.may_still_promote(leader, self.now) {
+            return;
+        }
+        let status = self.ask_now(vm, leader);
+        let leads_later_term = status
+            .zip(chosen)
+            .is_some_and(|(status, chosen)| status.is_primary && status.term > chosen.term);
+        if leads_later_term {
+            self.vm_mut(vm).losses.record_leader(leader);
+        }
+    }
+
+    pub(crate) fn claim(&mut self, vm: usize, is_orderly: bool, cause: &str) {
+        self.ask_whether_ordered_leads(vm);
+        let now = self.now;
+        let state = self.vm_mut(vm);
+        let entry = vm::TableEntry {
+            is_being_replaced: true,
+            annex: losses::annex_of_claim(state),
+            ..state.table.entry.clone()
+        };
+        if !self.write_table(vm, entry) {
+            return;
+        }
+        self.note(|world| {
+            let leader = world.vm(vm).table.entry.leader;
+            format!("vm-{vm} replaces db-{leader} ({cause})")
+        });
+        let replacement = decision::Replacement::new(self.vm(vm), is_orderly, now);
+        self.vm_mut(vm).duty.replacement = Some(replacement);
+        self.fence(vm);
+    }
+}
