--- a/crates/bluebellferry_promotion/tests/successions/decision.rs
+++ b/crates/bluebellferry_promotion/tests/successions/decision.rs
@@ -115,7 +115,7 @@
             self.is_former_leader(entry.database) || !self.is_orderly || has_stepped_down
         });
         let order = |entry: vm::Registration| {
-            let evidence = self.evidence_of(entry, now);
+            let evidence = self.evidence_of(vm, entry, now);
             let term = self.term;
             let order = match successor::fence_order(&evidence, self.leader_term) {
                 successor::FenceOrder::StepDown => database::DatabaseOrder::StepDown { term },
@@ -232,7 +232,8 @@
     /// Updates when the leader was last known to be running with its log.
     fn observe_leader(&mut self, vm: &vm::SimulatedVm, now: Instant) {
         let end = self.fenced.get(&self.leader);
-        self.has_lost_log |= end.is_some_and(|end| Some(*end) < losses::required_end(vm));
+        self.has_lost_log |=
+            end.is_some_and(|end| Some(*end) < losses::required_end(vm).max(self.observed_end));
         if !self.has_never_led && !self.has_lost_log && vm.registration_of(self.leader).is_some() {
             self.last_sign_of_leader = now;
         }
@@ -338,7 +339,7 @@
                 Some(end) => {
                     successor::unregistered_database(&losses::name_of(entry.database), *end)
                 }
-                None => self.evidence_of(*entry, now),
+                None => self.evidence_of(vm, *entry, now),
             }
         });
         let mut databases: Vec<_> = evidence.collect();
@@ -351,18 +352,28 @@
         databases
     }
 
-    fn evidence_of(&self, entry: vm::Registration, now: Instant) -> successor::DatabaseEvidence {
+    fn evidence_of(
+        &self,
+        vm: &vm::SimulatedVm,
+        entry: vm::Registration,
+        now: Instant,
+    ) -> successor::DatabaseEvidence {
         let id = entry.database;
         let since_sign = now.saturating_duration_since(self.last_sign_of_leader);
         let may_come_back = since_sign < departure::LOST_LOG_RETENTION;
         let observed_end = self
             .observed_end
             .filter(|_| may_come_back && self.led_replaced_term(id));
+        let is_unverified = self.is_former_leader(id)
+            && self.observed_end.is_none()
+            && vm.may_have_missed_departures()
+            && losses::reported_end(vm, self.claim_revision, now).is_none()
+            && now.saturating_duration_since(self.claimed_at) < departure::LOST_LOG_RETENTION;
         successor::DatabaseEvidence {
             id: losses::name_of(id),
             is_leader: self.is_former_leader(id),
             is_draining: entry.is_draining,
-            fenced_position: self.fenced.get(&id).copied(),
+            fenced_position: self.fenced.get(&id).copied().filter(|_| !is_unverified),
             reported_leadership: self.reported_leaders.get(&id).copied(),
             earlier_position: observed_end.max(self.lost_log_end(id, now)),
         }
