--- a/crates/bluebellferry_edge/tests/successors.rs
+++ b/crates/bluebellferry_edge/tests/successors.rs
@@ -439,3 +439,25 @@
     restarted.kill().ok();
     restarted.wait().ok();
 }
+
+/// Guards against a service that stays without a leader: a draining leader had stepped down with a
+/// commit that no replica had, and stayed registered.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_is_led_although_a_draining_leader_stepped_down_with_a_commit_of_its_own() {
+    let deployment = start(2).await;
+    let writers = ConcurrentWriters::start(&deployment, 0);
+    writers.wait_for_writes().await;
+    let group = &deployment.group;
+    report_draining(&deployment, "i-a");
+    group.set_replication_blocked(1, true);
+    group.set_replication_blocked(2, true);
+    let steps_down = || {
+        let lines = group.received_lines();
+        lines.iter().any(|line| line.contains("STEPDOWN"))
+    };
+    wait_until("the leader is ordered to step down", steps_down).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    group.set_replication_blocked(1, false);
+    group.set_replication_blocked(2, false);
+    writers.assert_all_kept().await;
+}
