Learn from other VMs that a leader has led

Change: replacement reports tell whether the sender saw the leader leading; then the order has taken effect.

Shown by: leader_that_another_vm_saw_leading_has_led.

--- a/crates/bluebellferry_edge/src/control/replacement.rs
+++ b/crates/bluebellferry_edge/src/control/replacement.rs
@@ -303,6 +303,7 @@
 ) -> bool {
     loop {
         control.borrow_mut().cover_departures();
+        fence::observe_reports(control, &mut replacement);
         fence::observe_leader(control, &mut replacement);
         fence::give_up_departed_leader(control, &mut replacement);
         fence::fence_databases(control, &mut replacement).await;
--- a/crates/bluebellferry_edge/src/control/replacement/fence.rs
+++ b/crates/bluebellferry_edge/src/control/replacement/fence.rs
@@ -569,6 +569,22 @@
     }
 }
 
+/// Treats a leader as one that has led once another VM has reported that it saw it leading.
+pub(super) fn observe_reports(control: &control::ControlCell, replacement: &mut LeaderReplacement) {
+    let mut control = control.borrow_mut();
+    let service = &replacement.service;
+    if replacement.has_never_led
+        && control.is_reported_leading(service, replacement.claim_revision, clock::now())
+    {
+        control.record_ordered_leader(service, &replacement.leader);
+        replacement.has_never_led = false;
+        replacement.leader_term += 1;
+        replacement.term = replacement.term.max(replacement.leader_term + 1);
+        // It was ordered to stop receiving, not to step down.
+        replacement.fenced_positions.remove(&replacement.leader);
+    }
+}
+
 /// Updates when the leader was last known to be running. One that has lost its log does not count.
 pub(super) fn observe_leader(control: &control::ControlCell, replacement: &mut LeaderReplacement) {
     let control = control.borrow();
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -214,6 +214,26 @@
         has_witness.then_some(end)
     }
 
+    /// Returns whether a live VM has reported that it saw the leader of a service leading.
+    pub fn is_reported_leading(
+        &self,
+        service: &name::ServiceName,
+        claim_revision: u64,
+        now: Instant,
+    ) -> bool {
+        self.live_peers(now).any(|(name, record)| {
+            let report = self.replacement_reports.get(name);
+            report.is_some_and(|(incarnation, report, _)| {
+                let is_current =
+                    *incarnation == record.incarnation && report.table_revision >= claim_revision;
+                let mut services = report.services.iter();
+                is_current
+                    && services
+                        .any(|reported| reported.service == *service && reported.has_seen_leader)
+            })
+        })
+    }
+
     /// Returns the end of the last commit of a service that this VM acknowledged, or that another
     /// live VM has reported.
     pub fn known_acknowledged_end(
@@ -243,6 +263,7 @@
                 service: service.clone(),
                 acknowledged_end: self.own_acknowledged_end(service),
                 may_have_missed_departures: self.may_have_missed_departures(service),
+                has_seen_leader: self.was_seen_leading(service),
             })
             .collect();
         let is_needed = !services.is_empty() && self.topology.is_full_mesh();
--- a/crates/bluebellferry_edge/tests/lost_logs.rs
+++ b/crates/bluebellferry_edge/tests/lost_logs.rs
@@ -150,6 +150,7 @@
             service: service(),
             acknowledged_end: Some(acknowledged_end),
             may_have_missed_departures: false,
+            has_seen_leader: true,
         }],
     }
 }
@@ -298,3 +299,18 @@
     let end = control.shared.acknowledged_end(&service(), &later);
     assert_eq!(end, reported);
 }
+
+// Guards against lost commits: a VM that had just started took the leader for one that was never
+// promoted, and waited for its order while the database with the last commits left.
+#[test]
+fn leader_that_another_vm_saw_leading_has_led() {
+    let mut control = control();
+    claim(&mut control);
+    let now = clock::now();
+    acknowledge(&mut control, 12, now);
+    assert!(!control.was_seen_leading(&service()));
+    assert!(!control.is_reported_leading(&service(), 12, now));
+    control.record_replacement_report(7, report(12, position(3, 17)), now);
+    assert!(control.is_reported_leading(&service(), 12, now));
+    assert!(!control.is_reported_leading(&service(), 13, now));
+}
--- a/crates/bluebellferry_membership/src/heartbeat.rs
+++ b/crates/bluebellferry_membership/src/heartbeat.rs
@@ -61,6 +61,8 @@
     pub acknowledged_end: Option<position::LogPosition>,
     /// Whether databases may have left before the sender's process learned which are registered.
     pub may_have_missed_departures: bool,
+    /// Whether the sender's process has seen the leader leading since it was chosen.
+    pub has_seen_leader: bool,
 }
 
 /// What a VM acknowledged to callers before it learned of the replacements under way. Sent beside
