--- a/crates/bluebellferry_catalog/src/leadership.rs
+++ b/crates/bluebellferry_catalog/src/leadership.rs
@@ -32,10 +32,6 @@
     pub number: u64,
     /// How many orders for the database, this one included, may not have taken effect yet.
     pub unsettled: u32,
-    /// When the order was recorded, in milliseconds since the Unix epoch by the clock of the VM that
-    /// sent it.
-    #[serde(default)]
-    pub sent_unix_ms: u64,
 }
 
 /// The leader of a service.
--- a/crates/bluebellferry_edge/src/control/state/lost_logs.rs
+++ b/crates/bluebellferry_edge/src/control/state/lost_logs.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bluebellferry_catalog::database;
 use bluebellferry_catalog::leadership;
@@ -332,7 +330,7 @@
             };
             let watch = self.order_watches.get(service);
             if watch.is_none_or(|watch| watch.order() != recorded) {
-                let watch = order::OrderWatch::new(recorded.clone(), now, unix_ms());
+                let watch = order::OrderWatch::new(recorded.clone(), now);
                 self.order_watches.insert(service.clone(), watch);
             }
         }
@@ -368,7 +366,7 @@
         id: &name::DatabaseName,
         now: Instant,
     ) -> leadership::PromotionOrder {
-        order::next_order(self.order_watches.get(service), id, now, unix_ms())
+        order::next_order(self.order_watches.get(service), id, now)
     }
 }
 
@@ -383,9 +381,3 @@
         _ => position,
     }
 }
-
-/// Returns the time of day in milliseconds since the Unix epoch.
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since_epoch| since_epoch.as_millis() as u64)
-}
--- a/crates/bluebellferry_promotion/src/order.rs
+++ b/crates/bluebellferry_promotion/src/order.rs
@@ -13,9 +13,6 @@
 /// How long after it was sent an order may still take effect.
 pub const ORDER_EFFECT_LIMIT: Duration = Duration::from_secs(10);
 
-/// The maximum difference between the clocks of two VMs. Clocks may jump by seconds.
-const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(10);
-
 /// What a VM knows of the latest order for a service.
 #[derive(Debug, Clone)]
 pub struct OrderWatch {
@@ -27,18 +24,11 @@
 }
 
 impl OrderWatch {
-    /// Creates the watch of an order that this VM learned of at `now`, which is `now_unix_ms` by its
-    /// clock, in milliseconds since the Unix epoch.
-    ///
-    /// Clocks of VMs may differ, so only an order that is much older than [`ORDER_EFFECT_LIMIT`]
-    /// counts as settled at once.
-    pub fn new(order: leadership::PromotionOrder, now: Instant, now_unix_ms: u64) -> Self {
-        let age = Duration::from_millis(now_unix_ms.saturating_sub(order.sent_unix_ms));
-        let is_settled = age >= ORDER_EFFECT_LIMIT + MAX_CLOCK_DIFFERENCE;
-        let settled_since = now.checked_sub(ORDER_EFFECT_LIMIT);
+    /// Creates the watch of an order that this VM learned of at `now`.
+    pub const fn new(order: leadership::PromotionOrder, now: Instant) -> Self {
         Self {
             order,
-            learned_at: settled_since.filter(|_| is_settled).unwrap_or(now),
+            learned_at: now,
             has_led_since: false,
             is_void: false,
         }
@@ -80,14 +70,12 @@
         &self,
         database: &name::DatabaseName,
         now: Instant,
-        now_unix_ms: u64,
     ) -> leadership::PromotionOrder {
         let is_repeated = self.outstanding(now) == Some(database);
         leadership::PromotionOrder {
             database: database.clone(),
             number: self.order.number + 1,
             unsettled: if is_repeated { self.unsettled() + 1 } else { 1 },
-            sent_unix_ms: now_unix_ms,
         }
     }
 }
@@ -97,15 +85,13 @@
     watch: Option<&OrderWatch>,
     database: &name::DatabaseName,
     now: Instant,
-    now_unix_ms: u64,
 ) -> leadership::PromotionOrder {
     watch.map_or_else(
         || leadership::PromotionOrder {
             database: database.clone(),
             number: 1,
             unsettled: 1,
-            sent_unix_ms: now_unix_ms,
         },
-        |watch| watch.next_order(database, now, now_unix_ms),
+        |watch| watch.next_order(database, now),
     )
 }
