Log and count the setup of database connections

Added, without a change of logic: - bluebellferry_prepared_statements_total{template}: whether callers' templates have one word or several; - bluebellferry_setup_steps_total{step,result}, and a line "a database refused a setup step"; - a sample of "preparing a statement on a connection", with the name, the template and the connection's number; - the connection's number in the lines about served reads and unanswered statements.

--- a/crates/bluebellferry_edge/src/traffic.rs
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -40,6 +40,8 @@
     pub statement_log_limiter: log_limiter::LogRateLimiter,
     /// Limits the log lines about served reads.
     pub read_log_limiter: log_limiter::LogRateLimiter,
+    /// Limits the log lines about prepared statements.
+    pub prepare_log_limiter: log_limiter::LogRateLimiter,
 }
 
 impl TrafficContext {
@@ -52,7 +54,8 @@
             metrics,
             connected_callers: Cell::new(0),
             statement_log_limiter: log_limiter::LogRateLimiter::new(clock::now()),
-            read_log_limiter: log_limiter::LogRateLimiter::for_reads(clock::now()),
+            read_log_limiter: log_limiter::LogRateLimiter::for_samples(clock::now()),
+            prepare_log_limiter: log_limiter::LogRateLimiter::for_samples(clock::now()),
         }
     }
 }
--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -31,9 +31,17 @@
     /// No answer arrived before the deadline.
     #[error("no answer came in time")]
     TimedOut,
-    /// The answer is malformed, or a setup step before the statement failed.
+    /// The answer is malformed.
     #[error("the answer cannot be decoded")]
     Malformed,
+    /// The database refused a setup step that was sent before the statement.
+    #[error("the database refused setup step {step} of the connection")]
+    SetupRefused {
+        /// The index of the first refused step.
+        step: usize,
+        /// The error with which the database refused it.
+        error: database::DatabaseError,
+    },
 }
 
 /// The reason why a connection could not be opened.
@@ -58,6 +66,8 @@
 pub struct DatabaseConnection {
     /// The index of the database in the connection pool.
     pub database: pool::DatabaseIndex,
+    /// The number of the connection in logs, unique in the process.
+    pub number: u64,
     /// The workspace that uses the connection.
     pub workspace: name::WorkspaceName,
     /// The settings and prepared statements that the connection has at the database.
@@ -77,6 +87,7 @@
         index: pool::DatabaseIndex,
         entry: &catalog::DatabaseEntry,
         workspace: &name::WorkspaceName,
+        number: u64,
     ) -> Result<Self, OpenError> {
         let deadline = clock::now() + OPEN_TIMEOUT;
         let stream = http::connect(entry.address, CONNECT_TIMEOUT)
@@ -84,6 +95,7 @@
             .map_err(|_| OpenError::Unreachable)?;
         let mut connection = Self {
             database: index,
+            number,
             workspace: workspace.clone(),
             state: connection_state::ConnectionState::default(),
             transaction_status: state::TransactionStatus::Idle,
@@ -150,7 +162,7 @@
     ) -> Result<database::DatabaseAnswer, ExchangeError> {
         let mut collector = database::AnswerCollector::default();
         let mut remaining = count;
-        let mut has_setup_failed = false;
+        let mut setup_error = None;
         loop {
             let line = self.next_line(deadline).await?;
             let result = collector.add_line(line);
@@ -160,12 +172,12 @@
             self.transaction_status = answer.transaction_status;
             remaining = remaining.saturating_sub(1);
             if remaining == 0 {
-                if has_setup_failed {
-                    return Err(ExchangeError::Malformed);
-                }
-                return Ok(answer);
+                return setup_error.map_or(Ok(answer), Err);
             }
-            has_setup_failed |= answer.error.is_some();
+            let step = count - remaining - 1;
+            let error = answer.error;
+            setup_error = setup_error
+                .or_else(|| error.map(|error| ExchangeError::SetupRefused { step, error }));
         }
     }
 
@@ -192,6 +204,8 @@
 fn startup_error(error: ExchangeError) -> OpenError {
     match error {
         ExchangeError::Closed => OpenError::ConnectionLimit,
-        ExchangeError::TimedOut | ExchangeError::Malformed => OpenError::Unreachable,
+        ExchangeError::TimedOut | ExchangeError::Malformed | ExchangeError::SetupRefused { .. } => {
+            OpenError::Unreachable
+        }
     }
 }
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -5,6 +5,7 @@
 mod preparation;
 mod ranking;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -116,6 +117,8 @@
     shared: Arc<shared::EdgeShared>,
     metrics: metrics::TrafficMetrics,
     state: RefCell<DispatchState>,
+    /// The number of the last connection that was opened.
+    last_connection_number: Cell<u64>,
 }
 
 /// The result of one attempt to acquire a connection.
@@ -136,6 +139,7 @@
             shared,
             metrics,
             state: RefCell::default(),
+            last_connection_number: Cell::default(),
         }
     }
 
@@ -406,7 +410,9 @@
             } = opening;
             drop(evicted);
             let entry = dispatcher.registry_entry(database);
-            match PoolConnection::open(database, &entry, &workspace).await {
+            let number = dispatcher.last_connection_number.get() + 1;
+            dispatcher.last_connection_number.set(number);
+            match PoolConnection::open(database, &entry, &workspace, number).await {
                 Ok(connection) => dispatcher.finish_open(connection),
                 Err(error) => dispatcher.fail_open(database, &workspace, error),
             }
--- a/crates/bluebellferry_edge/src/traffic/log_limiter.rs
+++ b/crates/bluebellferry_edge/src/traffic/log_limiter.rs
@@ -7,9 +7,9 @@
 /// The maximum number of log lines per second about refused and retried statements. At about
 /// 400 bytes a line this is 16 KB per second, and well under 1 % of a quarter of a core.
 const LINES_PER_SECOND: u32 = 40;
-/// The maximum number of log lines per second about served reads. A sample is enough, since the
-/// reads of a service require the same positions.
-const READ_LINES_PER_SECOND: u32 = 4;
+/// The maximum number of log lines per second about one kind of routine event, such as served
+/// reads, of which a sample is enough.
+const SAMPLES_PER_SECOND: u32 = 4;
 /// The length of the window in which lines are counted.
 const COUNTING_WINDOW: Duration = Duration::from_secs(1);
 
@@ -28,9 +28,9 @@
         Self::with_limit(LINES_PER_SECOND, now)
     }
 
-    /// Creates a limiter for a sample of the served reads.
-    pub fn for_reads(now: Instant) -> Self {
-        Self::with_limit(READ_LINES_PER_SECOND, now)
+    /// Creates a limiter for a sample of the lines about a routine event.
+    pub fn for_samples(now: Instant) -> Self {
+        Self::with_limit(SAMPLES_PER_SECOND, now)
     }
 
     fn with_limit(limit: u32, now: Instant) -> Self {
--- a/crates/bluebellferry_edge/src/traffic/metrics.rs
+++ b/crates/bluebellferry_edge/src/traffic/metrics.rs
@@ -16,6 +16,8 @@
     retries: prometheus::IntCounterVec,
     connections: prometheus::IntCounterVec,
     paced: prometheus::IntCounterVec,
+    prepared: prometheus::IntCounterVec,
+    setup_steps: prometheus::IntCounterVec,
     handed_over: prometheus::IntCounter,
     latency: prometheus::HistogramVec,
 }
@@ -26,10 +28,11 @@
     /// # Errors
     /// Returns an error if a metric name is already registered.
     pub fn new(registry: &prometheus::Registry) -> Result<Self, prometheus::Error> {
-        let counter = |name: &str, help: &str, label: &str| {
+        let labelled_counter = |name: &str, help: &str, labels: &[&str]| {
             let options = prometheus::Opts::new(name, help);
-            prometheus::IntCounterVec::new(options, &[label])
+            prometheus::IntCounterVec::new(options, labels)
         };
+        let counter = |name: &str, help: &str, label: &str| labelled_counter(name, help, &[label]);
         let latency = prometheus::HistogramOpts::new(
             "bluebellferry_statement_seconds",
             "Time from a statement's arrival to its answer.",
@@ -61,6 +64,16 @@
                 "Statements for databases that may be cold, by result.",
                 "result",
             )?,
+            prepared: counter(
+                "bluebellferry_prepared_statements_total",
+                "Statements that callers prepared, by the form of their templates.",
+                "template",
+            )?,
+            setup_steps: labelled_counter(
+                "bluebellferry_setup_steps_total",
+                "Statements that bring a connection into the state of a session, by result.",
+                &["step", "result"],
+            )?,
             handed_over: prometheus::IntCounter::new(
                 "bluebellferry_sessions_handed_over_total",
                 "Idle sessions closed while this VM was cut off from the other VMs.",
@@ -72,6 +85,8 @@
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
         registry.register(Box::new(metrics.paced.clone()))?;
+        registry.register(Box::new(metrics.prepared.clone()))?;
+        registry.register(Box::new(metrics.setup_steps.clone()))?;
         registry.register(Box::new(metrics.handed_over.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         Ok(metrics)
@@ -100,6 +115,21 @@
         self.paced.with_label_values(&[result]).inc();
     }
 
+    /// Counts a statement that a caller prepared.
+    pub fn count_prepared(&self, template: &str) {
+        let form = if template.contains(' ') {
+            "several_words"
+        } else {
+            "one_word"
+        };
+        self.prepared.with_label_values(&[form]).inc();
+    }
+
+    /// Counts a setup step of a connection, by its result.
+    pub fn count_setup_step(&self, step: &'static str, result: &'static str) {
+        self.setup_steps.with_label_values(&[step, result]).inc();
+    }
+
     /// Counts a session that was closed so that its caller connects to another VM.
     pub fn count_handed_over(&self) {
         self.handed_over.inc();
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -107,6 +107,9 @@
         let plan = match self.state.plan_statement(statement) {
             state::StatementPlan::Answer(answer) => {
                 self.release_ended_transaction();
+                if let statement::StatementAction::Prepare { template, .. } = &statement.action {
+                    self.context.metrics.count_prepared(template);
+                }
                 return match answer {
                     state::LocalAnswer::Done => Ok(None),
                     state::LocalAnswer::Refused(refusal) => Err(refusal),
@@ -671,8 +674,11 @@
             database::encode_setup(&mut out, step);
         }
         encode(&mut out);
+        self.log_prepared_sample(connection, &steps);
         connection.send(&out).await?;
-        connection.receive_answers(steps.len() + 1, deadline).await
+        let result = connection.receive_answers(steps.len() + 1, deadline).await;
+        self.record_setup(connection, &steps, result.as_ref().err().copied());
+        result
     }
 
     fn placement_request(&self, scope: &StatementScope) -> dispatch::PlacementRequest {
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -7,6 +7,7 @@
 use bluebellferry_platform::database;
 use bluebellferry_routing::history;
 use bluebellferry_runtime::clock;
+use bluebellferry_session::connection_state;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
 use bluebellferry_types::position;
@@ -22,6 +23,9 @@
 /// leader may not have been promoted yet.
 const READ_ONLY_RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// The maximum number of characters of a template in a log line.
+const MAX_LOGGED_CHARACTERS: usize = 60;
+
 /// When a statement was sent, and whether it was sent to a leader with a valid lease.
 #[derive(Debug, Clone)]
 pub(super) struct SendRecord {
@@ -144,6 +148,7 @@
         });
         log::info!(
             id = id, route = self.identity.route.as_str(), database = entry.id.as_str(),
+            connection = connection.number,
             since = text(min_position).as_str(), session_floor = text(self.state.floor()).as_str(),
             latest_known = text(latest.map(|(_, position)| position)).as_str(),
             latest_known_age_ms = latest_age;
@@ -151,6 +156,64 @@
         );
     }
 
+    /// Logs a sample of the statements that are prepared on connections, so that the name under
+    /// which a statement ran can be traced to its template.
+    pub(super) fn log_prepared_sample(
+        &self,
+        connection: &dispatch::PoolConnection,
+        steps: &[connection_state::SetupStep],
+    ) {
+        for step in steps {
+            if let connection_state::SetupStep::Prepare(query) = step
+                && self.context.prepare_log_limiter.may_log(clock::now())
+            {
+                let entry = self.context.dispatcher.registry_entry(connection.database);
+                let template: String = query.template.chars().take(MAX_LOGGED_CHARACTERS).collect();
+                log::info!(
+                    database = entry.id.as_str(), connection = connection.number,
+                    name = query.shared_name().as_str(), template = template.as_str(),
+                    template_bytes = query.template.len();
+                    "preparing a statement on a connection"
+                );
+            }
+        }
+    }
+
+    /// Counts the setup steps of a connection, and logs the first one that the database refused.
+    pub(super) fn record_setup(
+        &self,
+        connection: &dispatch::PoolConnection,
+        steps: &[connection_state::SetupStep],
+        error: Option<connection::ExchangeError>,
+    ) {
+        let refused = match error {
+            Some(connection::ExchangeError::SetupRefused { step, error }) => Some((step, error)),
+            Some(_) => return,
+            None => None,
+        };
+        for (index, step) in steps.iter().enumerate() {
+            let is_refused = refused.is_some_and(|(refused, _)| refused == index);
+            let result = if is_refused {
+                "refused"
+            } else {
+                "acknowledged"
+            };
+            self.context
+                .metrics
+                .count_setup_step(step.kind_label(), result);
+        }
+        if let Some((index, error)) = refused
+            && self.context.statement_log_limiter.may_log(clock::now())
+        {
+            let entry = self.context.dispatcher.registry_entry(connection.database);
+            log::info!(
+                database = entry.id.as_str(), connection = connection.number,
+                step = steps[index].kind_label(), error = error.as_str();
+                "a database refused a setup step"
+            );
+        }
+    }
+
     /// Excludes a database that answered a statement with an error from further attempts at the
     /// statement. A replica that lags is also avoided for a while. After `ReadOnly`, waits and
     /// allows all databases again, since the leader may have been promoted by then.
@@ -250,12 +313,17 @@
         self.context.metrics.count_retry("connection_lost");
         if self.context.statement_log_limiter.may_log(clock::now()) {
             log::info!(
-                id = id, database = dispatcher.registry_entry(database).id.as_str(), error:% = error,
+                id = id, database = dispatcher.registry_entry(database).id.as_str(),
+                connection = connection.number, error:% = error,
                 is_commit = is_commit;
                 "no answer from a database"
             );
         }
-        if error != connection::ExchangeError::Malformed {
+        let is_answered = matches!(
+            error,
+            connection::ExchangeError::Malformed | connection::ExchangeError::SetupRefused { .. }
+        );
+        if !is_answered {
             dispatcher.record_unresponsive(database);
             let kind = if is_commit {
                 shared::EvidenceKind::CommitUnanswered
--- a/crates/bluebellferry_session/src/connection_state.rs
+++ b/crates/bluebellferry_session/src/connection_state.rs
@@ -28,6 +28,17 @@
     Prepare(statement::PreparedQuery),
 }
 
+impl SetupStep {
+    /// Returns the name of the step's kind in logs and metrics.
+    pub const fn kind_label(&self) -> &'static str {
+        match self {
+            Self::Reset => "reset",
+            Self::Set { .. } => "set",
+            Self::Prepare(_) => "prepare",
+        }
+    }
+}
+
 /// The steps that must run on a connection before a caller's statement.
 pub type SetupSteps = SmallVec<[SetupStep; 2]>;
 
