Number the prepared statements of a connection, and write messages from checked fields

Callers saw MALFORMED, or INDOUBT for a write, for prepared statements whose template has several words, and some got the result of another shape.

Cause: the name of a prepared statement on database connections was made of its template. A template is the last field of PREPARE and may contain spaces; a name is a field with others behind it and may not. Every message was put together by format!, which checks nothing.

Now a connection numbers what is prepared on it and never uses a number twice, so that names depend neither on templates nor on callers' names: no two can meet, whatever their length. A statement keeps what it prepared, and gets its name from the connection on which it runs. Messages are written field by field: a word cannot contain a space, the last field no line break, and a message that would be too long is not sent. EXECUTE without arguments is passed on without a space at its end; SET without a value is refused; DEALLOC takes the rest of the line as its name. A session holds 4 MiB of values and templates at most, a connection is reset at 256 KiB of templates.

--- a/crates/bluebellferry_edge/src/control/orders.rs
+++ b/crates/bluebellferry_edge/src/control/orders.rs
@@ -142,7 +142,6 @@
 
 fn encode_startup(entry: &catalog::DatabaseEntry, workspace: &name::WorkspaceName) -> String {
     let mut out = String::new();
-    let (service, id) = (entry.service.as_str(), entry.id.as_str());
-    database::encode_startup(&mut out, service, workspace.as_str(), id);
+    database::encode_startup(&mut out, &entry.service, workspace, &entry.id);
     out
 }
--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -31,6 +31,9 @@
     /// No answer arrived before the deadline.
     #[error("no answer came in time")]
     TimedOut,
+    /// The statement cannot be sent as one message. Nothing was sent.
+    #[error("the statement cannot be sent as one message")]
+    NotSendable,
     /// The answer is malformed.
     #[error("the answer cannot be decoded")]
     Malformed,
@@ -103,8 +106,7 @@
             decoder: line::LineDecoder::default(),
         };
         let mut text = String::new();
-        let (service, id) = (entry.service.as_str(), entry.id.as_str());
-        database::encode_startup(&mut text, service, workspace.as_str(), id);
+        database::encode_startup(&mut text, &entry.service, workspace, &entry.id);
         connection.send(&text).await.map_err(startup_error)?;
         let line = connection
             .next_line(deadline)
@@ -204,8 +206,9 @@
 fn startup_error(error: ExchangeError) -> OpenError {
     match error {
         ExchangeError::Closed => OpenError::ConnectionLimit,
-        ExchangeError::TimedOut | ExchangeError::Malformed | ExchangeError::SetupRefused { .. } => {
-            OpenError::Unreachable
-        }
+        ExchangeError::TimedOut
+        | ExchangeError::NotSendable
+        | ExchangeError::Malformed
+        | ExchangeError::SetupRefused { .. } => OpenError::Unreachable,
     }
 }
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -256,9 +256,7 @@
         }
         let sent = self.record_send(&connection);
         let result = self
-            .send_and_receive(&mut connection, plan, scope.deadline, |out| {
-                database::encode_statement(out, &statement.id, &plan.text);
-            })
+            .send_and_receive(&mut connection, &statement.id, plan, None, scope.deadline)
             .await;
         match result {
             Ok(answer) => {
@@ -385,19 +383,10 @@
         scope: &StatementScope,
     ) -> Result<Option<database::DatabaseError>, connection::ExchangeError> {
         let text = database::begin_transaction_text(opening.read_only);
+        let text = database::SentText::Verbatim(text);
         let mut out = String::new();
-        match min_position {
-            Some(min_position) => {
-                database::encode_read_with_min_position(
-                    &mut out,
-                    &opening.begin_id,
-                    min_position,
-                    text,
-                );
-            }
-
-            None => database::encode_statement(&mut out, &opening.begin_id, text),
-        }
+        database::encode_statement(&mut out, &opening.begin_id, min_position, text)
+            .map_err(|_| connection::ExchangeError::NotSendable)?;
         let response_deadline = clock::now()
             + self
                 .context
@@ -461,19 +450,10 @@
         let result = self
             .send_and_receive(
                 &mut connection,
+                &statement.id,
                 plan,
+                min_position,
                 scope.deadline.min(response_deadline),
-                |out| match min_position {
-                    Some(min_position) => {
-                        database::encode_read_with_min_position(
-                            out,
-                            &statement.id,
-                            min_position,
-                            &plan.text,
-                        );
-                    }
-                    None => database::encode_statement(out, &statement.id, &plan.text),
-                },
             )
             .await;
         let answer = match result {
@@ -523,9 +503,7 @@
     ) -> AttemptOutcome {
         let sent = self.record_send(&connection);
         let result = self
-            .send_and_receive(&mut connection, plan, scope.deadline, |out| {
-                database::encode_statement(out, &statement.id, &plan.text);
-            })
+            .send_and_receive(&mut connection, &statement.id, plan, None, scope.deadline)
             .await;
         let answer = match result {
             Ok(answer) => answer,
@@ -662,18 +640,32 @@
     async fn send_and_receive(
         &self,
         connection: &mut dispatch::PoolConnection,
+        id: &str,
         plan: &state::RunPlan,
+        min_position: Option<position::LogPosition>,
         deadline: Instant,
-        encode: impl FnOnce(&mut String),
     ) -> Result<database::DatabaseAnswer, connection::ExchangeError> {
+        let not_sendable = |_| connection::ExchangeError::NotSendable;
+        let query = plan.text.prepared_query();
         let steps = connection
             .state
-            .plan_setup(self.state.settings(), plan.prepared.as_ref());
+            .plan_setup(self.state.settings(), query, true);
         let mut out = String::new();
         for step in &steps {
-            database::encode_setup(&mut out, step);
+            connection.state.record_acknowledged(step);
+            database::encode_setup(&mut out, step).map_err(not_sendable)?;
         }
-        encode(&mut out);
+        let text = match &plan.text {
+            statement::StatementText::Verbatim(text) => database::SentText::Verbatim(text),
+            statement::StatementText::Execute { query, arguments } => {
+                let name = connection.state.prepared_name(query);
+                database::SentText::Execute {
+                    name: name.ok_or(connection::ExchangeError::NotSendable)?,
+                    arguments: arguments.as_deref(),
+                }
+            }
+        };
+        database::encode_statement(&mut out, id, min_position, text).map_err(not_sendable)?;
         self.log_prepared_sample(connection, &steps);
         connection.send(&out).await?;
         let result = connection.receive_answers(steps.len() + 1, deadline).await;
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -164,14 +164,14 @@
         steps: &[connection_state::SetupStep],
     ) {
         for step in steps {
-            if let connection_state::SetupStep::Prepare(query) = step
+            if let connection_state::SetupStep::Prepare { name, query } = step
                 && self.context.prepare_log_limiter.may_log(clock::now())
             {
                 let entry = self.context.dispatcher.registry_entry(connection.database);
                 let template: String = query.template.chars().take(MAX_LOGGED_CHARACTERS).collect();
                 log::info!(
                     database = entry.id.as_str(), connection = connection.number,
-                    name = query.shared_name().as_str(), template = template.as_str(),
+                    name = name.to_string().as_str(), template = template.as_str(),
                     template_bytes = query.template.len();
                     "preparing a statement on a connection"
                 );
--- a/crates/bluebellferry_edge/tests/prepared_statements.rs
+++ b/crates/bluebellferry_edge/tests/prepared_statements.rs
@@ -152,8 +152,11 @@
         if is_malformed != malformed.contains(&text) {
             differences.push(format!("{text:?} was answered with {answer:?}"));
         }
-        let text = text.replacen("EXECUTE s1", "EXECUTE READ q7 READ q7", 1);
-        expected.push(text.replacen("EXECUTE s2", "EXECUTE WRITE  q7 ", 1));
+        let first = text.strip_prefix("EXECUTE s1");
+        let first = first.map(|arguments| format!("EXECUTE READ q7 READ q7{arguments}"));
+        let second = text.strip_prefix("EXECUTE s2");
+        let second = second.map(|arguments| format!("EXECUTE WRITE  q7 {arguments}"));
+        expected.push(first.or(second).unwrap_or_else(|| text.to_owned()));
     }
     let lines = deployment.group.received_lines_by_connection();
     let received = received::statements(&lines).into_iter();
--- a/crates/bluebellferry_session/src/connection_state.rs
+++ b/crates/bluebellferry_session/src/connection_state.rs
@@ -2,15 +2,17 @@
 //! caller's session.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use smallvec::SmallVec;
 
 use crate::statement;
 
-/// The maximum number of prepared statements on one connection. The connection is reset at
-/// this number, to bound its memory at the database.
-const MAX_PREPARED_STATEMENTS: usize = 64;
+/// The number of prepared statements on one connection at which it is reset before the next one, to
+/// bound its memory here and at the database.
+pub const MAX_PREPARED_STATEMENTS: usize = 64;
+/// The total length of the templates prepared on one connection at which it is reset before the
+/// next one, in bytes.
+pub const MAX_PREPARED_BYTES: usize = 256 << 10;
 
 /// A statement that changes the session state of a connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,8 +26,13 @@
         /// The value of the setting.
         value: String,
     },
-    /// Prepares a statement under the name that all sessions share.
-    Prepare(statement::PreparedQuery),
+    /// Prepares a statement.
+    Prepare {
+        /// The name of the prepared statement on this connection.
+        name: statement::PreparedName,
+        /// What the prepared statement runs.
+        query: statement::PreparedQuery,
+    },
 }
 
 impl SetupStep {
@@ -34,7 +41,7 @@
         match self {
             Self::Reset => "reset",
             Self::Set { .. } => "set",
-            Self::Prepare(_) => "prepare",
+            Self::Prepare { .. } => "prepare",
         }
     }
 }
@@ -42,36 +49,65 @@
 /// The steps that must run on a connection before a caller's statement.
 pub type SetupSteps = SmallVec<[SetupStep; 2]>;
 
-/// The session settings and prepared statements of a database connection.
+/// The session settings and prepared statements that a database has acknowledged.
 #[derive(Debug, Clone, Default)]
-pub struct ConnectionState {
+struct AcknowledgedState {
     settings: BTreeMap<String, String>,
-    prepared: BTreeSet<statement::PreparedQuery>,
+    prepared: BTreeMap<statement::PreparedQuery, statement::PreparedName>,
+}
+
+impl AcknowledgedState {
+    fn is_full(&self) -> bool {
+        let templates = self.prepared.keys().map(|query| query.template.len());
+        self.prepared.len() >= MAX_PREPARED_STATEMENTS
+            || templates.sum::<usize>() >= MAX_PREPARED_BYTES
+    }
+}
+
+/// The session settings and prepared statements of a database connection.
+#[derive(Debug, Clone)]
+pub struct ConnectionState {
+    /// `None` while it is not known what the connection has.
+    acknowledged: Option<AcknowledgedState>,
+    /// The number of the last prepared statement. Numbers are not used again after a reset.
+    last_number: u64,
+}
+
+impl Default for ConnectionState {
+    fn default() -> Self {
+        Self {
+            acknowledged: Some(AcknowledgedState::default()),
+            last_number: 0,
+        }
+    }
 }
 
 impl ConnectionState {
     /// Returns the steps after which the connection has exactly the given session settings and, if
-    /// `query` is given, a prepared statement for it.
+    /// `query` is given, a prepared statement for it. The state changes only as the steps are
+    /// acknowledged.
     ///
-    /// Assumes that the steps are carried out: later calls start from the resulting state.
+    /// A connection that holds much is reset first if `may_reset` is true.
     pub fn plan_setup(
         &mut self,
         settings: &BTreeMap<String, String>,
         query: Option<&statement::PreparedQuery>,
+        may_reset: bool,
     ) -> SetupSteps {
         let mut steps = SetupSteps::new();
-        let has_unwanted_setting = self
-            .settings
-            .keys()
-            .any(|name| !settings.contains_key(name));
-        if has_unwanted_setting || self.prepared.len() >= MAX_PREPARED_STATEMENTS {
-            self.settings.clear();
-            self.prepared.clear();
+        let current = self.acknowledged.as_ref().filter(|current| {
+            let has_only_wanted = current
+                .settings
+                .keys()
+                .all(|name| settings.contains_key(name));
+            let needs_room = query.is_some_and(|query| !current.prepared.contains_key(query));
+            has_only_wanted && !(needs_room && may_reset && current.is_full())
+        });
+        if current.is_none() {
             steps.push(SetupStep::Reset);
         }
         for (name, value) in settings {
-            if self.settings.get(name) != Some(value) {
-                self.settings.insert(name.clone(), value.clone());
+            if current.and_then(|current| current.settings.get(name)) != Some(value) {
                 steps.push(SetupStep::Set {
                     name: name.clone(),
                     value: value.clone(),
@@ -79,10 +115,61 @@
             }
         }
         if let Some(query) = query
-            && self.prepared.insert(query.clone())
+            && current.is_none_or(|current| !current.prepared.contains_key(query))
         {
-            steps.push(SetupStep::Prepare(query.clone()));
+            self.last_number += 1;
+            steps.push(SetupStep::Prepare {
+                name: statement::PreparedName(self.last_number),
+                query: query.clone(),
+            });
         }
         steps
     }
+
+    /// Returns whether the connection has exactly the given session settings and, if `query` is
+    /// given, a prepared statement for it.
+    pub fn is_set_up(
+        &self,
+        settings: &BTreeMap<String, String>,
+        query: Option<&statement::PreparedQuery>,
+    ) -> bool {
+        self.acknowledged.as_ref().is_some_and(|current| {
+            current.settings == *settings
+                && query.is_none_or(|query| current.prepared.contains_key(query))
+        })
+    }
+
+    /// Returns the name of a prepared statement on the connection; `None` if the database has not
+    /// acknowledged it.
+    pub fn prepared_name(
+        &self,
+        query: &statement::PreparedQuery,
+    ) -> Option<statement::PreparedName> {
+        let current = self.acknowledged.as_ref()?;
+        current.prepared.get(query).copied()
+    }
+
+    /// Records that the database acknowledged a step.
+    pub fn record_acknowledged(&mut self, step: &SetupStep) {
+        if *step == SetupStep::Reset {
+            self.acknowledged = Some(AcknowledgedState::default());
+        }
+        let Some(current) = &mut self.acknowledged else {
+            return;
+        };
+        match step {
+            SetupStep::Reset => {}
+            SetupStep::Set { name, value } => {
+                current.settings.insert(name.clone(), value.clone());
+            }
+            SetupStep::Prepare { name, query } => {
+                current.prepared.insert(query.clone(), *name);
+            }
+        }
+    }
+
+    /// Records that it is not known any more what the connection has, so that it must be reset.
+    pub fn forget(&mut self) {
+        self.acknowledged = None;
+    }
 }
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -10,6 +10,9 @@
 /// The maximum number of settings, and of prepared statements, in a session. Bounds the memory
 /// that one caller takes on a VM.
 pub const MAX_SESSION_ENTRIES: usize = 256;
+/// The maximum total length of a session's settings and prepared statements with their names, in
+/// bytes. A single statement may be as long as a message.
+pub const MAX_SESSION_BYTES: usize = 4 << 20;
 
 /// The transaction status that is reported to the caller after each answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,11 +81,9 @@
     /// The kind of the statement.
     pub kind: RunKind,
     /// The text to send to the database.
-    pub text: String,
+    pub text: statement::StatementText,
     /// Whether the statement changes an item.
     pub is_write: bool,
-    /// The prepared statement that must exist on the connection.
-    pub prepared: Option<statement::PreparedQuery>,
     /// The transaction to open before the statement, if any.
     pub opening: Option<TransactionOpening>,
 }
@@ -196,14 +197,16 @@
             Action::Begin { read_only } => self.plan_begin(&statement.id, *read_only),
             Action::Commit => self.plan_end(RunKind::Commit, "COMMIT"),
             Action::Rollback => self.plan_end(RunKind::Rollback, "ROLLBACK"),
-            Action::Access { kind, text } => self.plan_access(*kind, text.clone(), None),
+            Action::Access { kind, text } => {
+                self.plan_access(*kind, statement::StatementText::Verbatim(text.clone()))
+            }
             Action::Set { name, value } => self.plan_set(name, value),
             Action::Prepare {
                 name,
                 kind,
                 template,
             } => self.plan_prepare(name, *kind, template),
-            Action::Execute { name, arguments } => self.plan_execute(name, arguments),
+            Action::Execute { name, arguments } => self.plan_execute(name, arguments.as_deref()),
             Action::Deallocate { name } => self.plan_deallocate(name),
         }
     }
@@ -258,9 +261,8 @@
         };
         plan_run(RunPlan {
             kind,
-            text: text.to_owned(),
+            text: statement::StatementText::Verbatim(text.to_owned()),
             is_write: false,
-            prepared: None,
             opening,
         })
     }
@@ -268,8 +270,7 @@
     fn plan_access(
         &mut self,
         kind: statement::AccessKind,
-        text: String,
-        prepared: Option<statement::PreparedQuery>,
+        text: statement::StatementText,
     ) -> StatementPlan {
         let (run_kind, opening) = match &self.transaction {
             TransactionState::Pending {
@@ -294,7 +295,6 @@
             kind: run_kind,
             text,
             is_write: kind == statement::AccessKind::Write,
-            prepared,
             opening,
         })
     }
@@ -304,6 +304,13 @@
         if is_new && self.settings.len() >= MAX_SESSION_ENTRIES {
             return refuse_protocol("the session holds too many values");
         }
+        let replaced = self
+            .settings
+            .get(name)
+            .map_or(0, |old| name.len() + old.len());
+        if self.stored_bytes() - replaced + name.len() + value.len() > MAX_SESSION_BYTES {
+            return refuse_protocol("the values of the session are too long");
+        }
         self.settings.insert(name.to_owned(), value.to_owned());
         StatementPlan::Answer(LocalAnswer::Done)
     }
@@ -318,6 +325,11 @@
         if is_new && self.prepared.len() >= MAX_SESSION_ENTRIES {
             return refuse_protocol("the session holds too many prepared statements");
         }
+        let replaced = self.prepared.get(name);
+        let replaced = replaced.map_or(0, |old| name.len() + old.template.len());
+        if self.stored_bytes() - replaced + name.len() + template.len() > MAX_SESSION_BYTES {
+            return refuse_protocol("the prepared statements of the session are too long");
+        }
         let query = statement::PreparedQuery {
             kind,
             template: template.to_owned(),
@@ -326,12 +338,22 @@
         StatementPlan::Answer(LocalAnswer::Done)
     }
 
-    fn plan_execute(&mut self, name: &str, arguments: &str) -> StatementPlan {
+    fn plan_execute(&mut self, name: &str, arguments: Option<&str>) -> StatementPlan {
         let Some(query) = self.prepared.get(name).cloned() else {
             return refuse_protocol("no such prepared statement");
         };
-        let text = format!("EXECUTE {} {arguments}", query.shared_name());
-        self.plan_access(query.kind, text, Some(query))
+        let kind = query.kind;
+        let arguments = arguments.map(str::to_owned);
+        self.plan_access(kind, statement::StatementText::Execute { query, arguments })
+    }
+
+    /// Returns the total length of the settings and prepared statements with their names, in bytes.
+    fn stored_bytes(&self) -> usize {
+        let settings = self.settings.iter();
+        let settings = settings.map(|(name, value)| name.len() + value.len());
+        let prepared = self.prepared.iter();
+        let prepared = prepared.map(|(name, query)| name.len() + query.template.len());
+        settings.chain(prepared).sum()
     }
 
     fn plan_deallocate(&mut self, name: &str) -> StatementPlan {
--- a/crates/bluebellferry_session/src/statement.rs
+++ b/crates/bluebellferry_session/src/statement.rs
@@ -48,12 +48,12 @@
     Execute {
         /// The caller's name of the prepared statement.
         name: String,
-        /// The item and the data, if any, as the caller sent them.
-        arguments: String,
+        /// The item and the data as the caller sent them; `None` if it sent none, not even a space.
+        arguments: Option<String>,
     },
     /// Drops a prepared statement.
     Deallocate {
-        /// The caller's name of the prepared statement.
+        /// The caller's name of the prepared statement, or any other text.
         name: String,
     },
 }
@@ -86,14 +86,39 @@
     pub template: String,
 }
 
-impl PreparedQuery {
-    /// Returns the name of the prepared statement on database connections. It depends only on
-    /// the kind and the template, so sessions that gave it different names share it.
-    pub fn shared_name(&self) -> String {
-        let prefix = match self.kind {
-            AccessKind::Read => 'r',
-            AccessKind::Write => 'w',
-        };
-        format!("{prefix}.{}", self.template)
+/// The name of a prepared statement on one database connection.
+///
+/// It is a number that no other prepared statement of the connection has, whatever callers call
+/// their statements and whatever the statements contain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PreparedName(pub(crate) u64);
+
+impl std::fmt::Display for PreparedName {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "p{}", self.0)
+    }
+}
+
+/// The text of a statement for a database.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StatementText {
+    /// The text that the caller sent, unchanged.
+    Verbatim(String),
+    /// Runs a prepared statement under the name that it has on the connection.
+    Execute {
+        /// What the prepared statement runs.
+        query: PreparedQuery,
+        /// The arguments as the caller sent them; `None` if it sent none, not even a space.
+        arguments: Option<String>,
+    },
+}
+
+impl StatementText {
+    /// Returns what the statement needs to be prepared on the connection.
+    pub fn prepared_query(&self) -> Option<&PreparedQuery> {
+        match self {
+            Self::Verbatim(_) => None,
+            Self::Execute { query, .. } => Some(query),
+        }
     }
 }
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -169,7 +169,8 @@
             session.record_outcome(&plan, rejected);
             assert!(session.holds_connection());
             let plan = run(&mut session, &query(action.clone()));
-            assert_eq!((plan.kind, plan.text.as_str()), (kind, text));
+            let text = statement::StatementText::Verbatim(text.to_owned());
+            assert_eq!((plan.kind, &plan.text), (kind, &text));
             session.record_outcome(&plan, outcome);
             assert_eq!(session.transaction_status(), state::TransactionStatus::Idle);
             assert_eq!(session.floor(), None);
@@ -177,32 +178,78 @@
     }
 }
 
+fn prepare(name: &str, kind: statement::AccessKind, template: &str) -> statement::Statement {
+    query(Action::Prepare {
+        name: name.to_owned(),
+        kind,
+        template: template.to_owned(),
+    })
+}
+
+fn execute(name: &str, arguments: Option<&str>) -> statement::Statement {
+    query(Action::Execute {
+        name: name.to_owned(),
+        arguments: arguments.map(str::to_owned),
+    })
+}
+
+fn prepared_query(kind: statement::AccessKind, template: &str) -> statement::PreparedQuery {
+    let template = template.to_owned();
+    statement::PreparedQuery { kind, template }
+}
+
 #[test]
-fn prepared_statements_run_under_their_shared_names() {
+fn a_prepared_statement_runs_what_its_caller_prepared_last_under_the_name() {
+    let (read, write) = (statement::AccessKind::Read, statement::AccessKind::Write);
     let mut session = state::SessionState::default();
-    let prepare = |name: &str, kind, template: &str| {
-        query(Action::Prepare {
-            name: name.to_owned(),
-            kind,
-            template: template.to_owned(),
-        })
-    };
-    let execute = |name: &str| {
-        query(Action::Execute {
-            name: name.to_owned(),
-            arguments: "1a4 x".to_owned(),
-        })
-    };
-    session.plan_statement(&prepare("s1", statement::AccessKind::Write, "q2c"));
-    let plan = run(&mut session, &execute("s1"));
+    session.plan_statement(&prepare("s1", write, "q2c"));
+    let plan = run(&mut session, &execute("s1", Some("1a4 x")));
     assert_eq!(plan.kind, state::RunKind::AutocommitWrite);
-    assert_eq!(plan.text, "EXECUTE w.q2c 1a4 x");
+    let expected = statement::StatementText::Execute {
+        query: prepared_query(write, "q2c"),
+        arguments: Some("1a4 x".to_owned()),
+    };
+    assert_eq!(plan.text, expected);
     assert!(plan.is_write);
-    session.plan_statement(&prepare("s1", statement::AccessKind::Read, "q9"));
-    assert_eq!(run(&mut session, &execute("s1")).text, "EXECUTE r.q9 1a4 x");
+    session.plan_statement(&prepare("s1", read, "q9"));
+    let plan = run(&mut session, &execute("s1", None));
+    let expected = statement::StatementText::Execute {
+        query: prepared_query(read, "q9"),
+        arguments: None,
+    };
+    assert_eq!(plan.text, expected);
     let name = "s1".to_owned();
     session.plan_statement(&query(Action::Deallocate { name }));
-    assert_eq!(refused(&mut session, &execute("s1")), "protocol_violation");
+    let refusal = refused(&mut session, &execute("s1", None));
+    assert_eq!(refusal, "protocol_violation");
+}
+
+#[test]
+fn a_session_holds_statements_of_a_bounded_length() {
+    let mut session = state::SessionState::default();
+    let long = "x".repeat(state::MAX_SESSION_BYTES / 4 - 2);
+    let read = statement::AccessKind::Read;
+    for name in ["s1", "s2", "s3"] {
+        session.plan_statement(&prepare(name, read, &long));
+    }
+    let value = long.clone();
+    let set = query(Action::Set {
+        name: "v1".to_owned(),
+        value,
+    });
+    let done = state::StatementPlan::Answer(state::LocalAnswer::Done);
+    assert_eq!(session.plan_statement(&set), done);
+    let short = query(Action::Set {
+        name: "v2".to_owned(),
+        value: String::new(),
+    });
+    assert_eq!(refused(&mut session, &short), "protocol_violation");
+    let refusal = refused(&mut session, &prepare("s4", read, "q1"));
+    assert_eq!(refusal, "protocol_violation");
+    // What is replaced makes room.
+    assert_eq!(session.plan_statement(&prepare("s1", read, &long)), done);
+    assert_eq!(session.plan_statement(&prepare("s1", read, "q1")), done);
+    assert_eq!(session.plan_statement(&short), done);
 }
 
 #[test]
@@ -241,57 +288,150 @@
     pairs.iter().map(owned).collect()
 }
 
+fn set(name: &str, value: &str) -> connection_state::SetupStep {
+    connection_state::SetupStep::Set {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    }
+}
+
+/// Plans the setup of a connection and acknowledges its steps.
+fn set_up(
+    connection: &mut connection_state::ConnectionState,
+    pairs: &[(&str, &str)],
+    query: Option<&statement::PreparedQuery>,
+) -> connection_state::SetupSteps {
+    let settings = settings(pairs);
+    let steps = connection.plan_setup(&settings, query, true);
+    assert_eq!(steps.is_empty(), connection.is_set_up(&settings, query));
+    for step in &steps {
+        connection.record_acknowledged(step);
+    }
+    assert!(connection.is_set_up(&settings, query));
+    steps
+}
+
 #[test]
 fn a_connection_gets_exactly_the_settings_of_the_session() {
     let mut connection = connection_state::ConnectionState::default();
-    let set = |name: &str, value: &str| connection_state::SetupStep::Set {
-        name: name.to_owned(),
-        value: value.to_owned(),
-    };
-    let steps = connection.plan_setup(&settings(&[("a", "1")]), None);
+    let steps = set_up(&mut connection, &[("a", "1")], None);
     assert_eq!(steps.as_slice(), [set("a", "1")]);
-    assert!(
-        connection
-            .plan_setup(&settings(&[("a", "1")]), None)
-            .is_empty()
-    );
-    let steps = connection.plan_setup(&settings(&[("a", "2"), ("b", "1")]), None);
+    assert!(set_up(&mut connection, &[("a", "1")], None).is_empty());
+    let steps = set_up(&mut connection, &[("a", "2"), ("b", "1")], None);
     assert_eq!(steps.as_slice(), [set("a", "2"), set("b", "1")]);
     // A setting that the session did not make is removed by a reset.
-    let steps = connection.plan_setup(&settings(&[("b", "1")]), None);
-    assert_eq!(
-        steps.as_slice(),
-        [connection_state::SetupStep::Reset, set("b", "1")]
-    );
-    assert_eq!(
-        connection.plan_setup(&settings(&[]), None).as_slice(),
-        [connection_state::SetupStep::Reset]
-    );
+    let steps = set_up(&mut connection, &[("b", "1")], None);
+    let reset = connection_state::SetupStep::Reset;
+    assert_eq!(steps.as_slice(), [reset.clone(), set("b", "1")]);
+    let steps = set_up(&mut connection, &[], None);
+    assert_eq!(steps.as_slice(), [reset]);
 }
 
 #[test]
 fn a_reset_discards_prepared_statements() {
     let mut connection = connection_state::ConnectionState::default();
-    let prepared = statement::PreparedQuery {
-        kind: statement::AccessKind::Read,
-        template: "q1".to_owned(),
-    };
-    let prepare = connection_state::SetupStep::Prepare(prepared.clone());
-    assert_eq!(
-        connection
-            .plan_setup(&settings(&[]), Some(&prepared))
-            .as_slice(),
-        std::slice::from_ref(&prepare)
-    );
-    assert!(
-        connection
-            .plan_setup(&settings(&[]), Some(&prepared))
-            .is_empty()
-    );
-    connection.plan_setup(&settings(&[("a", "1")]), None);
-    let steps = connection.plan_setup(&settings(&[]), Some(&prepared));
-    assert_eq!(
+    let query = prepared_query(statement::AccessKind::Read, "q1");
+    let steps = set_up(&mut connection, &[], Some(&query));
+    assert!(matches!(
+        steps.as_slice(),
+        [connection_state::SetupStep::Prepare { .. }]
+    ));
+    assert!(set_up(&mut connection, &[], Some(&query)).is_empty());
+    set_up(&mut connection, &[("a", "1")], None);
+    let steps = set_up(&mut connection, &[], Some(&query));
+    assert!(matches!(
         steps.as_slice(),
-        [connection_state::SetupStep::Reset, prepare]
+        [
+            connection_state::SetupStep::Reset,
+            connection_state::SetupStep::Prepare { .. }
+        ]
+    ));
+}
+
+// Guards against statements that run with other values or in another shape: a connection counted as
+// set up when the steps were planned, although the database refused one.
+#[test]
+fn a_connection_is_set_up_only_once_every_step_was_acknowledged() {
+    let mut connection = connection_state::ConnectionState::default();
+    let wanted = settings(&[("a", "1"), ("b", "2")]);
+    let query = prepared_query(statement::AccessKind::Write, "q1");
+    let steps = connection.plan_setup(&wanted, Some(&query), true);
+    assert_eq!(steps.len(), 3);
+    assert!(!connection.is_set_up(&wanted, Some(&query)));
+    assert_eq!(connection.prepared_name(&query), None);
+    // The database refused to set `a`.
+    connection.record_acknowledged(&steps[1]);
+    connection.record_acknowledged(&steps[2]);
+    assert!(!connection.is_set_up(&wanted, Some(&query)));
+    let steps = connection.plan_setup(&wanted, Some(&query), true);
+    assert_eq!(steps.as_slice(), [set("a", "1")]);
+    // It is not known whether another change took effect: only an acknowledged reset helps.
+    connection.forget();
+    assert!(!connection.is_set_up(&settings(&[]), None));
+    assert_eq!(connection.prepared_name(&query), None);
+    connection.record_acknowledged(&set("a", "1"));
+    assert!(!connection.is_set_up(&settings(&[("a", "1")]), None));
+    let steps = connection.plan_setup(&settings(&[]), None, true);
+    assert_eq!(steps.as_slice(), [connection_state::SetupStep::Reset]);
+    connection.record_acknowledged(&steps[0]);
+    assert!(connection.is_set_up(&settings(&[]), None));
+}
+
+// Guards against statements that run another shape: two templates had one name on a connection,
+// because names were made of the templates.
+#[test]
+fn prepared_statements_of_a_connection_never_share_a_name() {
+    let (read, write) = (statement::AccessKind::Read, statement::AccessKind::Write);
+    let mut queries = Vec::new();
+    for kind in [read, write] {
+        for template in [
+            "q7",
+            "q7 READ q7",
+            "q7 READ other",
+            " q7",
+            "q7 ",
+            "p1",
+            "p1 READ q7",
+        ] {
+            queries.push(prepared_query(kind, template));
+        }
+        queries.extend((0..100).map(|number| prepared_query(kind, &format!("q{number}"))));
+    }
+    let mut connection = connection_state::ConnectionState::default();
+    let mut names = std::collections::BTreeMap::new();
+    let mut prepared = 0;
+    for query in queries.iter().chain(&queries) {
+        for step in set_up(&mut connection, &[], Some(query)) {
+            match step {
+                connection_state::SetupStep::Reset => prepared = 0,
+                connection_state::SetupStep::Prepare { .. } => prepared += 1,
+                connection_state::SetupStep::Set { .. } => {}
+            }
+        }
+        assert!(prepared <= connection_state::MAX_PREPARED_STATEMENTS);
+        let name = connection.prepared_name(query).expect("it is prepared");
+        let text = name.to_string();
+        assert!(text.len() <= 21 && !text.contains(' '), "{text}");
+        // Not even a reset makes a name mean something else.
+        assert_eq!(*names.entry(name).or_insert(query), query);
+    }
+}
+
+#[test]
+fn a_connection_holds_templates_of_a_bounded_length_but_is_not_reset_in_a_transaction() {
+    let mut connection = connection_state::ConnectionState::default();
+    let template = |number: usize| "x".repeat(connection_state::MAX_PREPARED_BYTES - number);
+    let query = |number| prepared_query(statement::AccessKind::Read, &template(number));
+    set_up(&mut connection, &[], Some(&query(1)));
+    assert_eq!(set_up(&mut connection, &[], Some(&query(2))).len(), 1);
+    let steps = connection.plan_setup(&settings(&[]), Some(&query(3)), false);
+    assert_eq!(
+        steps.len(),
+        1,
+        "the connection is not reset in a transaction"
     );
+    let steps = set_up(&mut connection, &[], Some(&query(3)));
+    assert_eq!(steps[0], connection_state::SetupStep::Reset);
+    // What is prepared already needs no room.
+    assert!(set_up(&mut connection, &[], Some(&query(3))).is_empty());
 }
