Send a statement only once its connection's setup was acknowledged

Cause: the steps that give a pooled connection the session's values and prepared statements were sent together with the statement behind them, and counted as done when they were planned. A refusal was read when the statement had already run; its answer was dropped, and a write that had run was reported as in doubt.

Now DatabaseConnection::set_up waits for the answer to each step and believes only what was acknowledged; after any refusal, or if the wait is given up, the connection must be reset before it is used. A statement can only be sent through a StatementConnection, which a connection gives out for the settings and the prepared statement that the database has acknowledged. A transaction is set up before its BEGIN, including what its first statement needs. A connection that refuses a RESET is closed. Within a transaction a refused step rolls the transaction back (ABORTED). After the round trip it is checked again that the database may run the statement.

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -1,5 +1,6 @@
 //! A connection to a database.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,7 +12,9 @@
 use bluebellferry_runtime::clock;
 use bluebellferry_session::connection_state;
 use bluebellferry_session::state;
+use bluebellferry_session::statement;
 use bluebellferry_types::name;
+use bluebellferry_types::position;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -31,20 +34,37 @@
     /// No answer arrived before the deadline.
     #[error("no answer came in time")]
     TimedOut,
-    /// The statement cannot be sent as one message. Nothing was sent.
-    #[error("the statement cannot be sent as one message")]
-    NotSendable,
     /// The answer is malformed.
     #[error("the answer cannot be decoded")]
     Malformed,
-    /// The database refused a setup step that was sent before the statement.
-    #[error("the database refused setup step {step} of the connection")]
-    SetupRefused {
-        /// The index of the first refused step.
-        step: usize,
+}
+
+/// The reason why a connection could not be brought into the state of a session. No statement was
+/// sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum SetupError {
+    /// The database refused a step. The connection can still be used.
+    #[error("the database refused to {step} the connection's session state ({})", error.as_str())]
+    Refused {
+        /// The kind of the first refused step.
+        step: &'static str,
         /// The error with which the database refused it.
         error: database::DatabaseError,
     },
+    /// A step cannot be sent as one message. The connection can still be used.
+    #[error("the session state cannot be sent to a database: {0}")]
+    NotSendable(#[from] line::FieldError),
+    /// A step got no answer. The connection must not be used any more.
+    #[error("{0}")]
+    NoAnswer(#[from] ExchangeError),
+}
+
+impl SetupError {
+    /// Returns whether the database refused to discard what the connection has.
+    pub fn is_refused_reset(&self) -> bool {
+        let reset = connection_state::SetupStep::Reset.kind_label();
+        matches!(self, Self::Refused { step, .. } if *step == reset)
+    }
 }
 
 /// The reason why a connection could not be opened.
@@ -73,8 +93,8 @@
     pub number: u64,
     /// The workspace that uses the connection.
     pub workspace: name::WorkspaceName,
-    /// The settings and prepared statements that the connection has at the database.
-    pub state: connection_state::ConnectionState,
+    /// The settings and prepared statements that the database acknowledged.
+    state: connection_state::ConnectionState,
     /// The transaction status after the last answer.
     transaction_status: state::TransactionStatus,
     stream: TcpStream,
@@ -139,47 +159,106 @@
         is_idle && !self.decoder.has_partial_line()
     }
 
-    /// Sends a text with one or more messages.
+    /// Returns whether the database has acknowledged exactly these session settings and, if `query`
+    /// is given, a prepared statement for it.
+    pub fn is_set_up(
+        &self,
+        settings: &BTreeMap<String, String>,
+        query: Option<&statement::PreparedQuery>,
+    ) -> bool {
+        self.state.is_set_up(settings, query)
+    }
+
+    /// Gives the connection exactly these session settings and, if `query` is given, a prepared
+    /// statement for it. Calls `observe` with each step and the error with which the database
+    /// refused it, if it did.
     ///
     /// # Errors
-    /// Returns `ExchangeError::Closed` if the connection was closed or writing to it failed.
-    pub async fn send(&mut self, text: &str) -> Result<(), ExchangeError> {
+    /// Returns the reason why the connection is not in that state.
+    pub async fn set_up(
+        &mut self,
+        settings: &BTreeMap<String, String>,
+        query: Option<&statement::PreparedQuery>,
+        deadline: Instant,
+        mut observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
+    ) -> Result<(), SetupError> {
+        let may_reset = self.has_ended_transaction();
+        let steps = self.state.plan_setup(settings, query, may_reset);
+        if steps.is_empty() {
+            return Ok(());
+        }
+        let mut out = String::new();
+        for step in &steps {
+            database::encode_setup(&mut out, step)?;
+        }
+        // Until all answers are there, also if this future is dropped, the state is unknown.
+        let mut state = std::mem::take(&mut self.state);
+        self.state.forget();
+        self.send(&out).await?;
+        let mut refused = None;
+        for step in &steps {
+            let answer = self.receive_answer(deadline).await?;
+            observe(step, answer.error);
+            match answer.error {
+                None => state.record_acknowledged(step),
+                Some(error) => {
+                    // Whatever the error says of the step's effect, a reset makes it certain.
+                    state.forget();
+                    let step = step.kind_label();
+                    refused = refused.or(Some(SetupError::Refused { step, error }));
+                }
+            }
+        }
+        self.state = state;
+        refused.map_or(Ok(()), Err)
+    }
+
+    /// Returns the connection for one statement, if the database has acknowledged exactly these
+    /// session settings and what the statement needs to be prepared.
+    pub fn for_statement<'a>(
+        &'a mut self,
+        settings: &BTreeMap<String, String>,
+        text: &'a statement::StatementText,
+    ) -> Option<StatementConnection<'a>> {
+        if !self.is_set_up(settings, text.prepared_query()) {
+            return None;
+        }
+        let text = match text {
+            statement::StatementText::Verbatim(text) => database::SentText::Verbatim(text),
+            statement::StatementText::Execute { query, arguments } => database::SentText::Execute {
+                name: self.state.prepared_name(query)?,
+                arguments: arguments.as_deref(),
+            },
+        };
+        Some(StatementConnection {
+            connection: self,
+            text,
+        })
+    }
+
+    async fn send(&mut self, text: &str) -> Result<(), ExchangeError> {
         self.stream
             .write_all(text.as_bytes())
             .await
             .map_err(|_| ExchangeError::Closed)
     }
 
-    /// Receives the complete answers to `count` statements and returns the last one.
-    ///
-    /// The earlier statements are setup steps for the session's state. If one of them fails, the
-    /// connection is unusable.
+    /// Receives the complete answer to one statement.
     ///
     /// # Errors
-    /// Returns the reason why there is no answer. The connection must not be reused.
-    pub async fn receive_answers(
+    /// Returns the reason why there is no answer. The connection must not be used any more.
+    async fn receive_answer(
         &mut self,
-        count: usize,
         deadline: Instant,
     ) -> Result<database::DatabaseAnswer, ExchangeError> {
         let mut collector = database::AnswerCollector::default();
-        let mut remaining = count;
-        let mut setup_error = None;
         loop {
             let line = self.next_line(deadline).await?;
             let result = collector.add_line(line);
-            let Some(answer) = result.map_err(|_| ExchangeError::Malformed)? else {
-                continue;
-            };
-            self.transaction_status = answer.transaction_status;
-            remaining = remaining.saturating_sub(1);
-            if remaining == 0 {
-                return setup_error.map_or(Ok(answer), Err);
+            if let Some(answer) = result.map_err(|_| ExchangeError::Malformed)? {
+                self.transaction_status = answer.transaction_status;
+                return Ok(answer);
             }
-            let step = count - remaining - 1;
-            let error = answer.error;
-            setup_error = setup_error
-                .or_else(|| error.map(|error| ExchangeError::SetupRefused { step, error }));
         }
     }
 
@@ -200,15 +279,69 @@
     }
 }
 
+/// A connection that may run one certain statement: the database has acknowledged the settings and
+/// prepared statements of the session that sent it. There is no other way to send a statement.
+#[derive(Debug)]
+pub struct StatementConnection<'a> {
+    connection: &'a mut DatabaseConnection,
+    text: database::SentText<'a>,
+}
+
+/// A statement that is encoded for its connection.
+#[derive(Debug)]
+pub struct EncodedStatement<'a> {
+    connection: &'a mut DatabaseConnection,
+    message: String,
+}
+
+impl<'a> StatementConnection<'a> {
+    /// Encodes the statement. If `min_position` is given, the database must have replayed its log up
+    /// to there.
+    ///
+    /// # Errors
+    /// Returns an error if the statement cannot be sent as one message.
+    pub fn encode(
+        self,
+        request_id: &str,
+        min_position: Option<position::LogPosition>,
+    ) -> Result<EncodedStatement<'a>, line::FieldError> {
+        let mut message = String::new();
+        database::encode_statement(&mut message, request_id, min_position, self.text)?;
+        Ok(EncodedStatement {
+            connection: self.connection,
+            message,
+        })
+    }
+}
+
+impl EncodedStatement<'_> {
+    /// Returns the database that will run the statement.
+    pub fn database(&self) -> pool::DatabaseIndex {
+        self.connection.database
+    }
+
+    /// Sends the statement and receives its answer.
+    ///
+    /// # Errors
+    /// Returns the reason why there is no answer. The statement may have run, and the connection must
+    /// not be used any more.
+    pub async fn run(self, deadline: Instant) -> Result<database::DatabaseAnswer, ExchangeError> {
+        let connection = self.connection;
+        connection.send(&self.message).await?;
+        let answer = connection.receive_answer(deadline).await?;
+        if answer.error == Some(database::DatabaseError::UnknownPreparedStatement) {
+            connection.state.forget();
+        }
+        Ok(answer)
+    }
+}
+
 /// Maps an error during the handshake to the reason why the connection could not be opened. A
 /// database that has reached its connection limit resets further connections after the TCP
 /// connect; a database that is down would not have accepted the TCP connection.
 fn startup_error(error: ExchangeError) -> OpenError {
     match error {
         ExchangeError::Closed => OpenError::ConnectionLimit,
-        ExchangeError::TimedOut
-        | ExchangeError::NotSendable
-        | ExchangeError::Malformed
-        | ExchangeError::SetupRefused { .. } => OpenError::Unreachable,
+        ExchangeError::TimedOut | ExchangeError::Malformed => OpenError::Unreachable,
     }
 }
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -293,9 +293,9 @@
         }
     }
 
-    /// Returns the connection if its database may still run the statement. The snapshot may have
-    /// changed while the statement waited.
-    fn check_placement(
+    /// Returns the connection if its database may still run the statement, since the snapshot may
+    /// have changed while the statement waited. Otherwise puts the connection back into the pool.
+    pub fn check_placement(
         self: &Rc<Self>,
         connection: PoolConnection,
         request: &PlacementRequest,
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -2,6 +2,7 @@
 
 mod outcomes;
 mod reporting;
+mod setup;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,7 +23,6 @@
 
 use crate::shared;
 use crate::traffic::acknowledgement;
-use crate::traffic::connection;
 use crate::traffic::dispatch;
 use crate::traffic::placement;
 use crate::traffic::reads;
@@ -246,19 +246,32 @@
         };
         let is_writing_commit = plan.kind == state::RunKind::Commit && self.state.has_written();
         let mut admitted = self.admit_in_transaction(&connection, scope).await;
+        if admitted.is_ok() {
+            let query = plan.text.prepared_query();
+            let set_up = self.set_up(&mut connection, query, scope.deadline).await;
+            admitted = set_up
+                .map_err(|error| self.refuse_in_transaction(&statement.id, &connection, &error));
+        }
         if admitted.is_ok() && is_writing_commit {
             admitted = self.wait_for_lease(connection.database, scope).await;
         }
-        if let Err(refusal) = admitted {
-            self.context.dispatcher.discard(connection);
-            self.lose_transaction(plan);
-            return Err(refusal);
-        }
-        let sent = self.record_send(&connection);
-        let result = self
-            .send_and_receive(&mut connection, &statement.id, plan, None, scope.deadline)
-            .await;
-        match result {
+        let encoded = admitted.and_then(|()| {
+            let settled = connection.for_statement(self.state.settings(), &plan.text);
+            settled
+                .ok_or_else(outcomes::not_set_up)?
+                .encode(&statement.id, None)
+                .map_err(outcomes::not_sendable)
+        });
+        let encoded = match encoded {
+            Ok(encoded) => encoded,
+            Err(refusal) => {
+                self.context.dispatcher.discard(connection);
+                self.lose_transaction(plan);
+                return Err(refusal);
+            }
+        };
+        let sent = self.record_send(encoded.database());
+        match encoded.run(scope.deadline).await {
             Ok(answer) => {
                 self.record_answer(&connection, &answer, &sent, plan);
                 let database = connection.database;
@@ -325,7 +338,8 @@
                 "no transaction is to be opened",
             ));
         };
-        if let Err(refusal) = self.open_transaction(&opening, scope).await {
+        let query = plan.text.prepared_query();
+        if let Err(refusal) = self.open_transaction(&opening, query, scope).await {
             self.state.record_transaction_failed();
             self.transaction = None;
             return Err(refusal);
@@ -335,24 +349,48 @@
     }
 
     /// Acquires a connection and opens a transaction on it, retrying at other databases until the
-    /// deadline.
+    /// deadline. The connection also gets what the transaction's first statement needs to be
+    /// prepared.
     async fn open_transaction(
         &mut self,
         opening: &state::TransactionOpening,
+        query: Option<&statement::PreparedQuery>,
         scope: &StatementScope,
     ) -> Result<(), refusal::RequestRefusal> {
+        let text = database::begin_transaction_text(opening.read_only);
+        let text = statement::StatementText::Verbatim(text.to_owned());
         let mut request = self.placement_request(scope);
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| opening.read_only);
-            let placed = self.context.dispatcher.acquire(&mut request).await?;
+            let placed = self
+                .acquire_set_up(&opening.begin_id, query, &mut request)
+                .await?;
             let dispatch::PlacedConnection {
                 mut connection,
                 min_position,
             } = placed;
-            match self
-                .send_begin(&mut connection, opening, min_position, scope)
+            // BEGIN is answered before anything else is sent: if the database rejected it, a
+            // statement behind it would run outside any transaction.
+            let encoded = connection
+                .for_statement(self.state.settings(), &text)
+                .ok_or_else(outcomes::not_set_up)
+                .and_then(|settled| {
+                    let encoded = settled.encode(&opening.begin_id, min_position);
+                    encoded.map_err(outcomes::not_sendable)
+                });
+            let encoded = match encoded {
+                Ok(encoded) => encoded,
+                Err(refusal) => {
+                    self.context.dispatcher.release(connection);
+                    return Err(refusal);
+                }
+            };
+            let response_deadline = self.response_deadline(encoded.database(), scope.deadline);
+            match encoded
+                .run(response_deadline)
                 .await
+                .map(|answer| answer.error)
             {
                 Ok(None) => {
                     self.transaction_connection = Some(connection);
@@ -373,32 +411,6 @@
         Err(outcomes::no_database())
     }
 
-    /// Sends BEGIN and waits for its answer before anything else is sent: if the database
-    /// rejected BEGIN, a statement pipelined behind it would run outside any transaction.
-    async fn send_begin(
-        &self,
-        connection: &mut dispatch::PoolConnection,
-        opening: &state::TransactionOpening,
-        min_position: Option<position::LogPosition>,
-        scope: &StatementScope,
-    ) -> Result<Option<database::DatabaseError>, connection::ExchangeError> {
-        let text = database::begin_transaction_text(opening.read_only);
-        let text = database::SentText::Verbatim(text);
-        let mut out = String::new();
-        database::encode_statement(&mut out, &opening.begin_id, min_position, text)
-            .map_err(|_| connection::ExchangeError::NotSendable)?;
-        let response_deadline = clock::now()
-            + self
-                .context
-                .dispatcher
-                .response_timeout(connection.database);
-        connection.send(&out).await?;
-        let answer = connection
-            .receive_answers(1, scope.deadline.min(response_deadline))
-            .await?;
-        Ok(answer.error)
-    }
-
     /// Runs a statement outside any transaction.
     async fn run_autocommit(
         &mut self,
@@ -411,7 +423,10 @@
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| is_read);
-            let placed = self.context.dispatcher.acquire(&mut request).await?;
+            let query = plan.text.prepared_query();
+            let placed = self
+                .acquire_set_up(&statement.id, query, &mut request)
+                .await?;
             let outcome = if is_read {
                 self.try_read(statement, plan, scope, placed, &mut request)
                     .await
@@ -441,22 +456,20 @@
             mut connection,
             min_position,
         } = placed;
-        let sent = self.record_send(&connection);
-        let response_deadline = sent.at
-            + self
-                .context
-                .dispatcher
-                .response_timeout(connection.database);
-        let result = self
-            .send_and_receive(
-                &mut connection,
-                &statement.id,
-                plan,
-                min_position,
-                scope.deadline.min(response_deadline),
-            )
-            .await;
-        let answer = match result {
+        let Some(settled) = connection.for_statement(self.state.settings(), &plan.text) else {
+            self.context.dispatcher.release(connection);
+            return AttemptOutcome::Retry("not_set_up");
+        };
+        let encoded = match settled.encode(&statement.id, min_position) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                self.context.dispatcher.release(connection);
+                return AttemptOutcome::Refused(outcomes::not_sendable(error));
+            }
+        };
+        let sent = self.record_send(encoded.database());
+        let response_deadline = self.response_deadline(encoded.database(), scope.deadline);
+        let answer = match encoded.run(response_deadline).await {
             Ok(answer) => answer,
             Err(error) => {
                 request.excluded.push(connection.database);
@@ -501,11 +514,19 @@
         mut connection: dispatch::PoolConnection,
         request: &mut dispatch::PlacementRequest,
     ) -> AttemptOutcome {
-        let sent = self.record_send(&connection);
-        let result = self
-            .send_and_receive(&mut connection, &statement.id, plan, None, scope.deadline)
-            .await;
-        let answer = match result {
+        let Some(settled) = connection.for_statement(self.state.settings(), &plan.text) else {
+            self.context.dispatcher.release(connection);
+            return AttemptOutcome::Retry("not_set_up");
+        };
+        let encoded = match settled.encode(&statement.id, None) {
+            Ok(encoded) => encoded,
+            Err(error) => {
+                self.context.dispatcher.release(connection);
+                return AttemptOutcome::Refused(outcomes::not_sendable(error));
+            }
+        };
+        let sent = self.record_send(encoded.database());
+        let answer = match encoded.run(scope.deadline).await {
             Ok(answer) => answer,
             Err(error) => {
                 self.record_failure(&statement.id, connection, error, true);
@@ -635,44 +656,6 @@
         }
     }
 
-    /// Sends a statement, preceded by the setup steps that give the connection the session's
-    /// settings and prepared statements, and receives its answer.
-    async fn send_and_receive(
-        &self,
-        connection: &mut dispatch::PoolConnection,
-        id: &str,
-        plan: &state::RunPlan,
-        min_position: Option<position::LogPosition>,
-        deadline: Instant,
-    ) -> Result<database::DatabaseAnswer, connection::ExchangeError> {
-        let not_sendable = |_| connection::ExchangeError::NotSendable;
-        let query = plan.text.prepared_query();
-        let steps = connection
-            .state
-            .plan_setup(self.state.settings(), query, true);
-        let mut out = String::new();
-        for step in &steps {
-            connection.state.record_acknowledged(step);
-            database::encode_setup(&mut out, step).map_err(not_sendable)?;
-        }
-        let text = match &plan.text {
-            statement::StatementText::Verbatim(text) => database::SentText::Verbatim(text),
-            statement::StatementText::Execute { query, arguments } => {
-                let name = connection.state.prepared_name(query);
-                database::SentText::Execute {
-                    name: name.ok_or(connection::ExchangeError::NotSendable)?,
-                    arguments: arguments.as_deref(),
-                }
-            }
-        };
-        database::encode_statement(&mut out, id, min_position, text).map_err(not_sendable)?;
-        self.log_prepared_sample(connection, &steps);
-        connection.send(&out).await?;
-        let result = connection.receive_answers(steps.len() + 1, deadline).await;
-        self.record_setup(connection, &steps, result.as_ref().err().copied());
-        result
-    }
-
     fn placement_request(&self, scope: &StatementScope) -> dispatch::PlacementRequest {
         dispatch::PlacementRequest {
             service: scope.policy.service.clone(),
@@ -691,6 +674,11 @@
         }
     }
 
+    /// Returns until when a read or BEGIN that is sent now waits for a database.
+    fn response_deadline(&self, database: pool::DatabaseIndex, deadline: Instant) -> Instant {
+        deadline.min(clock::now() + self.context.dispatcher.response_timeout(database))
+    }
+
     /// Returns the position that a replica must have replayed to serve a read; `None` if only
     /// the leader may serve it.
     fn replica_min_position(&self, scope: &StatementScope) -> Option<position::LogPosition> {
--- a/crates/bluebellferry_edge/src/traffic/statement/outcomes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/outcomes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bluebellferry_platform::database;
+use bluebellferry_platform::line;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
 use bluebellferry_types::refusal;
@@ -69,6 +70,30 @@
         .retry_after(DEFAULT_RETRY_DELAY)
 }
 
+/// Returns the refusal of a statement for which no connection could be given the session's settings
+/// and prepared statements.
+pub(super) fn setup_failed(error: &connection::SetupError) -> refusal::RequestRefusal {
+    if let connection::SetupError::NotSendable(error) = error {
+        return not_sendable(*error);
+    }
+    let reason = refusal::RefusalReason::SetupRefused;
+    refusal::RequestRefusal::not_run(reason, error.to_string()).retry_after(DEFAULT_RETRY_DELAY)
+}
+
+/// Returns the refusal of a statement whose connection lost the session's settings or prepared
+/// statements before it was sent.
+pub(super) fn not_set_up() -> refusal::RequestRefusal {
+    let reason = refusal::RefusalReason::SetupRefused;
+    refusal::RequestRefusal::not_run(reason, "the connection is not in the session's state")
+        .retry_after(DEFAULT_RETRY_DELAY)
+}
+
+/// Returns the refusal of a statement that cannot be sent to a database as one message.
+pub(super) fn not_sendable(error: line::FieldError) -> refusal::RequestRefusal {
+    let reason = refusal::RefusalReason::ProtocolViolation;
+    refusal::RequestRefusal::not_run(reason, error.to_string())
+}
+
 /// Returns the refusal of a write whose outcome is unknown.
 pub(super) fn in_doubt(error: connection::ExchangeError) -> refusal::RequestRefusal {
     refusal::RequestRefusal::unknown(refusal::RefusalReason::OutcomeUnknown, error.to_string())
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -5,9 +5,9 @@
 use std::time::Instant;
 
 use bluebellferry_platform::database;
+use bluebellferry_pool::pool;
 use bluebellferry_routing::history;
 use bluebellferry_runtime::clock;
-use bluebellferry_session::connection_state;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
 use bluebellferry_types::position;
@@ -160,56 +160,37 @@
     /// which a statement ran can be traced to its template.
     pub(super) fn log_prepared_sample(
         &self,
-        connection: &dispatch::PoolConnection,
-        steps: &[connection_state::SetupStep],
+        database: pool::DatabaseIndex,
+        connection_number: u64,
+        name: statement::PreparedName,
+        query: &statement::PreparedQuery,
     ) {
-        for step in steps {
-            if let connection_state::SetupStep::Prepare { name, query } = step
-                && self.context.prepare_log_limiter.may_log(clock::now())
-            {
-                let entry = self.context.dispatcher.registry_entry(connection.database);
-                let template: String = query.template.chars().take(MAX_LOGGED_CHARACTERS).collect();
-                log::info!(
-                    database = entry.id.as_str(), connection = connection.number,
-                    name = name.to_string().as_str(), template = template.as_str(),
-                    template_bytes = query.template.len();
-                    "preparing a statement on a connection"
-                );
-            }
+        if !self.context.prepare_log_limiter.may_log(clock::now()) {
+            return;
         }
+        let entry = self.context.dispatcher.registry_entry(database);
+        let template: String = query.template.chars().take(MAX_LOGGED_CHARACTERS).collect();
+        log::info!(
+            database = entry.id.as_str(), connection = connection_number,
+            name = name.to_string().as_str(), template = template.as_str(),
+            template_bytes = query.template.len();
+            "prepared a statement on a connection"
+        );
     }
 
-    /// Counts the setup steps of a connection, and logs the first one that the database refused.
-    pub(super) fn record_setup(
+    /// Logs why a connection could not be given the state of the session.
+    pub(super) fn log_setup_error(
         &self,
+        id: &str,
         connection: &dispatch::PoolConnection,
-        steps: &[connection_state::SetupStep],
-        error: Option<connection::ExchangeError>,
+        error: &connection::SetupError,
     ) {
-        let refused = match error {
-            Some(connection::ExchangeError::SetupRefused { step, error }) => Some((step, error)),
-            Some(_) => return,
-            None => None,
-        };
-        for (index, step) in steps.iter().enumerate() {
-            let is_refused = refused.is_some_and(|(refused, _)| refused == index);
-            let result = if is_refused {
-                "refused"
-            } else {
-                "acknowledged"
-            };
-            self.context
-                .metrics
-                .count_setup_step(step.kind_label(), result);
-        }
-        if let Some((index, error)) = refused
-            && self.context.statement_log_limiter.may_log(clock::now())
-        {
+        if self.context.statement_log_limiter.may_log(clock::now()) {
             let entry = self.context.dispatcher.registry_entry(connection.database);
             log::info!(
-                database = entry.id.as_str(), connection = connection.number,
-                step = steps[index].kind_label(), error = error.as_str();
-                "a database refused a setup step"
+                id = id, database = entry.id.as_str(), connection = connection.number,
+                error:% = error;
+                "a connection could not be given the session's state"
             );
         }
     }
@@ -240,9 +221,9 @@
     }
 
     /// Records that a statement is about to be sent.
-    pub(super) fn record_send(&self, connection: &dispatch::PoolConnection) -> SendRecord {
+    pub(super) fn record_send(&self, database: pool::DatabaseIndex) -> SendRecord {
         let at = clock::now();
-        let entry = self.context.dispatcher.registry_entry(connection.database);
+        let entry = self.context.dispatcher.registry_entry(database);
         let snapshot = self.context.shared.snapshot();
         let leased = snapshot.leased_leader(&entry.service, at);
         let leader = leased.filter(|leader| leader.database == entry.id);
@@ -307,6 +288,18 @@
         connection: dispatch::PoolConnection,
         error: connection::ExchangeError,
         is_commit: bool,
+    ) {
+        self.report_no_answer(id, &connection, error, is_commit);
+        self.context.dispatcher.discard(connection);
+    }
+
+    /// Reports that a statement or a setup step got no answer on a connection, which is to be closed.
+    pub(super) fn report_no_answer(
+        &self,
+        id: &str,
+        connection: &dispatch::PoolConnection,
+        error: connection::ExchangeError,
+        is_commit: bool,
     ) {
         let dispatcher = &self.context.dispatcher;
         let database = connection.database;
@@ -319,11 +312,7 @@
                 "no answer from a database"
             );
         }
-        let is_answered = matches!(
-            error,
-            connection::ExchangeError::Malformed | connection::ExchangeError::SetupRefused { .. }
-        );
-        if !is_answered {
+        if error != connection::ExchangeError::Malformed {
             dispatcher.record_unresponsive(database);
             let kind = if is_commit {
                 shared::EvidenceKind::CommitUnanswered
@@ -332,6 +321,5 @@
             };
             dispatcher.report_evidence(database, kind);
         }
-        dispatcher.discard(connection);
     }
 }
--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -1,5 +1,6 @@
 //! Tests that a connection is used for another caller only after its transaction has ended.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use bluebellferry_edge::traffic::session;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
+use bluebellferry_session::statement;
 use bluebellferry_standin_platform::caller;
 use bluebellferry_standin_platform::database;
 use bluebellferry_standin_platform::deployment;
@@ -220,9 +222,11 @@
                 let placed = dispatcher.acquire(&mut request).await;
                 let mut connection = placed.expect("the leader is available").connection;
                 for statement in statements {
-                    let sent = connection.send(&format!("QUERY 1 {statement}\r\n")).await;
-                    sent.expect("the statement is sent");
-                    let answer = connection.receive_answers(1, request.deadline).await;
+                    let text = statement::StatementText::Verbatim((*statement).to_owned());
+                    let settled = connection.for_statement(&BTreeMap::new(), &text);
+                    let settled = settled.expect("a new connection has no settings");
+                    let encoded = settled.encode("1", None).expect("a short statement");
+                    let answer = encoded.run(request.deadline).await;
                     assert_eq!(answer.map(|answer| answer.error), Ok(None), "{statement}");
                 }
                 dispatcher.release(connection);
--- a/crates/bluebellferry_types/src/refusal.rs
+++ b/crates/bluebellferry_types/src/refusal.rs
@@ -142,6 +142,9 @@
     /// A database that has just started or recovered takes only a limited number of requests.
     DatabaseWarmingUp => "database_warming_up", "53300",
         "The database has just started and takes only a few requests until it is up to speed.";
+    /// No database accepted the session's settings and prepared statements.
+    SetupRefused => "setup_refused", "57P03",
+        "No database accepted the settings or the prepared statement of the caller's session.";
     /// The VM reached its limit of connected callers.
     TooManyCallers => "too_many_callers", "53300",
         "This server already has as many callers as it can hold.";
