Bound the prepared statements of a connection within a transaction

A connection is not reset within a transaction since its setup is acknowledged before its statements, and a caller that prepares and executes on and on in one transaction could fill it without limit. At 256 it is now reset there too.

--- a/crates/bluebellferry_session/src/connection_state.rs
+++ b/crates/bluebellferry_session/src/connection_state.rs
@@ -10,6 +10,8 @@
 /// The number of prepared statements on one connection at which it is reset before the next one, to
 /// bound its memory here and at the database.
 pub const MAX_PREPARED_STATEMENTS: usize = 64;
+/// The number of prepared statements at which a connection is reset even within a transaction.
+pub const MAX_PREPARED_IN_TRANSACTION: usize = 256;
 /// The total length of the templates prepared on one connection at which it is reset before the
 /// next one, in bytes.
 pub const MAX_PREPARED_BYTES: usize = 256 << 10;
@@ -87,7 +89,8 @@
     /// `query` is given, a prepared statement for it. The state changes only as the steps are
     /// acknowledged.
     ///
-    /// A connection that holds much is reset first if `may_reset` is true.
+    /// A connection that holds much is reset first. Within a transaction, where `may_reset` is
+    /// false, it may hold more.
     pub fn plan_setup(
         &mut self,
         settings: &BTreeMap<String, String>,
@@ -101,7 +104,9 @@
                 .keys()
                 .all(|name| settings.contains_key(name));
             let needs_room = query.is_some_and(|query| !current.prepared.contains_key(query));
-            has_only_wanted && !(needs_room && may_reset && current.is_full())
+            let is_full = may_reset && current.is_full()
+                || current.prepared.len() >= MAX_PREPARED_IN_TRANSACTION;
+            has_only_wanted && !(needs_room && is_full)
         });
         if current.is_none() {
             steps.push(SetupStep::Reset);
