Promote a draining replica at once if all others have been fenced with shorter logs

Cause: should_defer waited DRAINING_CANDIDATE_DELAY (1.5 s) for any replica that was not draining, even for one that had been fenced and whose log was shorter. The delay also kept the end of fencing from being recorded, so that the leases of probes (0.8 s) began only after it.

Fix: only a replica that has not been fenced is a reason to defer. A fenced one receives nothing any more, so it can't get a longer log, and the choice has taken its log into account: had it been as long, it would have been chosen itself. After an orderly departure a replica counts as fenced only once it has the leader's whole log, so one that is still receiving is waited for as before.

Evidence, before the fix: - leases.rs: "assertion failed: !successor::should_defer(&choice, &databases)" - successions, a schedule of this case: "acknowledged commits left with db-2" - successors.rs, with processes: "ordered 1.734914943s after the fences"; the limit is 1.2 s, which the order keeps if both VMs acknowledge the replacement, as they do there. All three pass with it, and so do the tests of the promotion crate and those of the edge that are concerned (successors, lost_logs, lost_leaders, leaders_and_registrations, fences_lost_in_restarts).

The schedule added here asserts that no commit leaves with db-2.

--- a/crates/bluebellferry_edge/tests/successors.rs
+++ b/crates/bluebellferry_edge/tests/successors.rs
@@ -23,6 +23,9 @@
 const REGISTRATION_TIME: Duration = Duration::from_millis(2_000);
 /// How long a leader is silent.
 const DOWN_TIME: Duration = Duration::from_secs(4);
+/// Maximum time from the fences of all replicas to the order that promotes one of them, if all VMs
+/// acknowledge the replacement.
+const MAX_ORDER_DELAY: Duration = Duration::from_millis(1_200);
 /// Maximum time until an awaited event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(15);
 /// An order to promote a database that has no effect.
@@ -377,6 +380,41 @@
     writers.assert_all_kept().await;
 }
 
+/// Guards against lost commits: a draining replica that alone had the last ones left while its
+/// promotion was held back in favour of a replica that had been fenced with a shorter log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_replica_with_the_last_commits_is_promoted_without_delay() {
+    let deployment = start(2).await;
+    let writers = ConcurrentWriters::start(&deployment, 0);
+    writers.wait_for_writes().await;
+    let group = &deployment.group;
+    group.set_replication_blocked(2, true);
+    drain(&deployment, "i-b").await;
+    writers.wait_for_writes().await;
+    group.set_unresponsive(0, true);
+    let is_fenced = |fenced: usize| {
+        let lines = group.received_lines_by_member();
+        let is_fencing =
+            |(member, line): &(usize, String)| *member == fenced && line.contains("PAUSE");
+        lines.iter().any(is_fencing)
+    };
+    wait_until("both replicas are fenced", || is_fenced(1) && is_fenced(2)).await;
+    let fenced_at = Instant::now();
+    wait_until("a promotion is ordered", || {
+        !group.promotion_calls().is_empty()
+    })
+    .await;
+    let delay = fenced_at.elapsed();
+    let call = group.promotion_calls().swap_remove(0);
+    assert_eq!(call.database, "i-b");
+    assert!(
+        delay < MAX_ORDER_DELAY,
+        "ordered {delay:?} after the fences"
+    );
+    group.set_replication_blocked(2, false);
+    writers.assert_all_kept().await;
+}
+
 /// Guards against lost commits: a replica with the last commits had crashed beside the leader, and
 /// an unrelated database that joined in its data centre was taken for its replacement.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/bluebellferry_promotion/src/successor.rs
+++ b/crates/bluebellferry_promotion/src/successor.rs
@@ -311,17 +311,19 @@
     }
 }
 
-/// Returns whether a choice should be deferred: it names a draining database, while a
-/// replica that is not draining may merely have been slower to answer.
+/// Returns whether a choice should be deferred: it names a draining database, while a replica that
+/// is neither draining nor fenced may merely have been slower to answer. A fenced replica was taken
+/// into account by the choice, and its log gets no longer.
 pub fn should_defer(choice: &SuccessorChoice, databases: &[DatabaseEvidence]) -> bool {
     let SuccessorChoice::Promote { id, .. } = choice else {
         return false;
     };
     let is_chosen_draining =
         |database: &DatabaseEvidence| database.id == *id && database.is_draining;
-    let is_better_candidate =
-        |database: &DatabaseEvidence| !database.is_leader && !database.is_draining;
-    databases.iter().any(is_chosen_draining) && databases.iter().any(is_better_candidate)
+    let may_suit_better = |database: &DatabaseEvidence| {
+        !database.is_leader && !database.is_draining && database.fenced_position.is_none()
+    };
+    databases.iter().any(is_chosen_draining) && databases.iter().any(may_suit_better)
 }
 
 /// Returns whether the log that a fenced database reported reaches its earlier position, if
--- a/crates/bluebellferry_promotion/tests/leases.rs
+++ b/crates/bluebellferry_promotion/tests/leases.rs
@@ -518,6 +518,40 @@
     assert!(!successor::should_defer(&choice, &databases));
 }
 
+// Guards against lost commits: a draining replica that alone had the last ones left while its
+// promotion was deferred in favour of a replica that was fenced with a shorter log.
+#[test]
+fn draining_replica_is_not_deferred_for_one_that_is_fenced_with_a_shorter_log() {
+    let mut draining = database("r1", Some(728));
+    draining.is_draining = true;
+    let databases = [
+        database("x", None),
+        draining.clone(),
+        database("r2", Some(708)),
+    ];
+    let choice = successor::choose_successor(&databases, &successor::ReplacedReign::of_term(1));
+    assert!(
+        matches!(&choice, successor::SuccessorChoice::Promote { id, .. } if id.as_str() == "r1")
+    );
+    assert!(!successor::should_defer(&choice, &databases));
+    // A third replica may still turn out to have the longest log.
+    let acknowledged = successor::ReplacedReign {
+        acknowledged_end: Some(position::LogPosition::new(1, 728)),
+        ..successor::ReplacedReign::of_term(1)
+    };
+    let databases = [
+        database("x", None),
+        draining,
+        database("r2", Some(708)),
+        database("r3", None),
+    ];
+    let choice = successor::choose_successor(&databases, &acknowledged);
+    assert!(
+        matches!(&choice, successor::SuccessorChoice::Promote { id, .. } if id.as_str() == "r1")
+    );
+    assert!(successor::should_defer(&choice, &databases));
+}
+
 #[test]
 fn no_acknowledged_commit_is_lost_with_partial_evidence() {
     // A commit is acknowledged once the leader and one replica have it in their logs.
--- a/crates/bluebellferry_promotion/tests/successions/schedules.rs
+++ b/crates/bluebellferry_promotion/tests/successions/schedules.rs
@@ -164,3 +164,27 @@
         world.advance(seconds(6.0));
     });
 }
+
+// Guards against losing the last commits with a draining replica, which left while its promotion was
+// deferred in favour of a replica that was fenced with a shorter log.
+#[test]
+fn draining_replica_with_the_last_commits_leads_before_it_leaves() {
+    check_schedule(|world| {
+        deafen_for(world, 1, seconds(60.0));
+        world.drain_for(2, false, seconds(60.0));
+        world.advance(seconds(2.0));
+        world.replace_by_empty(0, seconds(20.0));
+        let limit = world.now + seconds(10.0);
+        while !world.table.entry.is_being_replaced && world.now < limit {
+            world.step();
+        }
+        world.advance(seconds(0.6));
+        world.databases[1].deaf_until = None;
+        // A promotion that is ordered 1.5 s after the claim may not have taken effect by then.
+        world.advance(seconds(1.7));
+        world.remove_database(2, false);
+        let is_kept = world.ledger.is_complete_in_some_log(&world.databases);
+        let notes = world.notes.as_deref().unwrap_or_default().join("\n");
+        assert!(is_kept, "acknowledged commits left with db-2\n{notes}");
+    });
+}
