Restore the leadership table from a copy without orders only after VMs that have them

The table of a VM may be a copy from another VM, which has neither the orders to promote databases nor the ends of lost logs: written to the store, it erased them for all VMs.

Such a VM now waits 600 ms, also if it holds the duty, so that one which has read the table from the store goes first. If none is left, the copy is written as before, only later.

Evidence, before the fix: claims.rs, a copy without orders 350 ms after the return, "assertion `left == right` failed, left: WriteKnown(LeadershipTable { revision: 7, holder: "vm-0", ...), right: Wait". It passes with the fix, and so do the other tests of claims and store_returns.

--- a/crates/bluebellferry_edge/src/control/state/store_eras.rs
+++ b/crates/bluebellferry_edge/src/control/state/store_eras.rs
@@ -15,6 +15,8 @@
 const REWRITE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long other VMs leave it to the holder of the promotion duty to restore the table.
 const HOLDER_HEAD_START: Duration = Duration::from_millis(300);
+/// How long a VM whose table is a copy from another VM, without orders, leaves it to the others.
+const COMPLETE_TABLE_HEAD_START: Duration = Duration::from_millis(600);
 /// How long after a return of the store a promotion may be under way that a VM of the previous era
 /// requested, with the time that the databases take to agree on the leader.
 pub const RECONCILIATION_TIMEOUT: Duration = Duration::from_millis(4_000);
@@ -121,7 +123,12 @@
             self.lease.knows_table() && self.lease.valid_until().is_some_and(|until| until > now);
         if is_latest {
             let is_holder = self.leadership_table.holder == self.own_name();
-            return if is_holder || waited >= HOLDER_HEAD_START {
+            let head_start = match (self.has_complete_table, is_holder) {
+                (false, _) => COMPLETE_TABLE_HEAD_START,
+                (true, false) => HOLDER_HEAD_START,
+                (true, true) => Duration::ZERO,
+            };
+            return if waited >= head_start {
                 RestorationPlan::WriteKnown(self.leadership_table.restored(era, nonce))
             } else {
                 RestorationPlan::Wait
--- a/crates/bluebellferry_edge/tests/claims.rs
+++ b/crates/bluebellferry_edge/tests/claims.rs
@@ -16,12 +16,14 @@
 use bluebellferry_edge::control::peers;
 use bluebellferry_edge::control::replacement;
 use bluebellferry_edge::control::state;
+use bluebellferry_edge::control::state::store_eras;
 use bluebellferry_edge::shared;
 use bluebellferry_membership::heartbeat;
 use bluebellferry_runtime::clock;
 use bluebellferry_standin_platform::store;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
+use bluebellferry_types::store_revision;
 use tokio::net::TcpListener;
 
 #[path = "fixtures/settings.rs"]
@@ -251,3 +253,57 @@
     peers::handle_heartbeat(&restarted, any_address(), (7, 1), heartbeat, clock::now());
     assert!(relies_on_leader(&restarted.borrow()));
 }
+
+// Guards against lost orders: after the store had come back from an older copy, a VM restored the
+// leadership table from another VM's copy, which has no orders, before a VM that has them.
+#[test]
+fn table_without_orders_is_restored_only_after_vms_that_have_them_had_time() {
+    let mut control = control("vm-1", &["vm-1"], any_address(), databases());
+    let order = leadership::PromotionOrder {
+        database: id("i-b"),
+        number: 1,
+        unsettled: 1,
+    };
+    let entry = leadership::LeaderEntry {
+        database: id("i-a"),
+        phase: leadership::LeaderPhase::Replacing,
+        log_end_when_chosen: None,
+        required_end: None,
+        order: None,
+    };
+    let table = leadership::LeadershipTable::default();
+    let mut copy = table.with_entry("vm-0", 1, &service(), entry.clone());
+    copy.revision = 7;
+    let ordered = leadership::LeaderEntry {
+        order: Some(order.clone()),
+        ..entry
+    };
+    let mut stored = copy.with_entry("vm-0", 1, &service(), ordered);
+    stored.revision = 7;
+    control.apply_table_copy(&copy);
+    let mut complete = state_with_table(&stored);
+    for control in [&mut control, &mut complete] {
+        let now = clock::now();
+        control.lease.record_store_confirmation(now, 7);
+        control.observe_store_era(Some(store_revision::StoreEra::new(1)), now);
+    }
+    let plan = |control: &state::ControlState, delay_ms: u64| {
+        let now = clock::now() + Duration::from_millis(delay_ms);
+        control.plan_restoration(&table, 2, now)
+    };
+    assert_eq!(plan(&control, 350), store_eras::RestorationPlan::Wait);
+    let store_eras::RestorationPlan::WriteKnown(restored) = plan(&complete, 350) else {
+        panic!("a VM that has the orders restores the table");
+    };
+    assert_eq!(restored.leaders[&service()].order, Some(order));
+    // If no VM has them, the table is restored all the same.
+    let plan = plan(&control, 700);
+    assert!(matches!(plan, store_eras::RestorationPlan::WriteKnown(_)));
+}
+
+/// Returns the control state of a VM that has read a leadership table from the store.
+fn state_with_table(table: &leadership::LeadershipTable) -> state::ControlState {
+    let mut control = control("vm-1", &["vm-1"], any_address(), databases());
+    control.apply_leadership_table(table);
+    control
+}
