Number prepared statements instead of hashing them

A statement's name on database connections was an xxh3 digest of the text followed by the type OIDs. By construction a text and the same text less its last four bytes, which the caller sends as an OID, had one name; and xxh3 is not made to withstand callers who look for collisions. Connections are shared by workspaces, so one caller's statement could run for another.

The test against the stand-in failed before: after "SELECT 1" with the OID of the bytes " + 1", "SELECT 1 + 1" was answered with 1: left: RawAnswer { values: ["1"], sqlstate: None } right: RawAnswer { values: ["2"], sqlstate: None } PostgreSQL would refuse the Bind in this case, because the number of parameters differs; a digest collision found otherwise would run.

A table of the process now compares texts and types in full and gives out numbers that are never used twice. Numbers per connection were weighed: they need no common table, but every connection would keep all texts, and the registry of statements that a service has prepared needs a name that holds on all of them.

--- /dev/null
+++ b/crates/bluebellferry_fleet/tests/statement_names.rs
@@ -0,0 +1,133 @@
+//! Prepared statements of several callers on shared database connections. The messages
+//! are written by hand, because drivers don't send these orders of messages.
+
+use std::time::Duration;
+
+use bluebellferry_fleet::fleet;
+use bluebellferry_fleet::plan;
+use bluebellferry_fleet::process;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+
+type TestResult = Result<(), Box<dyn std::error::Error>>;
+
+/// The longest time an answer may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A caller that writes protocol messages itself.
+struct RawCaller {
+    stream: tokio::net::TcpStream,
+}
+
+/// The answer to one request, up to ReadyForQuery.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct RawAnswer {
+    /// The first value of each row.
+    values: Vec<String>,
+    /// The SQLSTATE of the error, if there was one.
+    sqlstate: Option<String>,
+}
+
+impl RawAnswer {
+    fn of_value(value: &str) -> Self {
+        Self {
+            values: vec![value.to_owned()],
+            sqlstate: None,
+        }
+    }
+}
+
+impl RawCaller {
+    async fn log_in(fleet: &fleet::Fleet) -> Result<Self, Box<dyn std::error::Error>> {
+        let stream = tokio::net::TcpStream::connect(fleet.proxies[0].listen).await?;
+        let mut caller = Self { stream };
+        let body = b"\0\x03\0\0user\0families\0database\0rental-core\0\0";
+        caller.stream.write_u32(body.len() as u32 + 4).await?;
+        caller.stream.write_all(body).await?;
+        let key = plan::FleetPlan::api_key_of("families");
+        caller.ask(&frame(b'p', &text(&key))).await?;
+        Ok(caller)
+    }
+
+    /// Sends a request and returns its answer.
+    async fn ask(&mut self, request: &[u8]) -> Result<RawAnswer, Box<dyn std::error::Error>> {
+        self.stream.write_all(request).await?;
+        let mut answer = RawAnswer::default();
+        loop {
+            let (tag, body) = tokio::time::timeout(ANSWER_TIMEOUT, self.read_frame()).await??;
+            match tag {
+                b'D' => {
+                    let value = body.get(6..).ok_or("a row without a value")?;
+                    answer.values.push(String::from_utf8(value.to_vec())?);
+                }
+                b'E' => answer.sqlstate = Some(sqlstate(&body)?),
+                b'Z' => return Ok(answer),
+                _ => {}
+            }
+        }
+    }
+
+    async fn read_frame(&mut self) -> std::io::Result<(u8, Vec<u8>)> {
+        let tag = self.stream.read_u8().await?;
+        let length = self.stream.read_u32().await?;
+        let mut body = vec![0; length.saturating_sub(4) as usize];
+        self.stream.read_exact(&mut body).await?;
+        Ok((tag, body))
+    }
+}
+
+async fn start_fleet() -> Result<fleet::Fleet, fleet::FleetError> {
+    let plan = plan::FleetPlan::small();
+    fleet::Fleet::start(plan, &process::Launcher::SiblingBinaries).await
+}
+
+/// Returns the SQLSTATE field of an ErrorResponse.
+fn sqlstate(body: &[u8]) -> Result<String, Box<dyn std::error::Error>> {
+    let mut fields = body.split(|byte| *byte == 0);
+    let code = fields.find_map(|field| field.strip_prefix(b"C"));
+    Ok(String::from_utf8(code.ok_or("no SQLSTATE")?.to_vec())?)
+}
+
+fn text(text: &str) -> Vec<u8> {
+    [text.as_bytes(), b"\0"].concat()
+}
+
+fn frame(tag: u8, body: &[u8]) -> Vec<u8> {
+    let length = (body.len() as u32 + 4).to_be_bytes();
+    [&[tag], length.as_slice(), body].concat()
+}
+
+fn parse(name: &str, sql: &str, type_oids: &[u32]) -> Vec<u8> {
+    let mut body = [text(name), text(sql)].concat();
+    body.extend((type_oids.len() as u16).to_be_bytes());
+    body.extend(type_oids.iter().flat_map(|oid| oid.to_be_bytes()));
+    frame(b'P', &body)
+}
+
+/// Returns messages that run a prepared statement without parameters.
+fn run(name: &str) -> Vec<u8> {
+    let bind = [text(""), text(name), vec![0; 6]].concat();
+    let execute = [text(""), vec![0; 4]].concat();
+    [frame(b'B', &bind), frame(b'E', &execute)].concat()
+}
+
+fn sync() -> Vec<u8> {
+    frame(b'S', &[])
+}
+
+// Guards against names made of the text followed by the type OIDs, where an OID could
+// take the place of the text's last four bytes.
+#[tokio::test]
+async fn a_text_and_a_text_with_a_type_oid_never_share_a_name() -> TestResult {
+    let fleet = start_fleet().await?;
+    let mut first = RawCaller::log_in(&fleet).await?;
+    let type_oid = u32::from_be_bytes(*b" + 1");
+    let request = [parse("", "SELECT 1", &[type_oid]), run(""), sync()].concat();
+    assert_eq!(first.ask(&request).await?, RawAnswer::of_value("1"));
+    let mut second = RawCaller::log_in(&fleet).await?;
+    let request = [parse("", "SELECT 1 + 1", &[]), run(""), sync()].concat();
+    for _ in 0..4 {
+        assert_eq!(second.ask(&request).await?, RawAnswer::of_value("2"));
+    }
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -48,14 +48,15 @@
     Authentication(String),
 }
 
-/// Identifies a prepared statement by a hash of its text and parameter types.
+/// Identifies a prepared statement by a number of [`crate::prepared::StatementTable`],
+/// which never gives two statements the same number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct StatementId(pub u128);
+pub struct StatementId(pub u64);
 
 impl StatementId {
     /// Returns the statement's name on database connections.
     pub fn database_name(self) -> String {
-        format!("bbf_{:032x}", self.0)
+        format!("bbf_{:x}", self.0)
     }
 }
 
--- a/crates/bluebellferry_proxy/src/session/exchange.rs
+++ b/crates/bluebellferry_proxy/src/session/exchange.rs
@@ -18,10 +18,10 @@
 use bytes::BytesMut;
 use pgwire::messages::extendedquery;
 use smallvec::SmallVec;
-use xxhash_rust::xxh3;
 
 use super::CallerPreparedStatement;
 use crate::backend;
+use crate::prepared;
 
 /// An answer that is still outstanding.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,31 +75,28 @@
 
 /// Returns the caller's name for the statement of a Parse message, and the statement
 /// under its name on database connections.
-///
-/// # Errors
-/// Fails when the message cannot be decoded.
 pub fn rename_statement(
     parse: extendedquery::Parse,
-) -> Result<(String, Arc<CallerPreparedStatement>), frame::FrameError> {
-    let mut hasher = xxh3::Xxh3::new();
-    hasher.update(parse.query.as_bytes());
-    for type_id in &parse.type_oids {
-        hasher.update(&type_id.to_be_bytes());
-    }
-    let id = backend::StatementId(hasher.digest128());
+    table: &prepared::StatementTable,
+) -> (String, Arc<CallerPreparedStatement>) {
+    let definition = prepared::StatementDefinition {
+        sql: parse.query,
+        type_oids: parse.type_oids,
+    };
+    let id = table.number_statement(&definition);
     let renamed = extendedquery::Parse::new(
         Some(id.database_name()),
-        parse.query.clone(),
-        parse.type_oids,
+        definition.sql.clone(),
+        definition.type_oids,
     );
     let mut bytes = BytesMut::new();
     message::put_message(&mut bytes, &renamed);
     let statement = CallerPreparedStatement {
         id,
         parse_message: bytes.freeze(),
-        sql: parse.query,
+        sql: definition.sql,
     };
-    Ok((parse.name.unwrap_or_default(), Arc::new(statement)))
+    (parse.name.unwrap_or_default(), Arc::new(statement))
 }
 
 impl RequestExchange {
@@ -132,6 +129,7 @@
     pub fn translate_message(
         &mut self,
         frame: &frame::WireFrame,
+        table: &prepared::StatementTable,
         statements: &mut HashMap<String, Arc<CallerPreparedStatement>>,
         connection_statements: &HashSet<backend::StatementId>,
         to_database: &mut BytesMut,
@@ -152,7 +150,13 @@
             }
             _ => {
                 self.is_batch_open = true;
-                self.translate_extended(frame, statements, connection_statements, to_database)?;
+                self.translate_extended(
+                    frame,
+                    table,
+                    statements,
+                    connection_statements,
+                    to_database,
+                )?;
             }
         }
         self.append_synthetic_answers(to_caller);
@@ -168,6 +172,7 @@
     fn translate_extended(
         &mut self,
         frame: &frame::WireFrame,
+        table: &prepared::StatementTable,
         statements: &mut HashMap<String, Arc<CallerPreparedStatement>>,
         connection_statements: &HashSet<backend::StatementId>,
         to_database: &mut BytesMut,
@@ -175,7 +180,7 @@
         match frame.tag {
             frame::PARSE => {
                 let parse = message::decode_message(frame)?;
-                let (name, statement) = rename_statement(parse)?;
+                let (name, statement) = rename_statement(parse, table);
                 if self.is_prepared(statement.id, connection_statements) {
                     self.expected.push_back(ExpectedAnswer::SyntheticParse);
                 } else {
--- a/crates/bluebellferry_proxy/src/session/local.rs
+++ b/crates/bluebellferry_proxy/src/session/local.rs
@@ -89,7 +89,8 @@
         if parse.tag != frame::PARSE || sync.tag != frame::SYNC {
             return Ok(false);
         }
-        let (name, statement) = exchange::rename_statement(message::decode_message(parse)?)?;
+        let parse = message::decode_message(parse)?;
+        let (name, statement) = exchange::rename_statement(parse, &self.shared.statement_table);
         if !self
             .shared
             .prepared_registry
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -204,6 +204,7 @@
         let prepared_statements = &connection.connection.prepared_statements;
         state.exchange.translate_message(
             frame,
+            &self.shared.statement_table,
             &mut self.statements,
             prepared_statements,
             &mut state.to_database,
--- a/crates/bluebellferry_proxy/src/shared.rs
+++ b/crates/bluebellferry_proxy/src/shared.rs
@@ -32,6 +32,8 @@
     pub tokens_wanted: Notify,
     /// The sessions whose running statement can be cancelled by a `CancelRequest`.
     pub cancel_registry: cancel::CancelRegistry,
+    /// The numbers that name prepared statements on database connections.
+    pub statement_table: prepared::StatementTable,
     /// The statements that the databases of each service have prepared successfully.
     pub prepared_registry: prepared::PreparedRegistry,
     /// The probes that read the primary's committed position as a floor for sessions.
@@ -56,6 +58,7 @@
             rate_limiter: limiter::RateLimiter::default(),
             tokens_wanted: Notify::new(),
             cancel_registry: cancel::CancelRegistry::default(),
+            statement_table: prepared::StatementTable::default(),
             prepared_registry: prepared::PreparedRegistry::default(),
             floor_probes: floor::FloorProbes::default(),
             caller_count: AtomicUsize::new(0),
