Change a caller's prepared names only once they are answered

The proxy recorded Parse and Close of a caller's name when it sent them. Two things callers saw: - A batch failed before its Close and Parse of a name, so the database ignored both. The name then ran the second text, not the one that the caller still had prepared. - A batch that ran a statement and closed it was sent again to the primary, because a replica had refused it as a write. The second attempt no longer knew the name, and the caller got SQLSTATE 26000.

An exchange now keeps what each name meant before. An error undoes the changes that have not been answered, and a request that is sent again, or whose answers never reached the caller, undoes them all. A Parse of the unnamed statement that fails itself leaves none, as in PostgreSQL.

--- a/crates/bluebellferry_fleet/tests/statement_names.rs
+++ b/crates/bluebellferry_fleet/tests/statement_names.rs
@@ -74,6 +74,10 @@
         self.stream.read_exact(&mut body).await?;
         Ok((tag, body))
     }
+
+    async fn query(&mut self, sql: &str) -> Result<RawAnswer, Box<dyn std::error::Error>> {
+        self.ask(&frame(b'Q', &text(sql))).await
+    }
 }
 
 async fn start_fleet() -> Result<fleet::Fleet, fleet::FleetError> {
@@ -131,3 +135,46 @@
     }
     Ok(())
 }
+
+// Guards against a caller's name that changed its statement by messages that the
+// database ignored after an error.
+#[tokio::test]
+async fn a_name_keeps_its_statement_when_a_batch_fails_before_its_parse() -> TestResult {
+    let fleet = start_fleet().await?;
+    let mut caller = RawCaller::log_in(&fleet).await?;
+    let request = [parse("s", "SELECT 1", &[]), sync()].concat();
+    assert_eq!(caller.ask(&request).await?, RawAnswer::default());
+    let close = frame(b'C', &[b"S".to_vec(), text("s")].concat());
+    let failing = parse("", "SELECT * FROM absent_gear", &[]);
+    let request = [failing, close, parse("s", "SELECT 2", &[]), sync()].concat();
+    let refused = caller.ask(&request).await?;
+    assert_eq!(refused.sqlstate.as_deref(), Some("42P01"));
+    let request = [run("s"), sync()].concat();
+    assert_eq!(caller.ask(&request).await?, RawAnswer::of_value("1"));
+    Ok(())
+}
+
+// Guards against a request that is sent to a second database with names that its first
+// attempt has already closed.
+#[tokio::test]
+async fn a_batch_that_closes_its_statement_can_be_sent_again() -> TestResult {
+    let fleet = start_fleet().await?;
+    let mut caller = RawCaller::log_in(&fleet).await?;
+    caller.query("CREATE TABLE gear (id BIGINT)").await?;
+    let set = caller.query("SET bluebellferry.read = 'catalogue'").await?;
+    assert_eq!(set, RawAnswer::default());
+    let close = frame(b'C', &[b"S".to_vec(), text("s")].concat());
+    for id in 0..10 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let insert = parse("s", &format!("INSERT INTO gear VALUES ({id})"), &[]);
+        caller.ask(&[insert, sync()].concat()).await?;
+        // A replica refuses the write, and the request is sent to the primary.
+        let request = [run("s"), close.clone(), sync()].concat();
+        assert_eq!(
+            caller.ask(&request).await?,
+            RawAnswer::default(),
+            "row {id}"
+        );
+    }
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/session/exchange.rs
+++ b/crates/bluebellferry_proxy/src/session/exchange.rs
@@ -71,6 +71,17 @@
     is_batch_open: bool,
     has_failed: bool,
     newly_prepared: SmallVec<[backend::StatementId; 2]>,
+    /// The changes of the caller's names, in the order of the messages.
+    name_changes: SmallVec<[NameChange; 2]>,
+    /// The number of changes that have been answered; the first ones.
+    acknowledged_changes: usize,
+}
+
+/// A change of a caller's name, which does not count if the database ignores the message.
+#[derive(Debug)]
+struct NameChange {
+    name: String,
+    previous: Option<Arc<CallerPreparedStatement>>,
 }
 
 /// Returns the caller's name for the statement of a Parse message, and the statement
@@ -121,6 +132,32 @@
         &self.newly_prepared
     }
 
+    /// Undoes the changes of the caller's names that have not been answered.
+    pub fn undo_unanswered_changes(
+        &mut self,
+        statements: &mut HashMap<String, Arc<CallerPreparedStatement>>,
+    ) {
+        while self.name_changes.len() > self.acknowledged_changes {
+            let Some(change) = self.name_changes.pop() else {
+                return;
+            };
+            match change.previous {
+                Some(statement) => statements.insert(change.name, statement),
+                None => statements.remove(&change.name),
+            };
+        }
+    }
+
+    /// Undoes all changes of the caller's names, because no answer has reached the
+    /// caller.
+    pub fn undo_all_changes(
+        &mut self,
+        statements: &mut HashMap<String, Arc<CallerPreparedStatement>>,
+    ) {
+        self.acknowledged_changes = 0;
+        self.undo_unanswered_changes(statements);
+    }
+
     /// Appends the translation of a caller's message to `to_database`, and to
     /// `to_caller` the synthetic answers that no outstanding answer precedes.
     ///
@@ -190,7 +227,8 @@
                         to_database,
                     );
                 }
-                statements.insert(name, statement);
+                let previous = statements.insert(name.clone(), statement);
+                self.name_changes.push(NameChange { name, previous });
             }
             frame::BIND => {
                 let name = message::bind_statement_name(frame)?;
@@ -210,7 +248,9 @@
             frame::CLOSE => {
                 let close: extendedquery::Close = message::decode_message(frame)?;
                 if close.target_type == b'S' {
-                    statements.remove(close.name.as_deref().unwrap_or(""));
+                    let name = close.name.unwrap_or_default();
+                    let previous = statements.remove(&name);
+                    self.name_changes.push(NameChange { name, previous });
                     self.expected.push_back(ExpectedAnswer::SyntheticClose);
                 } else {
                     self.push_message(ExpectedAnswer::Close, &frame.bytes, to_database);
@@ -289,6 +329,7 @@
     pub fn handle_answer(
         &mut self,
         chunk: &reader::FrameChunk,
+        statements: &mut HashMap<String, Arc<CallerPreparedStatement>>,
         connection_statements: &mut HashSet<backend::StatementId>,
     ) -> Result<AnswerEvent, frame::FrameError> {
         if !chunk.is_first {
@@ -312,6 +353,7 @@
             }
             frame::ERROR_RESPONSE => {
                 self.has_failed = true;
+                self.undo_failed_changes(statements);
                 self.drop_until_sync();
                 Ok(AnswerEvent::Error)
             }
@@ -335,6 +377,21 @@
         }
     }
 
+    /// Undoes the changes of names that the database has ignored after an error. A
+    /// Parse of the unnamed statement that fails itself leaves no unnamed statement.
+    fn undo_failed_changes(
+        &mut self,
+        statements: &mut HashMap<String, Arc<CallerPreparedStatement>>,
+    ) {
+        let is_parse = matches!(self.expected.front(), Some(ExpectedAnswer::Parse(_)));
+        let failed = self.name_changes.get(self.acknowledged_changes);
+        let is_unnamed_parse = is_parse && failed.is_some_and(|change| change.name.is_empty());
+        self.undo_unanswered_changes(statements);
+        if is_unnamed_parse {
+            statements.remove("");
+        }
+    }
+
     /// Drops the expected answer to a Sync sent before the COPY data. A database
     /// that waits for COPY data ignores that Sync; the Sync after the data counts.
     fn drop_ignored_sync(&mut self) {
@@ -357,6 +414,7 @@
             Some(ExpectedAnswer::Parse(id)) => {
                 connection_statements.insert(id);
                 self.newly_prepared.push(id);
+                self.acknowledged_changes += 1;
                 AnswerEvent::Forward
             }
             _ => AnswerEvent::Forward,
@@ -394,6 +452,7 @@
             };
             if !self.has_failed {
                 message::put_empty_frame(to_caller, tag);
+                self.acknowledged_changes += 1;
             }
             self.expected.pop_front();
         }
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -108,7 +108,6 @@
         request: &request::BufferedRequest,
         handling: AnswerHandling,
     ) -> Result<RelayOutcome, SessionEnd> {
-        let started = Instant::now();
         let mut state = RelayState {
             exchange: exchange::RequestExchange::default(),
             to_database: BytesMut::new(),
@@ -126,11 +125,29 @@
         for frame in &request.frames {
             self.forward_frame(&mut state, connection, frame)?;
         }
+        let outcome = self.relay_until_outcome(&mut state, connection).await?;
+        let has_answered = !state.is_retryable && !state.is_buffering_all;
+        match outcome {
+            RelayOutcome::Finished(_) => {}
+            RelayOutcome::DatabaseLost if has_answered => {
+                state.exchange.undo_unanswered_changes(&mut self.statements);
+            }
+            _ => state.exchange.undo_all_changes(&mut self.statements),
+        }
+        Ok(outcome)
+    }
+
+    async fn relay_until_outcome(
+        &mut self,
+        state: &mut RelayState,
+        connection: &mut pool::PooledConnection,
+    ) -> Result<RelayOutcome, SessionEnd> {
+        let started = Instant::now();
         loop {
             if state.expects_caller_message()
                 && let Some(frame) = self.read_ahead.take()
             {
-                self.handle_caller_frame(&mut state, connection, &frame)?;
+                self.handle_caller_frame(state, connection, &frame)?;
                 continue;
             }
             let backend = &mut connection.connection;
@@ -142,17 +159,17 @@
                     if !state.to_database.is_empty() =>
                 {
                     if !matches!(written, Ok(size) if size > 0) {
-                        return Ok(lost_database_outcome(&state));
+                        return Ok(lost_database_outcome(state));
                     }
                 }
                 chunk = backend.reader.next_chunk(MAX_CHUNK_BYTES) => {
                     let Ok(Some(chunk)) = chunk else {
-                        return Ok(lost_database_outcome(&state));
+                        return Ok(lost_database_outcome(state));
                     };
-                    if !self.handle_answers(&mut state, connection, chunk)? {
-                        return Ok(lost_database_outcome(&state));
+                    if !self.handle_answers(state, connection, chunk)? {
+                        return Ok(lost_database_outcome(state));
                     }
-                    if let Some(outcome) = self.flush_answers(&mut state).await? {
+                    if let Some(outcome) = self.flush_answers(state).await? {
                         return Ok(outcome);
                     }
                 }
@@ -161,7 +178,7 @@
                 {
                     let frame = frame?.ok_or(SessionEnd::CallerDisconnected)?;
                     if state.expects_caller_message() {
-                        self.handle_caller_frame(&mut state, connection, &frame)?;
+                        self.handle_caller_frame(state, connection, &frame)?;
                     } else {
                         self.read_ahead = Some(frame);
                     }
@@ -224,7 +241,11 @@
         let mut next = Some(first);
         while let Some(chunk) = next {
             let prepared_statements = &mut connection.connection.prepared_statements;
-            let Ok(event) = state.exchange.handle_answer(&chunk, prepared_statements) else {
+            let event =
+                state
+                    .exchange
+                    .handle_answer(&chunk, &mut self.statements, prepared_statements);
+            let Ok(event) = event else {
                 return Ok(false);
             };
             if let exchange::AnswerEvent::Ready(transaction) = event {
