Know a connection's settings only after they were applied

A pooled connection carried a 64-bit digest of the SET statements that were taken to be in force on it. Other sessions could get settings that they never asked for, or miss their own, because - a change within a transaction counted although it was rolled back; - a request that committed a change and then failed left it unnoticed; - a request with a request_id that changed a setting left it unnoticed, and its own session forgot it; - two lists of settings with one digest were the same list, and xxh3 is not made to withstand callers who look for collisions.

A connection now holds the statements themselves. Any request that changes settings makes them unknown before it is sent, and the next session resets the connection and applies its own. A session keeps its settings from before a transaction and restores them unless the database has answered a commit. The stand-in now restores variables on rollback, as PostgreSQL does.

Not covered: ROLLBACK TO SAVEPOINT, changes and an end of the transaction in one request in either order, and set_config().

--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -1,5 +1,6 @@
 //! Connection to a database: login, simple queries and state that outlives a request.
 
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
@@ -80,9 +81,9 @@
     pub cancel_target: cancel::DatabaseCancelTarget,
     /// The statements that the database has prepared on this connection.
     pub prepared_statements: HashSet<StatementId>,
-    /// The digest of the session's `SET` statements that are applied on this
-    /// connection; 0 for none.
-    pub applied_settings_digest: u64,
+    /// The `SET` statements that are applied on this connection, by setting name;
+    /// `None` if a request has changed settings since.
+    pub applied_settings: Option<BTreeMap<String, String>>,
     /// Whether new transactions on this connection are read-only by default.
     pub is_read_only: bool,
     /// The transaction status that the database reported last.
@@ -137,7 +138,7 @@
             writer,
             cancel_target,
             prepared_statements: HashSet::new(),
-            applied_settings_digest: 0,
+            applied_settings: Some(BTreeMap::new()),
             is_read_only: false,
             transaction: message::TransactionStatus::Idle,
             parameters: Vec::new(),
--- a/crates/bluebellferry_proxy/src/session.rs
+++ b/crates/bluebellferry_proxy/src/session.rs
@@ -134,6 +134,9 @@
     statements: HashMap<String, Arc<CallerPreparedStatement>>,
     /// The `SET` statements to run on each borrowed connection, by setting name.
     database_settings: BTreeMap<String, String>,
+    /// The `SET` statements from before the open transaction, which a rollback
+    /// restores; `None` if it has changed none.
+    settings_before_transaction: Option<BTreeMap<String, String>>,
     /// The connection kept between requests, because a transaction is open or
     /// the connection is pinned.
     held_connection: Option<pool::PooledConnection>,
--- a/crates/bluebellferry_proxy/src/session/idempotency.rs
+++ b/crates/bluebellferry_proxy/src/session/idempotency.rs
@@ -86,6 +86,9 @@
         }
         self.cancel_entry
             .set_cancel_target(Some(connection.connection.cancel_target.clone()));
+        if !plan.setting_changes.is_empty() {
+            connection.connection.applied_settings = None;
+        }
         let handling = relay::AnswerHandling::BufferAll;
         let relayed = self.relay(&mut connection, request, handling).await;
         self.cancel_entry.set_cancel_target(None);
@@ -106,6 +109,9 @@
         if is_proxy_transaction {
             self.end_proxy_transaction(connection, &row_id, completed.has_failed)
                 .await?;
+            if !completed.has_failed {
+                self.record_setting_changes(plan, true);
+            }
         } else {
             self.complete_request(route::ChosenRoute::Primary, connection, plan, &completed);
         }
--- a/crates/bluebellferry_proxy/src/session/local.rs
+++ b/crates/bluebellferry_proxy/src/session/local.rs
@@ -164,6 +164,7 @@
         let first = words.split(' ').next().unwrap_or("");
         if end_words.contains(&first) && !is_to_savepoint {
             self.transaction = message::TransactionStatus::Idle;
+            self.restore_settings();
             return Ok(LocalReply {
                 command: "ROLLBACK",
                 column: None,
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -56,6 +56,8 @@
     pub(super) transaction: message::TransactionStatus,
     /// Whether the database answered with an error.
     pub(super) has_failed: bool,
+    /// Whether a transaction was committed by a statement of the request.
+    pub(super) has_committed: bool,
 }
 
 /// The outcome of relaying a request.
@@ -84,6 +86,8 @@
     handling: AnswerHandling,
     /// Whether all answers stay in the send buffer ([`AnswerHandling::BufferAll`]).
     is_buffering_all: bool,
+    /// Whether the database has answered a commit.
+    has_committed: bool,
     /// The reason to retry the request once its answer is complete.
     retry_reason: Option<metrics::RetryReason>,
     /// When the request is aborted; set once the session may no longer use its service.
@@ -118,6 +122,7 @@
             ),
             handling,
             is_buffering_all: handling == AnswerHandling::BufferAll,
+            has_committed: false,
             retry_reason: None,
             abort_at: None,
             completed: None,
@@ -284,6 +289,7 @@
                 if chunk.tag == frame::PARAMETER_STATUS && chunk.is_first {
                     self.record_commit_position(chunk);
                 }
+                state.has_committed |= chunk.is_first && is_commit(chunk);
                 self.send_buffer.extend_from_slice(&chunk.bytes);
             }
             exchange::AnswerEvent::CopyIn => {
@@ -300,6 +306,7 @@
                     state.completed = Some(CompletedRequest {
                         transaction,
                         has_failed,
+                        has_committed: state.has_committed,
                     });
                 }
             }
@@ -362,6 +369,14 @@
     }
 }
 
+/// Returns whether a chunk of an answer completes a commit.
+fn is_commit(chunk: &reader::FrameChunk) -> bool {
+    let frame = chunk
+        .whole_frame()
+        .filter(|frame| frame.tag == frame::COMMAND_COMPLETE);
+    frame.is_some_and(|frame| [&b"COMMIT\0"[..], b"PREPARE TRANSACTION\0"].contains(&frame.body()))
+}
+
 /// Returns the outcome when the connection to the database is lost. A read whose
 /// answers have not reached the caller can run on another replica.
 fn lost_database_outcome(state: &RelayState) -> RelayOutcome {
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -213,6 +213,9 @@
             };
             self.cancel_entry
                 .set_cancel_target(Some(connection.connection.cancel_target.clone()));
+            if !plan.setting_changes.is_empty() {
+                connection.connection.applied_settings = None;
+            }
             let relayed = self.relay(&mut connection, request, handling).await;
             self.cancel_entry.set_cancel_target(None);
             match relayed {
@@ -281,15 +284,21 @@
     pub(super) fn complete_request(
         &mut self,
         route: route::ChosenRoute,
-        mut connection: pool::PooledConnection,
+        connection: pool::PooledConnection,
         plan: &plan::RequestPlan,
         completed: &relay::CompletedRequest,
     ) {
+        let was_idle = self.transaction == message::TransactionStatus::Idle;
         self.transaction = completed.transaction;
         if !completed.has_failed {
-            self.record_setting_changes(&mut connection.connection, plan);
+            self.record_setting_changes(plan, was_idle);
         }
         let is_idle = completed.transaction == message::TransactionStatus::Idle;
+        if is_idle && completed.has_committed {
+            self.settings_before_transaction = None;
+        } else if is_idle {
+            self.restore_settings();
+        }
         if is_idle && !connection.is_pinned() {
             connection.return_to_pool();
         } else {
@@ -298,13 +307,23 @@
         }
     }
 
-    /// Records the setting changes of a successful request, which has applied them to
-    /// `connection`, so that other connections get them too.
-    fn record_setting_changes(
-        &mut self,
-        connection: &mut backend::BackendConnection,
-        plan: &plan::RequestPlan,
-    ) {
+    /// Restores the settings from before the transaction that was rolled back.
+    pub(super) fn restore_settings(&mut self) {
+        if let Some(settings) = self.settings_before_transaction.take() {
+            self.database_settings = settings;
+        }
+    }
+
+    /// Records the setting changes of a successful request, so that other connections
+    /// get them too.
+    pub(super) fn record_setting_changes(&mut self, plan: &plan::RequestPlan, was_idle: bool) {
+        let is_in_transaction = !was_idle || self.transaction != message::TransactionStatus::Idle;
+        if is_in_transaction
+            && !plan.setting_changes.is_empty()
+            && self.settings_before_transaction.is_none()
+        {
+            self.settings_before_transaction = Some(self.database_settings.clone());
+        }
         for change in &plan.setting_changes {
             match change {
                 plan::SettingChange::Set { name, statement } => {
@@ -317,9 +336,6 @@
                 plan::SettingChange::ResetAll => self.database_settings.clear(),
             }
         }
-        if !plan.setting_changes.is_empty() {
-            connection.applied_settings_digest = settings_digest(&self.database_settings);
-        }
     }
 
     /// Applies the session's database settings to a connection. Transactions on
@@ -331,15 +347,15 @@
         connection: &mut pool::PooledConnection,
         route: route::ChosenRoute,
     ) -> Result<(), backend::BackendError> {
-        let digest = settings_digest(&self.database_settings);
         let connection = &mut connection.connection;
-        if connection.applied_settings_digest != digest {
+        if connection.applied_settings.as_ref() != Some(&self.database_settings) {
+            connection.applied_settings = None;
             connection.query("RESET ALL").await?;
             connection.is_read_only = false;
             for statement in self.database_settings.values() {
                 connection.query(statement).await?;
             }
-            connection.applied_settings_digest = digest;
+            connection.applied_settings = Some(self.database_settings.clone());
         }
         let is_read_only = route == route::ChosenRoute::Replica;
         if connection.is_read_only != is_read_only {
@@ -374,6 +390,7 @@
         let text = "the database went away before it answered; the request may have taken effect";
         if is_in_transaction {
             self.transaction = message::TransactionStatus::Idle;
+            self.restore_settings();
         }
         refusal::RequestRefusal::unknown(refusal::RefusalReason::OutcomeUnknown, text)
             .retry_after(retry_delay)
@@ -384,16 +401,3 @@
     let text = "the statement needs a connection of its own, and none can be reserved";
     refusal::RequestRefusal::not_run(refusal::RefusalReason::SessionState, text)
 }
-
-/// Returns a digest of `SET` statements; 0 stands for no statements.
-fn settings_digest(settings: &std::collections::BTreeMap<String, String>) -> u64 {
-    if settings.is_empty() {
-        return 0;
-    }
-    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for statement in settings.values() {
-        hasher.update(statement.as_bytes());
-        hasher.update(&[0]);
-    }
-    hasher.digest().max(1)
-}
--- a/crates/bluebellferry_proxy/src/session/startup.rs
+++ b/crates/bluebellferry_proxy/src/session/startup.rs
@@ -336,6 +336,7 @@
         prefetched_floor: None,
         statements: HashMap::new(),
         database_settings: login.database_settings,
+        settings_before_transaction: None,
         held_connection: None,
         held_route: route::ChosenRoute::Primary,
         transaction: message::TransactionStatus::Idle,
--- a/crates/bluebellferry_standin_database/src/session/transaction.rs
+++ b/crates/bluebellferry_standin_database/src/session/transaction.rs
@@ -23,6 +23,8 @@
     is_read_only: bool,
     is_failed: bool,
     is_implicit: bool,
+    /// The session variables from before the transaction, which a rollback restores.
+    variables_at_start: std::collections::BTreeMap<String, String>,
     /// Counts the transaction as open until it is dropped.
     count_guard: group::TransactionGuard,
 }
@@ -98,6 +100,7 @@
             is_read_only,
             is_failed: false,
             is_implicit,
+            variables_at_start: self.variables.clone(),
             count_guard: group::TransactionGuard::new(&self.server.member),
         });
     }
@@ -125,8 +128,11 @@
     }
 
     pub(super) fn roll_back(&mut self) {
-        let transaction = self.transaction.take();
-        if transaction.is_some_and(|transaction| transaction.has_sqlite_transaction)
+        let Some(transaction) = self.transaction.take() else {
+            return;
+        };
+        self.variables = transaction.variables_at_start;
+        if transaction.has_sqlite_transaction
             && let Err(error) = self.connection.execute_batch("ROLLBACK")
         {
             log::debug!("SQLite had no transaction to roll back: {error}");
