Close connections on which a caller dropped prepared statements

DISCARD ALL or DEALLOCATE by one caller dropped the statements that the proxy had prepared for others on the pooled connection. The proxy still took them for prepared, so other callers got SQLSTATE 26000 until the connection closed.

Such a connection is no longer reused. Whether it has lost all, one or no statements depends on how much of the request ran, so closing it is the only simple safe answer; callers that discard often cost a login each time. The stand-in now drops the statements too.

A statement dropped within a DO block or a function stays unnoticed.

--- a/crates/bluebellferry_fleet/tests/statement_names.rs
+++ b/crates/bluebellferry_fleet/tests/statement_names.rs
@@ -178,3 +178,25 @@
     }
     Ok(())
 }
+
+// Guards against names on a pooled connection that the proxy takes for prepared after a
+// caller has dropped them.
+#[tokio::test]
+async fn statements_run_after_another_caller_dropped_all() -> TestResult {
+    let fleet = start_fleet().await?;
+    let mut caller = RawCaller::log_in(&fleet).await?;
+    let mut other = RawCaller::log_in(&fleet).await?;
+    let prepare = [parse("s", "SELECT 1", &[]), sync()].concat();
+    let request = [run("s"), sync()].concat();
+    caller.ask(&prepare).await?;
+    for drop in ["DISCARD ALL", "DEALLOCATE ALL", "DEALLOCATE PREPARE ALL"] {
+        assert_eq!(caller.ask(&request).await?, RawAnswer::of_value("1"));
+        assert_eq!(other.query(drop).await?, RawAnswer::default());
+        assert_eq!(
+            caller.ask(&request).await?,
+            RawAnswer::of_value("1"),
+            "after {drop}"
+        );
+    }
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -16,6 +16,7 @@
 use tokio::net::tcp;
 
 use crate::cancel;
+use crate::session::plan;
 use crate::settings;
 use crate::snapshot;
 
@@ -81,6 +82,9 @@
     pub cancel_target: cancel::DatabaseCancelTarget,
     /// The statements that the database has prepared on this connection.
     pub prepared_statements: HashSet<StatementId>,
+    /// Whether a caller may have dropped statements in `prepared_statements`, so that
+    /// the connection must not be reused.
+    pub has_dropped_statements: bool,
     /// The `SET` statements that are applied on this connection, by setting name;
     /// `None` if a request has changed settings since.
     pub applied_settings: Option<BTreeMap<String, String>>,
@@ -138,6 +142,7 @@
             writer,
             cancel_target,
             prepared_statements: HashSet::new(),
+            has_dropped_statements: false,
             applied_settings: Some(BTreeMap::new()),
             is_read_only: false,
             transaction: message::TransactionStatus::Idle,
@@ -295,6 +300,14 @@
         Ok(())
     }
 
+    /// Forgets the state that a request may change, before it is sent.
+    pub fn expect_changes(&mut self, plan: &plan::RequestPlan) {
+        if !plan.setting_changes.is_empty() {
+            self.applied_settings = None;
+        }
+        self.has_dropped_statements |= plan.drops_statements;
+    }
+
     /// Returns whether the database has closed the connection or sent an unsolicited
     /// message, so that the connection cannot be reused.
     pub fn is_stale(&self) -> bool {
--- a/crates/bluebellferry_proxy/src/pool.rs
+++ b/crates/bluebellferry_proxy/src/pool.rs
@@ -89,8 +89,8 @@
 
 impl PooledConnection {
     /// Returns the connection to the pool and releases the permit. A connection that
-    /// is pinned, has too many prepared statements or has a transaction that has not
-    /// ended is closed instead.
+    /// is pinned, has too many prepared statements, has lost some of them or has a
+    /// transaction that has not ended is closed instead.
     pub fn return_to_pool(self) {
         let Self {
             connection,
@@ -110,6 +110,7 @@
             state.pinned -= 1;
         } else if has_ended_transaction
             && !has_too_many_statements
+            && !connection.has_dropped_statements
             && state.idle.len() < state.quota
         {
             state.idle.push(connection);
--- a/crates/bluebellferry_proxy/src/session/plan.rs
+++ b/crates/bluebellferry_proxy/src/session/plan.rs
@@ -54,6 +54,8 @@
     /// Whether the request leaves state on its connection that cannot be restored
     /// on another, so that the connection must be pinned.
     pub needs_pin: bool,
+    /// Whether the request drops prepared statements of its connection, or may do so.
+    pub drops_statements: bool,
     /// The changes to database settings, which take effect for other connections
     /// once the request has succeeded.
     pub setting_changes: Vec<SettingChange>,
@@ -141,6 +143,7 @@
             }
             "COMMIT" | "END" => self.may_commit = true,
             "PREPARE" if words.starts_with("PREPARE TRANSACTION") => self.may_commit = true,
+            "DEALLOCATE" => self.drops_statements = true,
             "LISTEN" | "PREPARE" | "LOAD" => self.needs_pin = true,
             "SET" => self.add_set(statement, &words),
             "RESET" | "DISCARD" => self.add_reset(&words),
@@ -167,7 +170,11 @@
 
     fn add_reset(&mut self, words: &str) {
         match words {
-            "RESET ALL" | "DISCARD ALL" => self.setting_changes.push(SettingChange::ResetAll),
+            "DISCARD ALL" => {
+                self.setting_changes.push(SettingChange::ResetAll);
+                self.drops_statements = true;
+            }
+            "RESET ALL" => self.setting_changes.push(SettingChange::ResetAll),
             _ => {
                 if let Some(name) = words.strip_prefix("RESET ") {
                     self.setting_changes
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -213,9 +213,7 @@
             };
             self.cancel_entry
                 .set_cancel_target(Some(connection.connection.cancel_target.clone()));
-            if !plan.setting_changes.is_empty() {
-                connection.connection.applied_settings = None;
-            }
+            connection.connection.expect_changes(&plan);
             let relayed = self.relay(&mut connection, request, handling).await;
             self.cancel_entry.set_cancel_target(None);
             match relayed {
--- a/crates/bluebellferry_standin_database/src/session/extended.rs
+++ b/crates/bluebellferry_standin_database/src/session/extended.rs
@@ -51,6 +51,13 @@
     is_skipping_to_sync: bool,
 }
 
+impl ExtendedQueryState {
+    /// Drops all prepared statements; portals keep theirs.
+    pub(super) fn drop_statements(&mut self) {
+        self.statements.clear();
+    }
+}
+
 impl ClientSession<'_> {
     pub(super) fn handle_extended_request(&mut self, request: &frame::WireFrame) -> io::Result<()> {
         if request.tag == frame::SYNC {
--- a/crates/bluebellferry_standin_database/src/session/simple.rs
+++ b/crates/bluebellferry_standin_database/src/session/simple.rs
@@ -25,7 +25,8 @@
     RollBack,
     Set,
     Show,
-    /// Accepted without effect, except that `RESET` and `DISCARD ALL` reset session variables.
+    /// Accepted without effect, except that `RESET` and `DISCARD ALL` reset session variables, and
+    /// `DISCARD ALL` and `DEALLOCATE ALL` drop the prepared statements.
     Ignored,
     CopyIn,
     CopyOut,
@@ -273,6 +274,7 @@
             }
             StatementClass::Ignored => {
                 self.reset_variables(statement);
+                self.drop_statements(statement);
                 message::put_command_complete(&mut self.out, &statement.leading_words(1));
                 return Ok(true);
             }
@@ -295,6 +297,14 @@
         }
     }
 
+    fn drop_statements(&mut self, statement: statement::StatementText<'_>) {
+        let words = statement.leading_words(3);
+        let drops_all = ["DISCARD ALL", "DEALLOCATE ALL", "DEALLOCATE PREPARE ALL"];
+        if drops_all.contains(&words.as_str()) {
+            self.extended.drop_statements();
+        }
+    }
+
     fn set_variable(&mut self, text: &str) {
         let assignment = text.get(3..).unwrap_or("").trim_start();
         let lower_assignment = assignment.to_ascii_lowercase();
