Watch the messages of a batch after its first Flush

A request was planned from the messages up to its first Flush, or the first 64 KiB; a SET, PREPARE or temporary table after them went unnoticed. The connection then carried them to other callers.

Each later message of a batch is now classified like the first ones: a change of settings makes the connection's settings unknown, and state that needs a pinned connection closes it after the request or transaction. Not covered: the session does not repeat such a SET on its next connection.

--- a/crates/bluebellferry_fleet/tests/statement_names.rs
+++ b/crates/bluebellferry_fleet/tests/statement_names.rs
@@ -200,3 +200,19 @@
     }
     Ok(())
 }
+
+// Guards against a setting that stays on a connection, because its message came after the
+// request had been planned.
+#[tokio::test]
+async fn a_setting_after_a_flush_reaches_no_other_session() -> TestResult {
+    let fleet = start_fleet().await?;
+    let mut caller = RawCaller::log_in(&fleet).await?;
+    let mut other = RawCaller::log_in(&fleet).await?;
+    let flush = frame(b'H', &[]);
+    let select = [parse("", "SELECT 1", &[]), run(""), flush].concat();
+    let set = [parse("", "SET work_mem = '1'", &[]), run(""), sync()].concat();
+    let answer = caller.ask(&[select, set].concat()).await?;
+    assert_eq!(answer, RawAnswer::of_value("1"));
+    assert_eq!(other.query("SHOW work_mem").await?, RawAnswer::of_value(""));
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -82,9 +82,10 @@
     pub cancel_target: cancel::DatabaseCancelTarget,
     /// The statements that the database has prepared on this connection.
     pub prepared_statements: HashSet<StatementId>,
-    /// Whether a caller may have dropped statements in `prepared_statements`, so that
-    /// the connection must not be reused.
-    pub has_dropped_statements: bool,
+    /// Whether a caller may have dropped statements in `prepared_statements`, or left
+    /// other state that no other session may see, so that the connection must not be
+    /// reused.
+    pub has_lasting_changes: bool,
     /// The `SET` statements that are applied on this connection, by setting name;
     /// `None` if a request has changed settings since.
     pub applied_settings: Option<BTreeMap<String, String>>,
@@ -142,7 +143,7 @@
             writer,
             cancel_target,
             prepared_statements: HashSet::new(),
-            has_dropped_statements: false,
+            has_lasting_changes: false,
             applied_settings: Some(BTreeMap::new()),
             is_read_only: false,
             transaction: message::TransactionStatus::Idle,
@@ -305,7 +306,14 @@
         if !plan.setting_changes.is_empty() {
             self.applied_settings = None;
         }
-        self.has_dropped_statements |= plan.drops_statements;
+        self.has_lasting_changes |= plan.drops_statements;
+    }
+
+    /// Forgets the state that a message within a request may change. It is too late to
+    /// pin the connection, which therefore is not reused.
+    pub fn expect_unplanned_changes(&mut self, plan: &plan::RequestPlan) {
+        self.expect_changes(plan);
+        self.has_lasting_changes |= plan.needs_pin;
     }
 
     /// Returns whether the database has closed the connection or sent an unsolicited
--- a/crates/bluebellferry_proxy/src/pool.rs
+++ b/crates/bluebellferry_proxy/src/pool.rs
@@ -89,7 +89,7 @@
 
 impl PooledConnection {
     /// Returns the connection to the pool and releases the permit. A connection that
-    /// is pinned, has too many prepared statements, has lost some of them or has a
+    /// is pinned, has too many prepared statements, may keep other changes or has a
     /// transaction that has not ended is closed instead.
     pub fn return_to_pool(self) {
         let Self {
@@ -110,7 +110,7 @@
             state.pinned -= 1;
         } else if has_ended_transaction
             && !has_too_many_statements
-            && !connection.has_dropped_statements
+            && !connection.has_lasting_changes
             && state.idle.len() < state.quota
         {
             state.idle.push(connection);
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -14,6 +14,7 @@
 use super::CallerSession;
 use super::SessionEnd;
 use super::exchange;
+use super::plan;
 use super::request;
 use crate::backend;
 use crate::metrics;
@@ -214,6 +215,11 @@
         if matches!(frame.tag, frame::COPY_DONE | frame::COPY_FAIL) {
             state.is_copying_in = false;
         }
+        // The request's plan covers only the messages before its first Flush.
+        let frames = std::slice::from_ref(frame);
+        if let Ok(plan) = plan::plan_request(frames, &self.statements, None) {
+            connection.connection.expect_unplanned_changes(&plan);
+        }
         self.forward_frame(state, connection, frame)
     }
 
