Reset the roles of a connection before another session uses it

A caller's SET ROLE stayed on the pooled connection: RESET ALL, with which the proxy prepares a connection for the next session, leaves the role and the session authorization unchanged in PostgreSQL. The test failed before, with a stand-in whose RESET ALL keeps them too: left: "owner" right: "" The proxy now resets both first. Not run against PostgreSQL itself.

--- a/crates/bluebellferry_fleet/tests/session_settings.rs
+++ b/crates/bluebellferry_fleet/tests/session_settings.rs
@@ -17,7 +17,14 @@
 async fn show_setting(
     client: &tokio_postgres::Client,
 ) -> Result<String, Box<dyn std::error::Error>> {
-    let messages = client.simple_query("SHOW work_mem").await?;
+    show(client, "work_mem").await
+}
+
+async fn show(
+    client: &tokio_postgres::Client,
+    setting: &str,
+) -> Result<String, Box<dyn std::error::Error>> {
+    let messages = client.simple_query(&format!("SHOW {setting}")).await?;
     let value = messages.iter().find_map(|message| match message {
         tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
         _ => None,
@@ -75,3 +82,15 @@
     assert_eq!(show_setting(&client).await?, "1");
     Ok(())
 }
+
+// Guards against a role that RESET ALL leaves on a connection.
+#[tokio::test]
+async fn a_role_reaches_no_other_session() -> TestResult {
+    let fleet = start_fleet().await?;
+    let client = fleet.connect(0, "families", SERVICE).await?;
+    let other = fleet.connect(0, "families", SERVICE).await?;
+    client.simple_query("SET ROLE owner").await?;
+    assert_eq!(show(&client, "role").await?, "owner");
+    assert_eq!(show(&other, "role").await?, "");
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -26,6 +26,8 @@
 /// The largest number of times a request is sent again because the database refused
 /// it as no longer being the primary.
 const MAX_PRIMARY_REPLACED_RETRIES: u32 = 20;
+/// Resets all settings of a connection; `RESET ALL` alone keeps the roles.
+const RESET_SETTINGS: &str = "RESET SESSION AUTHORIZATION; RESET ROLE; RESET ALL";
 /// The delay before a request that a replaced primary refused is sent again.
 const PRIMARY_REPLACED_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -348,7 +350,7 @@
         let connection = &mut connection.connection;
         if connection.applied_settings.as_ref() != Some(&self.database_settings) {
             connection.applied_settings = None;
-            connection.query("RESET ALL").await?;
+            connection.query(RESET_SETTINGS).await?;
             connection.is_read_only = false;
             for statement in self.database_settings.values() {
                 connection.query(statement).await?;
--- a/crates/bluebellferry_standin_database/src/session/simple.rs
+++ b/crates/bluebellferry_standin_database/src/session/simple.rs
@@ -15,6 +15,9 @@
 use super::transaction;
 use crate::value;
 
+/// The settings that `RESET ALL` leaves unchanged in PostgreSQL.
+const KEPT_BY_RESET_ALL: [&str; 2] = ["role", "session_authorization"];
+
 /// The class of a statement, which determines how it is executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StatementClass {
@@ -288,7 +291,10 @@
 
     fn reset_variables(&mut self, statement: statement::StatementText<'_>) {
         match statement.leading_words(2).as_str() {
-            "RESET ALL" | "DISCARD ALL" => self.variables.clear(),
+            "DISCARD ALL" => self.variables.clear(),
+            "RESET ALL" => self
+                .variables
+                .retain(|name, _| KEPT_BY_RESET_ALL.contains(&name.as_str())),
             words => {
                 if let Some(name) = words.strip_prefix("RESET ") {
                     self.variables.remove(&name.to_ascii_lowercase());
