--- a/crates/bluebellferry_proxy/src/backend.rs
+++ b/crates/bluebellferry_proxy/src/backend.rs
@@ -1,5 +1,6 @@
 //! Connection to a database: login, simple queries and state that outlives a request.
 
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
@@ -15,6 +16,7 @@
 use tokio::net::tcp;
 
 use crate::cancel;
+use crate::session::plan;
 use crate::settings;
 use crate::snapshot;
 
@@ -48,14 +50,15 @@
     Authentication(String),
 }
 
-/// Identifies a prepared statement by a hash of its text and parameter types.
+/// Identifies a prepared statement by a number of [`crate::prepared::StatementTable`],
+/// which never gives two statements the same number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct StatementId(pub u128);
+pub struct StatementId(pub u64);
 
 impl StatementId {
     /// Returns the statement's name on database connections.
     pub fn database_name(self) -> String {
-        format!("bbf_{:032x}", self.0)
+        format!("bbf_{:x}", self.0)
     }
 }
 
@@ -79,9 +82,13 @@
     pub cancel_target: cancel::DatabaseCancelTarget,
     /// The statements that the database has prepared on this connection.
     pub prepared_statements: HashSet<StatementId>,
-    /// The digest of the session's `SET` statements that are applied on this
-    /// connection; 0 for none.
-    pub applied_settings_digest: u64,
+    /// Whether a caller may have dropped statements in `prepared_statements`, or left
+    /// other state that no other session may see, so that the connection must not be
+    /// reused.
+    pub has_lasting_changes: bool,
+    /// The `SET` statements that are applied on this connection, by setting name;
+    /// `None` if a request has changed settings since.
+    pub applied_settings: Option<BTreeMap<String, String>>,
     /// Whether new transactions on this connection are read-only by default.
     pub is_read_only: bool,
     /// The transaction status that the database reported last.
@@ -136,7 +143,8 @@
             writer,
             cancel_target,
             prepared_statements: HashSet::new(),
-            applied_settings_digest: 0,
+            has_lasting_changes: false,
+            applied_settings: Some(BTreeMap::new()),
             is_read_only: false,
             transaction: message::TransactionStatus::Idle,
             parameters: Vec::new(),
@@ -293,6 +301,21 @@
         Ok(())
     }
 
+    /// Forgets the state that a request may change, before it is sent.
+    pub fn expect_changes(&mut self, plan: &plan::RequestPlan) {
+        if !plan.setting_changes.is_empty() {
+            self.applied_settings = None;
+        }
+        self.has_lasting_changes |= plan.drops_statements;
+    }
+
+    /// Forgets the state that a message within a request may change. It is too late to
+    /// pin the connection, which therefore is not reused.
+    pub fn expect_unplanned_changes(&mut self, plan: &plan::RequestPlan) {
+        self.expect_changes(plan);
+        self.has_lasting_changes |= plan.needs_pin;
+    }
+
     /// Returns whether the database has closed the connection or sent an unsolicited
     /// message, so that the connection cannot be reused.
     pub fn is_stale(&self) -> bool {
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -14,6 +14,7 @@
 use super::CallerSession;
 use super::SessionEnd;
 use super::exchange;
+use super::plan;
 use super::request;
 use crate::backend;
 use crate::metrics;
@@ -56,6 +57,8 @@
     pub(super) transaction: message::TransactionStatus,
     /// Whether the database answered with an error.
     pub(super) has_failed: bool,
+    /// Whether a transaction was committed by a statement of the request.
+    pub(super) has_committed: bool,
 }
 
 /// The outcome of relaying a request.
@@ -84,6 +87,8 @@
     handling: AnswerHandling,
     /// Whether all answers stay in the send buffer ([`AnswerHandling::BufferAll`]).
     is_buffering_all: bool,
+    /// Whether the database has answered a commit.
+    has_committed: bool,
     /// The reason to retry the request once its answer is complete.
     retry_reason: Option<metrics::RetryReason>,
     /// When the request is aborted; set once the session may no longer use its service.
@@ -108,7 +113,6 @@
         request: &request::BufferedRequest,
         handling: AnswerHandling,
     ) -> Result<RelayOutcome, SessionEnd> {
-        let started = Instant::now();
         let mut state = RelayState {
             exchange: exchange::RequestExchange::default(),
             to_database: BytesMut::new(),
@@ -119,6 +123,7 @@
             ),
             handling,
             is_buffering_all: handling == AnswerHandling::BufferAll,
+            has_committed: false,
             retry_reason: None,
             abort_at: None,
             completed: None,
@@ -126,11 +131,29 @@
         for frame in &request.frames {
             self.forward_frame(&mut state, connection, frame)?;
         }
+        let outcome = self.relay_until_outcome(&mut state, connection).await?;
+        let has_answered = !state.is_retryable && !state.is_buffering_all;
+        match outcome {
+            RelayOutcome::Finished(_) => {}
+            RelayOutcome::DatabaseLost if has_answered => {
+                state.exchange.undo_unanswered_changes(&mut self.statements);
+            }
+            _ => state.exchange.undo_all_changes(&mut self.statements),
+        }
+        Ok(outcome)
+    }
+
+    async fn relay_until_outcome(
+        &mut self,
+        state: &mut RelayState,
+        connection: &mut pool::PooledConnection,
+    ) -> Result<RelayOutcome, SessionEnd> {
+        let started = Instant::now();
         loop {
             if state.expects_caller_message()
                 && let Some(frame) = self.read_ahead.take()
             {
-                self.handle_caller_frame(&mut state, connection, &frame)?;
+                self.handle_caller_frame(state, connection, &frame)?;
                 continue;
             }
             let backend = &mut connection.connection;
@@ -142,17 +165,17 @@
                     if !state.to_database.is_empty() =>
                 {
                     if !matches!(written, Ok(size) if size > 0) {
-                        return Ok(lost_database_outcome(&state));
+                        return Ok(lost_database_outcome(state));
                     }
                 }
                 chunk = backend.reader.next_chunk(MAX_CHUNK_BYTES) => {
                     let Ok(Some(chunk)) = chunk else {
-                        return Ok(lost_database_outcome(&state));
+                        return Ok(lost_database_outcome(state));
                     };
-                    if !self.handle_answers(&mut state, connection, chunk)? {
-                        return Ok(lost_database_outcome(&state));
+                    if !self.handle_answers(state, connection, chunk)? {
+                        return Ok(lost_database_outcome(state));
                     }
-                    if let Some(outcome) = self.flush_answers(&mut state).await? {
+                    if let Some(outcome) = self.flush_answers(state).await? {
                         return Ok(outcome);
                     }
                 }
@@ -161,7 +184,7 @@
                 {
                     let frame = frame?.ok_or(SessionEnd::CallerDisconnected)?;
                     if state.expects_caller_message() {
-                        self.handle_caller_frame(&mut state, connection, &frame)?;
+                        self.handle_caller_frame(state, connection, &frame)?;
                     } else {
                         self.read_ahead = Some(frame);
                     }
@@ -192,6 +215,11 @@
         if matches!(frame.tag, frame::COPY_DONE | frame::COPY_FAIL) {
             state.is_copying_in = false;
         }
+        // The request's plan covers only the messages before its first Flush.
+        let frames = std::slice::from_ref(frame);
+        if let Ok(plan) = plan::plan_request(frames, &self.statements, None) {
+            connection.connection.expect_unplanned_changes(&plan);
+        }
         self.forward_frame(state, connection, frame)
     }
 
@@ -204,6 +232,7 @@
         let prepared_statements = &connection.connection.prepared_statements;
         state.exchange.translate_message(
             frame,
+            &self.shared.statement_table,
             &mut self.statements,
             prepared_statements,
             &mut state.to_database,
@@ -223,7 +252,11 @@
         let mut next = Some(first);
         while let Some(chunk) = next {
             let prepared_statements = &mut connection.connection.prepared_statements;
-            let Ok(event) = state.exchange.handle_answer(&chunk, prepared_statements) else {
+            let event =
+                state
+                    .exchange
+                    .handle_answer(&chunk, &mut self.statements, prepared_statements);
+            let Ok(event) = event else {
                 return Ok(false);
             };
             if let exchange::AnswerEvent::Ready(transaction) = event {
@@ -262,6 +295,7 @@
                 if chunk.tag == frame::PARAMETER_STATUS && chunk.is_first {
                     self.record_commit_position(chunk);
                 }
+                state.has_committed |= chunk.is_first && is_commit(chunk);
                 self.send_buffer.extend_from_slice(&chunk.bytes);
             }
             exchange::AnswerEvent::CopyIn => {
@@ -278,6 +312,7 @@
                     state.completed = Some(CompletedRequest {
                         transaction,
                         has_failed,
+                        has_committed: state.has_committed,
                     });
                 }
             }
@@ -340,6 +375,14 @@
     }
 }
 
+/// Returns whether a chunk of an answer completes a commit.
+fn is_commit(chunk: &reader::FrameChunk) -> bool {
+    let frame = chunk
+        .whole_frame()
+        .filter(|frame| frame.tag == frame::COMMAND_COMPLETE);
+    frame.is_some_and(|frame| [&b"COMMIT\0"[..], b"PREPARE TRANSACTION\0"].contains(&frame.body()))
+}
+
 /// Returns the outcome when the connection to the database is lost. A read whose
 /// answers have not reached the caller can run on another replica.
 fn lost_database_outcome(state: &RelayState) -> RelayOutcome {
--- a/crates/bluebellferry_standin_database/src/session/simple.rs
+++ b/crates/bluebellferry_standin_database/src/session/simple.rs
@@ -15,6 +15,9 @@
 use super::transaction;
 use crate::value;
 
+/// The settings that `RESET ALL` leaves unchanged in PostgreSQL.
+const KEPT_BY_RESET_ALL: [&str; 2] = ["role", "session_authorization"];
+
 /// The class of a statement, which determines how it is executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StatementClass {
@@ -25,7 +28,8 @@
     RollBack,
     Set,
     Show,
-    /// Accepted without effect, except that `RESET` and `DISCARD ALL` reset session variables.
+    /// Accepted without effect, except that `RESET` and `DISCARD ALL` reset session variables, and
+    /// `DISCARD ALL` and `DEALLOCATE ALL` drop the prepared statements.
     Ignored,
     CopyIn,
     CopyOut,
@@ -273,6 +277,7 @@
             }
             StatementClass::Ignored => {
                 self.reset_variables(statement);
+                self.drop_statements(statement);
                 message::put_command_complete(&mut self.out, &statement.leading_words(1));
                 return Ok(true);
             }
@@ -286,7 +291,10 @@
 
     fn reset_variables(&mut self, statement: statement::StatementText<'_>) {
         match statement.leading_words(2).as_str() {
-            "RESET ALL" | "DISCARD ALL" => self.variables.clear(),
+            "DISCARD ALL" => self.variables.clear(),
+            "RESET ALL" => self
+                .variables
+                .retain(|name, _| KEPT_BY_RESET_ALL.contains(&name.as_str())),
             words => {
                 if let Some(name) = words.strip_prefix("RESET ") {
                     self.variables.remove(&name.to_ascii_lowercase());
@@ -295,6 +303,14 @@
         }
     }
 
+    fn drop_statements(&mut self, statement: statement::StatementText<'_>) {
+        let words = statement.leading_words(3);
+        let drops_all = ["DISCARD ALL", "DEALLOCATE ALL", "DEALLOCATE PREPARE ALL"];
+        if drops_all.contains(&words.as_str()) {
+            self.extended.drop_statements();
+        }
+    }
+
     fn set_variable(&mut self, text: &str) {
         let assignment = text.get(3..).unwrap_or("").trim_start();
         let lower_assignment = assignment.to_ascii_lowercase();
