Let the soak's callers prepare statements with blanks, and check shapes

They now draw from six names, some like names that the proxy gave, ten templates that begin alike, contain blanks or look like statements, and values and arguments that extend to the end of the line.

The history kept a prepared statement as its template and arguments in one text, so that template `q7` with the arguments `READ other a` and template `q7 READ other` with `a` were equal. The shape is now a field of its own. Tests that compared the joined text compare text and shape.

--- a/crates/bluebellferry_history/src/statement.rs
+++ b/crates/bluebellferry_history/src/statement.rs
@@ -123,8 +123,11 @@
     pub key: String,
     /// The statement's kind.
     pub action: StatementAction,
-    /// The text; for a prepared statement, its kind and template in place of its name.
+    /// The text; for a prepared statement, without its name.
     pub text: String,
+    /// The kind and template that the caller prepared; `None` for other statements.
+    #[serde(default)]
+    pub shape: Option<String>,
     /// The session settings whose change was acknowledged.
     pub values: BTreeMap<String, String>,
     /// When the first byte was sent.
@@ -152,8 +155,12 @@
     pub transaction: Option<u64>,
     /// The statement's kind.
     pub action: StatementAction,
-    /// The text; for a prepared statement, its kind and template in place of its name.
+    /// The text; for a prepared statement, without its name.
     pub text: String,
+    /// The kind and template under the name of a prepared statement; `None` for other
+    /// statements.
+    #[serde(default)]
+    pub shape: Option<String>,
     /// The connection's session settings.
     pub values: BTreeMap<String, String>,
     /// The end of the database's log when the statement ran.
@@ -169,6 +176,16 @@
     pub rows: Vec<String>,
 }
 
+/// A prepared statement that a database did not run, because nothing was prepared under
+/// its name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnknownExecution {
+    /// The statement's id.
+    pub request: String,
+    /// The database's identity.
+    pub database: String,
+}
+
 /// A commit of one or more writes in a primary's log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DatabaseCommit {
@@ -330,6 +347,9 @@
     pub statements: Vec<CallerStatement>,
     /// Executions of statements by databases.
     pub runs: Vec<DatabaseRun>,
+    /// Prepared statements whose names databases did not know.
+    #[serde(default)]
+    pub unknown_executions: Vec<UnknownExecution>,
     /// Commits in the logs of primaries.
     pub commits: Vec<DatabaseCommit>,
     /// Promotions that took effect.
@@ -359,7 +379,7 @@
     bounds: &HistoryBounds,
 ) -> Vec<StatementViolation> {
     let index = index::HistoryIndex::new(history, bounds);
-    let checks: [fn(&index::HistoryIndex<'_>) -> Vec<StatementViolation>; 21] = [
+    let checks: [fn(&index::HistoryIndex<'_>) -> Vec<StatementViolation>; 22] = [
         reads::find_stale_reads,
         commits::find_lost_commits,
         commits::find_shared_terms,
@@ -371,6 +391,7 @@
         answers::find_mismatched_answers,
         answers::find_mixed_transactions,
         answers::find_mismatched_settings,
+        answers::find_mismatched_shapes,
         answers::find_leaked_keys,
         answers::find_delayed_answers,
         rates::find_rate_overshoots,
--- a/crates/bluebellferry_history/src/statement/answers.rs
+++ b/crates/bluebellferry_history/src/statement/answers.rs
@@ -124,6 +124,32 @@
         .collect()
 }
 
+/// Finds prepared statements that ran in another shape than their caller had prepared,
+/// and those whose names a database did not know.
+///
+/// Executions with another text than their caller sent are not repeated here.
+pub(super) fn find_mismatched_shapes(index: &index::HistoryIndex<'_>) -> Vec<StatementViolation> {
+    let mut violations = Vec::new();
+    for run in &index.history.runs {
+        let statement = index.find_statement(&run.request);
+        if let Some(statement) = statement.filter(|statement| statement.text == run.text)
+            && statement.shape != run.shape
+        {
+            violations.push(StatementViolation::ForeignShape {
+                request: run.request.clone(),
+                prepared: statement.shape.clone(),
+                ran: run.shape.clone(),
+            });
+        }
+    }
+    let unknown = index.history.unknown_executions.iter();
+    violations.extend(unknown.map(|unknown| StatementViolation::UnknownShape {
+        request: unknown.request.clone(),
+        database: unknown.database.clone(),
+    }));
+    violations
+}
+
 /// Finds databases that received a caller's API key.
 pub(super) fn find_leaked_keys(index: &index::HistoryIndex<'_>) -> Vec<StatementViolation> {
     let statements = index.history.statements.iter();
--- a/crates/bluebellferry_history/src/statement/violation.rs
+++ b/crates/bluebellferry_history/src/statement/violation.rs
@@ -84,6 +84,22 @@
         /// The statement's id.
         request: String,
     },
+    /// A prepared statement ran another shape than its caller had prepared.
+    ForeignShape {
+        /// The statement's id.
+        request: String,
+        /// The shape that its caller had prepared.
+        prepared: Option<String>,
+        /// The shape that ran.
+        ran: Option<String>,
+    },
+    /// A database did not know the name of a prepared statement.
+    UnknownShape {
+        /// The statement's id.
+        request: String,
+        /// The database's identity.
+        database: String,
+    },
     /// A database received a caller's API key.
     LeakedKey {
         /// The database's identity.
--- a/crates/bluebellferry_history/tests/statements/answers.rs
+++ b/crates/bluebellferry_history/tests/statements/answers.rs
@@ -152,6 +152,88 @@
     assert_eq!(check(&history), []);
 }
 
+#[test]
+fn prepared_statements_run_in_shape_that_their_caller_prepared() {
+    let shape = |template: &str| Some(format!("READ {template}"));
+    let mut history = history_of_read();
+    history.statements[0].text = "EXECUTE item".to_owned();
+    history.statements[0].shape = shape("q7");
+    history.runs[0].text = "EXECUTE item".to_owned();
+    history.runs[0].shape = shape("q7");
+    assert_eq!(check(&history), []);
+    let foreign = |ran: Option<String>| {
+        [Violation::ForeignShape {
+            request: "r".to_owned(),
+            prepared: shape("q7"),
+            ran,
+        }]
+    };
+    for ran in [shape("q7 READ other"), shape("q7 "), shape(" q7"), None] {
+        let changed = modified(&history, |history| history.runs[0].shape.clone_from(&ran));
+        assert_eq!(check(&changed), foreign(ran));
+    }
+    // A run with a changed text is reported as such, whatever its shape.
+    let changed_text = modified(&history, |history| {
+        history.runs[0].shape = shape("q7 READ other");
+        history.runs[0].text = "EXECUTE READ other item".to_owned();
+    });
+    assert_eq!(check(&changed_text), unrequested("r"));
+    // A kind that differs changes what the database does.
+    let changed_kind = modified(&history, |history| {
+        history.runs[0].shape = Some("WRITE q7".to_owned());
+        history.runs[0].action = Action::Write;
+    });
+    let mut expected = unrequested("r").to_vec();
+    expected.extend(foreign(Some("WRITE q7".to_owned())));
+    assert_eq!(check(&changed_kind), expected);
+}
+
+#[test]
+fn databases_know_names_of_prepared_statements() {
+    let history = modified(&history_of_read(), |history| {
+        history
+            .unknown_executions
+            .push(statement::UnknownExecution {
+                request: "r".to_owned(),
+                database: "a".to_owned(),
+            });
+    });
+    let unknown = [Violation::UnknownShape {
+        request: "r".to_owned(),
+        database: "a".to_owned(),
+    }];
+    assert_eq!(check(&history), unknown);
+}
+
+// Guards against values and texts that are equal only after blanks are dropped or split.
+#[test]
+fn blanks_of_texts_and_values_count() {
+    let text = |text: &str| {
+        modified(&history_of_read(), |history| {
+            history.statements[0].text = "READ item1 other".to_owned();
+            history.runs[0].text = text.to_owned();
+        })
+    };
+    assert_eq!(check(&text("READ item1 other")), []);
+    for other in ["READ item1", "READ item1  other", "READ item1 other "] {
+        assert_eq!(check(&text(other)), unrequested("r"));
+    }
+    let mismatched = [Violation::ForeignValues {
+        request: "r".to_owned(),
+    }];
+    let value = |value: Option<&str>| {
+        modified(&history_of_read(), |history| {
+            let zone = |value: &str| ("zone".to_owned(), value.to_owned());
+            history.statements[0].values.extend([zone("z1 z2")]);
+            history.runs[0].values.extend(value.map(zone));
+        })
+    };
+    assert_eq!(check(&value(Some("z1 z2"))), []);
+    for other in [None, Some(""), Some("z1"), Some("z1  z2"), Some("z1 z2 ")] {
+        assert_eq!(check(&value(other)), mismatched);
+    }
+}
+
 #[test]
 fn api_keys_do_not_reach_databases() {
     let leaked = modified(&history_of_read(), |history| {
--- a/crates/bluebellferry_soak/src/callers/operation.rs
+++ b/crates/bluebellferry_soak/src/callers/operation.rs
@@ -7,13 +7,14 @@
 use bluebellferry_history::statement::StatementOutcome as Outcome;
 use rand::Rng;
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 
 use super::session;
 
 /// The numbers of the items; few, so that callers access the same ones.
 const ITEMS: Range<u32> = 0..20;
 /// The probability that an operation of a long session changes session state.
-const SETUP_PROBABILITY: f64 = 0.06;
+const SETUP_PROBABILITY: f64 = 0.12;
 /// The probability that an operation that does not change session state is a
 /// transaction.
 const TRANSACTION_PROBABILITY: f64 = 0.25;
@@ -44,9 +45,40 @@
 const RETRY_DELAY_MS: Range<u64> = 30..150;
 /// The maximum number of retries of an operation, as for the platform's own callers.
 const MAX_RETRIES: u32 = 2;
-/// The names and definitions of the prepared statements: the first reads, the second
-/// writes.
-const PREPARED_STATEMENTS: [(&str, &str); 2] = [("s1", "READ q2c"), ("s2", "WRITE q7")];
+/// The names of prepared statements; some look like names that a proxy might give.
+const PREPARED_NAMES: [&str; 6] = ["s1", "s2", "r.q7", "p1", "READ", "-"];
+/// The templates of prepared statements; many begin alike, contain blanks or look like
+/// other statements.
+const TEMPLATES: [&str; 10] = [
+    "q2c",
+    "q7",
+    "q7 ",
+    " q7",
+    "q7 READ q7",
+    "q7  READ q7",
+    "q7 READ other",
+    "q7 WRITE x",
+    "READ q7",
+    "EXECUTE r.q7",
+];
+/// The names of settings.
+const SETTING_NAMES: [&str; 2] = ["zone", "SET"];
+/// The values of settings.
+const SETTING_VALUES: [&str; 8] = [
+    "z0",
+    "z1",
+    "z1 ",
+    " z1",
+    "z1 z2",
+    "z1  z2",
+    "",
+    "z0 SET zone z1",
+];
+/// What may follow an item that is read or the data of a write; most are followed by
+/// nothing.
+const SUFFIXES: [&str; 4] = [" ", " two words", "  two blanks", " READ q7"];
+/// The probability that one of them follows.
+const SUFFIX_PROBABILITY: f64 = 0.15;
 
 /// The end of a transaction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,7 +93,7 @@
 #[derive(Debug, Clone)]
 enum OperationKind {
     /// A statement that changes session state.
-    Setup(String),
+    Setup(session::SessionSetup),
     /// A single access; `true` for a write.
     Single(bool),
     /// A transaction of several accesses.
@@ -84,13 +116,7 @@
     /// Draws an operation; those of short sessions do not change session state.
     pub(super) fn draw(random: &mut StdRng, is_short_session: bool) -> Self {
         let kind = if !is_short_session && random.random_bool(SETUP_PROBABILITY) {
-            let (name, definition) =
-                PREPARED_STATEMENTS[random.random_range(0..PREPARED_STATEMENTS.len())];
-            OperationKind::Setup(match random.random_range(0..6) {
-                0..2 => format!("SET zone z{}", random.random_range(0..3)),
-                2 => format!("DEALLOC {name}"),
-                _ => format!("PREPARE {name} {definition}"),
-            })
+            OperationKind::Setup(draw_setup(random))
         } else if random.random_bool(TRANSACTION_PROBABILITY) {
             let is_read_only = random.random_bool(READ_ONLY_PROBABILITY);
             let count = random.random_range(ACCESSES_PER_TRANSACTION);
@@ -122,15 +148,17 @@
         random: &mut StdRng,
     ) -> Option<Self> {
         let (failure, may_have_committed) = match &self.kind {
-            OperationKind::Setup(text) => {
+            OperationKind::Setup(setup) => {
                 // Prepares a name only if it is not prepared, and deallocates it only
                 // if it is.
-                let mut words = text.split(' ');
-                let (verb, name) = (words.next(), words.next().unwrap_or_default());
-                let is_prepared_name = session.prepared_statement(name).is_some();
-                if verb == Some("SET") || (verb == Some("DEALLOC")) == is_prepared_name {
-                    let attempt = session.new_attempt(false);
-                    session.run(attempt, Action::Setup, text).await;
+                let prepared = session.prepared_statements();
+                let is_possible = match setup {
+                    session::SessionSetup::Set { .. } => true,
+                    session::SessionSetup::Prepare { name, .. } => !prepared.contains_key(name),
+                    session::SessionSetup::Deallocate(name) => prepared.contains_key(name),
+                };
+                if is_possible {
+                    session.set_up(*setup).await;
                 }
                 return None;
             }
@@ -175,6 +203,46 @@
     tokio::time::sleep(delay).await;
 }
 
+fn draw_setup(random: &mut StdRng) -> session::SessionSetup {
+    let name = draw_text(random, &PREPARED_NAMES);
+    match random.random_range(0..6) {
+        0..2 => session::SessionSetup::Set {
+            name: draw_text(random, &SETTING_NAMES),
+            value: draw_text(random, &SETTING_VALUES),
+        },
+        2 => session::SessionSetup::Deallocate(name),
+        _ => session::SessionSetup::Prepare {
+            name,
+            shape: session::PreparedShape {
+                is_write: random.random_bool(WRITE_PROBABILITY),
+                template: draw_text(random, &TEMPLATES),
+            },
+        },
+    }
+}
+
+fn draw_text(random: &mut StdRng, texts: &[&'static str]) -> &'static str {
+    texts[random.random_range(0..texts.len())]
+}
+
+/// Returns the fields of a read or write of a random item. The last field, the item or
+/// the data, may contain blanks.
+fn draw_fields(random: &mut StdRng, attempt: session::OperationAttempt, is_write: bool) -> String {
+    let item = random.random_range(ITEMS);
+    let suffix = if random.random_bool(SUFFIX_PROBABILITY) {
+        draw_text(random, &SUFFIXES)
+    } else {
+        ""
+    };
+    if is_write {
+        // The data of each write are unique, so that reads identify the write.
+        let (number, unique) = (attempt.number, random.random::<u32>());
+        format!("item{item} d{number}x{unique}{suffix}")
+    } else {
+        format!("item{item}{suffix}")
+    }
+}
+
 /// Reads or writes a random item; returns the result if it is a failure.
 async fn run_access(
     session: &mut session::CallerSession,
@@ -182,24 +250,25 @@
     attempt: session::OperationAttempt,
     is_write: bool,
 ) -> Option<session::StatementResult> {
-    let (action, verb) = if is_write {
-        (Action::Write, "WRITE")
-    } else {
-        (Action::Read, "READ")
-    };
-    let (name, _) = PREPARED_STATEMENTS[usize::from(is_write)];
-    let is_prepared =
-        session.prepared_statement(name).is_some() && random.random_bool(PREPARED_PROBABILITY);
-    let item = random.random_range(ITEMS);
-    // The data of each write are unique, so that reads identify the write.
-    let data = format!(" d{}x{}", attempt.number, random.random::<u32>());
-    let data = if is_write { data.as_str() } else { "" };
-    let text = if is_prepared {
-        format!("EXECUTE {name} item{item}{data}")
+    let prepared = session.prepared_statements().iter();
+    let prepared = prepared.filter(|(_, shape)| shape.is_write == is_write);
+    let prepared = prepared.map(|(name, shape)| (*name, *shape));
+    let chosen = prepared
+        .choose(random)
+        .filter(|_| random.random_bool(PREPARED_PROBABILITY));
+    let fields = draw_fields(random, attempt, is_write);
+    let result = if let Some((name, shape)) = chosen {
+        session.run_prepared(attempt, name, shape, &fields).await
     } else {
-        format!("{verb} item{item}{data}")
+        let (action, verb) = if is_write {
+            (Action::Write, "WRITE")
+        } else {
+            (Action::Read, "READ")
+        };
+        session
+            .run(attempt, action, &format!("{verb} {fields}"))
+            .await
     };
-    let result = session.run(attempt, action, &text).await;
     (!result.outcome.is_success()).then_some(result)
 }
 
--- a/crates/bluebellferry_soak/src/callers/session.rs
+++ b/crates/bluebellferry_soak/src/callers/session.rs
@@ -1,6 +1,7 @@
 //! A caller's session, and the recording of its statements.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,46 @@
     pub(super) is_idle: bool,
 }
 
+/// What a prepared statement runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct PreparedShape {
+    pub(super) is_write: bool,
+    /// The template, which extends to the end of the line.
+    pub(super) template: &'static str,
+}
+
+impl fmt::Display for PreparedShape {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = if self.is_write { "WRITE" } else { "READ" };
+        write!(formatter, "{kind} {}", self.template)
+    }
+}
+
+/// A statement that changes session state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SessionSetup {
+    Set {
+        name: &'static str,
+        /// The value, which extends to the end of the line.
+        value: &'static str,
+    },
+    Prepare {
+        name: &'static str,
+        shape: PreparedShape,
+    },
+    Deallocate(&'static str),
+}
+
+impl fmt::Display for SessionSetup {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Set { name, value } => write!(formatter, "SET {name} {value}"),
+            Self::Prepare { name, shape } => write!(formatter, "PREPARE {name} {shape}"),
+            Self::Deallocate(name) => write!(formatter, "DEALLOC {name}"),
+        }
+    }
+}
+
 /// A caller's session.
 pub(super) struct CallerSession {
     caller: caller::StandinCaller,
@@ -52,8 +93,8 @@
     counter: Arc<SharedCounter>,
     /// The session settings whose change was acknowledged.
     setting_values: BTreeMap<String, String>,
-    /// The definitions of the prepared statements by name: their kind and template.
-    prepared_statements: BTreeMap<String, String>,
+    /// The shapes of the prepared statements by name.
+    prepared_statements: BTreeMap<&'static str, PreparedShape>,
     is_open: bool,
 }
 
@@ -133,17 +174,71 @@
         self.is_open
     }
 
-    /// Returns the definition of a prepared statement.
-    pub(super) fn prepared_statement(&self, name: &str) -> Option<&str> {
-        self.prepared_statements.get(name).map(String::as_str)
+    /// Returns the names and shapes of the prepared statements.
+    pub(super) const fn prepared_statements(&self) -> &BTreeMap<&'static str, PreparedShape> {
+        &self.prepared_statements
     }
 
-    /// Runs and records a statement.
+    /// Runs and records a statement that is not prepared.
     pub(super) async fn run(
         &mut self,
         attempt: OperationAttempt,
         action: Action,
         text: &str,
+    ) -> StatementResult {
+        self.run_recorded(attempt, action, text, text.to_owned(), None)
+            .await
+    }
+
+    /// Runs and records a prepared statement.
+    pub(super) async fn run_prepared(
+        &mut self,
+        attempt: OperationAttempt,
+        name: &str,
+        shape: PreparedShape,
+        arguments: &str,
+    ) -> StatementResult {
+        let action = if shape.is_write {
+            Action::Write
+        } else {
+            Action::Read
+        };
+        let text = format!("EXECUTE {name} {arguments}");
+        let recorded_text = format!("EXECUTE {arguments}");
+        let shape = Some(shape.to_string());
+        self.run_recorded(attempt, action, &text, recorded_text, shape)
+            .await
+    }
+
+    /// Changes session state. A failed change ends the session.
+    pub(super) async fn set_up(&mut self, setup: SessionSetup) {
+        let attempt = self.new_attempt(false);
+        let result = self.run(attempt, Action::Setup, &setup.to_string()).await;
+        if !result.outcome.is_success() {
+            self.is_open = false;
+            return;
+        }
+        match setup {
+            SessionSetup::Set { name, value } => {
+                self.setting_values
+                    .insert(name.to_owned(), value.to_owned());
+            }
+            SessionSetup::Prepare { name, shape } => {
+                self.prepared_statements.insert(name, shape);
+            }
+            SessionSetup::Deallocate(name) => {
+                self.prepared_statements.remove(name);
+            }
+        }
+    }
+
+    async fn run_recorded(
+        &mut self,
+        attempt: OperationAttempt,
+        action: Action,
+        text: &str,
+        recorded_text: String,
+        shape: Option<String>,
     ) -> StatementResult {
         let request = format!("q{}", self.counter.next());
         let sent_us = recorder::now_us();
@@ -168,16 +263,13 @@
             }
         };
         let template = self.statement_template(attempt);
-        let recorded_text = self.recorded_text(text);
         self.recorder.record_statement(statement::CallerStatement {
+            shape,
             values: self.setting_values.clone(),
             sent_us,
             outcome: result.outcome.clone(),
             ..template.unanswered_statement(request, action, recorded_text)
         });
-        if action == Action::Setup {
-            self.apply_setup(text, &result.outcome);
-        }
         result
     }
 
@@ -194,40 +286,6 @@
         self.is_open = false;
     }
 
-    /// Records an acknowledged change of session state; a failed change ends the
-    /// session.
-    fn apply_setup(&mut self, text: &str, outcome: &Outcome) {
-        let words: Vec<&str> = text.split(' ').collect();
-        self.is_open &= outcome.is_success();
-        match words[..] {
-            _ if !outcome.is_success() => {}
-            ["SET", name, value] => {
-                self.setting_values
-                    .insert(name.to_owned(), value.to_owned());
-            }
-            ["PREPARE", name, kind, template] => {
-                let definition = format!("{kind} {template}");
-                self.prepared_statements.insert(name.to_owned(), definition);
-            }
-            ["DEALLOC", name] => {
-                self.prepared_statements.remove(name);
-            }
-            _ => {}
-        }
-    }
-
-    /// Returns the text with the definition of a prepared statement in place of its
-    /// name.
-    fn recorded_text(&self, text: &str) -> String {
-        let execution = text.strip_prefix("EXECUTE ");
-        let execution = execution.and_then(|rest| rest.split_once(' '));
-        let recorded_text = execution.and_then(|(name, arguments)| {
-            let definition = self.prepared_statement(name)?;
-            Some(format!("EXECUTE {definition} {arguments}"))
-        });
-        recorded_text.unwrap_or_else(|| text.to_owned())
-    }
-
     const fn statement_template(&self, attempt: OperationAttempt) -> StatementTemplate<'_> {
         StatementTemplate {
             parameters: &self.parameters,
@@ -282,6 +340,7 @@
             key: self.parameters.key.clone(),
             action,
             text,
+            shape: None,
             values: BTreeMap::new(),
             sent_us: now_us,
             ended_us: now_us,
