--- a/crates/bluebellferry_soak/src/runner.rs
+++ b/crates/bluebellferry_soak/src/runner.rs
@@ -63,6 +63,9 @@
         let database_history: statement::StatementHistory =
             serde_json::from_value(database_history)?;
         self.history.runs.extend(database_history.runs);
+        self.history
+            .unknown_executions
+            .extend(database_history.unknown_executions);
         self.history.commits.extend(database_history.commits);
         self.history.promotions.extend(database_history.promotions);
         self.history
