Let the soak make databases refuse setup steps

A new fault refuses one kind of step at all databases for a while, as busy, failed or timed out, with or without effect, and with or without failing an open transaction. Refusals are drawn from random numbers of their own, so a seed draws the same other faults as before; kept schedules are read by a test.

--- a/crates/bluebellferry_soak/src/commands.rs
+++ b/crates/bluebellferry_soak/src/commands.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 
 use crate::SoakError;
+use crate::fault;
 use crate::layout;
 
 /// The timeout of a stand-in for the runner's connection, and of the runner for
@@ -70,6 +71,8 @@
     Start(usize, Option<String>),
     /// Executes the next statement without answering it.
     DropAnswer,
+    /// Starts or stops refusing setup steps.
+    RefuseSetup(fault::SetupRefusal, bool),
     /// Answers with the state of each member, as an operator sees it.
     Reports,
     /// Answers with the history since the last such command.
@@ -170,6 +173,15 @@
             GroupCommand::Crash(member) => group.crash(member),
             GroupCommand::Start(member, id) => group.restart_with_log(member, id.as_deref()),
             GroupCommand::DropAnswer => group.drop_next_answer(),
+            GroupCommand::RefuseSetup(refusal, is_on) => {
+                group.refuse_next_setup(database::SetupRefusal {
+                    verb: refusal.verb.word(),
+                    code: refusal.error.code(),
+                    takes_effect: refusal.takes_effect,
+                    fails_transaction: refusal.fails_transaction,
+                    count: if is_on { u32::MAX } else { 0 },
+                });
+            }
             GroupCommand::Reports => return json!(group.reports()),
             GroupCommand::TakeHistory => return json!(group.take_history()),
         }
--- a/crates/bluebellferry_soak/src/fault.rs
+++ b/crates/bluebellferry_soak/src/fault.rs
@@ -36,6 +36,63 @@
     Silence,
 }
 
+/// The kind of a step with which a VM sets up a connection to a database.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SetupVerb {
+    /// Drops settings and prepared statements.
+    Reset,
+    /// Changes a setting.
+    Set,
+    /// Prepares a statement.
+    Prepare,
+}
+
+impl SetupVerb {
+    /// Returns the first word of such steps.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Reset => "RESET",
+            Self::Set => "SET",
+            Self::Prepare => "PREPARE",
+        }
+    }
+}
+
+/// The error with which a database refuses a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SetupError {
+    /// The step did not run.
+    Busy,
+    /// The step ran and failed.
+    Failed,
+    /// The step ran for too long.
+    Timeout,
+}
+
+impl SetupError {
+    /// Returns the error's code.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Busy => "BUSY",
+            Self::Failed => "FAILED",
+            Self::Timeout => "TIMEOUT",
+        }
+    }
+}
+
+/// How databases refuse setup steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetupRefusal {
+    /// The kind of the refused steps.
+    pub verb: SetupVerb,
+    /// The error.
+    pub error: SetupError,
+    /// Whether the refused steps take effect nevertheless.
+    pub takes_effect: bool,
+    /// Whether a refused step fails the transaction that is open on its connection.
+    pub fails_transaction: bool,
+}
+
 /// A fault and what it affects.
 ///
 /// VMs are identified by their initial slots: if a VM was replaced, the fault affects its
@@ -91,11 +148,13 @@
     LoseAnswer,
     /// Evacuates the data centre of a database, until the end of the fault.
     Evacuate(u8),
+    /// Makes all databases refuse setup steps of one kind.
+    RefuseSetup(SetupRefusal),
 }
 
 impl FaultKind {
     /// The names and descriptions of all kinds of faults.
-    pub const KINDS: [(&'static str, &'static str); 22] = [
+    pub const KINDS: [(&'static str, &'static str); 23] = [
         ("stop", "SIGTERM to VMs, then a restart"),
         ("reload", "SIGHUP to a VM"),
         ("freeze", "SIGSTOP to VMs, later SIGCONT"),
@@ -133,6 +192,10 @@
         ),
         ("lose-answer", "a statement is executed but not answered"),
         ("evacuate", "the data centre of a database is evacuated"),
+        (
+            "refuse-setup",
+            "databases refuse to set up connections, with or without effect",
+        ),
     ];
 
     /// Returns whether the fault has no duration.
@@ -200,6 +263,7 @@
             Self::Rebirth(_) => 19,
             Self::LoseAnswer => 20,
             Self::Evacuate(_) => 21,
+            Self::RefuseSetup(_) => 22,
         }
     }
 
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -66,6 +66,10 @@
 /// Added to the seed for the silences, which are drawn separately so that the other faults of a
 /// seed do not depend on them.
 const SILENCE_SEED_OFFSET: u64 = 1 << 32;
+/// The intervals between refusals of setup steps, in milliseconds.
+const SETUP_REFUSAL_INTERVALS_MS: std::ops::Range<u64> = 500..8_000;
+/// Separates the random numbers of refusals of setup steps from those of other faults.
+const SETUP_REFUSAL_SEED: u64 = 0x5e7_0ff5;
 /// The reduced rate limits, in operations per second.
 const RATE_LIMITS: std::ops::Range<u32> = 60..150;
 
@@ -144,6 +148,7 @@
         }
         faults.extend(draw_silences(seed, size, fault_end_ms));
         faults.extend(draw_evacuations(seed, size, fault_end_ms));
+        faults.extend(draw_setup_refusals(seed, fault_end_ms));
         faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
@@ -226,6 +231,46 @@
     }]
 }
 
+/// Draws refusals of setup steps from random numbers of their own, one after another.
+fn draw_setup_refusals(seed: u64, fault_end_ms: u64) -> Vec<ScheduledFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ SETUP_REFUSAL_SEED);
+    let mut faults = Vec::new();
+    let mut at_ms = INITIAL_QUIET_MS + random.random_range(SETUP_REFUSAL_INTERVALS_MS);
+    while at_ms < fault_end_ms {
+        let lasts_ms = random.random_range(SHORT_FAULTS_MS);
+        let lasts_ms = lasts_ms.min(fault_end_ms - at_ms);
+        faults.push(ScheduledFault {
+            at_ms,
+            lasts_ms,
+            kind: FaultKind::RefuseSetup(draw_setup_refusal(&mut random)),
+        });
+        at_ms += lasts_ms + random.random_range(SETUP_REFUSAL_INTERVALS_MS);
+    }
+    faults
+}
+
+fn draw_setup_refusal(random: &mut StdRng) -> fault::SetupRefusal {
+    use fault::SetupError;
+    use fault::SetupVerb;
+    let verb = match random.random_range(0..3) {
+        0 => SetupVerb::Reset,
+        1 => SetupVerb::Set,
+        _ => SetupVerb::Prepare,
+    };
+    let error = match random.random_range(0..3) {
+        0 => SetupError::Busy,
+        1 => SetupError::Failed,
+        _ => SetupError::Timeout,
+    };
+    fault::SetupRefusal {
+        verb,
+        error,
+        // A step that was refused as busy did not run.
+        takes_effect: random.random_bool(0.5) && error != SetupError::Busy,
+        fails_transaction: random.random_bool(0.5),
+    }
+}
+
 fn draw_kind(random: &mut StdRng, size: SiteSize, replacements: &mut u8) -> FaultKind {
     let vm = random.random_range(0..size.vms);
     let database = draw_database(random, size);
--- a/crates/bluebellferry_soak/src/site/injection.rs
+++ b/crates/bluebellferry_soak/src/site/injection.rs
@@ -67,7 +67,7 @@
             | FaultKind::Crash(database)
             | FaultKind::Rebirth(database)
             | FaultKind::Evacuate(database) => vec![self.database_target(*database)],
-            FaultKind::LoseAnswer => {
+            FaultKind::LoseAnswer | FaultKind::RefuseSetup(_) => {
                 let databases = 0..self.layout.databases;
                 databases
                     .map(|database| self.database_target(database))
@@ -296,6 +296,7 @@
             FaultKind::Crash(member) if is_active => Some(GroupCommand::Crash(usize::from(member))),
             FaultKind::Crash(member) => Some(GroupCommand::Start(usize::from(member), None)),
             FaultKind::LoseAnswer if is_active => Some(GroupCommand::DropAnswer),
+            FaultKind::RefuseSetup(refusal) => Some(GroupCommand::RefuseSetup(refusal, is_active)),
             _ => None,
         };
         if let Some(command) = group {
--- a/crates/bluebellferry_soak/tests/schedules.rs
+++ b/crates/bluebellferry_soak/tests/schedules.rs
@@ -1,6 +1,7 @@
 //! Tests of schedules that are drawn from seeds.
 
 use std::collections::BTreeSet;
+use std::path::Path;
 
 use bluebellferry_soak::fault;
 use bluebellferry_soak::schedule;
@@ -63,3 +64,46 @@
         serde_json::from_str(&text).expect("the text can be decoded");
     assert_eq!(read, schedule);
 }
+
+#[test]
+fn refusals_of_setup_steps_follow_one_another_and_keep_the_protocol() {
+    let mut drawn = BTreeSet::new();
+    for seed in 0..50 {
+        let schedule = schedule::FaultSchedule::draw(seed, SIZE, 20_000);
+        let mut last_end_ms = 0;
+        for scheduled in &schedule.faults {
+            let fault::FaultKind::RefuseSetup(refusal) = scheduled.kind else {
+                continue;
+            };
+            assert!(scheduled.at_ms > last_end_ms, "{schedule:?}");
+            last_end_ms = scheduled.at_ms + scheduled.lasts_ms;
+            // BUSY says that the step did not run.
+            assert!(refusal.error != fault::SetupError::Busy || !refusal.takes_effect);
+            let (verb, code) = (refusal.verb.word(), refusal.error.code());
+            drawn.insert((verb, code, refusal.takes_effect));
+        }
+    }
+    let (verbs, effects) = (["PREPARE", "RESET", "SET"], 5);
+    assert_eq!(drawn.len(), verbs.len() * effects, "{drawn:?}");
+}
+
+#[test]
+fn kept_schedules_can_be_read() {
+    let mut schedules = 0;
+    for folder in ["regressions", "open"] {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+        for entry in std::fs::read_dir(folder).expect("the folder can be listed") {
+            let file = entry.expect("the entry can be read").path();
+            if file
+                .extension()
+                .is_some_and(|extension| extension == "json")
+            {
+                let text = std::fs::read_to_string(&file).expect("the schedule can be read");
+                let read = serde_json::from_str::<schedule::FaultSchedule>(&text);
+                assert!(read.is_ok(), "{}: {read:?}", file.display());
+                schedules += 1;
+            }
+        }
+    }
+    assert!(schedules > 0, "the folders contain no schedule");
+}
