--- a/crates/bluebellferry_soak/tests/short_soak.rs
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -146,3 +146,16 @@
 async fn leader_gone_after_it_stepped_down() {
     replay_regression("leader-gone-after-it-stepped-down").await;
 }
+
+// Guards against statements that ran with other values, or under names that were not prepared, since
+// a database had refused to set up their connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_setup_steps() {
+    replay_regression("refused-setup-steps").await;
+}
+
+// Guards against names of prepared statements that are made of callers' templates.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn templates_with_blanks() {
+    replay_regression("templates-with-blanks").await;
+}
