Give each case of the test of full connections its own shapes

The cases shared their shapes, so a connection that had some of them already needed no RESET in the later cases and the test failed with "no RESET was refused".

--- a/crates/bluebellferry_edge/tests/prepared_statements.rs
+++ b/crates/bluebellferry_edge/tests/prepared_statements.rs
@@ -338,7 +338,8 @@
     let deployment = start().await;
     let mut sent = tracked::TrackedStatements::new();
     let mut differences = Vec::new();
-    for (takes_effect, fails_transaction) in [(false, false), (true, false), (false, true)] {
+    let cases = [(false, false), (true, false), (false, true)];
+    for (case, (takes_effect, fails_transaction)) in cases.into_iter().enumerate() {
         deployment.group.refuse_next_setup(database::SetupRefusal {
             verb: "RESET",
             code: "FAILED",
@@ -350,7 +351,7 @@
             connect(&deployment, format!("c.{takes_effect}.{fails_transaction}")).await;
         caller.run_successfully("SET zone own").await;
         for number in 0..SHAPES {
-            let text = format!("PREPARE s{number} READ q{number}");
+            let text = format!("PREPARE s{number} READ q{number}.{case}");
             caller.run_successfully(&text).await;
         }
         caller.run_successfully("BEGIN").await;
@@ -363,7 +364,9 @@
             }
         }
         caller.run("ROLLBACK").await;
-        caller.run_successfully("PREPARE s WRITE behind").await;
+        caller
+            .run_successfully(&format!("PREPARE s WRITE q.{case}"))
+            .await;
         let answer = caller.run("EXECUTE s 1ac red").await;
         let answer = answer.expect("an answer arrives");
         if answer.refusal.is_some() && !tracked::is_promise(&answer) {
