Bound the length of what is prepared on a connection within a transaction

The limit within transactions counted statements only, so that a caller could leave 256 templates of 1 MiB on one connection. Both limits now apply there, four times as high. Found by review. a_connection_holds_a_bounded_number_of_prepared_statements_in_a_transaction, which now also counts bytes, could not be met before: the limit of bytes did not exist there.

--- a/crates/bluebellferry_session/src/connection_state.rs
+++ b/crates/bluebellferry_session/src/connection_state.rs
@@ -10,11 +10,11 @@
 /// The number of prepared statements on one connection at which it is reset before the next one, to
 /// bound its memory here and at the database.
 pub const MAX_PREPARED_STATEMENTS: usize = 64;
-/// The number of prepared statements at which a connection is reset even within a transaction.
-pub const MAX_PREPARED_IN_TRANSACTION: usize = 256;
 /// The total length of the templates prepared on one connection at which it is reset before the
 /// next one, in bytes.
 pub const MAX_PREPARED_BYTES: usize = 256 << 10;
+/// How many times as much a connection may hold before it is reset even within a transaction.
+pub const TRANSACTION_FACTOR: usize = 4;
 
 /// A statement that changes the session state of a connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,10 +59,11 @@
 }
 
 impl AcknowledgedState {
-    fn is_full(&self) -> bool {
+    /// Returns whether the connection holds `factor` times as much as an idle one may.
+    fn is_full(&self, factor: usize) -> bool {
         let templates = self.prepared.keys().map(|query| query.template.len());
-        self.prepared.len() >= MAX_PREPARED_STATEMENTS
-            || templates.sum::<usize>() >= MAX_PREPARED_BYTES
+        self.prepared.len() >= factor * MAX_PREPARED_STATEMENTS
+            || templates.sum::<usize>() >= factor * MAX_PREPARED_BYTES
     }
 }
 
@@ -104,9 +105,8 @@
                 .keys()
                 .all(|name| settings.contains_key(name));
             let needs_room = query.is_some_and(|query| !current.prepared.contains_key(query));
-            let is_full = may_reset && current.is_full()
-                || current.prepared.len() >= MAX_PREPARED_IN_TRANSACTION;
-            has_only_wanted && !(needs_room && is_full)
+            let factor = if may_reset { 1 } else { TRANSACTION_FACTOR };
+            has_only_wanted && !(needs_room && current.is_full(factor))
         });
         if current.is_none() {
             steps.push(SetupStep::Reset);
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -436,19 +436,28 @@
     assert!(set_up(&mut connection, &[], Some(&query(3))).is_empty());
 }
 
-// Guards against connections that hold any number of prepared statements: they were reset only
-// outside of transactions.
+// Guards against connections that hold any number or length of prepared statements: they were reset
+// only outside of transactions.
 #[test]
 fn a_connection_holds_a_bounded_number_of_prepared_statements_in_a_transaction() {
-    let mut connection = connection_state::ConnectionState::default();
-    let mut prepared = 0;
-    for number in 0..2 * connection_state::MAX_PREPARED_IN_TRANSACTION {
-        let query = prepared_query(statement::AccessKind::Read, &format!("q{number}"));
-        for step in connection.plan_setup(&settings(&[]), Some(&query), false) {
-            let is_reset = step == connection_state::SetupStep::Reset;
-            prepared = if is_reset { 0 } else { prepared + 1 };
-            connection.record_acknowledged(&step);
+    let factor = connection_state::TRANSACTION_FACTOR;
+    let short = String::new();
+    let long = "x".repeat(connection_state::MAX_PREPARED_BYTES);
+    for (padding, limit) in [
+        (short, factor * connection_state::MAX_PREPARED_STATEMENTS),
+        (long, factor),
+    ] {
+        let mut connection = connection_state::ConnectionState::default();
+        let mut prepared = 0;
+        for number in 0..2 * limit {
+            let template = format!("q{number}{padding}");
+            let query = prepared_query(statement::AccessKind::Read, &template);
+            for step in connection.plan_setup(&settings(&[]), Some(&query), false) {
+                let is_reset = step == connection_state::SetupStep::Reset;
+                prepared = if is_reset { 0 } else { prepared + 1 };
+                connection.record_acknowledged(&step);
+            }
+            assert!(prepared <= limit);
         }
-        assert!(prepared <= connection_state::MAX_PREPARED_IN_TRANSACTION);
     }
 }
