Send a statement of a transaction only while the database has it open

Cause: the session believed its own state. The status behind an answer was used when a connection went back into the pool, not when the next statement was sent; and bytes that arrived unasked within a transaction were taken for the next answer.

for_statement now also requires that the database's last status fits the statement, and that nothing has arrived since; otherwise the connection is closed and the caller gets ABORTED. BEGIN that leaves no transaction open is tried elsewhere. Evacuations and the pace of a cold database are now checked after the setup, right before the statement.

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -214,13 +214,16 @@
     }
 
     /// Returns the connection for one statement, if the database has acknowledged exactly these
-    /// session settings and what the statement needs to be prepared.
+    /// session settings and what the statement needs to be prepared, has a transaction open or not
+    /// as `is_in_transaction` says, and has sent nothing since its last answer.
     pub fn for_statement<'a>(
         &'a mut self,
         settings: &BTreeMap<String, String>,
         text: &'a statement::StatementText,
+        is_in_transaction: bool,
     ) -> Option<StatementConnection<'a>> {
-        if !self.is_set_up(settings, text.prepared_query()) {
+        let is_set_up = self.is_set_up(settings, text.prepared_query());
+        if !is_set_up || self.has_ended_transaction() == is_in_transaction || !self.is_usable() {
             return None;
         }
         let text = match text {
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -23,6 +23,7 @@
 
 use crate::shared;
 use crate::traffic::acknowledgement;
+use crate::traffic::connection;
 use crate::traffic::dispatch;
 use crate::traffic::placement;
 use crate::traffic::reads;
@@ -245,20 +246,20 @@
             ));
         };
         let is_writing_commit = plan.kind == state::RunKind::Commit && self.state.has_written();
-        let mut admitted = self.admit_in_transaction(&connection, scope).await;
+        let query = plan.text.prepared_query();
+        let set_up = self.set_up(&mut connection, query, scope.deadline).await;
+        let mut admitted =
+            set_up.map_err(|error| self.refuse_in_transaction(&statement.id, &connection, &error));
         if admitted.is_ok() {
-            let query = plan.text.prepared_query();
-            let set_up = self.set_up(&mut connection, query, scope.deadline).await;
-            admitted = set_up
-                .map_err(|error| self.refuse_in_transaction(&statement.id, &connection, &error));
+            admitted = self.admit_in_transaction(&connection, scope).await;
         }
         if admitted.is_ok() && is_writing_commit {
             admitted = self.wait_for_lease(connection.database, scope).await;
         }
         let encoded = admitted.and_then(|()| {
-            let settled = connection.for_statement(self.state.settings(), &plan.text);
+            let settled = connection.for_statement(self.state.settings(), &plan.text, true);
             settled
-                .ok_or_else(outcomes::not_set_up)?
+                .ok_or_else(outcomes::transaction_ended)?
                 .encode(&statement.id, None)
                 .map_err(outcomes::not_sendable)
         });
@@ -274,6 +275,13 @@
         match encoded.run(scope.deadline).await {
             Ok(answer) => {
                 self.record_answer(&connection, &answer, &sent, plan);
+                let has_ended = connection.has_ended_transaction();
+                if has_ended && answer.error.is_none() && plan.kind == state::RunKind::InTransaction
+                {
+                    self.context.dispatcher.discard(connection);
+                    self.lose_transaction(plan);
+                    return Err(outcomes::transaction_ended());
+                }
                 let database = connection.database;
                 self.transaction_connection = Some(connection);
                 if is_writing_commit
@@ -372,18 +380,16 @@
             } = placed;
             // BEGIN is answered before anything else is sent: if the database rejected it, a
             // statement behind it would run outside any transaction.
-            let encoded = connection
-                .for_statement(self.state.settings(), &text)
-                .ok_or_else(outcomes::not_set_up)
-                .and_then(|settled| {
-                    let encoded = settled.encode(&opening.begin_id, min_position);
-                    encoded.map_err(outcomes::not_sendable)
-                });
-            let encoded = match encoded {
+            let settled = connection.for_statement(self.state.settings(), &text, false);
+            let Some(settled) = settled else {
+                self.context.dispatcher.release(connection);
+                continue;
+            };
+            let encoded = match settled.encode(&opening.begin_id, min_position) {
                 Ok(encoded) => encoded,
-                Err(refusal) => {
+                Err(error) => {
                     self.context.dispatcher.release(connection);
-                    return Err(refusal);
+                    return Err(outcomes::not_sendable(error));
                 }
             };
             let response_deadline = self.response_deadline(encoded.database(), scope.deadline);
@@ -392,6 +398,11 @@
                 .await
                 .map(|answer| answer.error)
             {
+                Ok(None) if connection.has_ended_transaction() => {
+                    request.excluded.push(connection.database);
+                    let error = connection::ExchangeError::Malformed;
+                    self.record_failure(&opening.begin_id, connection, error, false);
+                }
                 Ok(None) => {
                     self.transaction_connection = Some(connection);
                     return Ok(());
@@ -456,7 +467,8 @@
             mut connection,
             min_position,
         } = placed;
-        let Some(settled) = connection.for_statement(self.state.settings(), &plan.text) else {
+        let Some(settled) = connection.for_statement(self.state.settings(), &plan.text, false)
+        else {
             self.context.dispatcher.release(connection);
             return AttemptOutcome::Retry("not_set_up");
         };
@@ -514,7 +526,8 @@
         mut connection: dispatch::PoolConnection,
         request: &mut dispatch::PlacementRequest,
     ) -> AttemptOutcome {
-        let Some(settled) = connection.for_statement(self.state.settings(), &plan.text) else {
+        let Some(settled) = connection.for_statement(self.state.settings(), &plan.text, false)
+        else {
             self.context.dispatcher.release(connection);
             return AttemptOutcome::Retry("not_set_up");
         };
--- a/crates/bluebellferry_edge/src/traffic/statement/outcomes.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/outcomes.rs
@@ -80,12 +80,9 @@
     refusal::RequestRefusal::not_run(reason, error.to_string()).retry_after(DEFAULT_RETRY_DELAY)
 }
 
-/// Returns the refusal of a statement whose connection lost the session's settings or prepared
-/// statements before it was sent.
-pub(super) fn not_set_up() -> refusal::RequestRefusal {
-    let reason = refusal::RefusalReason::SetupRefused;
-    refusal::RequestRefusal::not_run(reason, "the connection is not in the session's state")
-        .retry_after(DEFAULT_RETRY_DELAY)
+/// Returns the refusal of a statement whose transaction is no longer open at its database.
+pub(super) fn transaction_ended() -> refusal::RequestRefusal {
+    refuse_aborted_transaction("the database no longer has the transaction open")
 }
 
 /// Returns the refusal of a statement that cannot be sent to a database as one message.
--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -1,5 +1,6 @@
 //! Tests that a connection is used for another caller only after its transaction has ended.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,9 @@
 use bluebellferry_standin_platform::deployment;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
 use tokio::net::TcpListener;
 
 #[path = "fixtures/settings.rs"]
@@ -114,6 +118,23 @@
     let group = database::StandinGroup::new("rental", &ids, Duration::ZERO, 12);
     let serving = Arc::clone(&group).serve(0, database_address).await;
     serving.expect("the database address is free");
+    let (shared, snapshot, context) = start_traffic(database_address);
+    Traffic {
+        group,
+        shared,
+        snapshot,
+        context,
+    }
+}
+
+/// Starts the traffic thread of a VM for which the database at an address leads.
+fn start_traffic(
+    database_address: SocketAddr,
+) -> (
+    Arc<shared::EdgeShared>,
+    shared::EdgeSnapshot,
+    Rc<traffic::TrafficContext>,
+) {
     let settings = fixtures::settings("vm-0", data_centre(), database_address);
     let (shared, _evidence) = shared::EdgeShared::new(settings, 1);
     let snapshot = snapshot_with_leader(database_address);
@@ -122,12 +143,18 @@
     let metrics = metrics.expect("the metric names are unique");
     let context = Rc::new(traffic::TrafficContext::new(Arc::clone(&shared), metrics));
     context.dispatcher.apply_snapshot(clock::now());
-    Traffic {
-        group,
-        shared,
-        snapshot,
-        context,
-    }
+    (shared, snapshot, context)
+}
+
+/// Serves callers at a free address, which it returns.
+async fn serve_callers(context: Rc<traffic::TrafficContext>) -> SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(session::serve(stream, Rc::clone(&context)));
+        }
+    });
+    address
 }
 
 /// Refuses a COMMIT as busy while another database is promoted, and then runs a write of another
@@ -142,12 +169,7 @@
         snapshot,
         context,
     } = start().await;
-    let (listener, address) = listen().await;
-    tokio::task::spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(session::serve(stream, Rc::clone(&context)));
-        }
-    });
+    let address = serve_callers(context).await;
     let connect = || caller::StandinCaller::connect(address, "browse", "key");
     let mut first = connect().await.expect("the caller connects");
     deployment::run_successfully(&mut first, "WRITE boots first").await;
@@ -221,10 +243,12 @@
                 };
                 let placed = dispatcher.acquire(&mut request).await;
                 let mut connection = placed.expect("the leader is available").connection;
+                let mut is_open = false;
                 for statement in statements {
                     let text = statement::StatementText::Verbatim((*statement).to_owned());
-                    let settled = connection.for_statement(&BTreeMap::new(), &text);
+                    let settled = connection.for_statement(&BTreeMap::new(), &text, is_open);
                     let settled = settled.expect("a new connection has no settings");
+                    is_open = *statement != "COMMIT";
                     let encoded = settled.encode("1", None).expect("a short statement");
                     let answer = encoded.run(request.deadline).await;
                     assert_eq!(answer.map(|answer| answer.error), Ok(None), "{statement}");
@@ -259,3 +283,89 @@
         })
         .await;
 }
+
+/// Serves a database that answers each statement as `answer` says, and returns its address and the
+/// lines that it receives.
+async fn serve_database(
+    answer: fn(&str) -> &'static str,
+) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
+    let (listener, address) = listen().await;
+    let received = Rc::new(RefCell::new(Vec::new()));
+    let lines = Rc::clone(&received);
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let lines = Rc::clone(&lines);
+            tokio::task::spawn_local(async move {
+                let mut stream = BufReader::new(stream);
+                let mut line = String::new();
+                while stream.read_line(&mut line).await.is_ok_and(|read| read > 0) {
+                    let text = line.trim_end().to_owned();
+                    line.clear();
+                    let answer = answer(&text);
+                    lines.borrow_mut().push(text);
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, received)
+}
+
+/// Runs `BEGIN` and two writes at a database, and returns the answers to the writes and whether the
+/// database received the second one.
+async fn write_twice_in_transaction(
+    answer: fn(&str) -> &'static str,
+) -> (Vec<caller::CallerAnswer>, bool) {
+    let (database_address, received) = serve_database(answer).await;
+    let (_shared, _, context) = start_traffic(database_address);
+    let address = serve_callers(context).await;
+    let caller = caller::StandinCaller::connect(address, "browse", "key").await;
+    let mut caller = caller.expect("the caller connects");
+    deployment::run_successfully(&mut caller, "BEGIN").await;
+    let mut answers = Vec::new();
+    for text in ["WRITE boots first", "WRITE boots second"] {
+        answers.push(caller.run(text).await.expect("an answer arrives"));
+        // What the database sends behind its answer arrives before the next statement.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let lines = received.borrow();
+    let has_second = lines.iter().any(|line| line.ends_with("second"));
+    (answers, has_second)
+}
+
+/// Guards against writes that run outside their transaction: the database's word that no transaction
+/// is open was overlooked in the answers to BEGIN, to a write, and in what it sent unasked.
+#[tokio::test]
+async fn statement_is_not_sent_if_its_transaction_is_not_open() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let answers: [fn(&str) -> &'static str; 3] = [
+                |text| match text.split(' ').next() {
+                    Some("STARTUP") => "READY I -\r\n",
+                    _ => "COMPLETE 1\r\nREADY I 1.1\r\n",
+                },
+                |text| match text.split(' ').next() {
+                    Some("STARTUP") => "READY I -\r\n",
+                    _ if text.ends_with("BEGIN") => "COMPLETE -\r\nREADY T 1.1\r\n",
+                    _ => "COMPLETE 1\r\nREADY I 1.1\r\n",
+                },
+                |text| match text.split(' ').next() {
+                    Some("STARTUP") => "READY I -\r\n",
+                    _ if text.ends_with("BEGIN") => "COMPLETE -\r\nREADY T 1.1\r\n",
+                    _ => "COMPLETE 1\r\nREADY T 1.1\r\nERROR ABORTED -\r\nREADY I 1.1\r\n",
+                },
+            ];
+            for (case, answer) in answers.into_iter().enumerate() {
+                let (answers, has_second) = write_twice_in_transaction(answer).await;
+                assert!(!has_second, "case {case}: {answers:?}");
+                let refusals = answers.iter().filter_map(|answer| answer.refusal.as_ref());
+                let first = refusals
+                    .map(|refusal| matches!(refusal, caller::CallerRefusal::NothingKept(_)));
+                assert_eq!(first.take(1).next(), Some(true), "case {case}: {answers:?}");
+            }
+        })
+        .await;
+}
