Quote callers' texts in log lines with a bounded length

A request's id and a route may be as long as a message, and refusals, retries and samples wrote them whole. They are cut at 64 characters, as templates are.

--- a/crates/bluebellferry_edge/src/traffic/log_limiter.rs
+++ b/crates/bluebellferry_edge/src/traffic/log_limiter.rs
@@ -1,4 +1,4 @@
-//! Rate limits for log lines about single statements.
+//! Limits for the rate of log lines about single statements, and for the length of what they quote.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -13,6 +13,15 @@
 /// The length of the window in which lines are counted.
 const COUNTING_WINDOW: Duration = Duration::from_secs(1);
 
+/// The maximum number of characters of a caller's text in a log line.
+const MAX_EXCERPT_CHARACTERS: usize = 64;
+
+/// Returns the beginning of a caller's text, which may be as long as a message, for a log line.
+pub fn excerpt(text: &str) -> &str {
+    let end = text.char_indices().nth(MAX_EXCERPT_CHARACTERS);
+    end.map_or(text, |(end, _)| &text[..end])
+}
+
 /// Limits the log lines written in each window and counts those suppressed.
 #[derive(Debug)]
 pub struct LogRateLimiter {
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -22,6 +22,7 @@
 use crate::shared;
 use crate::traffic;
 use crate::traffic::dispatch;
+use crate::traffic::log_limiter;
 
 /// The maximum time until a caller's first message.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -337,7 +338,7 @@
 
     /// Rolls back the open transaction by closing its database connection.
     pub fn roll_back_transaction(&mut self, reason: &'static str) {
-        log::info!(reason = reason, route = self.identity.route.as_str(); "transaction rolled back");
+        log::info!(reason = reason, route = log_limiter::excerpt(&self.identity.route); "transaction rolled back");
         self.state.record_transaction_failed();
         self.transaction = None;
         if let Some(connection) = self.transaction_connection.take() {
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -16,6 +16,7 @@
 use crate::shared;
 use crate::traffic::connection;
 use crate::traffic::dispatch;
+use crate::traffic::log_limiter;
 use crate::traffic::session;
 use crate::traffic::statement::outcomes;
 
@@ -23,9 +24,6 @@
 /// leader may not have been promoted yet.
 const READ_ONLY_RETRY_DELAY: Duration = Duration::from_millis(40);
 
-/// The maximum number of characters of a template in a log line.
-const MAX_LOGGED_CHARACTERS: usize = 60;
-
 /// When a statement was sent, and whether it was sent to a leader with a valid lease.
 #[derive(Debug, Clone)]
 pub(super) struct SendRecord {
@@ -89,7 +87,7 @@
             .retry_after
             .map_or(0, |wait| wait.as_millis() as u64);
         log::info!(
-            id = statement.id.as_str(), kind = kind, route = self.identity.route.as_str(),
+            id = log_limiter::excerpt(&statement.id), kind = kind, route = log_limiter::excerpt(&self.identity.route),
             workspace = workspace.map_or("-", |workspace| workspace.as_str()),
             configuration_version = configuration.version,
             leader = leader.map_or("-", |leader| leader.database.as_str()),
@@ -115,7 +113,7 @@
             let failed = request.excluded.last();
             let failed = failed.map(|index| self.context.dispatcher.registry_entry(*index));
             log::info!(
-                id = statement.id.as_str(), route = self.identity.route.as_str(), reason = reason,
+                id = log_limiter::excerpt(&statement.id), route = log_limiter::excerpt(&self.identity.route), reason = reason,
                 database = failed.as_ref().map_or("-", |entry| entry.id.as_str());
                 "retrying a statement at another database"
             );
@@ -147,7 +145,7 @@
             arrived.saturating_duration_since(requested_at).as_millis() as u64
         });
         log::info!(
-            id = id, route = self.identity.route.as_str(), database = entry.id.as_str(),
+            id = log_limiter::excerpt(id), route = log_limiter::excerpt(&self.identity.route), database = entry.id.as_str(),
             connection = connection.number,
             since = text(min_position).as_str(), session_floor = text(self.state.floor()).as_str(),
             latest_known = text(latest.map(|(_, position)| position)).as_str(),
@@ -169,10 +167,9 @@
             return;
         }
         let entry = self.context.dispatcher.registry_entry(database);
-        let template: String = query.template.chars().take(MAX_LOGGED_CHARACTERS).collect();
         log::info!(
             database = entry.id.as_str(), connection = connection_number,
-            name = name.to_string().as_str(), template = template.as_str(),
+            name = name.to_string().as_str(), template = log_limiter::excerpt(&query.template),
             template_bytes = query.template.len();
             "prepared a statement on a connection"
         );
@@ -188,7 +185,7 @@
         if self.context.statement_log_limiter.may_log(clock::now()) {
             let entry = self.context.dispatcher.registry_entry(connection.database);
             log::info!(
-                id = id, database = entry.id.as_str(), connection = connection.number,
+                id = log_limiter::excerpt(id), database = entry.id.as_str(), connection = connection.number,
                 error:% = error;
                 "a connection could not be given the session's state"
             );
@@ -306,7 +303,7 @@
         self.context.metrics.count_retry("connection_lost");
         if self.context.statement_log_limiter.may_log(clock::now()) {
             log::info!(
-                id = id, database = dispatcher.registry_entry(database).id.as_str(),
+                id = log_limiter::excerpt(id), database = dispatcher.registry_entry(database).id.as_str(),
                 connection = connection.number, error:% = error,
                 is_commit = is_commit;
                 "no answer from a database"
