Tell the caller of a write that ran outside its transaction that it is in doubt

A database that answers a write of a transaction with READY I may have committed it at once, so ABORTED, which promises that nothing is kept, is not true.

--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -280,6 +280,11 @@
                 {
                     self.context.dispatcher.discard(connection);
                     self.lose_transaction(plan);
+                    // A write that ran outside its transaction was committed.
+                    if plan.is_write {
+                        self.in_doubt_at = Some(clock::now());
+                        return Err(outcomes::in_doubt(connection::ExchangeError::Malformed));
+                    }
                     return Err(outcomes::transaction_ended());
                 }
                 let database = connection.database;
