--- a/crates/bluebellferry_bench/src/outcome.rs
+++ b/crates/bluebellferry_bench/src/outcome.rs
@@ -24,6 +24,8 @@
     pub acknowledged: Vec<u64>,
     /// The number of reads that did not find the session's own last write.
     pub stale_reads: u64,
+    /// The number of reads whose result belongs to another prepared statement.
+    pub foreign_results: u64,
     reads: Histogram<u64>,
     writes: Histogram<u64>,
     write_times: Vec<Duration>,
@@ -46,6 +48,7 @@
             workspace,
             acknowledged: Vec::new(),
             stale_reads: 0,
+            foreign_results: 0,
             reads: new_histogram(),
             writes: new_histogram(),
             write_times: Vec::new(),
@@ -142,6 +145,8 @@
     pub lost: u64,
     /// The number of reads that did not find the session's own last write.
     pub stale_reads: u64,
+    /// The number of reads whose result belongs to another prepared statement.
+    pub foreign_results: u64,
     /// The results of each workspace.
     pub workspaces: Vec<WorkspaceResult>,
     /// The number of acknowledged writes in each tenth of a second.
--- a/crates/bluebellferry_bench/src/report.rs
+++ b/crates/bluebellferry_bench/src/report.rs
@@ -63,8 +63,8 @@
     );
     println!("  longest gap in writes      {} ms", result.write_gap_ms);
     println!(
-        "  acknowledged writes        {}, lost {}, stale own reads {}",
-        result.acknowledged, result.lost, result.stale_reads
+        "  acknowledged writes        {}, lost {}, stale own reads {}, foreign results {}",
+        result.acknowledged, result.lost, result.stale_reads, result.foreign_results
     );
     for workspace in &result.workspaces {
         println!(
--- a/crates/bluebellferry_bench/src/run.rs
+++ b/crates/bluebellferry_bench/src/run.rs
@@ -82,6 +82,7 @@
             .sum(),
         lost,
         stale_reads: outcomes.iter().map(|outcome| outcome.stale_reads).sum(),
+        foreign_results: outcomes.iter().map(|outcome| outcome.foreign_results).sum(),
         workspaces: outcome::summarize_workspaces(&outcomes, &workspaces),
         writes_per_tenth: outcome::count_writes_per_tenth(&outcomes, scenario.duration),
     })
@@ -124,6 +125,7 @@
                 requests_per_second: load.requests_per_second / load.sessions as f64,
                 write_share: load.write_share,
                 read_kind: load.read_kind.clone(),
+                prepares: (session as f64) < load.prepared_share * load.sessions as f64,
                 seed: scenario
                     .seed
                     .wrapping_mul(1_000_003)
--- a/crates/bluebellferry_bench/src/scenario.rs
+++ b/crates/bluebellferry_bench/src/scenario.rs
@@ -69,6 +69,8 @@
     write_share: f64,
     read_kind: String,
     #[serde(default)]
+    prepared_share: f64,
+    #[serde(default)]
     only_proxy: Option<usize>,
 }
 
@@ -122,6 +124,8 @@
     pub write_share: f64,
     /// The kind of read that its sessions set in `bluebellferry.read`.
     pub read_kind: String,
+    /// The share of its sessions that prepare their statements, from 0 to 1.
+    pub prepared_share: f64,
     /// The index of the only proxy that it uses; `None` for all proxies.
     pub only_proxy: Option<usize>,
 }
@@ -174,6 +178,12 @@
                     "must be from 0 to 1",
                 ));
             }
+            if !(0.0..=1.0).contains(&entry.prepared_share) {
+                return Err(settings::FieldError::new(
+                    field_path("prepared_share"),
+                    "must be from 0 to 1",
+                ));
+            }
             if entry.sessions == 0 {
                 return Err(settings::FieldError::new(
                     field_path("sessions"),
@@ -193,6 +203,7 @@
                 requests_per_second: entry.requests_per_second,
                 write_share: entry.write_share,
                 read_kind: entry.read_kind.clone(),
+                prepared_share: entry.prepared_share,
                 only_proxy: entry.only_proxy,
             });
         }
