--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -303,16 +303,24 @@
             tokio::task::spawn_local(async move {
                 let mut stream = BufReader::new(stream);
                 let mut line = String::new();
+                let answer_in_transaction = answer.replace("READY I", "READY T");
+                let mut is_in_transaction = false;
                 while stream
                     .read_line(&mut line)
                     .await
                     .is_ok_and(|length| length > 0)
                 {
+                    is_in_transaction |= line.contains(" BEGIN");
+                    is_in_transaction &= !line.contains(" COMMIT");
                     let reply = if line.starts_with("STARTUP") {
                         "READY I -\r\n"
                     } else {
                         tokio::time::sleep(READ_TIME).await;
-                        &answer
+                        if is_in_transaction {
+                            &answer_in_transaction
+                        } else {
+                            &answer
+                        }
                     };
                     stream.get_mut().write_all(reply.as_bytes()).await.ok();
                     line.clear();
