--- a/crates/bluebellferry_edge/tests/prepared_statements.rs
+++ b/crates/bluebellferry_edge/tests/prepared_statements.rs
@@ -44,7 +44,7 @@
     "SINCE 9.9 READ q7",
 ];
 /// How long a schedule runs.
-const SCHEDULE_TIME: Duration = Duration::from_secs(5);
+const SCHEDULE_TIME: Duration = Duration::from_secs(8);
 /// The number of concurrent callers of a schedule.
 const CALLERS: u64 = 6;
 /// The pause between two faults of a schedule, in milliseconds.
