--- a/crates/bluebellferry_edge/tests/prepared_statements.rs
+++ b/crates/bluebellferry_edge/tests/prepared_statements.rs
@@ -1,6 +1,7 @@
 //! Compares the shapes and values with which databases run statements with those of their callers,
 //! for shapes of several words, refused setup steps and a seeded schedule of faults.
 
+use std::cell::Cell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -43,14 +44,16 @@
     "EXECUTE p1 x",
     "SINCE 9.9 READ q7",
 ];
-/// How long a schedule runs.
+/// How long a schedule runs at least.
 const SCHEDULE_TIME: Duration = Duration::from_secs(8);
 /// The number of concurrent callers of a schedule.
 const CALLERS: u64 = 6;
 /// The pause between two faults of a schedule, in milliseconds.
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 10..80;
-/// The minimum number of EXECUTEs of a schedule that succeed; a schedule with fewer tests too little.
+/// The number of EXECUTEs that succeed before a schedule ends; with fewer it tests too little.
 const MIN_EXECUTED: usize = 40;
+/// Within what time a schedule must have that many.
+const MAX_SCHEDULE_TIME: Duration = Duration::from_secs(40);
 /// Within what time a caller is refused if no database accepts a setup step.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(contents::STATEMENT_TIMEOUT_MS / 2);
 /// The environment variable that names the only seed to play.
@@ -550,34 +553,65 @@
     Some(())
 }
 
+/// How far a schedule has got.
+#[derive(Debug)]
+struct ScheduleProgress {
+    started: Instant,
+    /// The number of EXECUTEs that succeeded.
+    executed: Cell<usize>,
+}
+
+impl ScheduleProgress {
+    fn is_over(&self) -> bool {
+        let elapsed = self.started.elapsed();
+        let has_tested_enough = elapsed >= SCHEDULE_TIME && self.executed.get() >= MIN_EXECUTED;
+        has_tested_enough || elapsed >= MAX_SCHEDULE_TIME
+    }
+
+    /// Counts the EXECUTEs of a session that succeeded.
+    fn add_session(&self, sent: &tracked::TrackedStatements) {
+        let is_execute = |text: &String| text.starts_with("EXECUTE ");
+        let is_answered = |answer: &caller::CallerAnswer| answer.refusal.is_none();
+        let executed = sent.values().filter(|statement| {
+            statement.text.as_ref().is_some_and(is_execute)
+                && statement.answer.as_ref().is_some_and(is_answered)
+        });
+        self.executed.set(self.executed.get() + executed.count());
+    }
+}
+
 /// Runs sessions until the schedule ends, and returns what was sent.
 async fn run_sessions(
     deployment: &deployment::StandinDeployment,
+    progress: &ScheduleProgress,
     seed: u64,
     number: u64,
 ) -> tracked::TrackedStatements {
     let mut random = rngs::StdRng::seed_from_u64(seed * CALLERS + number);
     let mut sent = tracked::TrackedStatements::new();
-    let until = Instant::now() + SCHEDULE_TIME;
     let mut session = 0;
-    while Instant::now() < until {
+    while !progress.is_over() {
         session += 1;
         let name = format!("c{number}.{session}");
         let Ok(mut caller) = tracked::TrackedCaller::connect(deployment, name).await else {
             continue;
         };
         run_session(&mut caller, &mut random).await;
+        progress.add_session(&caller.sent);
         sent.append(&mut caller.sent);
     }
     sent
 }
 
 /// Refuses setup steps, loses answers and replaces the leader until the schedule ends.
-async fn inject_faults(deployment: &deployment::StandinDeployment, seed: u64) {
+async fn inject_faults(
+    deployment: &deployment::StandinDeployment,
+    progress: &ScheduleProgress,
+    seed: u64,
+) {
     let mut random = rngs::StdRng::seed_from_u64(seed);
     let group = &deployment.group;
-    let until = Instant::now() + SCHEDULE_TIME;
-    while Instant::now() < until {
+    while !progress.is_over() {
         let pause = random.random_range(FAULT_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         match random.random_range(0..40) {
@@ -613,9 +647,13 @@
 /// Runs a schedule and checks it.
 async fn check_schedule(seed: u64) {
     let deployment = start().await;
-    let callers = (0..CALLERS).map(|number| run_sessions(&deployment, seed, number));
+    let progress = ScheduleProgress {
+        started: Instant::now(),
+        executed: Cell::new(0),
+    };
+    let callers = (0..CALLERS).map(|number| run_sessions(&deployment, &progress, seed, number));
     let callers = futures_util::future::join_all(callers);
-    let (results, ()) = tokio::join!(callers, inject_faults(&deployment, seed));
+    let (results, ()) = tokio::join!(callers, inject_faults(&deployment, &progress, seed));
     let mut sent = tracked::TrackedStatements::new();
     for mut sent_by_caller in results {
         sent.append(&mut sent_by_caller);
@@ -628,13 +666,7 @@
             differences.push(format!("sent {text:?}, received {statement:?}"));
         }
     }
-    let is_executed = |statement: &&tracked::TrackedStatement| {
-        let is_execute = |text: &String| text.starts_with("EXECUTE ");
-        let is_answered = |answer: &caller::CallerAnswer| answer.refusal.is_none();
-        statement.text.as_ref().is_some_and(is_execute)
-            && statement.answer.as_ref().is_some_and(is_answered)
-    };
-    let executed = sent.values().filter(is_executed).count();
+    let executed = progress.executed.get();
     let context = format!("seed {seed}, {executed} EXECUTEs succeeded");
     println!("{context}, {} statements", sent.len());
     assert_ran_as_sent(&deployment, &sent, differences, &context);
