Set up a new connection in the round trip that opens it

A connection that is opened for a statement now sends the session's setup steps along with STARTUP and waits for all answers. It counts as set up by the same rule, and only for what was acknowledged; a statement still cannot be sent before. A step that is refused leaves the connection to be set up again by the statement that gets it.

new_connection_is_set_up_for_the_statement_that_waits_for_it cannot be built on the code before.

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -102,7 +102,9 @@
 }
 
 impl DatabaseConnection {
-    /// Opens a connection for a workspace.
+    /// Opens a connection for a workspace, and sets it up for the statement that is expected to use
+    /// it first, which saves that statement a round trip. A step that the database refuses leaves
+    /// the connection open, but not set up.
     ///
     /// # Errors
     /// Returns the reason why the connection could not be opened.
@@ -111,6 +113,8 @@
         entry: &catalog::DatabaseEntry,
         workspace: &name::WorkspaceName,
         number: u64,
+        needs: &connection_state::SessionNeeds,
+        observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
     ) -> Result<Self, OpenError> {
         let deadline = clock::now() + OPEN_TIMEOUT;
         let stream = http::connect(entry.address, CONNECT_TIMEOUT)
@@ -127,13 +131,27 @@
         };
         let mut text = String::new();
         database::encode_startup(&mut text, &entry.service, workspace, &entry.id);
+        let mut steps = connection
+            .state
+            .plan_setup(&needs.settings, needs.query.as_ref(), true);
+        match encode_steps(&steps) {
+            Ok(encoded) => text.push_str(&encoded),
+            // The statement itself will be refused for this reason.
+            Err(_) => steps.clear(),
+        }
         connection.send(&text).await.map_err(startup_error)?;
         let line = connection
             .next_line(deadline)
             .await
             .map_err(startup_error)?;
         match database::decode_answer_line(&line) {
-            Ok(database::AnswerLine::Ready { .. }) => Ok(connection),
+            Ok(database::AnswerLine::Ready { .. }) => {
+                let received = connection.receive_setup(&steps, deadline, observe).await;
+                match received {
+                    Err(SetupError::NoAnswer(_)) => Err(OpenError::Unreachable),
+                    _ => Ok(connection),
+                }
+            }
             Ok(database::AnswerLine::Error(error)) => Err(match error {
                 database::DatabaseError::ConnectionLimit => OpenError::ConnectionLimit,
                 database::DatabaseError::Misrouted => OpenError::Misrouted,
@@ -180,23 +198,30 @@
         settings: &BTreeMap<String, String>,
         query: Option<&statement::PreparedQuery>,
         deadline: Instant,
-        mut observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
+        observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
     ) -> Result<(), SetupError> {
         let may_reset = self.has_ended_transaction();
         let steps = self.state.plan_setup(settings, query, may_reset);
         if steps.is_empty() {
             return Ok(());
         }
-        let mut out = String::new();
-        for step in &steps {
-            database::encode_setup(&mut out, step)?;
-        }
+        let text = encode_steps(&steps)?;
+        self.send(&text).await?;
+        self.receive_setup(&steps, deadline, observe).await
+    }
+
+    /// Receives the answers to setup steps that were sent.
+    async fn receive_setup(
+        &mut self,
+        steps: &[connection_state::SetupStep],
+        deadline: Instant,
+        mut observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
+    ) -> Result<(), SetupError> {
         // Until all answers are there, also if this future is dropped, the state is unknown.
         let mut state = std::mem::take(&mut self.state);
         self.state.forget();
-        self.send(&out).await?;
         let mut refused = None;
-        for step in &steps {
+        for step in steps {
             let answer = self.receive_answer(deadline).await?;
             observe(step, answer.error);
             match answer.error {
@@ -282,6 +307,18 @@
     }
 }
 
+/// Encodes setup steps.
+///
+/// # Errors
+/// Returns an error if one of them cannot be sent as one message.
+fn encode_steps(steps: &[connection_state::SetupStep]) -> Result<String, line::FieldError> {
+    let mut text = String::new();
+    for step in steps {
+        database::encode_setup(&mut text, step)?;
+    }
+    Ok(text)
+}
+
 /// A connection that may run one certain statement: the database has acknowledged the settings and
 /// prepared statements of the session that sent it. There is no other way to send a statement.
 #[derive(Debug)]
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -21,6 +21,7 @@
 use bluebellferry_pool::pool;
 use bluebellferry_routing::assessment;
 use bluebellferry_runtime::clock;
+use bluebellferry_session::connection_state;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -101,6 +102,16 @@
     /// When the statement is refused if no database can run it through this VM but other VMs
     /// can use the service's leader.
     pub served_elsewhere_deadline: Instant,
+    /// What a connection that is opened for the statement is set up with.
+    pub needs: connection_state::SessionNeeds,
+}
+
+/// A statement that waits for a connection.
+#[derive(Debug)]
+struct WaitingStatement {
+    workspace: name::WorkspaceName,
+    needs: connection_state::SessionNeeds,
+    granted: oneshot::Sender<PoolConnection>,
 }
 
 #[derive(Debug, Default)]
@@ -108,7 +119,7 @@
     records: Vec<ranking::DatabaseRecord>,
     indexes: HashMap<name::DatabaseName, pool::DatabaseIndex>,
     pool: pool::ConnectionPool<PoolConnection>,
-    waiters: BTreeMap<pool::WaiterId, oneshot::Sender<PoolConnection>>,
+    waiters: BTreeMap<pool::WaiterId, WaitingStatement>,
 }
 
 /// Tracks the databases and manages this VM's connections to them.
@@ -391,16 +402,25 @@
             return AcquireStep::QueueFull;
         };
         let (sender, granted) = oneshot::channel();
-        state.waiters.insert(waiter, sender);
+        let waiting = WaitingStatement {
+            workspace: workspace.clone(),
+            needs: request.needs.clone(),
+            granted: sender,
+        };
+        state.waiters.insert(waiter, waiting);
         if let Some(opening) = state.pool.begin_open(workspace, best, now) {
-            self.open(opening);
+            self.open(opening, request.needs.clone());
         }
         AcquireStep::Wait(waiter, granted)
     }
 
     /// Opens a connection in a task of its own. The task goes on if the waiting statement is
     /// cancelled, so that the handshake, which costs the database time, isn't wasted.
-    fn open(self: &Rc<Self>, opening: pool::ConnectionOpening<PoolConnection>) {
+    fn open(
+        self: &Rc<Self>,
+        opening: pool::ConnectionOpening<PoolConnection>,
+        needs: connection_state::SessionNeeds,
+    ) {
         let dispatcher = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let pool::ConnectionOpening {
@@ -412,7 +432,12 @@
             let entry = dispatcher.registry_entry(database);
             let number = dispatcher.last_connection_number.get() + 1;
             dispatcher.last_connection_number.set(number);
-            match PoolConnection::open(database, &entry, &workspace, number).await {
+            let observe = |step: &connection_state::SetupStep, error| {
+                dispatcher.metrics.count_setup_step(step, error);
+            };
+            let opened =
+                PoolConnection::open(database, &entry, &workspace, number, &needs, observe).await;
+            match opened {
                 Ok(connection) => dispatcher.finish_open(connection),
                 Err(error) => dispatcher.fail_open(database, &workspace, error),
             }
@@ -458,14 +483,18 @@
             match action {
                 pool::PoolAction::Open(opening) => {
                     let database = opening.database;
-                    self.open(opening);
+                    let mut waiting = state.waiters.values();
+                    let next_user =
+                        waiting.find(|statement| statement.workspace == opening.workspace);
+                    let needs = next_user.map(|statement| statement.needs.clone());
+                    self.open(opening, needs.unwrap_or_default());
                     next = state.pool.serve_waiting(database, now);
                 }
                 pool::PoolAction::Grant { waiter, connection } => {
                     let database = connection.database;
                     let sender = state.waiters.remove(&waiter);
                     let returned = match sender {
-                        Some(sender) => sender.send(connection).err(),
+                        Some(waiting) => waiting.granted.send(connection).err(),
                         None => Some(connection),
                     };
                     next = match returned {
--- a/crates/bluebellferry_edge/src/traffic/dispatch/preparation.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/preparation.rs
@@ -33,7 +33,7 @@
             .flatten()
         {
             self.metrics.count_connection("prepared");
-            self.open(opening);
+            self.open(opening, request.needs.clone());
         }
     }
 }
--- a/crates/bluebellferry_edge/src/traffic/metrics.rs
+++ b/crates/bluebellferry_edge/src/traffic/metrics.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bluebellferry_platform::database;
+use bluebellferry_session::connection_state;
 use bluebellferry_types::refusal;
 
 /// The upper bounds of the latency histogram's buckets in seconds. They are spaced around the
@@ -126,8 +128,19 @@
     }
 
     /// Counts a setup step of a connection, by its result.
-    pub fn count_setup_step(&self, step: &'static str, result: &'static str) {
-        self.setup_steps.with_label_values(&[step, result]).inc();
+    pub fn count_setup_step(
+        &self,
+        step: &connection_state::SetupStep,
+        error: Option<database::DatabaseError>,
+    ) {
+        let result = if error.is_none() {
+            "acknowledged"
+        } else {
+            "refused"
+        };
+        self.setup_steps
+            .with_label_values(&[step.kind_label(), result])
+            .inc();
     }
 
     /// Counts a session that was closed so that its caller connects to another VM.
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -4,6 +4,7 @@
 mod reporting;
 mod setup;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,6 +15,7 @@
 use bluebellferry_platform::database;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
+use bluebellferry_session::connection_state;
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
 use bluebellferry_shares::limiter;
@@ -204,7 +206,8 @@
         if share.is_some_and(|share| !share.is_promising(level, clock::now())) {
             return;
         }
-        let mut request = self.placement_request(scope);
+        let query = self.state.prepared_query(statement);
+        let mut request = self.placement_request(scope, query);
         let min_position = self.replica_min_position(scope);
         request.requirement.replica_min_position = min_position.filter(|_| reads_only);
         self.context.dispatcher.prepare_connection(&request);
@@ -372,7 +375,7 @@
     ) -> Result<(), refusal::RequestRefusal> {
         let text = database::begin_transaction_text(opening.read_only);
         let text = statement::StatementText::Verbatim(text.to_owned());
-        let mut request = self.placement_request(scope);
+        let mut request = self.placement_request(scope, query);
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| opening.read_only);
@@ -435,11 +438,11 @@
         scope: &StatementScope,
     ) -> Result<database::DatabaseAnswer, refusal::RequestRefusal> {
         let is_read = plan.kind == state::RunKind::AutocommitRead;
-        let mut request = self.placement_request(scope);
+        let query = plan.text.prepared_query();
+        let mut request = self.placement_request(scope, query);
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| is_read);
-            let query = plan.text.prepared_query();
             let placed = self
                 .acquire_set_up(&statement.id, query, &mut request)
                 .await?;
@@ -674,7 +677,11 @@
         }
     }
 
-    fn placement_request(&self, scope: &StatementScope) -> dispatch::PlacementRequest {
+    fn placement_request(
+        &self,
+        scope: &StatementScope,
+        query: Option<&statement::PreparedQuery>,
+    ) -> dispatch::PlacementRequest {
         dispatch::PlacementRequest {
             service: scope.policy.service.clone(),
             pool_request: pool::ConnectionRequest {
@@ -689,6 +696,10 @@
             excluded: Vec::new(),
             deadline: scope.deadline,
             served_elsewhere_deadline: clock::now() + dispatch::SERVED_ELSEWHERE_TIMEOUT,
+            needs: connection_state::SessionNeeds {
+                settings: Arc::clone(self.state.settings()),
+                query: query.cloned(),
+            },
         }
     }
 
--- a/crates/bluebellferry_edge/src/traffic/statement/setup.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/setup.rs
@@ -82,14 +82,7 @@
         let (database, number) = (connection.database, connection.number);
         let observe = |step: &connection_state::SetupStep,
                        error: Option<database::DatabaseError>| {
-            let result = if error.is_none() {
-                "acknowledged"
-            } else {
-                "refused"
-            };
-            self.context
-                .metrics
-                .count_setup_step(step.kind_label(), result);
+            self.context.metrics.count_setup_step(step, error);
             if let (None, connection_state::SetupStep::Prepare { name, query }) = (error, step) {
                 self.log_prepared_sample(database, number, *name, query);
             }
--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -18,6 +18,7 @@
 use bluebellferry_edge::traffic::session;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
+use bluebellferry_session::connection_state;
 use bluebellferry_session::statement;
 use bluebellferry_standin_platform::caller;
 use bluebellferry_standin_platform::database;
@@ -240,6 +241,7 @@
                     excluded: Vec::new(),
                     deadline: now + Duration::from_millis(400),
                     served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
+                    needs: connection_state::SessionNeeds::default(),
                 };
                 let placed = dispatcher.acquire(&mut request).await;
                 let mut connection = placed.expect("the leader is available").connection;
@@ -374,3 +376,43 @@
         })
         .await;
 }
+
+/// Guards against a round trip for each statement that needs a new connection: the connection was
+/// set up only once it was open.
+#[tokio::test]
+async fn new_connection_is_set_up_for_the_statement_that_waits_for_it() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let traffic = start().await;
+            let settings = BTreeMap::from([("zone".to_owned(), "amman".to_owned())]);
+            let query = statement::PreparedQuery {
+                kind: statement::AccessKind::Write,
+                template: "q7 READ q7".to_owned(),
+            };
+            let now = clock::now();
+            let mut request = dispatch::PlacementRequest {
+                service: service(),
+                pool_request: pool::ConnectionRequest {
+                    workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
+                    priority: 0,
+                    slo_deadline: now + Duration::from_millis(200),
+                },
+                requirement: placement::PlacementRequirement {
+                    replica_min_position: None,
+                },
+                homes: homes::HomeRegions::Anywhere,
+                excluded: Vec::new(),
+                deadline: now + Duration::from_millis(400),
+                served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
+                needs: connection_state::SessionNeeds {
+                    settings: Arc::new(settings.clone()),
+                    query: Some(query.clone()),
+                },
+            };
+            let placed = traffic.context.dispatcher.acquire(&mut request).await;
+            let connection = placed.expect("the leader is available").connection;
+            assert!(connection.is_set_up(&settings, Some(&query)));
+        })
+        .await;
+}
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -20,6 +20,7 @@
 use bluebellferry_limits::pace;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
+use bluebellferry_session::connection_state;
 use bluebellferry_standin_platform::contents;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
@@ -122,6 +123,7 @@
         excluded: Vec::new(),
         deadline: now + Duration::from_millis(400),
         served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
+        needs: connection_state::SessionNeeds::default(),
     }
 }
 
--- a/crates/bluebellferry_session/src/connection_state.rs
+++ b/crates/bluebellferry_session/src/connection_state.rs
@@ -2,6 +2,7 @@
 //! caller's session.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use smallvec::SmallVec;
 
@@ -48,6 +49,15 @@
     }
 }
 
+/// What the next statement of a session needs of its connection.
+#[derive(Debug, Clone, Default)]
+pub struct SessionNeeds {
+    /// The session settings.
+    pub settings: Arc<BTreeMap<String, String>>,
+    /// What must be prepared, if anything.
+    pub query: Option<statement::PreparedQuery>,
+}
+
 /// The steps that must run on a connection before a caller's statement.
 pub type SetupSteps = SmallVec<[SetupStep; 2]>;
 
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of one caller's session, and the plan for each of its statements.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -127,7 +128,7 @@
 /// The state of one caller's session.
 #[derive(Debug, Clone, Default)]
 pub struct SessionState {
-    settings: BTreeMap<String, String>,
+    settings: Arc<BTreeMap<String, String>>,
     prepared: BTreeMap<String, statement::PreparedQuery>,
     transaction: TransactionState,
     floor: Option<position::LogPosition>,
@@ -135,10 +136,21 @@
 
 impl SessionState {
     /// Returns the session settings, by name.
-    pub fn settings(&self) -> &BTreeMap<String, String> {
+    pub fn settings(&self) -> &Arc<BTreeMap<String, String>> {
         &self.settings
     }
 
+    /// Returns what a statement of the caller needs to be prepared on a connection.
+    pub fn prepared_query(
+        &self,
+        statement: &statement::Statement,
+    ) -> Option<&statement::PreparedQuery> {
+        match &statement.action {
+            statement::StatementAction::Execute { name, .. } => self.prepared.get(name),
+            _ => None,
+        }
+    }
+
     /// Returns the position that the session's reads must at least see, which is that of its
     /// last acknowledged commit.
     pub fn floor(&self) -> Option<position::LogPosition> {
@@ -311,7 +323,7 @@
         if self.stored_bytes() - replaced + name.len() + value.len() > MAX_SESSION_BYTES {
             return refuse_protocol("the values of the session are too long");
         }
-        self.settings.insert(name.to_owned(), value.to_owned());
+        Arc::make_mut(&mut self.settings).insert(name.to_owned(), value.to_owned());
         StatementPlan::Answer(LocalAnswer::Done)
     }
 
