--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -216,6 +216,27 @@
         .await;
 }
 
+/// Returns the request of a write for a connection.
+fn write_request(needs: connection_state::SessionNeeds) -> dispatch::PlacementRequest {
+    let now = clock::now();
+    dispatch::PlacementRequest {
+        service: service(),
+        pool_request: pool::ConnectionRequest {
+            workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
+            priority: 0,
+            slo_deadline: now + Duration::from_millis(200),
+        },
+        requirement: placement::PlacementRequirement {
+            replica_min_position: None,
+        },
+        homes: homes::HomeRegions::Anywhere,
+        excluded: Vec::new(),
+        deadline: now + Duration::from_millis(400),
+        served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
+        needs,
+    }
+}
+
 /// Guards against statements that run inside the transaction of another caller: the pool accepted a
 /// connection whose database had not reported the end of the transaction.
 #[tokio::test]
@@ -226,23 +247,7 @@
             let traffic = start().await;
             let dispatcher = &traffic.context.dispatcher;
             let run = async |statements: &[&str]| {
-                let now = clock::now();
-                let mut request = dispatch::PlacementRequest {
-                    service: service(),
-                    pool_request: pool::ConnectionRequest {
-                        workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
-                        priority: 0,
-                        slo_deadline: now + Duration::from_millis(200),
-                    },
-                    requirement: placement::PlacementRequirement {
-                        replica_min_position: None,
-                    },
-                    homes: homes::HomeRegions::Anywhere,
-                    excluded: Vec::new(),
-                    deadline: now + Duration::from_millis(400),
-                    served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
-                    needs: connection_state::SessionNeeds::default(),
-                };
+                let mut request = write_request(connection_state::SessionNeeds::default());
                 let placed = dispatcher.acquire(&mut request).await;
                 let mut connection = placed.expect("the leader is available").connection;
                 let mut is_open = false;
@@ -390,26 +395,10 @@
                 kind: statement::AccessKind::Write,
                 template: "q7 READ q7".to_owned(),
             };
-            let now = clock::now();
-            let mut request = dispatch::PlacementRequest {
-                service: service(),
-                pool_request: pool::ConnectionRequest {
-                    workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
-                    priority: 0,
-                    slo_deadline: now + Duration::from_millis(200),
-                },
-                requirement: placement::PlacementRequirement {
-                    replica_min_position: None,
-                },
-                homes: homes::HomeRegions::Anywhere,
-                excluded: Vec::new(),
-                deadline: now + Duration::from_millis(400),
-                served_elsewhere_deadline: now + dispatch::SERVED_ELSEWHERE_TIMEOUT,
-                needs: connection_state::SessionNeeds {
-                    settings: Arc::new(settings.clone()),
-                    query: Some(query.clone()),
-                },
-            };
+            let mut request = write_request(connection_state::SessionNeeds {
+                settings: Arc::new(settings.clone()),
+                query: Some(query.clone()),
+            });
             let placed = traffic.context.dispatcher.acquire(&mut request).await;
             let connection = placed.expect("the leader is available").connection;
             assert!(connection.is_set_up(&settings, Some(&query)));
