Prepare what a session has prepared on a connection opened for its transaction

A connection that is opened for a transaction now also gets the other statements that the session has prepared, up to 16 short ones, in the round trip that opens it. They need not succeed: a name that is not acknowledged is never used, and the statement that needs it sets the connection up as before.

--- a/crates/bluebellferry_edge/src/traffic/connection.rs
+++ b/crates/bluebellferry_edge/src/traffic/connection.rs
@@ -114,7 +114,7 @@
         workspace: &name::WorkspaceName,
         number: u64,
         needs: &connection_state::SessionNeeds,
-        observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
+        mut observe: impl FnMut(&connection_state::SetupStep, Option<database::DatabaseError>),
     ) -> Result<Self, OpenError> {
         let deadline = clock::now() + OPEN_TIMEOUT;
         let stream = http::connect(entry.address, CONNECT_TIMEOUT)
@@ -134,10 +134,14 @@
         let mut steps = connection
             .state
             .plan_setup(&needs.settings, needs.query.as_ref(), true);
-        match encode_steps(&steps) {
+        let mut optional = connection.state.plan_optional(&needs.optional, &steps);
+        match encode_steps(&steps).and_then(|encoded| Ok(encoded + &encode_steps(&optional)?)) {
             Ok(encoded) => text.push_str(&encoded),
             // The statement itself will be refused for this reason.
-            Err(_) => steps.clear(),
+            Err(_) => {
+                steps.clear();
+                optional.clear();
+            }
         }
         connection.send(&text).await.map_err(startup_error)?;
         let line = connection
@@ -146,11 +150,22 @@
             .map_err(startup_error)?;
         match database::decode_answer_line(&line) {
             Ok(database::AnswerLine::Ready { .. }) => {
-                let received = connection.receive_setup(&steps, deadline, observe).await;
-                match received {
-                    Err(SetupError::NoAnswer(_)) => Err(OpenError::Unreachable),
-                    _ => Ok(connection),
+                let received = connection
+                    .receive_setup(&steps, deadline, &mut observe)
+                    .await;
+                if let Err(SetupError::NoAnswer(_)) = received {
+                    return Err(OpenError::Unreachable);
+                }
+                for step in &optional {
+                    let answer = connection.receive_answer(deadline).await;
+                    let answer = answer.map_err(|_| OpenError::Unreachable)?;
+                    observe(step, answer.error);
+                    // A name that was refused is never used.
+                    if answer.error.is_none() {
+                        connection.state.record_acknowledged(step);
+                    }
                 }
+                Ok(connection)
             }
             Ok(database::AnswerLine::Error(error)) => Err(match error {
                 database::DatabaseError::ConnectionLimit => OpenError::ConnectionLimit,
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -208,6 +208,9 @@
         }
         let query = self.state.prepared_query(statement);
         let mut request = self.placement_request(scope, query);
+        if matches!(statement.action, statement::StatementAction::Begin { .. }) {
+            request.needs.optional = self.state.prepared_queries();
+        }
         let min_position = self.replica_min_position(scope);
         request.requirement.replica_min_position = min_position.filter(|_| reads_only);
         self.context.dispatcher.prepare_connection(&request);
@@ -376,6 +379,7 @@
         let text = database::begin_transaction_text(opening.read_only);
         let text = statement::StatementText::Verbatim(text.to_owned());
         let mut request = self.placement_request(scope, query);
+        request.needs.optional = self.state.prepared_queries();
         while clock::now() < scope.deadline {
             let min_position = self.replica_min_position(scope);
             request.requirement.replica_min_position = min_position.filter(|_| opening.read_only);
@@ -699,6 +703,7 @@
             needs: connection_state::SessionNeeds {
                 settings: Arc::clone(self.state.settings()),
                 query: query.cloned(),
+                optional: Vec::new(),
             },
         }
     }
--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -395,13 +395,20 @@
                 kind: statement::AccessKind::Write,
                 template: "q7 READ q7".to_owned(),
             };
+            let later = statement::PreparedQuery {
+                template: "q7".to_owned(),
+                ..query.clone()
+            };
             let mut request = write_request(connection_state::SessionNeeds {
                 settings: Arc::new(settings.clone()),
                 query: Some(query.clone()),
+                optional: vec![later.clone()],
             });
             let placed = traffic.context.dispatcher.acquire(&mut request).await;
             let connection = placed.expect("the leader is available").connection;
-            assert!(connection.is_set_up(&settings, Some(&query)));
+            for query in [query, later] {
+                assert!(connection.is_set_up(&settings, Some(&query)));
+            }
         })
         .await;
 }
--- a/crates/bluebellferry_session/src/connection_state.rs
+++ b/crates/bluebellferry_session/src/connection_state.rs
@@ -56,6 +56,8 @@
     pub settings: Arc<BTreeMap<String, String>>,
     /// What must be prepared, if anything.
     pub query: Option<statement::PreparedQuery>,
+    /// What later statements may need to be prepared.
+    pub optional: Vec<statement::PreparedQuery>,
 }
 
 /// The steps that must run on a connection before a caller's statement.
@@ -141,6 +143,34 @@
         steps
     }
 
+    /// Returns the steps that prepare `queries` behind the steps that [`Self::plan_setup`] returned,
+    /// as far as there is room. They need not succeed.
+    pub fn plan_optional(
+        &mut self,
+        queries: &[statement::PreparedQuery],
+        planned: &[SetupStep],
+    ) -> SetupSteps {
+        let is_reset = planned.first() == Some(&SetupStep::Reset);
+        let current = self.acknowledged.as_ref().filter(|_| !is_reset);
+        let prepared = current.map_or(0, |current| current.prepared.len());
+        let room = MAX_PREPARED_STATEMENTS.saturating_sub(prepared + planned.len());
+        let is_missing = |query: &&statement::PreparedQuery| {
+            let is_planned = planned.iter().any(|step| {
+                matches!(step, SetupStep::Prepare { query: planned, .. } if planned == *query)
+            });
+            !is_planned && current.is_none_or(|current| !current.prepared.contains_key(*query))
+        };
+        let mut steps = SetupSteps::new();
+        for query in queries.iter().filter(is_missing).take(room) {
+            self.last_number += 1;
+            steps.push(SetupStep::Prepare {
+                name: statement::PreparedName(self.last_number),
+                query: query.clone(),
+            });
+        }
+        steps
+    }
+
     /// Returns whether the connection has exactly the given session settings and, if `query` is
     /// given, a prepared statement for it.
     pub fn is_set_up(
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -15,6 +15,11 @@
 /// bytes. A single statement may be as long as a message.
 pub const MAX_SESSION_BYTES: usize = 4 << 20;
 
+/// The maximum number of prepared statements that a connection is given before they are used.
+const MAX_EAGER_QUERIES: usize = 16;
+/// The maximum length of the template of such a statement, in bytes.
+const MAX_EAGER_BYTES: usize = 1_024;
+
 /// The transaction status that is reported to the caller after each answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TransactionStatus {
@@ -151,6 +156,13 @@
         }
     }
 
+    /// Returns what the session has prepared, as far as a connection may be given it at once.
+    pub fn prepared_queries(&self) -> Vec<statement::PreparedQuery> {
+        let short = |query: &&statement::PreparedQuery| query.template.len() <= MAX_EAGER_BYTES;
+        let queries = self.prepared.values().filter(short);
+        queries.take(MAX_EAGER_QUERIES).cloned().collect()
+    }
+
     /// Returns the position that the session's reads must at least see, which is that of its
     /// last acknowledged commit.
     pub fn floor(&self) -> Option<position::LogPosition> {
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -461,3 +461,40 @@
         }
     }
 }
+
+// Guards against a round trip for each prepared statement of a transaction: a new connection got only
+// what the first one needed.
+#[test]
+fn a_connection_may_be_given_what_its_session_has_prepared() {
+    let read = statement::AccessKind::Read;
+    let mut session = state::SessionState::default();
+    for number in 0..40 {
+        let (name, template) = (format!("s{number}"), format!("q{number}"));
+        session.plan_statement(&prepare(&name, read, &template));
+    }
+    session.plan_statement(&prepare("long", read, &"x".repeat(1 << 20)));
+    let queries = session.prepared_queries();
+    assert_eq!(queries.len(), 16, "not all at once");
+    assert!(queries.iter().all(|query| query.template.len() <= 1_024));
+    let mut connection = connection_state::ConnectionState::default();
+    let wanted = settings(&[("a", "1")]);
+    let planned = connection.plan_setup(&wanted, Some(&queries[0]), true);
+    let optional = connection.plan_optional(&queries, &planned);
+    assert_eq!(optional.len(), queries.len() - 1, "one is planned already");
+    for step in planned.iter().chain(&optional[1..]) {
+        connection.record_acknowledged(step);
+    }
+    // The one that was not acknowledged is not there.
+    assert_eq!(connection.prepared_name(&queries[1]), None);
+    for query in queries.iter().filter(|query| **query != queries[1]) {
+        assert!(connection.is_set_up(&wanted, Some(query)));
+    }
+    // There is no room for more than a connection may hold.
+    for number in 0..60 {
+        let query = prepared_query(read, &format!("other{number}"));
+        for step in connection.plan_setup(&wanted, Some(&query), false) {
+            connection.record_acknowledged(&step);
+        }
+    }
+    assert!(connection.plan_optional(&queries, &[]).is_empty());
+}
