--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -245,11 +245,12 @@
     Ok(is_troubled && late > 0)
 }
 
-/// Sessions prepare statements as long as a message may be.
+/// Sessions prepare statements as long as a message may be. Consumers whose node was ended come back
+/// and prepare them again, as names are valid until a session ends only.
 fn play_long_names(is_troubled: bool, record: &Record) -> CaseResult {
-    const SESSIONS: usize = 90;
-    const NAMES: usize = 3;
-    const MEMORY_LIMIT: u64 = 260 * 1024 * 1024;
+    const TIMES: usize = 3;
+    const NODES: usize = 2;
+    const RESTART_DELAY: Duration = Duration::from_millis(500);
     let shape_bytes = if is_troubled { (1 << 20) - 64 } else { 200 };
     let first = ConfigurationParts {
         version: 7,
@@ -258,53 +259,82 @@
         tenants: &[(TENANT, &[KEY]), (OTHER_TENANT, &[OTHER_KEY])],
     };
     let mut deployment = Deployment::start(configuration(&first), record)?;
-    let front = deployment.proxies[0].front;
-    let mut other = Session::open(front, OTHER_HOST, OTHER_KEY, "b0ff")?;
-    for text in ["BEGIN", "WRITE 2b7 qhzkwmtr"] {
-        let answer = other.query(text)?;
-        record.note(&format!(
-            "the other tenant: {text}: {:?} {}",
-            answer.lines, answer.ready
-        ));
+    let mut ended = [0; NODES];
+    for _ in 0..TIMES {
+        for (node, count) in ended.iter_mut().enumerate() {
+            let front = deployment.proxies[node].front;
+            let mut other = Session::open(front, OTHER_HOST, OTHER_KEY, "b0ff")?;
+            for text in ["BEGIN", "WRITE 2b7 qhzkwmtr"] {
+                let answer = other.query(text)?;
+                record.note(&format!(
+                    "the other tenant: {text}: {:?} {}",
+                    answer.lines, answer.ready
+                ));
+            }
+            if fill_memory(&deployment.proxies[node], shape_bytes, record)? {
+                *count += 1;
+                record.note(&format!(
+                    "the platform ends {}",
+                    deployment.proxies[node].name
+                ));
+                deployment.proxies[node].kill();
+            }
+            match other.query("COMMIT") {
+                Ok(answer) => record.note(&format!(
+                    "the other tenant: COMMIT: {:?} {}",
+                    answer.lines, answer.ready
+                )),
+                Err(error) => record.note(&format!("the other tenant: COMMIT: {error}")),
+            }
+            if !deployment.proxies[node].is_running() {
+                thread::sleep(RESTART_DELAY);
+                deployment.proxies[node].start_again()?;
+                deployment.proxies[node].wait_until_ready()?;
+            }
+        }
     }
+    deployment.check_undisturbed()?;
+    record.note(&format!(
+        "ended for their memory: {ended:?} times on {NODES} of {} nodes",
+        ZONES.len()
+    ));
+    Ok(ended.iter().all(|count| *count >= TIMES))
+}
+
+/// Opens sessions at a node and prepares statements there. Returns whether the process then holds more
+/// memory than it may.
+fn fill_memory(
+    proxy: &Proxy,
+    shape_bytes: usize,
+    record: &Record,
+) -> Result<bool, Box<dyn std::error::Error>> {
+    const SESSIONS: usize = 90;
+    const NAMES: usize = 3;
+    const MEMORY_LIMIT: u64 = 260 * 1024 * 1024;
     let shape: String = std::iter::repeat_n('q', shape_bytes).collect();
     let mut sessions = Vec::new();
-    let mut is_exceeded = false;
     let mut peak = 0;
-    'sessions: for number in 0..SESSIONS {
-        let prefix = format!("c{number:03x}");
-        let mut session = Session::open(front, HOST, KEY, &prefix)?;
+    for number in 0..SESSIONS {
+        let mut session = Session::open(proxy.front, HOST, KEY, &format!("c{number:03x}"))?;
         for name in 0..NAMES {
             let answer = session.query(&format!("PREPARE s{name} READ {shape}"))?;
             if !answer.is_success() {
                 return Err(format!("PREPARE was refused: {:?}", answer.lines).into());
             }
-            peak = peak.max(deployment.proxies[0].memory());
-            if peak > MEMORY_LIMIT {
-                is_exceeded = true;
-                break 'sessions;
-            }
+            peak = peak.max(proxy.memory());
         }
         sessions.push(session);
+        if peak > MEMORY_LIMIT {
+            break;
+        }
     }
     record.note(&format!(
-        "{} sessions with {NAMES} names of {shape_bytes} bytes each; the process holds {} MB at most, allowed are 260",
+        "{}: {} sessions with {NAMES} names of {shape_bytes} bytes each; it holds {} MB at most, allowed are 260",
+        proxy.name,
         sessions.len(),
         peak / (1024 * 1024)
     ));
-    if is_exceeded {
-        record.note("the platform kills the process");
-        deployment.proxies[0].kill();
-    }
-    match other.query("COMMIT") {
-        Ok(answer) => record.note(&format!(
-            "the other tenant: COMMIT: {:?} {}",
-            answer.lines, answer.ready
-        )),
-        Err(error) => record.note(&format!("the other tenant: COMMIT: {error}")),
-    }
-    deployment.check_undisturbed()?;
-    Ok(is_exceeded)
+    Ok(peak > MEMORY_LIMIT)
 }
 
 type Outcomes = Arc<Mutex<Vec<(Instant, bool)>>>;
--- a/review/standin-2/proxies.rs
+++ b/review/standin-2/proxies.rs
@@ -51,6 +51,17 @@
         ask().unwrap_or(false)
     }
 
+    pub fn wait_until_ready(&self) -> std::io::Result<()> {
+        let until = Instant::now() + Duration::from_secs(10);
+        while !self.is_ready() {
+            if Instant::now() > until {
+                return Err(std::io::Error::other("a node did not become ready again"));
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Ok(())
+    }
+
     /// Returns the memory that the process holds, in bytes.
     pub fn memory(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
