Let callers end a transaction that was rolled back, without a route or a key

Seen: a VM rolls a transaction back (its key was withdrawn, or it was idle), and the caller's ROLLBACK or COMMIT is then refused with DENIED or NODB, and READY stays E. The session can only be closed.

Cause: a statement of a transaction that is not open at any database was admitted like a new operation, by the newest route and key.

Fix: SessionState::has_lost_transaction tells this state apart, and its statements are answered locally before anything is looked up.

--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -94,6 +94,9 @@
         statement: &statement::Statement,
         arrived: Instant,
     ) -> Result<Option<database::DatabaseAnswer>, refusal::RequestRefusal> {
+        if self.state.has_lost_transaction() {
+            return self.answer_after_loss(statement).map(|()| None);
+        }
         let is_new_operation = self.state.starts_operation(statement);
         let scope = self
             .admit_statement(statement, is_new_operation, arrived)
@@ -141,6 +144,22 @@
         }
     }
 
+    /// Answers a statement of a transaction that is not open at any database any more. It needs
+    /// neither a route nor a key, so that the caller can end the transaction in any case.
+    ///
+    /// # Errors
+    /// Returns a refusal unless the statement is ROLLBACK.
+    fn answer_after_loss(
+        &mut self,
+        statement: &statement::Statement,
+    ) -> Result<(), refusal::RequestRefusal> {
+        match self.state.plan_statement(statement) {
+            state::StatementPlan::Answer(state::LocalAnswer::Done) => Ok(()),
+            state::StatementPlan::Answer(state::LocalAnswer::Refused(refusal)) => Err(refusal),
+            state::StatementPlan::Run(_) => Err(outcomes::transaction_ended()),
+        }
+    }
+
     /// Checks the caller's route, key and rate limit, and returns the statement's scope.
     async fn admit_statement(
         &mut self,
--- a/crates/bluebellferry_session/src/state.rs
+++ b/crates/bluebellferry_session/src/state.rs
@@ -185,6 +185,14 @@
         self.transaction == TransactionState::Open { has_written: true }
     }
 
+    /// Returns whether the session is in a transaction that failed and is not open at any database.
+    pub fn has_lost_transaction(&self) -> bool {
+        self.transaction
+            == TransactionState::Failed {
+                is_open_at_database: false,
+            }
+    }
+
     /// Returns whether the session's transaction occupies a database connection.
     pub fn holds_connection(&self) -> bool {
         matches!(
--- a/crates/bluebellferry_session/tests/session.rs
+++ b/crates/bluebellferry_session/tests/session.rs
@@ -154,6 +154,25 @@
 
 // Guards against a statement that no caller sent: the database received ROLLBACK under the id of a
 // caller's COMMIT.
+/// Guards against ROLLBACK and COMMIT being treated as new operations, which need a route and a key.
+#[test]
+fn a_transaction_that_was_rolled_back_is_lost_until_the_caller_ends_it() {
+    for end in [Action::Rollback, Action::Commit] {
+        let mut session = state::SessionState::default();
+        open_transaction(&mut session, false);
+        assert!(!session.has_lost_transaction());
+        session.record_transaction_failed();
+        assert!(session.has_lost_transaction() && !session.holds_connection());
+        assert!(!session.starts_operation(&read()));
+        assert_eq!(refused(&mut session, &read()), "protocol_violation");
+        assert!(session.has_lost_transaction());
+        let plan = session.plan_statement(&query(end));
+        assert!(matches!(plan, state::StatementPlan::Answer(_)), "{plan:?}");
+        assert!(!session.has_lost_transaction());
+        assert_eq!(session.transaction_status(), state::TransactionStatus::Idle);
+    }
+}
+
 #[test]
 fn a_failed_transaction_is_ended_by_the_statement_that_the_caller_sent() {
     let status = state::TransactionStatus::Failed;
