Ask of an open transaction whether its key still names its workspace

Cause: admit_statement took the reason of a refusal by check_caller for the answer to whether the transaction still has its owner. check_caller looks up the route first, so an unknown route hid that the key was unknown; and a success for another workspace, or for callers without a key, counted as a yes. In the other direction a transaction of a caller without a key was ended as soon as its public route became private.

A route removed alone, or a key added, went on before and does now.

Fix: two questions, two functions. AccessGrant::for_new_operation decides by the newest version who may begin; a transaction keeps that grant, which includes its route. WorkspaceClaim::confirm asks the newest version about the key only, before each statement. That works for any order and number of versions, since it compares with what the transaction began with, and nothing else answers for it. A caller that may try again is told ABORTED, not DENIED, and a ROLLBACK succeeds.

--- a/crates/bluebellferry_edge/src/traffic.rs
+++ b/crates/bluebellferry_edge/src/traffic.rs
@@ -1,5 +1,6 @@
 //! The traffic thread, which runs callers' sessions and the connections to databases.
 
+pub mod access;
 pub mod acknowledgement;
 pub mod connection;
 pub mod dispatch;
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -1,17 +1,15 @@
 //! A caller's connection and its session.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use bluebellferry_catalog::configuration;
-use bluebellferry_catalog::homes;
 use bluebellferry_keys::digest;
 use bluebellferry_platform::caller;
 use bluebellferry_platform::line;
 use bluebellferry_runtime::clock;
 use bluebellferry_session::state;
-use bluebellferry_types::name;
 use bluebellferry_types::refusal;
 use rand::Rng;
 use tokio::io::AsyncReadExt;
@@ -21,6 +19,7 @@
 
 use crate::shared;
 use crate::traffic;
+use crate::traffic::access;
 use crate::traffic::dispatch;
 use crate::traffic::log_limiter;
 
@@ -36,27 +35,11 @@
 const HAND_OVER_SPREAD: Duration = Duration::from_millis(1_500);
 /// The maximum time to write an answer to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// The workspace name sent to databases for callers of public routes without a known key.
-const PUBLIC_WORKSPACE: &str = "public";
-
-/// The route and key with which a caller connected.
-#[derive(Debug, Clone)]
-pub struct CallerIdentity {
-    /// The route: the database name in the caller's startup message.
-    pub route: String,
-    /// The digest of the caller's key.
-    pub key: digest::KeyDigest,
-}
-
 /// The values that apply to a transaction from its beginning to its end.
 #[derive(Debug, Clone)]
 pub struct TransactionContext {
-    /// The route's policy when the transaction began.
-    pub policy: configuration::RoutePolicy,
-    /// The workspace of the caller.
-    pub workspace: name::WorkspaceName,
-    /// The regions that the transaction must not leave.
-    pub homes: homes::HomeRegions,
+    /// What the transaction was granted when it began.
+    pub grant: Rc<access::AccessGrant>,
     /// When the first byte of the transaction was received.
     pub arrived: Instant,
 }
@@ -67,7 +50,7 @@
     /// The context of the traffic thread.
     pub context: Rc<traffic::TrafficContext>,
     /// The route and key with which the caller connected.
-    pub identity: CallerIdentity,
+    pub identity: Arc<access::CallerIdentity>,
     /// The transaction state, settings and prepared statements of the session.
     pub state: state::SessionState,
     /// The database connection of the open transaction.
@@ -135,10 +118,10 @@
     let text = first.ok().flatten()?;
     let mut out = String::new();
     let identity = match caller::decode_caller_message(&text) {
-        Ok(caller::CallerMessage::Startup { database, key }) => CallerIdentity {
+        Ok(caller::CallerMessage::Startup { database, key }) => Arc::new(access::CallerIdentity {
             route: database,
             key: digest::KeyDigest::compute(&key),
-        },
+        }),
         Ok(_) => {
             let reason = refusal::RefusalReason::ProtocolViolation;
             let refusal = refusal::RequestRefusal::not_run(reason, "the session is not open");
@@ -157,7 +140,8 @@
         let refusal = refusal::RequestRefusal::not_run(refusal::RefusalReason::NotReady, message);
         return reject(caller, context, refusal).await;
     }
-    if let Err(refusal) = check_caller(&snapshot.configuration, &identity) {
+    let granted = access::AccessGrant::for_new_operation(&snapshot.configuration, &identity);
+    if let Err(refusal) = granted {
         return reject(caller, context, refusal).await;
     }
     caller::encode_ready(&mut out, state::TransactionStatus::Idle, None);
@@ -206,44 +190,6 @@
     None
 }
 
-/// Checks a caller's route and key against the configuration.
-///
-/// # Errors
-/// Returns a refusal if the route or the key is unknown, or if there is no configuration yet.
-pub fn check_caller(
-    configuration: &configuration::Configuration,
-    identity: &CallerIdentity,
-) -> Result<(configuration::RoutePolicy, name::WorkspaceName), refusal::RequestRefusal> {
-    use refusal::RefusalReason as Reason;
-    let refuse = |reason, text: &str| Err(refusal::RequestRefusal::not_run(reason, text));
-    if configuration.version == 0 {
-        return refuse(Reason::NotReady, "this VM has no configuration yet");
-    }
-    let Some(policy) = configuration.find_route(&identity.route) else {
-        return refuse(Reason::UnknownRoute, "no route has this database name");
-    };
-    if let Some(workspace) = configuration.find_workspace(&identity.key) {
-        return Ok((policy.clone(), workspace.clone()));
-    }
-    match name::WorkspaceName::try_from(PUBLIC_WORKSPACE) {
-        Ok(public) if policy.is_public => Ok((policy.clone(), public)),
-        _ => refuse(Reason::KeyRefused, "the key is not known"),
-    }
-}
-
-/// Returns the regions that a request of a workspace over a route must not leave.
-pub fn effective_homes(
-    configuration: &configuration::Configuration,
-    policy: &configuration::RoutePolicy,
-    workspace: &name::WorkspaceName,
-) -> homes::HomeRegions {
-    let workspace_policy = configuration.workspaces.get(workspace);
-    workspace_policy.map_or_else(
-        || policy.homes.clone(),
-        |workspace_policy| policy.homes.intersect(&workspace_policy.homes),
-    )
-}
-
 impl CallerStream {
     async fn send(&mut self, text: &str) -> bool {
         let writing = self.stream.write_all(text.as_bytes());
@@ -338,9 +284,15 @@
 
     /// Rolls back the open transaction by closing its database connection.
     pub fn roll_back_transaction(&mut self, reason: &'static str) {
-        log::info!(reason = reason, route = log_limiter::excerpt(&self.identity.route); "transaction rolled back");
+        let transaction = self.transaction.take();
+        let workspace = transaction.map(|transaction| transaction.grant.claim.workspace.clone());
+        log::info!(
+            reason = reason, route = log_limiter::excerpt(&self.identity.route),
+            workspace = workspace.as_ref().map_or("-", |workspace| workspace.as_str()),
+            configuration_version = self.context.shared.snapshot().configuration.version;
+            "transaction rolled back"
+        );
         self.state.record_transaction_failed();
-        self.transaction = None;
         if let Some(connection) = self.transaction_connection.take() {
             self.context.dispatcher.discard(connection);
         }
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -4,13 +4,12 @@
 mod reporting;
 mod setup;
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use bluebellferry_catalog::configuration;
-use bluebellferry_catalog::homes;
 use bluebellferry_platform::caller;
 use bluebellferry_platform::database;
 use bluebellferry_pool::pool;
@@ -19,11 +18,11 @@
 use bluebellferry_session::state;
 use bluebellferry_session::statement;
 use bluebellferry_shares::limiter;
-use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
 
 use crate::shared;
+use crate::traffic::access;
 use crate::traffic::acknowledgement;
 use crate::traffic::connection;
 use crate::traffic::dispatch;
@@ -34,13 +33,11 @@
 /// How often an acknowledged commit is assessed again while the lease of its leader has expired.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The policy and time limits that apply to a statement.
+/// The access and the time limits of a statement.
 #[derive(Debug, Clone)]
 struct StatementScope {
-    policy: configuration::RoutePolicy,
-    workspace: name::WorkspaceName,
-    /// The regions that the statement must not leave.
-    homes: homes::HomeRegions,
+    /// What the statement, or its transaction, was granted when it began.
+    grant: Rc<access::AccessGrant>,
     /// When the first byte of the statement, or of its transaction, was received.
     arrived: Instant,
     deadline: Instant,
@@ -97,6 +94,9 @@
         if self.state.has_lost_transaction() {
             return self.answer_after_loss(statement).map(|()| None);
         }
+        if let Err(refusal) = self.confirm_transaction() {
+            return self.refuse_in_lost_transaction(statement, refusal);
+        }
         let is_new_operation = self.state.starts_operation(statement);
         let scope = self
             .admit_statement(statement, is_new_operation, arrived)
@@ -104,9 +104,7 @@
         if is_new_operation && matches!(statement.action, statement::StatementAction::Begin { .. })
         {
             self.transaction = Some(session::TransactionContext {
-                policy: scope.policy.clone(),
-                workspace: scope.workspace.clone(),
-                homes: scope.homes.clone(),
+                grant: Rc::clone(&scope.grant),
                 arrived,
             });
         }
@@ -144,6 +142,42 @@
         }
     }
 
+    /// Checks that the open transaction, if there is one, still runs for the workspace that the
+    /// caller's key names. Rolls it back otherwise.
+    fn confirm_transaction(&mut self) -> Result<(), refusal::RequestRefusal> {
+        let Some(transaction) = &self.transaction else {
+            return Ok(());
+        };
+        let snapshot = self.context.shared.snapshot();
+        let confirmed = transaction.grant.claim.confirm(&snapshot.configuration);
+        if let Err(refusal) = &confirmed {
+            let is_withdrawn = refusal.reason == refusal::RefusalReason::KeyRefused;
+            self.roll_back_transaction(if is_withdrawn {
+                "key withdrawn"
+            } else {
+                "key names another workspace"
+            });
+        }
+        confirmed
+    }
+
+    /// Answers the statement at which a transaction was rolled back because its key no longer names
+    /// its workspace.
+    ///
+    /// # Errors
+    /// Returns `refusal`, unless the statement asked for the rollback.
+    fn refuse_in_lost_transaction(
+        &mut self,
+        statement: &statement::Statement,
+        refusal: refusal::RequestRefusal,
+    ) -> Result<Option<database::DatabaseAnswer>, refusal::RequestRefusal> {
+        let answered = self.answer_after_loss(statement);
+        if statement.action == statement::StatementAction::Rollback {
+            return answered.map(|()| None);
+        }
+        Err(refusal)
+    }
+
     /// Answers a statement of a transaction that is not open at any database any more. It needs
     /// neither a route nor a key, so that the caller can end the transaction in any case.
     ///
@@ -167,32 +201,21 @@
         is_new_operation: bool,
         arrived: Instant,
     ) -> Result<StatementScope, refusal::RequestRefusal> {
-        let snapshot = self.context.shared.snapshot();
-        let checked = session::check_caller(&snapshot.configuration, &self.identity);
         if let Some(transaction) = self.transaction.clone() {
-            // Transactions may finish after their route was removed, but not after their key
-            // was withdrawn.
-            if let Err(refusal) = &checked
-                && refusal.reason == refusal::RefusalReason::KeyRefused
-            {
-                self.roll_back_transaction("key withdrawn");
-                return Err(refusal.clone());
-            }
             return Ok(StatementScope {
-                deadline: arrived + transaction.policy.statement_timeout,
-                policy: transaction.policy,
-                workspace: transaction.workspace,
-                homes: transaction.homes,
+                deadline: arrived + transaction.grant.policy.statement_timeout,
+                grant: transaction.grant,
                 arrived: transaction.arrived,
             });
         }
-        let (policy, workspace) = checked?;
-        let homes = session::effective_homes(&snapshot.configuration, &policy, &workspace);
+        let snapshot = self.context.shared.snapshot();
+        let identity = &self.identity;
+        let granted = access::AccessGrant::for_new_operation(&snapshot.configuration, identity);
+        let granted = granted.map(Rc::new);
+        let grant = granted?;
         let scope = StatementScope {
-            deadline: arrived + policy.statement_timeout,
-            policy,
-            workspace,
-            homes,
+            deadline: arrived + grant.policy.statement_timeout,
+            grant,
             arrived,
         };
         if is_new_operation {
@@ -200,7 +223,8 @@
                 .shared
                 .operation_count
                 .fetch_add(1, Ordering::Relaxed);
-            let share = self.context.shared.rate_limiter.find(&scope.workspace);
+            let workspace = &scope.grant.claim.workspace;
+            let share = self.context.shared.rate_limiter.find(workspace);
             self.prepare_connection(statement, &scope, share.as_deref());
             if let Some(share) = share {
                 self.take_token(&scope, &share).await?;
@@ -221,7 +245,7 @@
         let Some(reads_only) = self.state.reads_only(statement) else {
             return;
         };
-        let level = scope.policy.priority.into();
+        let level = scope.grant.policy.priority.into();
         if share.is_some_and(|share| !share.is_promising(level, clock::now())) {
             return;
         }
@@ -242,9 +266,9 @@
         share: &limiter::RateShare,
     ) -> Result<(), refusal::RequestRefusal> {
         let shared = &self.context.shared;
-        let workspace = &scope.workspace;
+        let workspace = &scope.grant.claim.workspace;
         let snapshot = shared.snapshot();
-        let level = scope.policy.priority.into();
+        let level = scope.grant.policy.priority.into();
         let admitted = share
             .admit_urgent(level, snapshot.loan_timeout, &shared.tokens_wanted)
             .await;
@@ -283,10 +307,9 @@
         }
         let encoded = admitted.and_then(|()| {
             let settled = connection.for_statement(self.state.settings(), &plan.text, true);
-            settled
-                .ok_or_else(outcomes::transaction_ended)?
-                .encode(&statement.id, None)
-                .map_err(outcomes::not_sendable)
+            let settled = settled.ok_or_else(outcomes::transaction_ended)?;
+            let encoded = settled.encode(&statement.id, None);
+            encoded.map_err(outcomes::not_sendable)
         });
         let encoded = match encoded {
             Ok(encoded) => encoded,
@@ -416,11 +439,14 @@
                 self.context.dispatcher.release(connection);
                 continue;
             };
-            let encoded = match settled.encode(&opening.begin_id, min_position) {
+            let encoded = match settled
+                .encode(&opening.begin_id, min_position)
+                .map_err(outcomes::not_sendable)
+            {
                 Ok(encoded) => encoded,
-                Err(error) => {
+                Err(refusal) => {
                     self.context.dispatcher.release(connection);
-                    return Err(outcomes::not_sendable(error));
+                    return Err(refusal);
                 }
             };
             let response_deadline = self.response_deadline(encoded.database(), scope.deadline);
@@ -503,11 +529,14 @@
             self.context.dispatcher.release(connection);
             return AttemptOutcome::Retry("not_set_up");
         };
-        let encoded = match settled.encode(&statement.id, min_position) {
+        let encoded = match settled
+            .encode(&statement.id, min_position)
+            .map_err(outcomes::not_sendable)
+        {
             Ok(encoded) => encoded,
-            Err(error) => {
+            Err(refusal) => {
                 self.context.dispatcher.release(connection);
-                return AttemptOutcome::Refused(outcomes::not_sendable(error));
+                return AttemptOutcome::Refused(refusal);
             }
         };
         let sent = self.record_send(encoded.database());
@@ -562,11 +591,14 @@
             self.context.dispatcher.release(connection);
             return AttemptOutcome::Retry("not_set_up");
         };
-        let encoded = match settled.encode(&statement.id, None) {
+        let encoded = match settled
+            .encode(&statement.id, None)
+            .map_err(outcomes::not_sendable)
+        {
             Ok(encoded) => encoded,
-            Err(error) => {
+            Err(refusal) => {
                 self.context.dispatcher.release(connection);
-                return AttemptOutcome::Refused(outcomes::not_sendable(error));
+                return AttemptOutcome::Refused(refusal);
             }
         };
         let sent = self.record_send(encoded.database());
@@ -706,16 +738,16 @@
         query: Option<&statement::PreparedQuery>,
     ) -> dispatch::PlacementRequest {
         dispatch::PlacementRequest {
-            service: scope.policy.service.clone(),
+            service: scope.grant.policy.service.clone(),
             pool_request: pool::ConnectionRequest {
-                workspace: scope.workspace.clone(),
-                priority: scope.policy.priority,
-                slo_deadline: scope.arrived + scope.policy.latency_objective,
+                workspace: scope.grant.claim.workspace.clone(),
+                priority: scope.grant.policy.priority,
+                slo_deadline: scope.arrived + scope.grant.policy.latency_objective,
             },
             requirement: placement::PlacementRequirement {
                 replica_min_position: None,
             },
-            homes: scope.homes.clone(),
+            homes: scope.grant.homes.clone(),
             excluded: Vec::new(),
             deadline: scope.deadline,
             served_elsewhere_deadline: clock::now() + dispatch::SERVED_ELSEWHERE_TIMEOUT,
@@ -736,7 +768,7 @@
     /// the leader may serve it.
     fn replica_min_position(&self, scope: &StatementScope) -> Option<position::LogPosition> {
         let positions = self.context.shared.lock_positions();
-        let history = positions.get(&scope.policy.service);
+        let history = positions.get(&scope.grant.policy.service);
         let floor = match self.in_doubt_at {
             Some(in_doubt_at) => reads::SessionFloor::InDoubt {
                 at: in_doubt_at,
@@ -744,7 +776,7 @@
             },
             None => reads::SessionFloor::Known(self.state.floor()),
         };
-        match reads::read_requirement(scope.policy.guarantee, floor, history, scope.arrived) {
+        match reads::read_requirement(scope.grant.policy.guarantee, floor, history, scope.arrived) {
             reads::ReadRequirement::MinPosition(position) => Some(position),
             reads::ReadRequirement::Leader => None,
         }
--- /dev/null
+++ b/crates/bluebellferry_edge/tests/access.rs
@@ -0,0 +1,137 @@
+//! Tests who may go on or begin after the configuration has changed, without I/O: each cell of
+//! the table in docs/design/access.md.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bluebellferry_catalog::homes;
+use bluebellferry_edge::traffic::access;
+use bluebellferry_keys::digest;
+use bluebellferry_platform::configuration;
+use bluebellferry_types::refusal;
+
+#[path = "fixtures/access_cases.rs"]
+mod access_cases;
+
+use access_cases::AccessVersion;
+use access_cases::NextFate;
+use access_cases::RunningFate;
+
+fn decode(
+    number: u64,
+    version: AccessVersion,
+) -> bluebellferry_catalog::configuration::Configuration {
+    let value = access_cases::configuration(number, version, "other-key");
+    configuration::decode(&value).expect("the configuration is valid")
+}
+
+fn identity() -> Arc<access::CallerIdentity> {
+    Arc::new(access::CallerIdentity {
+        route: access_cases::ROUTE.to_owned(),
+        key: digest::KeyDigest::compute(access_cases::KEY),
+    })
+}
+
+/// Returns what an operation was granted that began under the first version of a case.
+fn first_grant(case: &access_cases::AccessCase) -> access::AccessGrant {
+    let grant = access::AccessGrant::for_new_operation(&decode(1, case.first), &identity());
+    grant.unwrap_or_else(|refusal| panic!("{}: {refusal:?}", case.name))
+}
+
+fn last_configuration(
+    case: &access_cases::AccessCase,
+) -> bluebellferry_catalog::configuration::Configuration {
+    let last = case.later.last().expect("a case has a later version");
+    decode(1 + case.later.len() as u64, *last)
+}
+
+fn running_fate(result: &Result<(), refusal::RequestRefusal>) -> Option<RunningFate> {
+    use refusal::RefusalReason as Reason;
+    let Err(refusal) = result else {
+        return Some(RunningFate::GoesOn);
+    };
+    match refusal.reason {
+        Reason::KeyRefused => Some(RunningFate::Denied),
+        Reason::TransactionAborted => Some(RunningFate::NothingKept),
+        _ => None,
+    }
+}
+
+/// Guards against a transaction that outlives its key: another answer about the route hid that the
+/// key was withdrawn or names another workspace.
+#[test]
+fn a_running_transaction_goes_on_only_for_the_workspace_that_its_key_names() {
+    for case in &access_cases::CASES {
+        let grant = first_grant(case);
+        let result = grant.claim.confirm(&last_configuration(case));
+        assert_eq!(running_fate(&result), Some(case.running), "{}", case.name);
+        let is_not_run = |refusal: refusal::RequestRefusal| {
+            refusal.execution == refusal::RequestExecution::NotRun
+        };
+        assert!(result.err().is_none_or(is_not_run), "{}", case.name);
+    }
+}
+
+#[test]
+fn the_next_operation_is_granted_what_the_newest_version_says() {
+    use refusal::RefusalReason as Reason;
+    for case in &access_cases::CASES {
+        let configuration = last_configuration(case);
+        let granted = access::AccessGrant::for_new_operation(&configuration, &identity());
+        let granted = granted.map(|grant| {
+            let service = grant.policy.service.as_str().to_owned();
+            (grant.claim.workspace.as_str().to_owned(), service)
+        });
+        let expected = match case.next {
+            NextFate::RunsFor(workspace) => Ok((workspace, access_cases::SERVICE)),
+            NextFate::Elsewhere(workspace) => Ok((workspace, access_cases::OTHER_SERVICE)),
+            NextFate::Denied => Err(Reason::KeyRefused),
+            NextFate::UnknownRoute => Err(Reason::UnknownRoute),
+        };
+        let granted = granted.as_ref().map(|(w, s)| (w.as_str(), s.as_str()));
+        let granted = granted.map_err(|refusal| refusal.reason);
+        assert_eq!(granted, expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_transaction_keeps_the_policy_and_homes_with_which_it_began() {
+    let grant = first_grant(&access_cases::CASES[0]);
+    let first = access_cases::CASES[0].first;
+    let mut changed = access_cases::configuration(2, first, "other-key");
+    for route in changed["Routes"].as_array_mut().into_iter().flatten() {
+        route["TimeoutMs"] = serde_json::json!(7);
+        route["Priority"] = serde_json::json!(3);
+        route["HomeRegions"] = serde_json::json!(["elsewhere"]);
+    }
+    let changed = configuration::decode(&changed).expect("the configuration is valid");
+    assert!(grant.claim.confirm(&changed).is_ok());
+    assert_eq!(grant.homes, homes::HomeRegions::Anywhere);
+    let next = access::AccessGrant::for_new_operation(&changed, &identity());
+    let next = next.expect("the caller is known");
+    assert_eq!(next.policy.statement_timeout, Duration::from_millis(7));
+    assert_ne!(
+        grant.policy.statement_timeout,
+        next.policy.statement_timeout
+    );
+}
+
+#[test]
+fn a_workspace_called_public_is_not_the_one_of_callers_without_a_key() {
+    let first = AccessVersion {
+        route: access_cases::RouteForm::Public,
+        owner: Some(access_cases::VISITORS),
+    };
+    let mut value = access_cases::configuration(1, first, "other-key");
+    value["Tenants"][1]["Name"] = serde_json::json!(access_cases::PUBLIC);
+    let configuration = configuration::decode(&value).expect("the configuration is valid");
+    let grant = access::AccessGrant::for_new_operation(&configuration, &identity());
+    let grant = grant.expect("the caller is known");
+    assert!(grant.claim.is_by_key);
+    let withdrawn = AccessVersion {
+        owner: None,
+        ..first
+    };
+    let confirmed = grant.claim.confirm(&decode(2, withdrawn));
+    assert_eq!(running_fate(&confirmed), Some(RunningFate::NothingKept));
+}
