Refuse a waiting statement once its key does not name its workspace

Seen: a read that the database refused as busy is tried again and runs for the former workspace, although its key was withdrawn meanwhile. The same holds while a statement waits for a token, a connection, a leader or its place at a cold database.

Cause: the key was checked only as a statement arrived. A statement may wait as long as its time limit, and the configuration changes meanwhile.

Fix: a placement request carries the claim of its operation. Dispatcher::acquire confirms it on each turn of its wait, so that the refusal comes at once; every statement, BEGIN included, is encoded by encode_confirmed, with no wait between it and the socket. A route that changes leaves a waiting statement where it began, as before.

The harness of connection_reuse moved to fixtures/local_traffic.rs unchanged.

--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -28,6 +28,7 @@
 use tokio::sync::oneshot;
 
 use crate::shared;
+use crate::traffic::access;
 use crate::traffic::connection;
 use crate::traffic::metrics;
 use crate::traffic::placement;
@@ -89,6 +90,9 @@
 pub struct PlacementRequest {
     /// The service whose databases may run the statement.
     pub service: name::ServiceName,
+    /// The workspace for which the statement runs. It is refused once its key does not name that
+    /// workspace any more.
+    pub claim: access::WorkspaceClaim,
     /// The workspace, priority and SLO deadline, which determine the place in the wait queue.
     pub pool_request: pool::ConnectionRequest,
     /// What the statement requires of the database.
@@ -243,8 +247,8 @@
     /// Waits until a connection is available for a statement, and returns it.
     ///
     /// # Errors
-    /// Returns a refusal if no connection is available before the deadline. The refusal states
-    /// that the statement has not run.
+    /// Returns a refusal if no connection is available before the deadline, or if the claim of the
+    /// request does not hold any more. The refusal states that the statement has not run.
     pub async fn acquire(
         self: &Rc<Self>,
         request: &mut PlacementRequest,
@@ -252,6 +256,9 @@
         let mut changes = self.shared.subscribe_to_snapshots();
         loop {
             changes.mark_unchanged();
+            request
+                .claim
+                .confirm(&self.shared.snapshot().configuration)?;
             let now = clock::now();
             if now >= request.deadline {
                 let reason = refusal::RefusalReason::QueueTimeout;
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -228,11 +228,33 @@
             self.prepare_connection(statement, &scope, share.as_deref());
             if let Some(share) = share {
                 self.take_token(&scope, &share).await?;
+                self.confirm_claim(&scope)?;
             }
         }
         Ok(scope)
     }
 
+    /// Checks that a statement that has waited still runs for the workspace that the caller's key
+    /// names.
+    fn confirm_claim(&self, scope: &StatementScope) -> Result<(), refusal::RequestRefusal> {
+        let snapshot = self.context.shared.snapshot();
+        scope.grant.claim.confirm(&snapshot.configuration)
+    }
+
+    /// Encodes a statement that is to be sent at once, if it still runs for the workspace that the
+    /// caller's key names.
+    fn encode_confirmed<'a>(
+        &self,
+        settled: connection::StatementConnection<'a>,
+        id: &str,
+        min_position: Option<position::LogPosition>,
+        scope: &StatementScope,
+    ) -> Result<connection::EncodedStatement<'a>, refusal::RequestRefusal> {
+        self.confirm_claim(scope)?;
+        let encoded = settled.encode(id, min_position);
+        encoded.map_err(outcomes::not_sendable)
+    }
+
     /// Starts to open a connection for an operation unless one is idle, so that the handshake goes
     /// on while the operation waits for a token, or its caller prepares the first statement of a
     /// transaction.
@@ -308,8 +330,7 @@
         let encoded = admitted.and_then(|()| {
             let settled = connection.for_statement(self.state.settings(), &plan.text, true);
             let settled = settled.ok_or_else(outcomes::transaction_ended)?;
-            let encoded = settled.encode(&statement.id, None);
-            encoded.map_err(outcomes::not_sendable)
+            self.encode_confirmed(settled, &statement.id, None, scope)
         });
         let encoded = match encoded {
             Ok(encoded) => encoded,
@@ -439,16 +460,14 @@
                 self.context.dispatcher.release(connection);
                 continue;
             };
-            let encoded = match settled
-                .encode(&opening.begin_id, min_position)
-                .map_err(outcomes::not_sendable)
-            {
-                Ok(encoded) => encoded,
-                Err(refusal) => {
-                    self.context.dispatcher.release(connection);
-                    return Err(refusal);
-                }
-            };
+            let encoded =
+                match self.encode_confirmed(settled, &opening.begin_id, min_position, scope) {
+                    Ok(encoded) => encoded,
+                    Err(refusal) => {
+                        self.context.dispatcher.release(connection);
+                        return Err(refusal);
+                    }
+                };
             let response_deadline = self.response_deadline(encoded.database(), scope.deadline);
             match encoded
                 .run(response_deadline)
@@ -529,10 +548,7 @@
             self.context.dispatcher.release(connection);
             return AttemptOutcome::Retry("not_set_up");
         };
-        let encoded = match settled
-            .encode(&statement.id, min_position)
-            .map_err(outcomes::not_sendable)
-        {
+        let encoded = match self.encode_confirmed(settled, &statement.id, min_position, scope) {
             Ok(encoded) => encoded,
             Err(refusal) => {
                 self.context.dispatcher.release(connection);
@@ -591,10 +607,7 @@
             self.context.dispatcher.release(connection);
             return AttemptOutcome::Retry("not_set_up");
         };
-        let encoded = match settled
-            .encode(&statement.id, None)
-            .map_err(outcomes::not_sendable)
-        {
+        let encoded = match self.encode_confirmed(settled, &statement.id, None, scope) {
             Ok(encoded) => encoded,
             Err(refusal) => {
                 self.context.dispatcher.release(connection);
@@ -739,6 +752,7 @@
     ) -> dispatch::PlacementRequest {
         dispatch::PlacementRequest {
             service: scope.grant.policy.service.clone(),
+            claim: scope.grant.claim.clone(),
             pool_request: pool::ConnectionRequest {
                 workspace: scope.grant.claim.workspace.clone(),
                 priority: scope.grant.policy.priority,
--- a/crates/bluebellferry_edge/tests/access.rs
+++ b/crates/bluebellferry_edge/tests/access.rs
@@ -1,17 +1,29 @@
-//! Tests who may go on or begin after the configuration has changed, without I/O: each cell of
+//! Tests who may go on, wait or begin after the configuration has changed, without I/O: each cell of
 //! the table in docs/design/access.md.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bluebellferry_catalog::homes;
+use bluebellferry_edge::shared;
 use bluebellferry_edge::traffic::access;
+use bluebellferry_edge::traffic::dispatch;
+use bluebellferry_edge::traffic::metrics;
+use bluebellferry_edge::traffic::placement;
 use bluebellferry_keys::digest;
 use bluebellferry_platform::configuration;
+use bluebellferry_pool::pool;
+use bluebellferry_runtime::clock;
+use bluebellferry_session::connection_state;
+use bluebellferry_types::name;
 use bluebellferry_types::refusal;
 
 #[path = "fixtures/access_cases.rs"]
 mod access_cases;
+#[path = "fixtures/settings.rs"]
+mod fixtures;
 
 use access_cases::AccessVersion;
 use access_cases::NextFate;
@@ -135,3 +147,80 @@
     let confirmed = grant.claim.confirm(&decode(2, withdrawn));
     assert_eq!(running_fate(&confirmed), Some(RunningFate::NothingKept));
 }
+
+/// How long a statement may wait for a database.
+const WAIT: Duration = Duration::from_millis(600);
+
+/// Waits for a database of a service that has none, while the later versions of a case come. Returns
+/// the refusal, and when it came.
+async fn wait_during(case: &access_cases::AccessCase) -> (refusal::RequestRefusal, Duration) {
+    let data_centre = name::DataCentreName::try_from("amman-a").expect("a valid name");
+    let address = ([127, 0, 0, 1], 1).into();
+    let settings = fixtures::settings("vm-0", data_centre, address);
+    let (shared, _evidence) = shared::EdgeShared::new(settings, 1);
+    let publish = |number, version| {
+        let snapshot = shared::EdgeSnapshot {
+            configuration: Arc::new(decode(number, version)),
+            ..shared::EdgeSnapshot::default()
+        };
+        shared.replace_snapshot(snapshot, true);
+    };
+    publish(1, case.first);
+    let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
+    let metrics = metrics.expect("the metric names are unique");
+    let dispatcher = Rc::new(dispatch::Dispatcher::new(Arc::clone(&shared), metrics));
+    let grant = first_grant(case);
+    let started: Instant = clock::now();
+    let mut request = dispatch::PlacementRequest {
+        service: grant.policy.service.clone(),
+        claim: grant.claim.clone(),
+        pool_request: pool::ConnectionRequest {
+            workspace: grant.claim.workspace.clone(),
+            priority: 0,
+            slo_deadline: started + WAIT,
+        },
+        requirement: placement::PlacementRequirement {
+            replica_min_position: None,
+        },
+        homes: grant.homes.clone(),
+        excluded: Vec::new(),
+        deadline: started + WAIT,
+        served_elsewhere_deadline: started + WAIT,
+        needs: connection_state::SessionNeeds::default(),
+    };
+    let waiting = tokio::task::spawn_local(async move {
+        let result = dispatcher.acquire(&mut request).await;
+        let refusal = result.expect_err("there is no database");
+        (refusal, clock::now().saturating_duration_since(started))
+    });
+    tokio::time::sleep(WAIT / 6).await;
+    for (index, version) in case.later.iter().enumerate() {
+        publish(2 + index as u64, *version);
+    }
+    waiting.await.expect("the task ends")
+}
+
+/// Guards against statements that run for a workspace whose key went while they waited, and against
+/// refusals that come only when the statement's time is up.
+#[tokio::test]
+async fn a_waiting_statement_is_refused_at_once_when_its_key_goes() {
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let waits = access_cases::CASES.iter().map(|case| async move {
+                let (refusal, after) = wait_during(case).await;
+                let is_in_time = after < WAIT;
+                let fate = match running_fate(&Err(refusal.clone())) {
+                    Some(fate) if is_in_time => fate,
+                    // The statement waited on, for a database that never came.
+                    None if refusal.reason == refusal::RefusalReason::NoPrimary => {
+                        RunningFate::GoesOn
+                    }
+                    _ => panic!("{}: {refusal:?} after {after:?}", case.name),
+                };
+                assert_eq!(fate, case.running, "{}", case.name);
+            });
+            futures_util::future::join_all(waits).await;
+        })
+        .await;
+}
--- a/crates/bluebellferry_edge/tests/connection_reuse.rs
+++ b/crates/bluebellferry_edge/tests/connection_reuse.rs
@@ -7,15 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellferry_catalog::configuration;
-use bluebellferry_catalog::database as catalog;
 use bluebellferry_catalog::homes;
 use bluebellferry_edge::shared;
-use bluebellferry_edge::traffic;
 use bluebellferry_edge::traffic::dispatch;
-use bluebellferry_edge::traffic::metrics;
 use bluebellferry_edge::traffic::placement;
-use bluebellferry_edge::traffic::session;
 use bluebellferry_pool::pool;
 use bluebellferry_runtime::clock;
 use bluebellferry_session::connection_state;
@@ -28,149 +23,28 @@
 use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::io::BufReader;
-use tokio::net::TcpListener;
 
-#[path = "fixtures/settings.rs"]
-mod fixtures;
+#[path = "fixtures/local_traffic.rs"]
+mod local_traffic;
+#[path = "fixtures/workspace_claim.rs"]
+mod workspace_claim;
 
 /// The delay of the answer to a COMMIT, during which the snapshot changes.
 const COMMIT_DELAY: Duration = Duration::from_millis(100);
 
-fn service() -> name::ServiceName {
-    name::ServiceName::try_from("rental").expect("a valid name")
-}
-
-fn data_centre() -> name::DataCentreName {
-    name::DataCentreName::try_from("amman-a").expect("a valid name")
-}
-
-fn leader(id: &str) -> shared::LeaderView {
-    shared::LeaderView {
-        database: name::DatabaseName::try_from(id).expect("a valid name"),
-        log_end_when_chosen: None,
-        is_being_replaced: false,
-    }
-}
-
-/// Returns a listener at a free address of the local machine.
-async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("the listener binds");
-    let address = listener.local_addr().expect("the listener has an address");
-    (listener, address)
-}
-
-/// Returns a snapshot in which the database at `address` leads with a valid lease, and a public
-/// route `browse`.
-fn snapshot_with_leader(address: SocketAddr) -> shared::EdgeSnapshot {
-    let entry = catalog::DatabaseEntry {
-        id: leader("i-a").database,
-        started_unix_ms: 1,
-        service: service(),
-        address,
-        data_centre: data_centre(),
-        max_running_statements: 3,
-        is_draining: false,
-        role: catalog::DatabaseRole::Primary,
-        is_cold: false,
-    };
-    let route = configuration::RoutePolicy {
-        service: service(),
-        guarantee: configuration::ReadGuarantee::Primary,
-        statement_timeout: Duration::from_millis(400),
-        latency_objective: Duration::from_millis(200),
-        priority: 0,
-        is_public: true,
-        homes: homes::HomeRegions::Anywhere,
-    };
-    let policy = configuration::ServicePolicy {
-        max_connections: 12,
-        is_synchronous: true,
-        cold_pace: None,
-    };
-    let configuration = configuration::Configuration {
-        version: 1,
-        services: [(service(), policy)].into(),
-        routes: [("browse".to_owned(), route)].into(),
-        ..configuration::Configuration::default()
-    };
-    shared::EdgeSnapshot {
-        configuration: Arc::new(configuration),
-        databases: Arc::new(vec![entry]),
-        leaders: Arc::new([(service(), leader("i-a"))].into()),
-        leases: [(service(), clock::now() + Duration::from_secs(60))].into(),
-        allocation: shared::FleetAllocation { from: 0.0, to: 1.0 },
-        ..shared::EdgeSnapshot::default()
-    }
-}
-
-/// A database, and the traffic thread of a VM for which it leads.
-struct Traffic {
-    group: Arc<database::StandinGroup>,
-    shared: Arc<shared::EdgeShared>,
-    snapshot: shared::EdgeSnapshot,
-    context: Rc<traffic::TrafficContext>,
-}
-
-async fn start() -> Traffic {
-    let (free, database_address) = listen().await;
-    drop(free);
-    let ids = ["i-a", "i-b", "i-c"];
-    let group = database::StandinGroup::new("rental", &ids, Duration::ZERO, 12);
-    let serving = Arc::clone(&group).serve(0, database_address).await;
-    serving.expect("the database address is free");
-    let (shared, snapshot, context) = start_traffic(database_address);
-    Traffic {
-        group,
-        shared,
-        snapshot,
-        context,
-    }
-}
-
-/// Starts the traffic thread of a VM for which the database at an address leads.
-fn start_traffic(
-    database_address: SocketAddr,
-) -> (
-    Arc<shared::EdgeShared>,
-    shared::EdgeSnapshot,
-    Rc<traffic::TrafficContext>,
-) {
-    let settings = fixtures::settings("vm-0", data_centre(), database_address);
-    let (shared, _evidence) = shared::EdgeShared::new(settings, 1);
-    let snapshot = snapshot_with_leader(database_address);
-    shared.replace_snapshot(snapshot.clone(), true);
-    let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
-    let metrics = metrics.expect("the metric names are unique");
-    let context = Rc::new(traffic::TrafficContext::new(Arc::clone(&shared), metrics));
-    context.dispatcher.apply_snapshot(clock::now());
-    (shared, snapshot, context)
-}
-
-/// Serves callers at a free address, which it returns.
-async fn serve_callers(context: Rc<traffic::TrafficContext>) -> SocketAddr {
-    let (listener, address) = listen().await;
-    tokio::task::spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(session::serve(stream, Rc::clone(&context)));
-        }
-    });
-    address
-}
-
 /// Refuses a COMMIT as busy while another database is promoted, and then runs a write of another
 /// caller at the old leader, which leads again. Returns the answer to the COMMIT and the values
 /// that were written.
 async fn write_after_refused_commit(
     fails_transaction: bool,
 ) -> (caller::CallerAnswer, Vec<String>) {
-    let Traffic {
+    let local_traffic::Traffic {
         group,
         shared,
         snapshot,
         context,
-    } = start().await;
-    let address = serve_callers(context).await;
+    } = local_traffic::start().await;
+    let address = local_traffic::serve_callers(context).await;
     let connect = || caller::StandinCaller::connect(address, "browse", "key");
     let mut first = connect().await.expect("the caller connects");
     deployment::run_successfully(&mut first, "WRITE boots first").await;
@@ -185,10 +59,10 @@
         tokio::time::sleep(COMMIT_DELAY / 2).await;
         let successor = shared::LeaderView {
             log_end_when_chosen: Some(position::LogPosition::new(0, 0)),
-            ..leader("i-b")
+            ..local_traffic::leader("i-b")
         };
         let mut snapshot = snapshot.clone();
-        snapshot.leaders = Arc::new([(service(), successor)].into());
+        snapshot.leaders = Arc::new([(local_traffic::service(), successor)].into());
         shared.replace_snapshot(snapshot, true);
     };
     let (answer, ()) = tokio::join!(first.run("COMMIT"), promoting);
@@ -220,7 +94,8 @@
 fn write_request(needs: connection_state::SessionNeeds) -> dispatch::PlacementRequest {
     let now = clock::now();
     dispatch::PlacementRequest {
-        service: service(),
+        service: local_traffic::service(),
+        claim: workspace_claim::keyless("families"),
         pool_request: pool::ConnectionRequest {
             workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
             priority: 0,
@@ -244,7 +119,7 @@
     let local = tokio::task::LocalSet::new();
     local
         .run_until(async {
-            let traffic = start().await;
+            let traffic = local_traffic::start().await;
             let dispatcher = &traffic.context.dispatcher;
             let run = async |statements: &[&str]| {
                 let mut request = write_request(connection_state::SessionNeeds::default());
@@ -296,7 +171,7 @@
 async fn serve_database(
     answer: fn(&str) -> &'static str,
 ) -> (SocketAddr, Rc<RefCell<Vec<String>>>) {
-    let (listener, address) = listen().await;
+    let (listener, address) = local_traffic::listen().await;
     let received = Rc::new(RefCell::new(Vec::new()));
     let lines = Rc::clone(&received);
     tokio::task::spawn_local(async move {
@@ -326,8 +201,8 @@
     answer: fn(&str) -> &'static str,
 ) -> (Vec<caller::CallerAnswer>, bool) {
     let (database_address, received) = serve_database(answer).await;
-    let (_shared, _, context) = start_traffic(database_address);
-    let address = serve_callers(context).await;
+    let (_shared, _, context) = local_traffic::start_traffic(database_address);
+    let address = local_traffic::serve_callers(context).await;
     let caller = caller::StandinCaller::connect(address, "browse", "key").await;
     let mut caller = caller.expect("the caller connects");
     deployment::run_successfully(&mut caller, "BEGIN").await;
@@ -389,7 +264,7 @@
     let local = tokio::task::LocalSet::new();
     local
         .run_until(async {
-            let traffic = start().await;
+            let traffic = local_traffic::start().await;
             let settings = BTreeMap::from([("zone".to_owned(), "amman".to_owned())]);
             let query = statement::PreparedQuery {
                 kind: statement::AccessKind::Write,
--- a/crates/bluebellferry_edge/tests/placement.rs
+++ b/crates/bluebellferry_edge/tests/placement.rs
@@ -33,6 +33,8 @@
 
 #[path = "fixtures/settings.rs"]
 mod fixtures;
+#[path = "fixtures/workspace_claim.rs"]
+mod workspace_claim;
 
 /// How long the test database takes to answer the handshake of a connection.
 const HANDSHAKE_TIME: Duration = Duration::from_millis(80);
@@ -113,6 +115,7 @@
 ) -> dispatch::PlacementRequest {
     dispatch::PlacementRequest {
         service: service(),
+        claim: workspace_claim::keyless("families"),
         pool_request: pool::ConnectionRequest {
             workspace: name::WorkspaceName::try_from("families").expect("a valid name"),
             priority: 0,
