Log refused statements with the workspace and service they were admitted with

Seen: the log line of a statement that is refused because its key was withdrawn, or its route removed, names no workspace ("-"), and after a key has passed on it names the new one; the leader fields are missing too. These are the cases in which an operator asks.

Cause: log_refusal looked up route and key in the newest configuration, not in what the statement or its transaction had been granted.

Fix: the session keeps the grant of its latest statement for the log.

Test: a_refusal_is_logged_with_the_workspace_of_its_transaction (real program).

--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -57,6 +57,8 @@
     pub transaction_connection: Option<dispatch::PoolConnection>,
     /// The open transaction.
     pub transaction: Option<TransactionContext>,
+    /// What the latest statement was granted, for the log; `None` if its route or key was refused.
+    pub latest_grant: Option<Rc<access::AccessGrant>>,
     /// When the proxy last stopped waiting for the answer to a write, whose outcome is unknown.
     pub in_doubt_at: Option<Instant>,
 }
@@ -152,6 +154,7 @@
         state: state::SessionState::default(),
         transaction_connection: None,
         transaction: None,
+        latest_grant: None,
         in_doubt_at: None,
     })
 }
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -148,6 +148,7 @@
         let Some(transaction) = &self.transaction else {
             return Ok(());
         };
+        self.latest_grant = Some(Rc::clone(&transaction.grant));
         let snapshot = self.context.shared.snapshot();
         let confirmed = transaction.grant.claim.confirm(&snapshot.configuration);
         if let Err(refusal) = &confirmed {
@@ -212,6 +213,7 @@
         let identity = &self.identity;
         let granted = access::AccessGrant::for_new_operation(&snapshot.configuration, identity);
         let granted = granted.map(Rc::new);
+        self.latest_grant = granted.as_ref().ok().cloned();
         let grant = granted?;
         let scope = StatementScope {
             deadline: arrived + grant.policy.statement_timeout,
--- a/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement/reporting.rs
@@ -78,11 +78,11 @@
         }
         let snapshot = self.context.shared.snapshot();
         let configuration = &snapshot.configuration;
-        let policy = configuration.find_route(&self.identity.route);
-        let service = policy.map(|policy| &policy.service);
+        let grant = self.latest_grant.as_ref();
+        let service = grant.map(|grant| &grant.policy.service);
         let leader = service.and_then(|service| snapshot.leaders.get(service));
         let lease = service.and_then(|service| snapshot.leases.get(service));
-        let workspace = configuration.find_workspace(&self.identity.key);
+        let workspace = grant.map(|grant| &grant.claim.workspace);
         let retry_after = refusal
             .retry_after
             .map_or(0, |wait| wait.as_millis() as u64);
--- a/crates/bluebellferry_edge/tests/access_of_vms.rs
+++ b/crates/bluebellferry_edge/tests/access_of_vms.rs
@@ -18,6 +18,8 @@
 const MARKER_ROUTE: &str = "counter";
 /// The maximum time until a version is in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// The maximum time until a log line is written.
+const LOG_LIMIT: Duration = Duration::from_secs(3);
 
 /// A deployment with one VM, and the workspaces for which databases ran statements.
 struct CaseRunner {
@@ -166,6 +168,23 @@
             }
         }
     }
+
+    /// Returns the workspace in the log line about a refused statement, once it is written.
+    async fn logged_workspace(&self, id: &str) -> String {
+        let file = self.deployment.settings_file(0).with_extension("log");
+        let started = Instant::now();
+        loop {
+            let log = std::fs::read_to_string(&file).expect("the VM has a log");
+            let lines = log.lines();
+            let mut values = lines.filter_map(|line| serde_json::from_str(line).ok());
+            let is_refusal = |line: &serde_json::Value| line["id"] == id;
+            if let Some(line) = values.find(is_refusal) {
+                return line["workspace"].as_str().unwrap_or_default().to_owned();
+            }
+            assert!(started.elapsed() < LOG_LIMIT, "{id} is not in the log");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
 }
 
 /// Guards against transactions that go on for a workspace that their key does not name any more, and
@@ -179,3 +198,19 @@
         }
     }
 }
+
+/// Guards against log lines that name no workspace, or another one, in just the cases in which the
+/// key of a transaction has gone: they looked it up in the newest configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_is_logged_with_the_workspace_of_its_transaction() {
+    let mut runner = CaseRunner::start().await;
+    let is_named = |case: &&AccessCase| case.running != RunningFate::GoesOn;
+    let lost = access_cases::CASES.iter().filter(is_named).take(3);
+    for (number, case) in lost.enumerate() {
+        runner.play(case, number, "COMMIT").await;
+        let id = format!("item-{number}-COMMIT-last");
+        let begun_for = case.first.owner.unwrap_or(access_cases::PUBLIC);
+        let logged = runner.logged_workspace(&id).await;
+        assert_eq!(logged, begun_for, "{}", case.name);
+    }
+}
