End a wait for a token or a cold database at once when the key goes

Cause: the claim of a waiting statement was confirmed between its waits, but the wait for the pace of a cold database lasts up to 2 s (MAX_TRANSACTION_WAIT), and the refusal came only behind it.

Nothing is subscribed unless the wait is not over at once.

Test: any_wait_ends_at_once_when_the_key_goes, each row of the table, without I/O.

--- a/crates/bluebellferry_edge/src/traffic/access.rs
+++ b/crates/bluebellferry_edge/src/traffic/access.rs
@@ -11,6 +11,8 @@
 use bluebellferry_types::name;
 use bluebellferry_types::refusal;
 
+use crate::shared;
+
 /// The workspace name sent to databases for callers of public routes without a known key.
 const PUBLIC_WORKSPACE: &str = "public";
 
@@ -115,4 +117,33 @@
         };
         Err(refusal::RequestRefusal::not_run(reason, text))
     }
+
+    /// Waits for `wait`, at most as long as the claim holds.
+    ///
+    /// # Errors
+    /// Returns the refusal of [`Self::confirm`] as soon as a snapshot comes that does not confirm the
+    /// claim. Then `wait` is dropped.
+    pub async fn confirm_during<T>(
+        &self,
+        shared: &shared::EdgeShared,
+        wait: impl Future<Output = T>,
+    ) -> Result<T, refusal::RequestRefusal> {
+        let lost = async {
+            let mut changes = shared.subscribe_to_snapshots();
+            loop {
+                changes.mark_unchanged();
+                if let Err(refusal) = self.confirm(&shared.snapshot().configuration) {
+                    return refusal;
+                }
+                if changes.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            output = wait => Ok(output),
+            refusal = lost => Err(refusal),
+        }
+    }
 }
--- a/crates/bluebellferry_edge/src/traffic/dispatch.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch.rs
@@ -269,14 +269,14 @@
             match self.try_acquire(request, now) {
                 AcquireStep::Granted(connection) => {
                     if let Some(placed) = self.check_placement(connection, request) {
-                        return self.keep_pace_of(placed, request.deadline).await;
+                        return self.keep_pace_of(placed, request).await;
                     }
                 }
                 AcquireStep::Wait(waiter, granted) => {
                     match tokio::time::timeout(time_left.min(RERANK_INTERVAL), granted).await {
                         Ok(Ok(connection)) => {
                             if let Some(placed) = self.check_placement(connection, request) {
-                                return self.keep_pace_of(placed, request.deadline).await;
+                                return self.keep_pace_of(placed, request).await;
                             }
                         }
                         // Opening the connection failed; another database may be available.
--- a/crates/bluebellferry_edge/src/traffic/dispatch/pacing.rs
+++ b/crates/bluebellferry_edge/src/traffic/dispatch/pacing.rs
@@ -8,6 +8,7 @@
 use bluebellferry_shares::limiter;
 use bluebellferry_types::refusal;
 
+use crate::traffic::access;
 use crate::traffic::dispatch;
 
 impl dispatch::Dispatcher {
@@ -16,9 +17,11 @@
     pub(super) async fn keep_pace_of(
         self: &Rc<Self>,
         placed: dispatch::PlacedConnection,
-        deadline: Instant,
+        request: &dispatch::PlacementRequest,
     ) -> Result<dispatch::PlacedConnection, refusal::RequestRefusal> {
-        match self.keep_pace(placed.connection.database, deadline).await {
+        let database = placed.connection.database;
+        let paced = self.keep_pace(database, &request.claim, request.deadline);
+        match paced.await {
             Ok(()) => Ok(placed),
             Err(refusal) => {
                 self.release(placed.connection);
@@ -30,10 +33,12 @@
     /// Waits until a cold database may receive another statement. Does not wait for a warm one.
     ///
     /// # Errors
-    /// Returns a refusal if it may not before `deadline`.
+    /// Returns a refusal if it may not before `deadline`, or if the claim of the statement does not
+    /// hold any more.
     pub async fn keep_pace(
         &self,
         database: pool::DatabaseIndex,
+        claim: &access::WorkspaceClaim,
         deadline: Instant,
     ) -> Result<(), refusal::RequestRefusal> {
         let now = clock::now();
@@ -45,7 +50,8 @@
         let max_wait = deadline
             .saturating_duration_since(now)
             .min(limiter::MAX_TRANSACTION_WAIT);
-        let admitted = share.admit(max_wait, &self.shared.tokens_wanted).await;
+        let admission = share.admit(max_wait, &self.shared.tokens_wanted);
+        let admitted = claim.confirm_during(&self.shared, admission).await?;
         let result = if admitted.is_ok() {
             "granted"
         } else {
--- a/crates/bluebellferry_edge/src/traffic/statement.rs
+++ b/crates/bluebellferry_edge/src/traffic/statement.rs
@@ -230,7 +230,6 @@
             self.prepare_connection(statement, &scope, share.as_deref());
             if let Some(share) = share {
                 self.take_token(&scope, &share).await?;
-                self.confirm_claim(&scope)?;
             }
         }
         Ok(scope)
@@ -293,9 +292,9 @@
         let workspace = &scope.grant.claim.workspace;
         let snapshot = shared.snapshot();
         let level = scope.grant.policy.priority.into();
-        let admitted = share
-            .admit_urgent(level, snapshot.loan_timeout, &shared.tokens_wanted)
-            .await;
+        let admission = share.admit_urgent(level, snapshot.loan_timeout, &shared.tokens_wanted);
+        let claim = &scope.grant.claim;
+        let admitted = claim.confirm_during(shared, admission).await?;
         admitted.map_err(|shortage| {
             let reason = refusal::RefusalReason::RateExceeded;
             let text = format!("the workspace {workspace} has used up its rate");
@@ -400,7 +399,7 @@
             ));
         }
         dispatcher
-            .keep_pace(connection.database, scope.deadline)
+            .keep_pace(connection.database, &scope.grant.claim, scope.deadline)
             .await
     }
 
--- a/crates/bluebellferry_edge/tests/access.rs
+++ b/crates/bluebellferry_edge/tests/access.rs
@@ -151,21 +151,48 @@
 /// How long a statement may wait for a database.
 const WAIT: Duration = Duration::from_millis(600);
 
-/// Waits for a database of a service that has none, while the later versions of a case come. Returns
-/// the refusal, and when it came.
-async fn wait_during(case: &access_cases::AccessCase) -> (refusal::RequestRefusal, Duration) {
+/// Returns the state of a VM without network that has the first version of a case.
+fn shared_with_first(case: &access_cases::AccessCase) -> Arc<shared::EdgeShared> {
     let data_centre = name::DataCentreName::try_from("amman-a").expect("a valid name");
     let address = ([127, 0, 0, 1], 1).into();
     let settings = fixtures::settings("vm-0", data_centre, address);
     let (shared, _evidence) = shared::EdgeShared::new(settings, 1);
-    let publish = |number, version| {
-        let snapshot = shared::EdgeSnapshot {
-            configuration: Arc::new(decode(number, version)),
-            ..shared::EdgeSnapshot::default()
-        };
-        shared.replace_snapshot(snapshot, true);
+    publish(&shared, 1, case.first);
+    shared
+}
+
+fn publish(shared: &shared::EdgeShared, number: u64, version: AccessVersion) {
+    let snapshot = shared::EdgeSnapshot {
+        configuration: Arc::new(decode(number, version)),
+        ..shared::EdgeSnapshot::default()
     };
-    publish(1, case.first);
+    shared.replace_snapshot(snapshot, true);
+}
+
+fn publish_later(shared: &shared::EdgeShared, case: &access_cases::AccessCase) {
+    for (index, version) in case.later.iter().enumerate() {
+        publish(shared, 2 + index as u64, *version);
+    }
+}
+
+/// Guards against waits for a token or for a cold database that go on although the key has gone.
+#[tokio::test]
+async fn any_wait_ends_at_once_when_the_key_goes() {
+    for case in &access_cases::CASES {
+        let shared = shared_with_first(case);
+        let claim = first_grant(case).claim;
+        let waiting = claim.confirm_during(&shared, std::future::pending::<()>());
+        let waiting = tokio::time::timeout(WAIT / 20, waiting);
+        let (result, ()) = tokio::join!(waiting, async { publish_later(&shared, case) });
+        let fate = result.map_or(Some(RunningFate::GoesOn), |result| running_fate(&result));
+        assert_eq!(fate, Some(case.running), "{}", case.name);
+    }
+}
+
+/// Waits for a database of a service that has none, while the later versions of a case come. Returns
+/// the refusal, and when it came.
+async fn wait_during(case: &access_cases::AccessCase) -> (refusal::RequestRefusal, Duration) {
+    let shared = shared_with_first(case);
     let metrics = metrics::TrafficMetrics::new(&prometheus::Registry::new());
     let metrics = metrics.expect("the metric names are unique");
     let dispatcher = Rc::new(dispatch::Dispatcher::new(Arc::clone(&shared), metrics));
@@ -194,9 +221,7 @@
         (refusal, clock::now().saturating_duration_since(started))
     });
     tokio::time::sleep(WAIT / 6).await;
-    for (index, version) in case.later.iter().enumerate() {
-        publish(2 + index as u64, *version);
-    }
+    publish_later(&shared, case);
     waiting.await.expect("the task ends")
 }
 
