Keep a key with its new workspace in either order of the updates

Cause: KeyTable::replace_workspace removed all former keys of a workspace from the table of owners, also those that another workspace owns by then. Each workspace's keys are an object of their own, so the two updates arrive in any order.

Fix: a workspace gives up only what it owns; a key that another one lists goes to it. Removing a withdrawn key removes it from all that list it.

Tests: a_key_passes_to_another_workspace_in_either_order_of_the_updates and a_key_that_two_workspaces_list_stays_with_the_one_that_keeps_it failed before ("left: None, right: visitors") and pass now.

--- a/crates/bluebellferry_keys/src/table.rs
+++ b/crates/bluebellferry_keys/src/table.rs
@@ -32,25 +32,43 @@
         if generation <= keys.generation {
             return false;
         }
-        for digest in &keys.digests {
-            self.owners.remove(digest);
-        }
-        for digest in &digests {
-            self.owners.insert(*digest, workspace.clone());
-        }
-        *keys = WorkspaceKeys {
+        let newer = WorkspaceKeys {
             generation,
             digests,
         };
+        let former = std::mem::replace(keys, newer);
+        for digest in former.digests {
+            self.disown(workspace, &digest);
+        }
+        for digest in &self.workspaces[workspace].digests {
+            self.owners.insert(*digest, workspace.clone());
+        }
         true
     }
 
-    /// Removes a withdrawn key immediately, without waiting for the workspace's next generation.
+    /// Takes a key from a workspace that no longer lists it. Keys pass from one workspace to another
+    /// by two updates that arrive in any order, so another workspace may own it by now, or list it.
+    fn disown(&mut self, workspace: &name::WorkspaceName, digest: &digest::KeyDigest) {
+        if self.owners.get(digest) != Some(workspace) {
+            return;
+        }
+        let others = self.workspaces.iter();
+        let listing = others.filter(|(_, keys)| keys.digests.contains(digest));
+        // All VMs choose the same one.
+        let heir = listing.map(|(other, _)| other).min();
+        match heir.cloned() {
+            Some(heir) => self.owners.insert(*digest, heir),
+            None => self.owners.remove(digest),
+        };
+    }
+
+    /// Removes a withdrawn key immediately, without waiting for the next generation of the
+    /// workspaces that list it.
     pub fn remove(&mut self, digest: &digest::KeyDigest) {
-        if let Some(owner) = self.owners.remove(digest)
-            && let Some(keys) = self.workspaces.get_mut(&owner)
-        {
-            keys.digests.retain(|valid| valid != digest);
+        if self.owners.remove(digest).is_some() {
+            for keys in self.workspaces.values_mut() {
+                keys.digests.retain(|valid| valid != digest);
+            }
         }
     }
 
--- a/crates/bluebellferry_keys/tests/table.rs
+++ b/crates/bluebellferry_keys/tests/table.rs
@@ -23,6 +23,44 @@
     assert!(!table.is_valid(&families, &first));
 }
 
+/// Guards against a key that is refused after it has passed to another workspace, because the update
+/// that takes it from the former one arrived last.
+#[test]
+fn a_key_passes_to_another_workspace_in_either_order_of_the_updates() {
+    let (families, visitors) = (workspace("families"), workspace("visitors"));
+    let key = digest::KeyDigest::compute("a key");
+    let other = digest::KeyDigest::compute("another key");
+    type KeyUpdate<'a> = (&'a name::WorkspaceName, Vec<digest::KeyDigest>);
+    let taken: KeyUpdate<'_> = (&families, vec![other]);
+    let given: KeyUpdate<'_> = (&visitors, vec![key]);
+    for updates in [[&taken, &given], [&given, &taken]] {
+        let mut table = table::KeyTable::default();
+        table.replace_workspace(&families, 1, vec![key, other]);
+        for (workspace, digests) in updates {
+            assert!(table.replace_workspace(workspace, 2, digests.clone()));
+        }
+        assert_eq!(table.find_owner(&key), Some(&visitors));
+        assert_eq!(table.find_owner(&other), Some(&families));
+        assert!(!table.is_valid(&families, &key));
+    }
+}
+
+#[test]
+fn a_key_that_two_workspaces_list_stays_with_the_one_that_keeps_it() {
+    let (families, visitors) = (workspace("families"), workspace("visitors"));
+    let key = digest::KeyDigest::compute("a key");
+    for (dropping, keeping) in [(&families, &visitors), (&visitors, &families)] {
+        let mut table = table::KeyTable::default();
+        table.replace_workspace(&families, 1, vec![key]);
+        table.replace_workspace(&visitors, 1, vec![key]);
+        table.replace_workspace(dropping, 2, Vec::new());
+        assert_eq!(table.find_owner(&key), Some(keeping));
+        table.remove(&key);
+        assert_eq!(table.find_owner(&key), None);
+        assert!(table.digests_of(keeping).is_empty());
+    }
+}
+
 #[test]
 fn a_removed_key_is_invalid_immediately() {
     let families = workspace("families");
