Name what a session lost: its key or its service

Seen: a session whose workspace loses its service is told that its key was withdrawn (57P01, key_withdrawn), and its operator looks for a withdrawal that never happened.

Fix: session/access.rs asks for the key and for the service separately, and login uses the same functions. A running request is cut only while access is lost: one that is given back within the grace of 2 s lets it finish.

--- a/crates/bluebellferry_proxy/src/session.rs
+++ b/crates/bluebellferry_proxy/src/session.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bluebellferry_keys::digest;
 use bluebellferry_types::name;
 use bluebellferry_types::position;
 use bluebellferry_types::refusal;
@@ -24,6 +23,7 @@
 use crate::pool;
 use crate::shared;
 
+pub mod access;
 pub mod exchange;
 pub mod hint;
 mod idempotency;
@@ -44,8 +44,8 @@
 /// The largest capacity, in bytes, of a send buffer that an idle session keeps
 /// allocated.
 const MAX_IDLE_SEND_BUFFER_BYTES: usize = 4 * 1024;
-/// How long a running request may continue after the session's API key was withdrawn.
-const WITHDRAWN_KEY_GRACE_PERIOD: Duration = Duration::from_secs(2);
+/// How long a running request may continue after the session's key or service was taken away.
+const LOST_ACCESS_GRACE_PERIOD: Duration = Duration::from_secs(2);
 
 /// The receiving half of a caller's connection.
 pub type CallerRead = Box<dyn AsyncRead + Send + Sync + Unpin>;
@@ -82,20 +82,6 @@
     }
 }
 
-/// The workspace, service and API key that a session was authenticated with.
-#[derive(Debug, Clone)]
-pub struct SessionIdentity {
-    /// The workspace of the API key, or the keyless workspace given as user name.
-    pub workspace: name::WorkspaceName,
-    /// The service whose databases the session uses.
-    pub service: name::ServiceName,
-    /// The digest of the API key; `None` in a keyless workspace.
-    pub digest: Option<digest::KeyDigest>,
-    /// The API key itself, so that requests containing it can be rejected before they
-    /// reach a database; empty in a keyless workspace.
-    pub key: Vec<u8>,
-}
-
 /// The session-wide values of the `bluebellferry.*` settings.
 #[derive(Debug, Clone, Default)]
 pub struct SessionOptions {
@@ -122,7 +108,7 @@
     reader: reader::FrameReader<CallerRead>,
     writer: CallerWrite,
     send_buffer: BytesMut,
-    identity: SessionIdentity,
+    identity: access::SessionIdentity,
     options: SessionOptions,
     /// The log position that every database serving the session must have
     /// reached; `None` until it has been determined.
@@ -238,14 +224,12 @@
         }
     }
 
-    /// Returns an error when the session may no longer use its service, or when the VM
+    /// Returns an error when the session's key or service was taken away, or when the VM
     /// is draining and the session has neither an open transaction nor a pinned
     /// connection.
     fn check_may_continue(&self) -> Result<(), SessionEnd> {
         let snapshot = self.shared.snapshot();
-        if !self.is_access_valid(&snapshot) {
-            return Err(withdrawn_key_refusal().into());
-        }
+        self.identity.confirm(&snapshot)?;
         let is_idle =
             self.transaction == message::TransactionStatus::Idle && self.held_connection.is_none();
         if snapshot.is_draining && is_idle {
@@ -257,20 +241,6 @@
         Ok(())
     }
 
-    /// Returns whether the API key is still valid (or the workspace is still keyless)
-    /// and the workspace may still use the service.
-    fn is_access_valid(&self, snapshot: &crate::snapshot::ControlSnapshot) -> bool {
-        let workspace = &self.identity.workspace;
-        let spec = snapshot.workspace_spec(workspace);
-        let is_service_allowed =
-            spec.is_some_and(|spec| spec.services.contains(&self.identity.service));
-        let is_key_valid = match &self.identity.digest {
-            Some(digest) => snapshot.keys.is_valid(workspace, digest),
-            None => spec.is_some_and(|spec| spec.is_keyless),
-        };
-        is_service_allowed && is_key_valid
-    }
-
     fn record_refusal(&self, refusal: &refusal::RequestRefusal) {
         let workspace = self.identity.workspace.as_str();
         self.shared.metrics.count_refusal(workspace, refusal);
@@ -300,11 +270,6 @@
     }
 }
 
-fn withdrawn_key_refusal() -> refusal::RequestRefusal {
-    let reason = refusal::RefusalReason::KeyWithdrawn;
-    refusal::RequestRefusal::not_run(reason, "the key of this session has been withdrawn")
-}
-
 fn unknown_message_refusal(tag: u8) -> refusal::RequestRefusal {
     let reason = refusal::RefusalReason::ProtocolViolation;
     let text = format!("unknown message type '{}'", frame::printable_tag(tag));
--- a/crates/bluebellferry_proxy/src/session/relay.rs
+++ b/crates/bluebellferry_proxy/src/session/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bluebellferry_types::position;
+use bluebellferry_types::refusal;
 use bluebellferry_wire::frame;
 use bluebellferry_wire::message;
 use bluebellferry_wire::reader;
@@ -91,8 +92,8 @@
     has_committed: bool,
     /// The reason to retry the request once its answer is complete.
     retry_reason: Option<metrics::RetryReason>,
-    /// When the request is aborted; set once the session may no longer use its service.
-    abort_at: Option<Instant>,
+    /// When the request is aborted and why; set while the session has lost its key or service.
+    lost_access: Option<(Instant, refusal::RequestRefusal)>,
     completed: Option<CompletedRequest>,
 }
 
@@ -125,7 +126,7 @@
             is_buffering_all: handling == AnswerHandling::BufferAll,
             has_committed: false,
             retry_reason: None,
-            abort_at: None,
+            lost_access: None,
             completed: None,
         };
         for frame in &request.frames {
@@ -157,9 +158,9 @@
                 continue;
             }
             let backend = &mut connection.connection;
-            // `started` is only a placeholder: without `abort_at`, the branch that sleeps
+            // `started` is only a placeholder: without `lost_access`, the branch that sleeps
             // is disabled.
-            let abort_at = state.abort_at.unwrap_or(started);
+            let abort_at = state.lost_access.as_ref().map_or(started, |(at, _)| *at);
             tokio::select! {
                 written = backend.writer.write_buf(&mut state.to_database),
                     if !state.to_database.is_empty() =>
@@ -191,12 +192,17 @@
                 }
                 changed = self.wakeups.changed() => {
                     changed.map_err(|_| SessionEnd::CallerDisconnected)?;
-                    if !self.is_access_valid(&self.shared.snapshot()) {
-                        state.abort_at.get_or_insert(Instant::now() + super::WITHDRAWN_KEY_GRACE_PERIOD);
-                    }
+                    let confirmed = self.identity.confirm(&self.shared.snapshot());
+                    let lost = confirmed.err().map(|refusal| {
+                        let former = state.lost_access.take().map(|(at, _)| at);
+                        let abort_at = Instant::now() + super::LOST_ACCESS_GRACE_PERIOD;
+                        (former.unwrap_or(abort_at), refusal)
+                    });
+                    state.lost_access = lost;
                 }
-                () = tokio::time::sleep_until(abort_at.into()), if state.abort_at.is_some() => {
-                    return Err(super::withdrawn_key_refusal().into());
+                () = tokio::time::sleep_until(abort_at.into()), if state.lost_access.is_some() => {
+                    let lost = state.lost_access.take();
+                    return Err(lost.map_or(SessionEnd::CallerDisconnected, |(_, refusal)| refusal.into()));
                 }
             }
         }
--- a/crates/bluebellferry_proxy/src/session/startup.rs
+++ b/crates/bluebellferry_proxy/src/session/startup.rs
@@ -6,8 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bluebellferry_keys::digest;
-use bluebellferry_types::name;
 use bluebellferry_types::refusal;
 use bluebellferry_wire::frame;
 use bluebellferry_wire::message;
@@ -22,6 +20,7 @@
 
 use super::CallerSession;
 use super::SessionEnd;
+use super::access;
 use super::hint;
 use super::route;
 use crate::shared;
@@ -39,9 +38,6 @@
 const CANCEL_REQUEST: u32 = 80_877_102;
 /// The largest body of a password message, which contains the API key, in bytes.
 const MAX_KEY_BYTES: usize = 1_000;
-/// The shortest API key accepted, in bytes. Requests that contain the key are
-/// rejected, and a shorter key could occur in ordinary statements by chance.
-const MIN_KEY_BYTES: usize = 8;
 
 /// Logs a caller in and serves its session until it ends.
 pub async fn serve_caller(
@@ -196,7 +192,7 @@
 
 /// The result of a successful login.
 struct AcceptedLogin {
-    identity: super::SessionIdentity,
+    identity: access::SessionIdentity,
     hints: Vec<hint::RequestHint>,
     database_settings: BTreeMap<String, String>,
     parameters: Arc<Vec<snapshot::ServerParameter>>,
@@ -238,9 +234,14 @@
     }
     let (workspace, digest) = match keyless_workspace {
         Some(workspace) => (workspace, None),
-        None => find_workspace(&snapshot, &password)?,
+        None => {
+            let (workspace, digest) = access::find_workspace(&snapshot, &password)?;
+            (workspace, Some(digest))
+        }
     };
-    let service = find_service(&snapshot, &workspace, startup)?;
+    let database = startup.parameters.get("database");
+    let database = database.map_or(user, String::as_str);
+    let service = access::find_service(&snapshot, &workspace, database)?;
     let (hints, database_settings) =
         parameters::parse_startup_settings(startup, password.as_bytes())?;
     let parameters = snapshot
@@ -249,7 +250,7 @@
         .map(|service| Arc::clone(&service.parameters));
     let key = password.into_bytes();
     Ok(AcceptedLogin {
-        identity: super::SessionIdentity {
+        identity: access::SessionIdentity {
             workspace,
             service,
             digest,
@@ -278,44 +279,6 @@
     Ok(password.password)
 }
 
-fn find_workspace(
-    snapshot: &snapshot::ControlSnapshot,
-    key: &str,
-) -> Result<(name::WorkspaceName, Option<digest::KeyDigest>), SessionEnd> {
-    let digest = digest::KeyDigest::compute(key);
-    let owner = snapshot
-        .keys
-        .find_owner(&digest)
-        .filter(|_| key.len() >= MIN_KEY_BYTES);
-    let owner = owner
-        .cloned()
-        .ok_or_else(|| login_refusal(refusal::RefusalReason::KeyRefused, "the key is not valid"))?;
-    Ok((owner, Some(digest)))
-}
-
-fn find_service(
-    snapshot: &snapshot::ControlSnapshot,
-    workspace: &name::WorkspaceName,
-    startup: &startup::Startup,
-) -> Result<name::ServiceName, SessionEnd> {
-    let user = startup.parameters.get("user").map_or("", String::as_str);
-    let database = startup
-        .parameters
-        .get("database")
-        .map_or(user, String::as_str);
-    let spec = snapshot.workspace_spec(workspace);
-    let service = spec.and_then(|spec| {
-        spec.services
-            .iter()
-            .find(|service| service.as_str() == database)
-            .cloned()
-    });
-    service.ok_or_else(|| {
-        let text = format!("the workspace {workspace} may not use the service '{database}'");
-        login_refusal(refusal::RefusalReason::ServiceForbidden, text).into()
-    })
-}
-
 async fn start_session(
     shared: &Arc<shared::ProxyShared>,
     caller: CallerStream,
