Check the key and service of a session before each request is sent

Seen: a caller that pipelines its requests goes on for as long as it likes after its key was withdrawn. A request that waits for a token, a floor, a database or a connection is sent at last although the key has gone meanwhile.

Cause: access was checked only before a message was read, and not at all for one that had been read ahead; with a next request always there, it never was.

Fix: access is confirmed when a request begins, throughout its waits (AccessWatch), and right before it is sent. A request that waits ends at once, and says that it has not run.

--- a/crates/bluebellferry_fleet/tests/access.rs
+++ b/crates/bluebellferry_fleet/tests/access.rs
@@ -8,6 +8,8 @@
 use bluebellferry_fleet::plan;
 use bluebellferry_fleet::process;
 use bluebellferry_keys::digest;
+use futures_util::stream::FuturesUnordered;
+use futures_util::stream::StreamExt;
 
 type TestResult = Result<(), Box<dyn std::error::Error>>;
 
@@ -58,6 +60,36 @@
     Ok(row.await?.get(0))
 }
 
+/// Guards against a caller that pipelines its requests and so outlives its key: the key was checked
+/// only between two requests, and there was always a next one.
+#[tokio::test]
+async fn a_pipelining_session_ends_when_its_key_is_withdrawn() -> TestResult {
+    let fleet = start_fleet().await?;
+    let client = fleet.connect(0, "families", SERVICE).await?;
+    let mut running = FuturesUnordered::new();
+    for _ in 0..4 {
+        running.push(client.simple_query("SELECT pg_sleep(0.02)"));
+    }
+    let mut withdrawn_at = None;
+    let started = Instant::now();
+    while let Some(result) = running.next().await {
+        if let Err(error) = result {
+            assert!(withdrawn_at.is_some(), "{error:?}");
+            let code = error.code().map(tokio_postgres::error::SqlState::code);
+            assert!(error.is_closed() || code == Some("57P01"), "{error:?}");
+            continue;
+        }
+        if withdrawn_at.is_none() && started.elapsed() > Duration::from_millis(300) {
+            put_keys(&fleet, "families", 1, &[]).await?;
+            withdrawn_at = Some(Instant::now());
+        }
+        let elapsed = withdrawn_at.map_or(Duration::ZERO, |at| at.elapsed());
+        assert!(elapsed < APPLY_LIMIT, "the session goes on");
+        running.push(client.simple_query("SELECT pg_sleep(0.02)"));
+    }
+    Ok(())
+}
+
 /// Guards against a key that its new workspace cannot use, and a transaction that goes on for the
 /// former one, whichever of the two updates arrives first.
 #[tokio::test]
--- a/crates/bluebellferry_proxy/src/session.rs
+++ b/crates/bluebellferry_proxy/src/session.rs
@@ -108,7 +108,7 @@
     reader: reader::FrameReader<CallerRead>,
     writer: CallerWrite,
     send_buffer: BytesMut,
-    identity: access::SessionIdentity,
+    identity: Arc<access::SessionIdentity>,
     options: SessionOptions,
     /// The log position that every database serving the session must have
     /// reached; `None` until it has been determined.
@@ -203,6 +203,7 @@
     /// [`CallerSession::check_may_continue`] fails before the message arrives.
     async fn next_request_start(&mut self) -> Result<frame::WireFrame, SessionEnd> {
         if let Some(frame) = self.read_ahead.take() {
+            self.identity.confirm(&self.shared.snapshot())?;
             return Ok(frame);
         }
         loop {
@@ -241,6 +242,15 @@
         Ok(())
     }
 
+    /// Returns a watch that tells a waiting request whether the session may go on.
+    fn access_watch(&self) -> access::AccessWatch {
+        access::AccessWatch {
+            shared: Arc::clone(&self.shared),
+            identity: Arc::clone(&self.identity),
+            wakeups: self.wakeups.clone(),
+        }
+    }
+
     fn record_refusal(&self, refusal: &refusal::RequestRefusal) {
         let workspace = self.identity.workspace.as_str();
         self.shared.metrics.count_refusal(workspace, refusal);
--- a/crates/bluebellferry_proxy/src/session/access.rs
+++ b/crates/bluebellferry_proxy/src/session/access.rs
@@ -3,10 +3,14 @@
 //! The key and the workspace's service are separate questions: each has its own answer, so that a
 //! refusal names what was taken away.
 
+use std::sync::Arc;
+
 use bluebellferry_keys::digest;
 use bluebellferry_types::name;
 use bluebellferry_types::refusal;
+use tokio::sync::watch;
 
+use crate::shared;
 use crate::snapshot;
 
 /// The shortest API key accepted, in bytes. Requests that contain the key are
@@ -89,6 +93,55 @@
     }
 }
 
+/// Watches whether a session may go on, while a request of it waits.
+#[derive(Debug, Clone)]
+pub struct AccessWatch {
+    /// The state of the VM.
+    pub shared: Arc<shared::ProxyShared>,
+    /// What the session was authenticated with.
+    pub identity: Arc<SessionIdentity>,
+    /// Notified when the answer may have changed.
+    pub wakeups: watch::Receiver<u64>,
+}
+
+impl AccessWatch {
+    /// Checks that the session may go on.
+    ///
+    /// # Errors
+    /// Returns the refusal of [`SessionIdentity::confirm`].
+    pub fn confirm(&self) -> Result<(), refusal::RequestRefusal> {
+        self.identity.confirm(&self.shared.snapshot())
+    }
+
+    /// Waits for `wait`, at most as long as the session may go on.
+    ///
+    /// # Errors
+    /// Returns the refusal of [`SessionIdentity::confirm`] as soon as it is known. Then `wait` is
+    /// dropped.
+    pub async fn confirm_during<T>(
+        &self,
+        wait: impl Future<Output = T>,
+    ) -> Result<T, refusal::RequestRefusal> {
+        let lost = async {
+            let mut wakeups = self.wakeups.clone();
+            loop {
+                wakeups.mark_unchanged();
+                if let Err(refusal) = self.confirm() {
+                    return refusal;
+                }
+                if wakeups.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            output = wait => Ok(output),
+            refusal = lost => Err(refusal),
+        }
+    }
+}
+
 fn refuse(reason: refusal::RefusalReason, text: &str) -> refusal::RequestRefusal {
     refusal::RequestRefusal::not_run(reason, text)
 }
--- a/crates/bluebellferry_proxy/src/session/idempotency.rs
+++ b/crates/bluebellferry_proxy/src/session/idempotency.rs
@@ -12,6 +12,7 @@
 use bluebellferry_wire::message;
 
 use super::CallerSession;
+use super::SessionEnd;
 use super::plan;
 use super::relay;
 use super::request;
@@ -57,12 +58,21 @@
         if !request.is_complete() || plan.may_commit || plan.needs_pin {
             return Err(unsupported_request_id_refusal().into());
         }
+        let access = self.access_watch();
         let row_id = format!("{}/{request_id}", self.identity.workspace);
         let is_proxy_transaction = self.transaction == message::TransactionStatus::Idle;
         let mut connection = match self.held_connection.take() {
             Some(connection) => connection,
-            None => self.borrow_connection(plan, deadline, true).await?.1,
+            None => {
+                let borrowed = self.borrow_connection(plan, deadline, true);
+                let borrowed = access.confirm_during(borrowed).await;
+                borrowed.map_err(SessionEnd::from)??.1
+            }
         };
+        if let Err(refusal) = access.confirm() {
+            connection.discard();
+            return Err(SessionEnd::from(refusal).into());
+        }
         let recorded = record_request_id(&mut connection, &row_id, is_proxy_transaction).await;
         match recorded {
             Ok(RequestIdOutcome::Recorded) => {}
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -175,8 +175,11 @@
         let deadline = plan
             .timeout
             .map_or_else(|| self.request_deadline(), |timeout| started + timeout);
+        let access = self.access_watch();
+        access.confirm().map_err(SessionEnd::from)?;
         if plan.executes_statement {
-            self.acquire_rate_token().await?;
+            let admitted = access.confirm_during(self.acquire_rate_token()).await;
+            admitted.map_err(SessionEnd::from)??;
         }
         if let Some(id) = plan.request_id.clone().filter(|_| plan.executes_statement) {
             return self
@@ -189,10 +192,15 @@
             let (route, mut connection) = match self.held_connection.take() {
                 Some(connection) => (self.held_route, connection),
                 None => {
-                    self.borrow_connection(&plan, deadline, is_primary_only)
-                        .await?
+                    let borrowed = self.borrow_connection(&plan, deadline, is_primary_only);
+                    let borrowed = access.confirm_during(borrowed).await;
+                    borrowed.map_err(SessionEnd::from)??
                 }
             };
+            if let Err(refusal) = access.confirm() {
+                connection.discard();
+                return Err(SessionEnd::from(refusal).into());
+            }
             if plan.needs_pin && !connection.is_pinned() && !connection.pin() {
                 self.held_connection =
                     (self.transaction != message::TransactionStatus::Idle).then_some(connection);
--- a/crates/bluebellferry_proxy/src/session/startup.rs
+++ b/crates/bluebellferry_proxy/src/session/startup.rs
@@ -293,7 +293,7 @@
         reader: caller.reader,
         writer: caller.writer,
         send_buffer: BytesMut::new(),
-        identity: login.identity,
+        identity: Arc::new(login.identity),
         options: super::SessionOptions::default(),
         floor: None,
         prefetched_floor: None,
--- a/crates/bluebellferry_proxy/tests/access.rs
+++ b/crates/bluebellferry_proxy/tests/access.rs
@@ -2,12 +2,15 @@
 //! the second table in docs/design/access.md, without I/O.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bluebellferry_document::check;
 use bluebellferry_document::hash;
 use bluebellferry_keys::digest;
 use bluebellferry_keys::table;
 use bluebellferry_proxy::session::access;
+use bluebellferry_proxy::settings;
+use bluebellferry_proxy::shared;
 use bluebellferry_proxy::snapshot;
 use bluebellferry_types::name;
 use bluebellferry_types::refusal;
@@ -110,13 +113,28 @@
     }
 }
 
-fn identity() -> access::SessionIdentity {
-    access::SessionIdentity {
+fn identity() -> Arc<access::SessionIdentity> {
+    Arc::new(access::SessionIdentity {
         workspace: workspace("families"),
         service: name::ServiceName::try_from(SERVICE).expect("a valid name"),
         digest: Some(digest::KeyDigest::compute(KEY)),
         key: KEY.into(),
-    }
+    })
+}
+
+fn shared_with(snapshot: snapshot::ControlSnapshot) -> Arc<shared::ProxyShared> {
+    let value = serde_json::json!({
+        "vm": "amman-0", "environment": "trial", "data_centre": "amman", "ordinal": 0,
+        "listen": "127.0.0.1:1", "admin_listen": "127.0.0.1:2", "peer_listen": "127.0.0.1:3",
+        "store": "127.0.0.1:4", "database_account": {"user": "proxy", "password": "secret"},
+        "peer_secret": "a secret of sixteen bytes"
+    });
+    let wire = serde_json::from_value::<settings::ProxySettingsWire>(value);
+    let settings = settings::ProxySettings::try_from(wire.expect("the fields are there"));
+    let settings = settings.expect("the settings are valid");
+    let shared = shared::ProxyShared::new(settings, 1).expect("the metric names are unique");
+    shared.replace_snapshot(snapshot);
+    shared
 }
 
 /// Guards against refusals that name another cause: a session whose service was taken away was told
@@ -150,7 +168,7 @@
 #[test]
 fn a_keyless_session_goes_on_only_while_its_workspace_is_keyless() {
     let mut session = identity();
-    session.digest = None;
+    Arc::make_mut(&mut session).digest = None;
     let keyless = AccessVersion {
         is_keyless: true,
         ..WITHDRAWN
@@ -164,3 +182,31 @@
     };
     assert_eq!(reason_of(taken), Err(Reason::ServiceForbidden));
 }
+
+/// Guards against requests that wait until their time is up, or run at last, although the key or the
+/// service has gone.
+#[tokio::test]
+async fn a_waiting_request_is_refused_at_once() {
+    for case in &CASES {
+        let shared = shared_with(snapshot_of(FIRST));
+        let watch = access::AccessWatch {
+            shared: Arc::clone(&shared),
+            identity: identity(),
+            wakeups: shared.subscribe_to_wakeups(),
+        };
+        let waiting = watch.confirm_during(std::future::pending::<()>());
+        let waiting = tokio::time::timeout(Duration::from_millis(30), waiting);
+        let changing = async {
+            for version in [WITHDRAWN, case.newest] {
+                shared.replace_snapshot(snapshot_of(version));
+            }
+            shared.wake_sessions();
+        };
+        let (result, ()) = tokio::join!(waiting, changing);
+        let reason = result
+            .ok()
+            .and_then(Result::err)
+            .map(|refusal| refusal.reason);
+        assert_eq!(reason, case.session, "{}", case.name);
+    }
+}
