Do not promise that a request which was cut has had no effect

Seen: a request outside a transaction still runs 2 s after its key was withdrawn; it is cut, and its caller told execution=not_run, although it may have been committed.

Cause: one refusal stood for sessions that end between requests and for those that end in the middle of one.

Fix: a request that is cut is reported as of unknown outcome, unless it ran on a replica or inside a transaction that it could not commit; lost_database_refusal asks the same function.

Test: a_request_that_is_cut_is_not_said_to_have_had_no_effect failed before ("reason= key_withdrawn execution=not_run" outside a transaction) and passes now. Found by reading.

--- a/crates/bluebellferry_fleet/tests/access.rs
+++ b/crates/bluebellferry_fleet/tests/access.rs
@@ -143,3 +143,28 @@
     assert!(fleet.connect(0, "families", SERVICE).await.is_err());
     Ok(())
 }
+
+/// Guards against a request that is cut while it runs, whose caller is told that it has not run.
+#[tokio::test]
+async fn a_request_that_is_cut_is_not_said_to_have_had_no_effect() -> TestResult {
+    let fleet = start_fleet().await?;
+    for (begin, expected) in [("", "execution=unknown"), ("BEGIN", "execution=not_run")] {
+        let workspace = if begin.is_empty() {
+            "families"
+        } else {
+            "counter"
+        };
+        let client = fleet.connect(0, workspace, SERVICE).await?;
+        client.batch_execute(begin).await?;
+        let running = client.simple_query("SELECT pg_sleep(60)");
+        let changing = put_keys(&fleet, workspace, 1, &[]);
+        let (result, changed) = tokio::join!(running, changing);
+        changed?;
+        let error = result.err().ok_or("the running request succeeded")?;
+        let database_error = error.as_db_error().ok_or("no answer arrived")?;
+        assert_eq!(database_error.code().code(), "57P01", "{database_error:?}");
+        let detail = database_error.detail().unwrap_or_default();
+        assert!(detail.ends_with(expected), "{begin}: {detail}");
+    }
+    Ok(())
+}
--- a/crates/bluebellferry_proxy/src/session/request.rs
+++ b/crates/bluebellferry_proxy/src/session/request.rs
@@ -253,10 +253,15 @@
                     connection.discard();
                     return Err(self.lost_database_refusal(route, &plan).into());
                 }
-                Err(end) => {
+                Err(mut end) => {
                     let target = connection.connection.cancel_target.clone();
                     tokio::spawn(async move { target.send_cancel_request().await });
                     connection.discard();
+                    if let SessionEnd::Refused(refusal) = &mut end
+                        && !self.has_no_effect_if_cut(route, &plan)
+                    {
+                        refusal.execution = refusal::RequestExecution::Unknown;
+                    }
                     return Err(end.into());
                 }
             }
@@ -376,6 +381,13 @@
         Ok(())
     }
 
+    /// Returns whether a request takes no effect if its database connection is closed
+    /// before the answer.
+    fn has_no_effect_if_cut(&self, route: route::ChosenRoute, plan: &plan::RequestPlan) -> bool {
+        let is_in_transaction = self.transaction != message::TransactionStatus::Idle;
+        route == route::ChosenRoute::Replica || (is_in_transaction && !plan.may_commit)
+    }
+
     /// Returns the refusal for a request whose database connection was lost, which
     /// says whether the request may have taken effect. Updates the transaction state.
     pub(super) fn lost_database_refusal(
@@ -383,13 +395,12 @@
         route: route::ChosenRoute,
         plan: &plan::RequestPlan,
     ) -> refusal::RequestRefusal {
+        let has_no_effect = self.has_no_effect_if_cut(route, plan);
         let is_in_transaction = self.transaction != message::TransactionStatus::Idle;
         if is_in_transaction {
             self.transaction = message::TransactionStatus::Failed;
         }
         let retry_delay = Duration::from_millis(500);
-        let has_no_effect =
-            route == route::ChosenRoute::Replica || (is_in_transaction && !plan.may_commit);
         if has_no_effect {
             let text = "the database went away; nothing of this transaction took effect";
             let reason = refusal::RefusalReason::DatabaseLost;
