Draw changes of keys and routes under open transactions in the soak, and judge them

Change: a fault of one to three versions, one right after the other, which withdraw the roaming key, pass it to another workspace, and remove its route, make it public or lead it elsewhere, in any combination, from random numbers of their own. Callers with that key keep transactions open for seconds. The checker judges the key of each statement by the time of that statement (StaleVersion, RevertedVersion), knows public routes, and reports a transaction that was ended for its route alone (InterruptedTransaction).

--- a/crates/bluebellferry_history/src/statement.rs
+++ b/crates/bluebellferry_history/src/statement.rs
@@ -242,6 +242,9 @@
     pub name: String,
     /// The service that executes the route's statements.
     pub service: String,
+    /// Whether callers may use the route without a known key.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// A workspace in a version of the configuration.
@@ -379,7 +382,7 @@
     bounds: &HistoryBounds,
 ) -> Vec<StatementViolation> {
     let index = index::HistoryIndex::new(history, bounds);
-    let checks: [fn(&index::HistoryIndex<'_>) -> Vec<StatementViolation>; 22] = [
+    let checks: [fn(&index::HistoryIndex<'_>) -> Vec<StatementViolation>; 23] = [
         reads::find_stale_reads,
         commits::find_lost_commits,
         commits::find_shared_terms,
@@ -398,6 +401,7 @@
         configurations::find_forbidden_runs,
         configurations::find_stale_versions,
         configurations::find_reverted_versions,
+        configurations::find_interrupted_transactions,
         service::find_interrupted_requests,
         service::find_missing_recoveries,
         service::find_draining_database_uses,
--- a/crates/bluebellferry_history/src/statement/violation.rs
+++ b/crates/bluebellferry_history/src/statement/violation.rs
@@ -147,6 +147,11 @@
         /// The number of the newer version that the VM had used before.
         version: u64,
     },
+    /// A transaction was ended although nothing but its route had changed.
+    InterruptedTransaction {
+        /// The id of the refused statement.
+        request: String,
+    },
     /// An orderly stop or a reload of a VM interrupted a request that the VM had
     /// accepted.
     CutRequest {
--- a/crates/bluebellferry_history/tests/statements/configurations.rs
+++ b/crates/bluebellferry_history/tests/statements/configurations.rs
@@ -77,22 +77,155 @@
     assert_eq!(check(&history), []);
 }
 
+/// Returns a history in which a read runs in transaction 7, which began at `begun_us`, at
+/// `sent_us`, after version 2 came at [`BASE`].
+fn read_in_transaction(
+    second: statement::ConfigurationChange,
+    begun_us: u64,
+    sent_us: u64,
+) -> StatementHistory {
+    let mut history = new_history();
+    history.configurations.push(second);
+    let begin = transaction_statement(7, "b", Action::Begin, begun_us);
+    history.statements.push(begin);
+    let read = transaction_statement(7, "r", Action::Read, sent_us);
+    push_with_run(&mut history, read, 0);
+    history
+}
+
+/// Returns version 2 with the routes and the owner of [`KEY`] as given.
+fn second_version(has_route: bool, is_public: bool, owner: &str) -> statement::ConfigurationChange {
+    let mut second = configuration(2, BASE, &[KEY], 10.0);
+    owner.clone_into(&mut second.workspaces[0].name);
+    if owner.is_empty() {
+        second.workspaces.clear();
+    }
+    second.routes[0].is_public = is_public;
+    if !has_route {
+        second.routes.clear();
+    }
+    second
+}
+
+const LATE: u64 = DUE + 5 * MS;
+
 #[test]
-fn transaction_may_keep_version_of_its_start() {
+fn transaction_may_keep_the_route_of_its_start() {
     let begun_at = |begun_us: u64| {
-        let mut history = served_after_withdrawal(DUE + 5 * MS);
-        history.statements[0].is_in_transaction = true;
-        history.statements[0].attempt = 7;
-        history.runs[0].transaction = Some(7);
-        history
-            .statements
-            .push(transaction_statement(7, "b", Action::Begin, begun_us));
-        check(&history)
+        let second = second_version(false, false, "families");
+        check(&read_in_transaction(second, begun_us, LATE))
     };
     assert_eq!(begun_at(DUE + 1), stale_version());
     assert_eq!(begun_at(DUE), []);
 }
 
+/// Guards against a check that lets transactions outlive their keys: it judged the key, like the
+/// route, by the version at the first statement.
+#[test]
+fn transaction_must_not_keep_a_key_that_is_gone() {
+    for has_route in [true, false] {
+        for is_public in [true, false] {
+            for owner in ["", "others"] {
+                let sent_at = |sent_us: u64| {
+                    let second = second_version(has_route, is_public, owner);
+                    check(&read_in_transaction(second, BASE - MS, sent_us))
+                };
+                let case = format!("{has_route} {is_public} {owner}");
+                assert_eq!(sent_at(DUE + 1), stale_version(), "{case}");
+                assert_eq!(sent_at(DUE), [], "{case}");
+            }
+        }
+    }
+    // A key that was given back between is no reason.
+    let given_back = modified(
+        &read_in_transaction(
+            second_version(true, false, ""),
+            BASE - MS,
+            LATE + 3_000 * MS,
+        ),
+        |history| {
+            let back = configuration(3, LATE, &[KEY], 10.0);
+            history.configurations.push(back);
+        },
+    );
+    assert_eq!(check(&given_back), []);
+}
+
+#[test]
+fn vm_that_refused_a_key_must_not_use_it_in_a_transaction() {
+    let refused_before = |earlier_us: u64| {
+        let sent_us = BASE + 400 * MS;
+        let second = second_version(false, false, "");
+        let mut history = read_in_transaction(second, BASE - MS, sent_us);
+        let served = successful_statement("q", Action::Read, BASE - 500 * MS);
+        push_with_run(&mut history, served, 0);
+        let refused_at = sent_us - earlier_us - 2 * MS;
+        let mut refused = successful_statement("d", Action::Start, refused_at);
+        refused.outcome = Outcome::KeyRefused;
+        history.statements.push(refused);
+        check(&history)
+    };
+    let reverted = [Violation::RevertedVersion {
+        request: "r".to_owned(),
+        version: 2,
+    }];
+    assert_eq!(refused_before(250 * MS + 1), reverted);
+    assert_eq!(refused_before(250 * MS), []);
+}
+
+#[test]
+fn transaction_must_not_be_ended_for_its_route_alone() {
+    let refused_with = |outcome: Outcome, second: statement::ConfigurationChange| {
+        let mut history = read_in_transaction(second, BASE - MS, BASE + MS);
+        history.runs.clear();
+        history.statements[1].outcome = outcome;
+        check(&history)
+    };
+    let interrupted = [Violation::InterruptedTransaction {
+        request: "r".to_owned(),
+    }];
+    let removed = second_version(false, false, "families");
+    assert_eq!(refused_with(Outcome::UnknownRoute, removed), interrupted);
+    let withdrawn = second_version(false, false, "");
+    assert_eq!(refused_with(Outcome::KeyRefused, withdrawn), []);
+    // A caller whose key passed on, or needs none, may begin anew.
+    let public = second_version(true, true, "");
+    let refused = refused_with(Outcome::KeyRefused, public);
+    assert_ne!(refused, []);
+}
+
+#[test]
+fn transaction_without_a_key_rests_on_its_route() {
+    let history_with = |second: statement::ConfigurationChange| {
+        let mut history = read_in_transaction(second, BASE - MS, LATE);
+        history.configurations[0].workspaces.clear();
+        history.configurations[0].routes[0].is_public = true;
+        history.runs[0].workspace = "public".to_owned();
+        history
+    };
+    for second in [
+        second_version(true, true, "families"),
+        second_version(true, false, ""),
+        second_version(false, false, ""),
+    ] {
+        assert_eq!(check(&history_with(second)), []);
+    }
+    let ended = modified(&history_with(second_version(true, false, "")), |history| {
+        let mut refused = transaction_statement(7, "c", Action::Commit, LATE + 10 * MS);
+        refused.outcome = Outcome::KeyRefused;
+        history.statements.push(refused);
+    });
+    let interrupted = [Violation::InterruptedTransaction {
+        request: "c".to_owned(),
+    }];
+    assert_eq!(check(&ended), interrupted);
+    let forbidden = modified(
+        &history_with(second_version(true, true, "families")),
+        |history| history.configurations[0].routes[0].is_public = false,
+    );
+    assert_eq!(check(&forbidden).len(), 1);
+}
+
 #[test]
 fn vm_may_use_old_version_within_grace_after_fault() {
     let sent_us = DUE + 10_000 * MS;
--- a/crates/bluebellferry_history/tests/statements/fixtures.rs
+++ b/crates/bluebellferry_history/tests/statements/fixtures.rs
@@ -45,6 +45,7 @@
         routes: vec![statement::ConfiguredRoute {
             name: "counter".to_owned(),
             service: "rental".to_owned(),
+            is_public: false,
         }],
         workspaces: vec![statement::ConfiguredWorkspace {
             name: "families".to_owned(),
--- a/crates/bluebellferry_soak/src/callers.rs
+++ b/crates/bluebellferry_soak/src/callers.rs
@@ -69,6 +69,12 @@
     [counter, browse, booking]
 };
 
+/// The route of the callers with the roaming key.
+pub const ROAMING_ROUTE: CallerRoute = CallerRoute {
+    name: "pier",
+    ..ROUTES[0]
+};
+
 /// The settings of all callers.
 #[derive(Debug, Clone)]
 pub struct CallerSettings {
@@ -81,10 +87,14 @@
     /// Returns the rotating key with a number; each is withdrawn when the next one is
     /// published.
     pub rotating_key: fn(u64) -> String,
+    /// The API key that is withdrawn and passed on; its callers use [`ROAMING_ROUTE`].
+    pub roaming_key: String,
     /// The seed from which all callers draw.
     pub seed: u64,
-    /// The number of callers.
+    /// The number of callers with other keys than the roaming one.
     pub count: usize,
+    /// The number of callers with the roaming key.
+    pub roaming_count: usize,
 }
 
 /// A counter for the numbers of sessions, attempts and statements, which are unique in
@@ -108,6 +118,8 @@
     /// The number of the caller's rotating key; `None` for callers with the permanent
     /// key.
     rotating_key: Option<u64>,
+    /// Whether the caller has the roaming key.
+    is_roaming: bool,
 }
 
 /// Runs callers until `stop` becomes true; each then finishes its current operation.
@@ -119,14 +131,16 @@
     let settings = Arc::new(settings);
     let counter = Arc::new(SharedCounter::default());
     let mut callers = JoinSet::new();
-    for number in 0..settings.count {
+    for number in 0..settings.count + settings.roaming_count {
+        let is_roaming = number >= settings.count;
         let task = CallerTask {
             settings: Arc::clone(&settings),
             recorder: Arc::clone(&recorder),
             counter: Arc::clone(&counter),
             random: StdRng::seed_from_u64(settings.seed.wrapping_mul(1_000_003) + number as u64),
             stop: stop.clone(),
-            rotating_key: (number % CALLERS_PER_ROTATING_KEY == 0).then_some(0),
+            rotating_key: (number % CALLERS_PER_ROTATING_KEY == 0 && !is_roaming).then_some(0),
+            is_roaming,
         };
         callers.spawn(task.run());
     }
@@ -153,6 +167,9 @@
                 }
                 let operation = match pending_retry.take() {
                     Some(retry) => retry,
+                    None if self.is_roaming => {
+                        operation::CallerOperation::draw_long_transaction(&mut self.random)
+                    }
                     None => operation::CallerOperation::draw(&mut self.random, is_short_session),
                 };
                 pending_retry = operation.run(&mut session, &mut self.random).await;
@@ -170,16 +187,22 @@
     async fn connect(&mut self) -> Option<session::CallerSession> {
         let slot = self.random.random_range(0..self.settings.addresses.len());
         let route = self.random.random_range(0..self.settings.routes.len());
+        let route = if self.is_roaming {
+            ROAMING_ROUTE
+        } else {
+            self.settings.routes[route]
+        };
         let key_count = if self.rotating_key.is_some() { 2 } else { 1 };
         for key_offset in 0..key_count {
             let key = match self.rotating_key {
                 Some(number) => (self.settings.rotating_key)(number + key_offset),
+                None if self.is_roaming => self.settings.roaming_key.clone(),
                 None => self.settings.permanent_key.clone(),
             };
             let parameters = session::SessionParameters {
                 address: self.settings.addresses[slot],
                 vm: format!("vm-{slot}"),
-                route: self.settings.routes[route],
+                route,
                 key,
             };
             let recorder = Arc::clone(&self.recorder);
--- a/crates/bluebellferry_soak/src/callers/operation.rs
+++ b/crates/bluebellferry_soak/src/callers/operation.rs
@@ -32,6 +32,10 @@
 const ROLLBACK_AFTER_FAILURE_PROBABILITY: f64 = 0.25;
 /// The probability that a failed transaction is ended with ROLLBACK or COMMIT.
 const END_AFTER_FAILURE_PROBABILITY: f64 = 0.5;
+/// The number of accesses in a long transaction, within the platform's limit.
+const LONG_TRANSACTION_ACCESSES: Range<usize> = 3..10;
+/// The probability of a long think time before an access of a long transaction.
+const LONG_TRANSACTION_THINK_PROBABILITY: f64 = 0.5;
 /// The number of accesses in a transaction.
 const ACCESSES_PER_TRANSACTION: Range<usize> = 1..6;
 /// The usual think time between the statements of a transaction, in milliseconds;
@@ -102,6 +106,8 @@
         /// For each access, whether it writes.
         accesses: Vec<bool>,
         end: TransactionEnd,
+        /// The probability of a long think time before an access.
+        long_think_probability: f64,
     },
 }
 
@@ -133,6 +139,7 @@
                 is_read_only,
                 accesses,
                 end,
+                long_think_probability: LONG_THINK_TIME_PROBABILITY,
             }
         } else {
             OperationKind::Single(random.random_bool(WRITE_PROBABILITY))
@@ -140,6 +147,24 @@
         Self { kind, retries: 0 }
     }
 
+    /// Draws a transaction that stays open for some seconds, so that the configuration
+    /// changes meanwhile.
+    pub(super) fn draw_long_transaction(random: &mut StdRng) -> Self {
+        let count = random.random_range(LONG_TRANSACTION_ACCESSES);
+        let accesses = (0..count).map(|_| random.random_bool(WRITE_PROBABILITY));
+        let kind = OperationKind::Transaction {
+            is_read_only: false,
+            accesses: accesses.collect(),
+            end: if random.random_bool(ROLLBACK_PROBABILITY) {
+                TransactionEnd::Rollback
+            } else {
+                TransactionEnd::Commit
+            },
+            long_think_probability: LONG_TRANSACTION_THINK_PROBABILITY,
+        };
+        Self { kind, retries: 0 }
+    }
+
     /// Runs the operation once. Returns the operation for a retry if that is safe; the
     /// retry uses another session if this one has ended.
     pub(super) async fn run(
@@ -173,7 +198,11 @@
                 is_read_only,
                 accesses,
                 end,
-            } => run_transaction(session, random, *is_read_only, accesses, *end).await,
+                long_think_probability,
+            } => {
+                let pauses = *long_think_probability;
+                run_transaction(session, random, *is_read_only, accesses, *end, pauses).await
+            }
         };
         let failure = failure?;
         let is_read_only = match &self.kind {
@@ -280,6 +309,7 @@
     is_read_only: bool,
     accesses: &[bool],
     end: TransactionEnd,
+    long_think_probability: f64,
 ) -> (Option<session::StatementResult>, bool) {
     let attempt = session.new_attempt(true);
     let begin_text = if is_read_only { "BEGIN READ" } else { "BEGIN" };
@@ -288,7 +318,7 @@
         if !last_result.outcome.is_success() {
             break;
         }
-        let is_long = random.random_bool(LONG_THINK_TIME_PROBABILITY);
+        let is_long = random.random_bool(long_think_probability);
         let range_ms = if is_long {
             LONG_THINK_TIME_MS
         } else {
--- a/crates/bluebellferry_soak/src/fault.rs
+++ b/crates/bluebellferry_soak/src/fault.rs
@@ -93,6 +93,47 @@
     pub fails_transaction: bool,
 }
 
+/// The workspace that has the roaming key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyOwner {
+    /// No workspace: the key is withdrawn.
+    Nobody,
+    /// The workspace that has the key while no fault changes it.
+    Visitors,
+    /// Another workspace.
+    Clubs,
+}
+
+/// The route of the callers with the roaming key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteState {
+    /// There is no such route.
+    Absent,
+    /// Callers need a key.
+    Private,
+    /// Callers need no key.
+    Public,
+    /// The route leads to a service without databases.
+    Elsewhere,
+}
+
+/// What a version of the configuration says about the callers with the roaming key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccessState {
+    /// The workspace that has their key.
+    pub owner: KeyOwner,
+    /// Their route.
+    pub route: RouteState,
+}
+
+impl AccessState {
+    /// The state while no fault changes it.
+    pub const DEFAULT: Self = Self {
+        owner: KeyOwner::Visitors,
+        route: RouteState::Private,
+    };
+}
+
 /// A fault and what it affects.
 ///
 /// VMs are identified by their initial slots: if a VM was replaced, the fault affects its
@@ -116,6 +157,9 @@
     Rate(u32),
     /// Gives callers a new API key and withdraws the previous one.
     WithdrawKey,
+    /// Publishes versions that change the roaming key and its route, one right after the
+    /// other, and the default at the end of the fault.
+    ChangeAccess(Vec<AccessState>),
     /// Registers a database as draining; at the end of the fault it crashes and restarts
     /// under another identity.
     Leave(u8),
@@ -154,7 +198,7 @@
 
 impl FaultKind {
     /// The names and descriptions of all kinds of faults.
-    pub const KINDS: [(&'static str, &'static str); 23] = [
+    pub const KINDS: [(&'static str, &'static str); 24] = [
         ("stop", "SIGTERM to VMs, then a restart"),
         ("reload", "SIGHUP to a VM"),
         ("freeze", "SIGSTOP to VMs, later SIGCONT"),
@@ -196,6 +240,10 @@
             "refuse-setup",
             "databases refuse to set up connections, with or without effect",
         ),
+        (
+            "change-access",
+            "versions change the roaming key, its workspace and its route, also several at once",
+        ),
     ];
 
     /// Returns whether the fault has no duration.
@@ -264,6 +312,7 @@
             Self::LoseAnswer => 20,
             Self::Evacuate(_) => 21,
             Self::RefuseSetup(_) => 22,
+            Self::ChangeAccess(_) => 23,
         }
     }
 
--- a/crates/bluebellferry_soak/src/runner.rs
+++ b/crates/bluebellferry_soak/src/runner.rs
@@ -16,6 +16,8 @@
 use crate::schedule;
 use crate::site;
 
+/// For this many callers, another one uses the roaming key.
+const CALLERS_PER_ROAMING_KEY: usize = 4;
 /// The interval between checks for due faults and exited processes.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval between checks of the history during a run.
@@ -114,8 +116,10 @@
         routes: callers::ROUTES.to_vec(),
         permanent_key: site::PERMANENT_KEY.to_owned(),
         rotating_key: site::rotating_key,
+        roaming_key: site::ROAMING_KEY.to_owned(),
         seed: schedule.seed,
         count: settings.callers,
+        roaming_count: settings.callers.div_ceil(CALLERS_PER_ROAMING_KEY),
     };
     let start_us = recorder::now_us();
     let callers_task = tokio::spawn(callers::run_callers(
--- a/crates/bluebellferry_soak/src/schedule.rs
+++ b/crates/bluebellferry_soak/src/schedule.rs
@@ -70,6 +70,15 @@
 const SETUP_REFUSAL_INTERVALS_MS: std::ops::Range<u64> = 500..8_000;
 /// Separates the random numbers of refusals of setup steps from those of other faults.
 const SETUP_REFUSAL_SEED: u64 = 0x5e7_0ff5;
+/// The intervals between changes of the roaming key and its route, in milliseconds.
+const ACCESS_CHANGE_INTERVALS_MS: std::ops::Range<u64> = 300..3_000;
+/// The durations of such changes, in milliseconds: some are in force for longer than VMs may
+/// take to apply them.
+const ACCESS_CHANGES_MS: std::ops::Range<u64> = 300..7_000;
+/// The number of versions that follow one another in such a change.
+const VERSIONS_PER_ACCESS_CHANGE: std::ops::Range<usize> = 1..4;
+/// Separates the random numbers of these changes from those of other faults.
+const ACCESS_CHANGE_SEED: u64 = 0xacce_55ed;
 /// The reduced rate limits, in operations per second.
 const RATE_LIMITS: std::ops::Range<u32> = 60..150;
 
@@ -149,6 +158,7 @@
         faults.extend(draw_silences(seed, size, fault_end_ms));
         faults.extend(draw_evacuations(seed, size, fault_end_ms));
         faults.extend(draw_setup_refusals(seed, fault_end_ms));
+        faults.extend(draw_access_changes(seed, fault_end_ms));
         faults.sort_by_key(|fault| fault.at_ms);
         Self {
             seed,
@@ -249,6 +259,43 @@
     faults
 }
 
+/// Draws changes of the roaming key and its route from random numbers of their own, one after
+/// another, each of one version or of several.
+fn draw_access_changes(seed: u64, fault_end_ms: u64) -> Vec<ScheduledFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ ACCESS_CHANGE_SEED);
+    let mut faults = Vec::new();
+    let mut at_ms = INITIAL_QUIET_MS + random.random_range(ACCESS_CHANGE_INTERVALS_MS);
+    while at_ms < fault_end_ms {
+        let lasts_ms = random.random_range(ACCESS_CHANGES_MS);
+        let lasts_ms = lasts_ms.min(fault_end_ms - at_ms);
+        let count = random.random_range(VERSIONS_PER_ACCESS_CHANGE);
+        let states = (0..count).map(|_| draw_access_state(&mut random));
+        faults.push(ScheduledFault {
+            at_ms,
+            lasts_ms,
+            kind: FaultKind::ChangeAccess(states.collect()),
+        });
+        at_ms += lasts_ms + random.random_range(ACCESS_CHANGE_INTERVALS_MS);
+    }
+    faults
+}
+
+fn draw_access_state(random: &mut StdRng) -> fault::AccessState {
+    use fault::KeyOwner;
+    use fault::RouteState;
+    let owners = [KeyOwner::Nobody, KeyOwner::Visitors, KeyOwner::Clubs];
+    let routes = [
+        RouteState::Absent,
+        RouteState::Private,
+        RouteState::Public,
+        RouteState::Elsewhere,
+    ];
+    fault::AccessState {
+        owner: owners[random.random_range(0..owners.len())],
+        route: routes[random.random_range(0..routes.len())],
+    }
+}
+
 fn draw_setup_refusal(random: &mut StdRng) -> fault::SetupRefusal {
     use fault::SetupError;
     use fault::SetupVerb;
--- a/crates/bluebellferry_soak/src/site.rs
+++ b/crates/bluebellferry_soak/src/site.rs
@@ -17,9 +17,11 @@
 use serde_json::json;
 
 use crate::SoakError;
+use crate::callers;
 use crate::commands;
 use crate::commands::GroupCommand;
 use crate::commands::StoreCommand;
+use crate::fault;
 use crate::fault::FaultKind;
 use crate::layout;
 use crate::mesh;
@@ -39,6 +41,13 @@
 const WORKSPACE: &str = "families";
 /// The names of the configured routes.
 const ROUTES: [&str; 3] = ["counter", "browse", "booking"];
+/// The workspaces between which the roaming key passes.
+const VISITORS: &str = "visitors";
+const CLUBS: &str = "clubs";
+/// A service that has no databases.
+const OTHER_SERVICE: &str = "repairs";
+/// The API key that [`FaultKind::ChangeAccess`] withdraws and passes on.
+pub const ROAMING_KEY: &str = "roaming-key-of-visitors";
 /// The API key that no fault withdraws.
 pub const PERMANENT_KEY: &str = "steady-key-of-families";
 
@@ -97,6 +106,8 @@
     configuration_version: u64,
     rate_limit: u32,
     rotating_key_number: u64,
+    /// The roaming key and its route.
+    access: fault::AccessState,
     /// The active faults by their indices in the schedule.
     active_faults: BTreeMap<usize, ActiveFault>,
     /// What the runner did: faults, signals, starts, configurations and draining
@@ -172,6 +183,7 @@
             configuration_version: 0,
             rate_limit: DEFAULT_RATE,
             rotating_key_number: 0,
+            access: fault::AccessState::DEFAULT,
             active_faults: BTreeMap::new(),
             recorded: statement::StatementHistory::default(),
             unexpected_exits: Vec::new(),
@@ -252,39 +264,87 @@
         let rotating_key = rotating_key(self.rotating_key_number);
         let keys = [PERMANENT_KEY, rotating_key.as_str()];
         let rate_limit = f64::from(self.rate_limit);
-        let value = contents::configuration(
+        let mut value = contents::configuration(
             self.configuration_version,
             commands::SERVICE,
             &keys,
             rate_limit,
         );
+        let mut routes = ROUTES
+            .map(|name| configured_route(name, commands::SERVICE))
+            .to_vec();
+        routes.extend(roaming_route(self.access.route));
+        let has_roaming_key = |owner| self.access.owner == owner;
+        let workspaces = vec![
+            configured_workspace(WORKSPACE, &keys, rate_limit),
+            roaming_workspace(VISITORS, has_roaming_key(fault::KeyOwner::Visitors)),
+            roaming_workspace(CLUBS, has_roaming_key(fault::KeyOwner::Clubs)),
+        ];
+        contents::add_service(&mut value, OTHER_SERVICE);
+        for workspace in &workspaces[1..] {
+            let keys: Vec<&str> = workspace.keys.iter().map(String::as_str).collect();
+            contents::add_workspace(&mut value, &workspace.name, &keys);
+        }
+        for route in &routes[ROUTES.len()..] {
+            contents::add_route(&mut value, &route.name, &route.service, route.is_public);
+        }
         let (kind, name) = contents::CONFIGURATION_OBJECT;
         let command = StoreCommand::Put(kind.to_owned(), name.to_owned(), value);
         let sent_us = recorder::now_us();
         self.store.send(&command).await?;
-        let route = |name: &str| statement::ConfiguredRoute {
-            name: name.to_owned(),
-            service: commands::SERVICE.to_owned(),
-        };
-        let workspace = statement::ConfiguredWorkspace {
-            name: WORKSPACE.to_owned(),
-            keys: keys.map(str::to_owned).to_vec(),
-            rate_per_s: rate_limit,
-            burst: rate_limit,
-        };
         self.recorded
             .configurations
             .push(statement::ConfigurationChange {
                 version: self.configuration_version,
                 sent_us,
                 confirmed_us: recorder::now_us(),
-                routes: ROUTES.map(route).to_vec(),
-                workspaces: vec![workspace],
+                routes,
+                workspaces,
             });
         Ok(())
     }
 }
 
+fn configured_route(name: &str, service: &str) -> statement::ConfiguredRoute {
+    statement::ConfiguredRoute {
+        name: name.to_owned(),
+        service: service.to_owned(),
+        is_public: false,
+    }
+}
+
+/// Returns the route of the callers with the roaming key, if it exists in this state.
+fn roaming_route(state: fault::RouteState) -> Option<statement::ConfiguredRoute> {
+    let route = configured_route(callers::ROAMING_ROUTE.name, commands::SERVICE);
+    match state {
+        fault::RouteState::Absent => None,
+        fault::RouteState::Private => Some(route),
+        fault::RouteState::Public => Some(statement::ConfiguredRoute {
+            is_public: true,
+            ..route
+        }),
+        fault::RouteState::Elsewhere => Some(statement::ConfiguredRoute {
+            service: OTHER_SERVICE.to_owned(),
+            ..route
+        }),
+    }
+}
+
+fn configured_workspace(name: &str, keys: &[&str], rate: f64) -> statement::ConfiguredWorkspace {
+    statement::ConfiguredWorkspace {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        rate_per_s: rate,
+        burst: rate,
+    }
+}
+
+/// Returns a workspace that may have the roaming key; its rate never binds.
+fn roaming_workspace(name: &str, has_key: bool) -> statement::ConfiguredWorkspace {
+    let keys: &[&str] = if has_key { &[ROAMING_KEY] } else { &[] };
+    configured_workspace(name, keys, contents::AMPLE_RATE)
+}
+
 /// Returns the data centre of a database.
 pub(crate) fn database_centre(database: u8) -> &'static str {
     let centres = bluebellferry_standin_platform::deployment::DATA_CENTRES;
--- a/crates/bluebellferry_soak/src/site/injection.rs
+++ b/crates/bluebellferry_soak/src/site/injection.rs
@@ -77,6 +77,7 @@
             | FaultKind::Reload(_)
             | FaultKind::Rate(_)
             | FaultKind::WithdrawKey
+            | FaultKind::ChangeAccess(_)
             | FaultKind::Leave(_) => Vec::new(),
         }
     }
@@ -155,6 +156,12 @@
                 self.rate_limit = *rate;
                 self.publish_configuration().await?;
             }
+            FaultKind::ChangeAccess(states) => {
+                for state in states {
+                    self.access = *state;
+                    self.publish_configuration().await?;
+                }
+            }
             FaultKind::WithdrawKey => {
                 self.rotating_key_number += 1;
                 self.publish_configuration().await?;
@@ -202,6 +209,10 @@
                 self.rate_limit = DEFAULT_RATE;
                 self.publish_configuration().await?;
             }
+            FaultKind::ChangeAccess(_) => {
+                self.access = fault::AccessState::DEFAULT;
+                self.publish_configuration().await?;
+            }
             FaultKind::Leave(database) => {
                 let started_us = recorder::now_us();
                 let target = self.database_target(*database);
--- a/crates/bluebellferry_soak/tests/schedules.rs
+++ b/crates/bluebellferry_soak/tests/schedules.rs
@@ -87,6 +87,30 @@
     assert_eq!(drawn.len(), verbs.len() * effects, "{drawn:?}");
 }
 
+#[test]
+fn changes_of_access_come_in_every_combination_and_several_at_once() {
+    let mut states = BTreeSet::new();
+    let mut counts = BTreeSet::new();
+    let mut longest_ms = 0;
+    for seed in 0..50 {
+        let schedule = schedule::FaultSchedule::draw(seed, SIZE, 20_000);
+        for scheduled in &schedule.faults {
+            let fault::FaultKind::ChangeAccess(versions) = &scheduled.kind else {
+                continue;
+            };
+            counts.insert(versions.len());
+            longest_ms = longest_ms.max(scheduled.lasts_ms);
+            let name = |state: &fault::AccessState| format!("{state:?}");
+            states.extend(versions.iter().map(name));
+        }
+    }
+    let (owners, routes) = (3, 4);
+    assert_eq!(states.len(), owners * routes, "{states:?}");
+    assert_eq!(counts, BTreeSet::from([1, 2, 3]));
+    // Long enough for a version that is not applied in time to show.
+    assert!(longest_ms > 4_000, "{longest_ms}");
+}
+
 #[test]
 fn kept_schedules_can_be_read() {
     let mut schedules = 0;
--- a/crates/bluebellferry_soak/tests/short_soak.rs
+++ b/crates/bluebellferry_soak/tests/short_soak.rs
@@ -159,3 +159,10 @@
 async fn templates_with_blanks() {
     replay_regression("templates-with-blanks").await;
 }
+
+// Guards against transactions that go on after their key was withdrawn or passed on, together with a
+// change of their route.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_under_open_transactions() {
+    replay_regression("keys-under-open-transactions").await;
+}
