--- a/crates/bluebellferry_edge/src/traffic/access.rs
+++ b/crates/bluebellferry_edge/src/traffic/access.rs
@@ -8,6 +8,7 @@
 use bluebellferry_catalog::configuration;
 use bluebellferry_catalog::homes;
 use bluebellferry_keys::digest;
+use bluebellferry_runtime::guard;
 use bluebellferry_types::name;
 use bluebellferry_types::refusal;
 
@@ -128,22 +129,7 @@
         shared: &shared::EdgeShared,
         wait: impl Future<Output = T>,
     ) -> Result<T, refusal::RequestRefusal> {
-        let lost = async {
-            let mut changes = shared.subscribe_to_snapshots();
-            loop {
-                changes.mark_unchanged();
-                if let Err(refusal) = self.confirm(&shared.snapshot().configuration) {
-                    return refusal;
-                }
-                if changes.changed().await.is_err() {
-                    std::future::pending::<()>().await;
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            output = wait => Ok(output),
-            refusal = lost => Err(refusal),
-        }
+        let confirm = || self.confirm(&shared.snapshot().configuration);
+        guard::wait_while_confirmed(|| shared.subscribe_to_snapshots(), confirm, wait).await
     }
 }
--- a/crates/bluebellferry_edge/tests/access_of_vms.rs
+++ b/crates/bluebellferry_edge/tests/access_of_vms.rs
@@ -144,6 +144,9 @@
         let mut runs = self.deployment.group.take_history().runs.into_iter();
         let run = runs.find(|run| run.request == id);
         let workspace = run.as_ref().map(|run| run.workspace.as_str());
+        // The connection of a transaction that was rolled back is not used again.
+        let transaction = run.as_ref().and_then(|run| run.transaction);
+        assert_eq!(transaction, None, "{name}");
         match case.next {
             NextFate::RunsFor(expected) => {
                 assert_eq!(answer.refusal, None, "{name}");
--- a/crates/bluebellferry_proxy/src/session/access.rs
+++ b/crates/bluebellferry_proxy/src/session/access.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bluebellferry_keys::digest;
+use bluebellferry_runtime::guard;
 use bluebellferry_types::name;
 use bluebellferry_types::refusal;
 use tokio::sync::watch;
@@ -122,23 +123,8 @@
         &self,
         wait: impl Future<Output = T>,
     ) -> Result<T, refusal::RequestRefusal> {
-        let lost = async {
-            let mut wakeups = self.wakeups.clone();
-            loop {
-                wakeups.mark_unchanged();
-                if let Err(refusal) = self.confirm() {
-                    return refusal;
-                }
-                if wakeups.changed().await.is_err() {
-                    std::future::pending::<()>().await;
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            output = wait => Ok(output),
-            refusal = lost => Err(refusal),
-        }
+        let confirm = || self.confirm();
+        guard::wait_while_confirmed(|| self.wakeups.clone(), confirm, wait).await
     }
 }
 
--- a/crates/bluebellferry_runtime/src/lib.rs
+++ b/crates/bluebellferry_runtime/src/lib.rs
@@ -1,6 +1,6 @@
 //! Infrastructure that all bluebellferry processes share: JSON settings whose errors name the file
-//! and the field, JSON-lines logs, a clock that includes machine suspension, HTTP routes for
-//! `/metrics` and `/ready`, and shutdown signals.
+//! and the field, JSON-lines logs, a clock that includes machine suspension, waits that
+//! end early, HTTP routes for `/metrics` and `/ready`, and shutdown signals.
 //!
 //! ```
 //! use bluebellferry_runtime::settings;
@@ -14,6 +14,7 @@
 //! ```
 
 pub mod clock;
+pub mod guard;
 pub mod health;
 pub mod logging;
 pub mod settings;
