--- a/crates/bluebellferry_edge/src/traffic/access.rs
+++ b/crates/bluebellferry_edge/src/traffic/access.rs
@@ -97,8 +97,9 @@
     /// operation goes on although its route has changed or is gone.
     ///
     /// # Errors
-    /// Returns a refusal if the key is not known any more, or names another workspace. A caller
-    /// that may begin anew, for whichever workspace, is told that nothing of the operation is kept.
+    /// Returns a refusal if the key is not known any more, or names another workspace. It refuses the
+    /// key only if that is unknown and the newest route needs one; otherwise it says that nothing of
+    /// the operation is kept, and the caller may try again.
     pub fn confirm(
         &self,
         configuration: &configuration::Configuration,
@@ -108,14 +109,14 @@
             return Ok(());
         }
         let route = configuration.find_route(&self.identity.route);
-        let may_begin_anew = owner.is_some() || route.is_some_and(|route| route.is_public);
-        let (reason, text) = if may_begin_anew {
-            let text = "the key does not name the workspace any more with which this began";
-            (refusal::RefusalReason::TransactionAborted, text)
-        } else {
+        let needs_key = route.is_none_or(|route| !route.is_public);
+        if owner.is_none() && needs_key {
+            let reason = refusal::RefusalReason::KeyRefused;
             let text = "the key was withdrawn";
-            (refusal::RefusalReason::KeyRefused, text)
-        };
+            return Err(refusal::RequestRefusal::not_run(reason, text));
+        }
+        let reason = refusal::RefusalReason::TransactionAborted;
+        let text = "the key no longer names the workspace for which this began";
         Err(refusal::RequestRefusal::not_run(reason, text))
     }
 
--- a/crates/bluebellferry_edge/src/traffic/session.rs
+++ b/crates/bluebellferry_edge/src/traffic/session.rs
@@ -35,6 +35,7 @@
 const HAND_OVER_SPREAD: Duration = Duration::from_millis(1_500);
 /// The maximum time to write an answer to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The values that apply to a transaction from its beginning to its end.
 #[derive(Debug, Clone)]
 pub struct TransactionContext {
