--- a/crates/bluebellferry_proxy/src/session/idempotency.rs
+++ b/crates/bluebellferry_proxy/src/session/idempotency.rs
@@ -69,10 +69,6 @@
                 borrowed.map_err(SessionEnd::from)??.1
             }
         };
-        if let Err(refusal) = access.confirm() {
-            connection.discard();
-            return Err(SessionEnd::from(refusal).into());
-        }
         let recorded = record_request_id(&mut connection, &row_id, is_proxy_transaction).await;
         match recorded {
             Ok(RequestIdOutcome::Recorded) => {}
@@ -94,6 +90,10 @@
                 return Err(refusal.into());
             }
         }
+        if let Err(refusal) = access.confirm() {
+            connection.discard();
+            return Err(SessionEnd::from(refusal).into());
+        }
         self.cancel_entry
             .set_cancel_target(Some(connection.connection.cancel_target.clone()));
         connection.connection.expect_changes(plan);
